--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -1,25 +1,22 @@
 #include "link.h"
 
-#include <charconv>
-#include <cmath>
 #include <cstdio>
 #include <istream>
 #include <limits>
-#include <optional>
 #include <ostream>
 #include <unordered_map>
+#include <utility>
+
+#include "settings/settings.h"
+#include "settings/words.h"
 
 namespace topazcrank::benchlink {
 
 namespace {
 
-using Pairs = std::unordered_map<std::string, std::string>;
-
-template <typename Value>
-struct Word {
-    std::string_view text;
-    Value value;
-};
+using linnetlead::settings::look_up;
+using linnetlead::settings::parse;
+using linnetlead::settings::Word;
 
 constexpr std::array<Word<Outcome>, 8> outcomes{{{"ok", Outcome::ok},
                                                  {"error", Outcome::error},
@@ -37,160 +34,6 @@
     {{"IN", ServerState::in}, {"LAME", ServerState::draining}, {"OUT", ServerState::out}}};
 constexpr std::array<Word<ListKind>, 4> list_kinds{
     {{"D", ListKind::changes}, {"F", ListKind::full}, {"C", ListKind::cached}, {"X", ListKind::failed}}};
-constexpr std::array<Word<Repeat>, 3> repeats{
-    {{"retryable", Repeat::safe}, {"dedup", Repeat::keyed}, {"fragile", Repeat::unsafe}}};
-constexpr std::array<Word<KeyScope>, 3> key_scopes{
-    {{"all", KeyScope::all}, {"zone", KeyScope::zone}, {"cell", KeyScope::cell}}};
-constexpr std::array<Word<ReportSource>, 3> report_sources{
-    {{"none", ReportSource::none}, {"answers", ReportSource::answers}, {"probe", ReportSource::probe}}};
-constexpr std::array<Word<bool>, 2> list_modes{{{"pushed", false}, {"on_request", true}}};
-constexpr std::array<Word<bool>, 2> truths{{{"true", true}, {"false", false}}};
-
-template <typename Value, std::size_t count>
-std::optional<Value> look_up(const std::array<Word<Value>, count>& words, std::string_view text) {
-    for (const auto& word : words) {
-        if (word.text == text) return word.value;
-    }
-    return std::nullopt;
-}
-
-template <typename Number>
-std::optional<Number> parse(std::string_view text, int base = 10) {
-    Number value{};
-    std::from_chars_result result{};
-    if constexpr (std::is_floating_point_v<Number>) {
-        result = std::from_chars(text.data(), text.data() + text.size(), value);
-        if (!std::isfinite(value)) return std::nullopt;
-    } else {
-        result = std::from_chars(text.data(), text.data() + text.size(), value, base);
-    }
-    if (result.ec != std::errc{} || result.ptr != text.data() + text.size()) return std::nullopt;
-    return value;
-}
-
-// The settings of one BOOT. Missing keys leave the neutral values of the interface.
-class InfoReader {
-public:
-    explicit InfoReader(const Pairs& pairs) : pairs_(pairs) {}
-
-    void read(const std::string& key, std::string& into) const {
-        if (const auto* text = get(key)) into = *text;
-    }
-    void read(const std::string& key, double& into) const { number(key, into); }
-    void read(const std::string& key, int& into) const { number(key, into); }
-    void read(const std::string& key, Span& into) const {
-        std::int64_t nanoseconds = into.count();
-        number(key, nanoseconds);
-        into = Span{nanoseconds};
-    }
-    template <typename Value, std::size_t count>
-    void read(const std::string& key, const std::array<Word<Value>, count>& words, Value& into) const {
-        const auto* text = get(key);
-        if (!text) return;
-        const auto value = look_up(words, *text);
-        if (!value) throw WireError("setting " + key + ": unknown value '" + *text + "'");
-        into = *value;
-    }
-    void read(const std::string& key, bool& into) const { read(key, truths, into); }
-    int list_size(const std::string& key) const {
-        int size = 0;
-        number(key, size);
-        constexpr int most = 10000;
-        if (size < 0 || size > most) throw WireError("setting " + key + ": out of range");
-        return size;
-    }
-    std::vector<std::string> words(const std::string& key) const {
-        std::vector<std::string> list;
-        const auto* text = get(key);
-        for (std::size_t at = 0; text && at < text->size();) {
-            const auto end = std::min(text->find(',', at), text->size());
-            list.push_back(text->substr(at, end - at));
-            at = end + 1;
-        }
-        return list;
-    }
-
-private:
-    const std::string* get(const std::string& key) const {
-        const auto it = pairs_.find(key);
-        return it == pairs_.end() ? nullptr : &it->second;
-    }
-    template <typename Number>
-    void number(const std::string& key, Number& into) const {
-        const auto* text = get(key);
-        if (!text) return;
-        auto value = parse<Number>(*text);
-        if constexpr (!std::is_floating_point_v<Number>) {
-            // "2.0" stands for a whole number
-            const auto real = value ? std::nullopt : parse<double>(*text);
-            constexpr double top = 9e15;
-            if (real && std::abs(*real) < top && std::floor(*real) == *real)
-                value = static_cast<Number>(*real);
-        }
-        if (!value) throw WireError("setting " + key + ": not a number or out of range: '" + *text + "'");
-        into = *value;
-    }
-    const Pairs& pairs_;
-};
-
-Settings read_settings(const Pairs& pairs) {
-    const InfoReader info(pairs);
-    Settings s;
-    info.read("balancers", s.gateways);
-    info.read("me", s.self);
-    info.read("zone", s.zone);
-    info.read("quantum", s.tick);
-    info.read("extra.may_count", s.may_count);
-    info.read("extra.count_limit", s.count_timeout);
-    info.read("extra.call_price", s.count_price);
-    info.read("extra.units_top", s.most_units);
-    info.read("limits.cancel", s.may_cancel);
-    info.read("limits.may_probe", s.may_probe);
-    info.read("limits.second_copies", s.second_copies);
-    info.read("limits.retry_after", s.retry_after);
-    info.read("limits.max_retry_after", s.most_retry_after);
-    info.read("limits.max_attempts", s.most_attempts);
-    info.read("discovery", list_modes, s.list_on_request);
-    info.read("guarantees.must_ask_in", s.list_ask_within);
-    info.read("report.how", report_sources, s.reports);
-    info.read("guarantees.cold_from", s.cold_from);
-    info.read("guarantees.ramp_time", s.ramp_time);
-    info.read("guarantees.fall_multiple", s.fall_multiple);
-    info.read("guarantees.fall", s.fall_time);
-    info.read("deductions.waste", s.waste_price);
-    info.read("deductions.late_fail", s.late_fail_price);
-    info.read("deductions.cross_zone", s.cross_zone_price);
-    for (int i = 0; i < info.list_size("classes.count"); ++i) {
-        const std::string at = "classes." + std::to_string(i) + ".";
-        ClassSettings c;
-        info.read(at + "name", c.name);
-        info.read(at + "aim", c.aim);
-        info.read(at + "deadline", c.deadline);
-        info.read(at + "idempotency", repeats, c.repeat);
-        info.read(at + "key_scope", key_scopes, c.key_scope);
-        info.read(at + "dedup_window", c.key_window);
-        info.read(at + "worth", c.worth);
-        info.read(at + "late_worth", c.late_worth);
-        s.classes.push_back(c);
-    }
-    for (int i = 0; i < info.list_size("tariffs.count"); ++i) {
-        const std::string at = "tariffs." + std::to_string(i) + ".";
-        PlanSettings p;
-        info.read(at + "name", p.name);
-        info.read(at + "units_per_s", p.rate);
-        info.read(at + "most_at_once", p.burst);
-        info.read(at + "max_out", p.max_open);
-        info.read(at + "hard_rate", p.ceiling_rate);
-        info.read(at + "never_over_depth", p.ceiling_burst);
-        info.read(at + "hard_slack", p.ceiling_slack);
-        info.read(at + "pays", p.price);
-        info.read(at + "extra_worth", p.over_worth);
-        info.read(at + "beyond_costs", p.over_cost);
-        s.plans.push_back(p);
-    }
-    return s;
-}
-
 std::string one_line(std::string text) {
     for (char& c : text) {
         if (c == '\n' || c == '\r') c = ' ';
@@ -270,13 +113,7 @@
             const auto value = parse<double>(part);
             if (!value) complain(field, "not a number: '" + std::string(part) + "'");
             if (i >= names.size()) continue;
-            const std::string& name = names[i];
-            if (name == "concurrent") report.in_flight = value;
-            if (name == "depth") report.queued = value;
-            if (name == "load_share") report.utilisation = value;
-            if (name == "mean_ms") report.service_ms = value;
-            if (name == "tps") report.per_second = value;
-            if (name == "err_ps") report.errors_per_second = value;
+            linnetlead::settings::set_report_field(report, names[i], *value);
         }
         return report;
     }
@@ -373,7 +210,7 @@
 void Link::boot(Fields& fields) {
     const auto who = fields.number<std::int64_t>("who", 0, std::numeric_limits<std::int32_t>::max());
     const auto seed = fields.number<std::uint64_t>("entropy", 0, std::numeric_limits<std::uint64_t>::max());
-    Pairs pairs;
+    linnetlead::settings::Pairs pairs;
     auto rest = fields.remainder();
     while (!rest.empty()) {
         const auto end = std::min(rest.find(' '), rest.size());
@@ -386,19 +223,20 @@
         pairs[std::string(pair.substr(0, equals))] = std::string(pair.substr(equals + 1));
     }
     auto instance = std::make_unique<Instance>(who, reply_);
-    Settings settings;
+    linnetlead::settings::Site site;
     try {
-        settings = read_settings(pairs);
-    } catch (const WireError& e) {
+        site = linnetlead::settings::read_site(pairs);
+    } catch (const linnetlead::settings::SettingsError& e) {
         fields.complain("info", e.what());
     }
+    Settings& settings = site.settings;
     for (std::size_t i = 0; i < settings.classes.size(); ++i) {
         instance->classes[settings.classes[i].name] = static_cast<int>(i);
     }
     for (std::size_t i = 0; i < settings.plans.size(); ++i) {
         instance->plans[settings.plans[i].name] = static_cast<int>(i);
     }
-    instance->report_fields = InfoReader(pairs).words("report.fields");
+    instance->report_fields = std::move(site.report_fields);
     instance->running = true;
     instance->guarded(
         [&] { instance->policy = std::make_unique<Policy>(std::move(settings), seed, now_, *instance); });
--- /dev/null
+++ b/src/core/attempt.h
@@ -0,0 +1,59 @@
+// How an attempt at a worker ended. An error is a value that says how far the attempt had come.
+#pragma once
+
+#include <string_view>
+
+#include "topazcrank/policy.h"
+
+namespace linnetlead::core {
+
+enum class Stage {
+    unconnected,     // nothing has been written
+    partly_written,  // the last byte has not: the worker cannot have begun
+    written,         // the kernel has taken the last byte
+    answering,       // part of an answer is here
+};
+
+enum class Ending {
+    served,
+    error,        // the worker's error answer
+    turned_away,  // the worker's own overload reply
+    broken,       // refused, reset, ended, or bytes that are no answer
+    timed_out,
+    given_up,  // by the decision module
+};
+
+struct AttemptEnd {
+    Stage stage = Stage::unconnected;
+    Ending ending = Ending::broken;
+    std::string_view value;  // of a served call: a slice of the read buffer
+    double true_units = 0;
+    topazcrank::LoadReport report;
+};
+
+inline topazcrank::Outcome outcome_of(const AttemptEnd& end) {
+    using topazcrank::Outcome;
+    const bool begun = end.stage >= Stage::written;
+    switch (end.ending) {
+        case Ending::served:
+            return Outcome::ok;
+        case Ending::error:
+            return Outcome::error;
+        case Ending::turned_away:
+            return Outcome::full;
+        case Ending::broken:
+            return begun ? Outcome::reset : Outcome::connect_failed;
+        case Ending::timed_out:
+            return begun ? Outcome::timeout : Outcome::connect_failed;
+        case Ending::given_up:
+            return begun ? Outcome::cancelled : Outcome::not_sent;
+    }
+    return Outcome::reset;
+}
+
+inline bool proves_not_run(topazcrank::Outcome outcome) {
+    using topazcrank::Outcome;
+    return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
+}
+
+}  // namespace linnetlead::core
--- /dev/null
+++ b/src/core/gateway.cpp
@@ -0,0 +1,218 @@
+#include "gateway.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace linnetlead::core {
+
+using namespace std::chrono_literals;
+using topazcrank::Outcome;
+using topazcrank::Repeat;
+using topazcrank::RequestId;
+
+namespace {
+
+// The last resort for a call that the module still holds: an answer on its way just in time.
+constexpr Span overdue_after = 10ms;
+
+}  // namespace
+
+Gateway::Gateway(const settings::Site& site, std::uint64_t seed, Limits limits, Timers& timers)
+    : timers_(timers),
+      limits_(limits),
+      classes_(site.settings.classes),
+      most_attempts_(site.settings.most_attempts),
+      policy_(new topazcrank::Policy(site.settings, seed, timers.now(), *this)) {}
+Gateway::~Gateway() = default;
+
+void Gateway::attach(Workers& workers, Counter& counter) {
+    workers_ = &workers;
+    counter_ = &counter;
+}
+
+// An action may end in another event at once (no such worker, no socket left). The module is not entered
+// again from within: such events wait until it has returned.
+template <typename Event>
+void Gateway::tell(Event event) {
+    if (telling_) {
+        later_.emplace_back(std::move(event));
+        return;
+    }
+    telling_ = true;
+    event();
+    while (!later_.empty()) {
+        const auto next = std::move(later_.front());
+        later_.pop_front();
+        next();
+    }
+    telling_ = false;
+}
+
+// ---- From the fronts ------------------------------------------------------------------------------------
+
+Handle Gateway::take(Call call, Front& front, Ticket ticket) {
+    const std::size_t size = call.payload.bytes.size();
+    if (calls_.size() >= limits_.calls || bytes_ + size > limits_.bytes) {
+        front.answer(ticket, {Verdict::refused, {}, {}});
+        return {};
+    }
+    const Handle handle = calls_.add();
+    Open& open = *calls_.find(handle);
+    open.front = &front;
+    open.ticket = ticket;
+    open.payload = std::move(call.payload);
+    open.due = call.request.due;
+    open.cls = call.request.cls;
+    open.deadline = timers_.arm(open.due + overdue_after, [this, handle] { overdue(handle); });
+    bytes_ += size;
+    // The handle serves as the module's id: ids of clients may be anything, even twice the same.
+    call.request.id = handle.packed();
+    tell([this, request = std::move(call.request)] { policy_->on_request(timers_.now(), request); });
+    return calls_.find(handle) ? handle : Handle{};
+}
+
+void Gateway::withdraw(Handle handle) {
+    Open* call = calls_.find(handle);
+    if (!call || call->answered) return;
+    call->answered = true;
+    timers_.disarm(std::exchange(call->deadline, {}));
+    tell([this, handle] {
+        policy_->on_withdrawn(timers_.now(), handle.packed());
+        drop_if_done(handle);
+    });
+}
+
+// The module answers before the deadline: attempts are cut to it. Should it not, the client still hears.
+void Gateway::overdue(Handle handle) {
+    Open* call = calls_.find(handle);
+    if (!call || call->answered) return;
+    conclude(handle, *call, {Verdict::failed, {}, {}});
+    tell([this, handle] {
+        policy_->on_withdrawn(timers_.now(), handle.packed());
+        drop_if_done(handle);
+    });
+}
+
+void Gateway::conclude(Handle handle, Open& call, const Answer& answer) {
+    if (call.answered) return;
+    call.answered = true;
+    timers_.disarm(std::exchange(call.deadline, {}));
+    Front* const front = call.front;
+    const Ticket ticket = call.ticket;
+    drop_if_done(handle);
+    front->answer(ticket, answer);
+}
+
+void Gateway::drop_if_done(Handle handle) {
+    const Open* call = calls_.find(handle);
+    if (!call || !call->answered || call->out) return;
+    bytes_ -= call->payload.bytes.size();
+    calls_.remove(handle);
+}
+
+// ---- From workers, counter and registry -----------------------------------------------------------------
+
+void Gateway::attempt_ended(Handle handle, const AttemptEnd& end) {
+    Open* call = calls_.find(handle);
+    if (!call || !call->out) return;
+    const Time now = timers_.now();
+    topazcrank::AttemptResult result;
+    result.id = handle.packed();
+    result.attempt = call->attempts - 1;
+    result.server = call->worker;
+    result.outcome = outcome_of(end);
+    result.lag = now - call->sent;
+    result.true_units = end.true_units;
+    result.report = end.report;
+    call->out = false;
+    call->attempt = {};
+    call->may_have_run = call->may_have_run || !proves_not_run(result.outcome);
+    result.concluded = call->answered || end.ending == Ending::served;
+    if (end.ending == Ending::served) conclude(handle, *call, {Verdict::served, end.value, {}});
+    tell([this, handle, result = std::move(result)] {
+        policy_->on_result(timers_.now(), result);
+        drop_if_done(handle);
+    });
+}
+
+void Gateway::probed(const WorkerId& worker, Outcome outcome, const topazcrank::LoadReport& report) {
+    tell([this, worker, outcome, report] { policy_->on_probed(timers_.now(), worker, outcome, report); });
+}
+
+void Gateway::counted(const std::string& name, topazcrank::CountStatus status, double total) {
+    tell([this, name, status, total] { policy_->on_counted(timers_.now(), name, status, total); });
+}
+
+void Gateway::listed(topazcrank::ListKind kind, const std::vector<Listed>& entries) {
+    std::vector<topazcrank::ServerEntry> known;
+    known.reserve(entries.size());
+    for (const Listed& one : entries) known.push_back(one.entry);
+    // The workers' side hears before anything that the module does upon it.
+    tell([this, kind, known = std::move(known), entries] {
+        workers_->told(entries, kind != topazcrank::ListKind::changes);
+        policy_->on_list(timers_.now(), kind, known);
+    });
+}
+
+// ---- The module's actions -------------------------------------------------------------------------------
+
+// The rules are the module's to keep. What it asks for against them is not carried out.
+void Gateway::send(RequestId id, const WorkerId& worker, Span timeout) {
+    const Handle handle = Handle::unpacked(id);
+    Open* call = calls_.find(handle);
+    if (!call || call->answered || call->out) return;
+    const Time now = timers_.now();
+    ++call->attempts;
+    call->out = true;
+    call->sent = now;
+    call->worker = worker;
+    const bool again =
+        call->may_have_run && classes_[static_cast<std::size_t>(call->cls)].repeat == Repeat::unsafe;
+    if (again || call->attempts > most_attempts_ || now >= call->due) {
+        attempt_ended(handle, {Stage::unconnected, Ending::given_up, {}, 0, {}});
+        return;
+    }
+    const Time until = timeout > Span{0} ? std::min(now + timeout, call->due) : call->due;
+    const Handle attempt = workers_->start(handle, worker, call->payload, until);
+    if (call->out) call->attempt = attempt;
+}
+
+void Gateway::refuse(RequestId id, Span retry_after) {
+    const Handle handle = Handle::unpacked(id);
+    Open* call = calls_.find(handle);
+    if (!call) return;
+    const topazcrank::ClassSettings& cls = classes_[static_cast<std::size_t>(call->cls)];
+    const bool harmless = !call->may_have_run || cls.repeat == Repeat::safe ||
+                          (cls.repeat == Repeat::keyed && cls.key_scope == topazcrank::KeyScope::all);
+    conclude(handle, *call, {harmless ? Verdict::refused : Verdict::failed, {}, retry_after});
+}
+
+void Gateway::fail(RequestId id) {
+    const Handle handle = Handle::unpacked(id);
+    if (Open* call = calls_.find(handle)) conclude(handle, *call, {Verdict::failed, {}, {}});
+}
+
+void Gateway::cancel(RequestId id, int attempt) {
+    const Open* call = calls_.find(Handle::unpacked(id));
+    if (call && call->out && attempt == call->attempts - 1) workers_->give_up(call->attempt);
+}
+
+void Gateway::probe(const WorkerId& worker) { workers_->probe(worker); }
+
+void Gateway::count(const std::string& name, double amount, Span life) { counter_->add(name, amount, life); }
+
+// One timer, for the earliest wake-up asked for: the module asks again after each.
+void Gateway::wake(Time at) {
+    if (wake_ && at >= wake_at_) return;
+    timers_.disarm(wake_);
+    wake_at_ = at;
+    wake_ = timers_.arm(at, [this] {
+        wake_ = {};
+        tell([this] { policy_->on_wake(timers_.now()); });
+    });
+}
+
+void Gateway::log(const std::string& text) { std::fprintf(stderr, "linnetlead: %s\n", text.c_str()); }
+
+}  // namespace linnetlead::core
--- /dev/null
+++ b/src/core/gateway.h
@@ -0,0 +1,91 @@
+// The gateway between its fronts and the decision module: the table of calls, the module's actions, the
+// rules.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "ports.h"
+#include "settings/settings.h"
+
+namespace linnetlead::core {
+
+// What a front hands over.
+struct Call {
+    topazcrank::Request request;  // its id is the core's to give
+    Payload payload;
+};
+
+class Gateway final : private topazcrank::Actions {
+public:
+    struct Limits {
+        std::size_t calls = 0;  // open at once
+        std::size_t bytes = 0;  // of their payloads
+    };
+
+    Gateway(const settings::Site& site, std::uint64_t seed, Limits limits, Timers& timers);
+    ~Gateway() override;
+    // Both must be set before the first event.
+    void attach(Workers& workers, Counter& counter);
+
+    // From the fronts. The answer may come before take() returns; a null handle says that it has.
+    Handle take(Call call, Front& front, Ticket ticket);
+    void withdraw(Handle call);
+    std::size_t open_calls() const { return calls_.size(); }
+
+    // From the workers, the counter and the registry.
+    void attempt_ended(Handle call, const AttemptEnd& end);
+    void probed(const WorkerId& worker, topazcrank::Outcome outcome, const topazcrank::LoadReport& report);
+    void counted(const std::string& name, topazcrank::CountStatus status, double total);
+    void listed(topazcrank::ListKind kind, const std::vector<Listed>& entries);
+
+private:
+    struct Open {
+        Front* front = nullptr;
+        Ticket ticket;
+        Payload payload;
+        Time due{};
+        int cls = 0;
+        int attempts = 0;
+        bool out = false;
+        bool may_have_run = false;
+        bool answered = false;
+        Time sent{};
+        WorkerId worker;
+        Handle attempt;
+        Handle deadline;
+    };
+
+    void send(topazcrank::RequestId id, const WorkerId& worker, Span timeout) override;
+    void refuse(topazcrank::RequestId id, Span retry_after) override;
+    void fail(topazcrank::RequestId id) override;
+    void cancel(topazcrank::RequestId id, int attempt) override;
+    void probe(const WorkerId& worker) override;
+    void count(const std::string& name, double amount, Span life) override;
+    void wake(Time at) override;
+    void subscribe_list() override {}  // the registry is watched all the time
+    void log(const std::string& text) override;
+
+    template <typename Event>
+    void tell(Event event);
+    void conclude(Handle handle, Open& call, const Answer& answer);
+    void overdue(Handle handle);
+    void drop_if_done(Handle handle);
+
+    Timers& timers_;
+    Workers* workers_ = nullptr;
+    Counter* counter_ = nullptr;
+    Limits limits_;
+    std::vector<topazcrank::ClassSettings> classes_;
+    int most_attempts_;
+    Slots<Open> calls_;
+    std::size_t bytes_ = 0;
+    Handle wake_;
+    Time wake_at_ = Time::max();
+    bool telling_ = false;
+    std::deque<std::function<void()>> later_;
+    std::unique_ptr<topazcrank::Policy> policy_;
+};
+
+}  // namespace linnetlead::core
--- /dev/null
+++ b/src/core/ports.h
@@ -0,0 +1,80 @@
+// What the core needs of the world around it. It knows no protocol and no socket.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "attempt.h"
+#include "slots.h"
+#include "topazcrank/policy.h"
+
+namespace linnetlead::core {
+
+using topazcrank::Span;
+using topazcrank::Time;
+using WorkerId = topazcrank::ServerId;
+
+// The command as the front took it, for the worker side to send on. The core only carries it.
+struct Payload {
+    std::string bytes;
+    std::array<std::uint32_t, 3> marks{};  // for whoever reads the bytes
+};
+
+// One entry of the registry: what the module sees of a worker, and where it listens.
+struct Listed {
+    topazcrank::ServerEntry entry;
+    std::string address;
+};
+
+// Where a front wants the final answer of a call.
+struct Ticket {
+    std::uint64_t place = 0;
+    std::uint64_t number = 0;
+};
+
+enum class Verdict { served, refused, failed };
+
+struct Answer {
+    Verdict verdict = Verdict::failed;
+    std::string_view value;  // of a served call; valid only while it is handed over
+    Span retry_after{};      // of a refused one; 0: no advice
+};
+
+// A front hands calls to the core and gets exactly one answer for each that it has not withdrawn.
+class Front {
+public:
+    virtual ~Front() = default;
+    virtual void answer(const Ticket& ticket, const Answer& answer) = 0;
+};
+
+// The gateway's time is Unix time read once, carried on by the monotonic clock.
+class Timers {
+public:
+    virtual ~Timers() = default;
+    virtual Time now() const = 0;
+    virtual Handle arm(Time at, std::function<void()> action) = 0;
+    virtual void disarm(Handle timer) = 0;
+};
+
+class Workers {
+public:
+    virtual ~Workers() = default;
+    // Ends in exactly one Gateway::attempt_ended, also when given up. Returns the attempt's handle.
+    virtual Handle start(Handle call, const WorkerId& worker, const Payload& payload, Time until) = 0;
+    virtual void give_up(Handle attempt) = 0;
+    virtual void probe(const WorkerId& worker) = 0;
+    // The list as it is now. What is not on it, or drains, is sent nothing more.
+    virtual void told(const std::vector<Listed>& entries, bool whole) = 0;
+};
+
+class Counter {
+public:
+    virtual ~Counter() = default;
+    // Ends in exactly one Gateway::counted; calls of one name in their order.
+    virtual void add(const std::string& name, double amount, Span life) = 0;
+};
+
+}  // namespace linnetlead::core
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,81 @@
+#include "message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace linnetlead::http {
+
+std::string write_get(std::string_view target, std::string_view host) {
+    std::string text("GET ");
+    text.append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n\r\n");
+    return text;
+}
+
+ResponseReader::ResponseReader() {
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+    http_parser_settings_init(&hooks_);
+    hooks_.on_message_begin = [](http_parser* p) {
+        auto& self = *static_cast<ResponseReader*>(p->data);
+        self.body_.clear();
+        self.whole_ = false;
+        return 0;
+    };
+    hooks_.on_body = [](http_parser* p, const char* data, std::size_t size) {
+        auto& self = *static_cast<ResponseReader*>(p->data);
+        if (self.body_.size() + size > most_body) return 1;
+        self.body_.append(data, size);
+        return 0;
+    };
+    hooks_.on_message_complete = [](http_parser* p) {
+        auto& self = *static_cast<ResponseReader*>(p->data);
+        self.whole_ = true;
+        self.status_ = static_cast<int>(p->status_code);
+        self.keeps_open_ = http_should_keep_alive(p) != 0;
+        http_parser_pause(p, 1);  // one response at a time
+        return 0;
+    };
+}
+
+ResponseReader::State ResponseReader::take(std::string_view bytes, std::size_t& taken) {
+    if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED) http_parser_pause(&parser_, 0);
+    whole_ = false;
+    taken = http_parser_execute(&parser_, &hooks_, bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&parser_);
+    if (whole_ && error == HPE_PAUSED) return State::whole;
+    return error == HPE_OK ? State::partial : State::malformed;
+}
+
+std::optional<List> read_list(std::string_view text) {
+    using nlohmann::json;
+    const json root = json::parse(text, nullptr, false);
+    if (!root.is_object()) return std::nullopt;
+    try {
+        List list;
+        list.version = root.at("version").get<std::int64_t>();
+        list.full = root.value("full", false);
+        for (const json& one : root.at("servers")) {
+            core::Listed listed;
+            topazcrank::ServerEntry& entry = listed.entry;
+            entry.id = one.at("id").get<std::string>();
+            listed.address = one.value("addr", std::string());
+            entry.zone = one.value("zone", std::string());
+            entry.kind = one.value("kind", std::string());
+            entry.cell = one.value("cell", 0);
+            entry.weight = one.value("weight", 1.0);
+            entry.started = std::chrono::milliseconds(one.value("started_ms", std::int64_t{0}));
+            const std::string state = one.value("state", std::string("in_service"));
+            using topazcrank::ServerState;
+            if (state == "in_service") {
+                entry.state = ServerState::in;
+            } else {
+                entry.state = state == "terminated" ? ServerState::out : ServerState::draining;
+            }
+            list.entries.push_back(std::move(listed));
+        }
+        return list;
+    } catch (const json::exception&) {
+        return std::nullopt;  // a value of the wrong kind
+    }
+}
+
+}  // namespace linnetlead::http
--- /dev/null
+++ b/src/net/acceptor.cpp
@@ -0,0 +1,240 @@
+#include "acceptor.h"
+
+#include <utility>
+
+namespace linnetlead::net {
+
+using core::Answer;
+using core::Handle;
+using core::Ticket;
+using core::Verdict;
+
+namespace {
+
+constexpr int backlog = 512;
+constexpr std::size_t most_pipelined = 64;            // commands of one client without an answer
+constexpr std::size_t much_unsent = 256 * 1024;       // to one client: no more is read from it
+constexpr std::size_t most_unsent = 4 * 1024 * 1024;  // it does not read: it is given up
+constexpr core::Span farewell = std::chrono::seconds(1);
+
+void write_answer(std::string& out, const Answer& answer) {
+    switch (answer.verdict) {
+        case Verdict::served:
+            resp::write_bulk(out, answer.value);
+            return;
+        case Verdict::refused: {
+            const auto ms = std::chrono::ceil<std::chrono::milliseconds>(answer.retry_after).count();
+            out.append(ms > 0 ? "-BUSY " + std::to_string(ms) + "\r\n" : "-BUSY\r\n");
+            return;
+        }
+        case Verdict::failed:
+            out.append("-ERR failed\r\n");
+            return;
+    }
+}
+
+}  // namespace
+
+class Acceptor::Client final : public Stream {
+public:
+    Client(Loop& loop, Acceptor& acceptor) : Stream(loop), acceptor_(acceptor) {}
+
+    void answer(std::uint64_t number, const Answer& answer) {
+        if (number < first_ || number - first_ >= entries_.size()) return;
+        Entry& entry = entries_[static_cast<std::size_t>(number - first_)];
+        entry.call = {};
+        entry.done = true;
+        if (number == first_) {
+            write_answer(to_write(), answer);
+            drop_first();
+        } else {
+            write_answer(entry.reply, answer);
+        }
+        if (unsent() > most_unsent) {
+            withdraw_all();
+            close();
+        }
+    }
+    bool waits() const { return !entries_.empty() || unsent() > 0; }
+
+    void withdraw_all() {
+        for (const Entry& entry : std::exchange(entries_, {})) acceptor_.gateway_.withdraw(entry.call);
+    }
+
+    Handle self;
+    core::Time used{};  // when its last command came
+
+private:
+    struct Entry {
+        Handle call;
+        std::string reply;  // held back until those before it are answered
+        bool done = false;
+    };
+
+    std::size_t on_bytes(std::string_view bytes) override {
+        std::size_t taken = 0;
+        used = loop().now();
+        while (taken < bytes.size() && !closing() && !finishing()) {
+            if (entries_.size() >= most_pipelined || unsent() > much_unsent) {
+                read_more(false);  // goes on in on_written()
+                break;
+            }
+            resp::Message& message = acceptor_.message_;
+            const resp::Parsed parsed = resp::parse(bytes.substr(taken), message);
+            if (parsed == resp::Parsed::partial) break;
+            const bool command = parsed == resp::Parsed::whole && message.array;
+            if (!command) {  // what follows cannot be told apart any more
+                reply("-ERR protocol error\r\n");
+                last_ = true;
+                finish_if_last();
+                return bytes.size();
+            }
+            taken += message.size;
+            on_command(message);
+        }
+        return taken;
+    }
+
+    void on_command(const resp::Message& message) {
+        if (message.items.empty()) return;
+        for (const resp::Item& item : message.items) {
+            if (item.type != resp::Type::bulk) return reply("-ERR commands are arrays of bulk strings\r\n");
+        }
+        const std::string_view verb = message.items.front().text;
+        if (verb == "Q.ASK" || verb == "Q.DO") return on_call(message);
+        if (verb == "PING") return reply("+PONG\r\n");
+        if (verb == "CLIENT" || verb == "SELECT") return reply("+OK\r\n");
+        reply("-ERR unknown command\r\n");
+    }
+
+    void on_call(const resp::Message& message) {
+        core::Call call;
+        if (const char* error = resp::read_call(message, acceptor_.names_, loop().now(), call)) {
+            return reply("-ERR " + std::string(error) + "\r\n");
+        }
+        const std::uint64_t number = first_ + entries_.size();
+        entries_.emplace_back();
+        const Handle handle = acceptor_.gateway_.take(std::move(call), acceptor_, {self.packed(), number});
+        if (handle && number >= first_) entries_[static_cast<std::size_t>(number - first_)].call = handle;
+    }
+
+    // An answer of the acceptor's own, in its turn.
+    void reply(std::string text) {
+        if (entries_.empty()) {
+            to_write().append(text);
+        } else {
+            entries_.push_back({{}, std::move(text), true});
+        }
+    }
+
+    void drop_first() {
+        do {
+            entries_.pop_front();
+            ++first_;
+            if (entries_.empty() || !entries_.front().done) break;
+            to_write().append(entries_.front().reply);
+        } while (true);
+        finish_if_last();
+    }
+
+    void finish_if_last() {
+        if (!last_ || !entries_.empty()) return;
+        finish();
+        loop().arm(loop().now() + farewell, [&clients = acceptor_.clients_, me = self] {
+            if (Client* client = clients.find(me)) client->close();
+        });
+    }
+
+    void on_written() override {
+        if (entries_.size() < most_pipelined) {
+            read_more(true);
+            take_rest();
+        }
+        if (acceptor_.retiring_ && !waits()) close();
+    }
+    // The client has gone away: nobody waits for its calls.
+    void on_end(int) override { withdraw_all(); }
+    void on_released() override { acceptor_.clients_.remove(self); }
+
+    Acceptor& acceptor_;
+    std::deque<Entry> entries_;  // commands without an answer, in their order
+    std::uint64_t first_ = 0;    // number of the first of them
+    bool last_ = false;          // no command is read any more
+};
+
+Acceptor::Acceptor(Loop& loop, core::Gateway& gateway, const topazcrank::Settings& settings,
+                   std::size_t most_clients)
+    : loop_(loop), gateway_(gateway), names_(settings), most_clients_(most_clients) {}
+Acceptor::~Acceptor() = default;
+
+int Acceptor::listen(const sockaddr_storage& address) {
+    listener_ = std::make_unique<uv_tcp_t>();
+    uv_tcp_init(loop_.uv(), listener_.get());
+    listener_->data = this;
+    int error = uv_tcp_bind(listener_.get(), reinterpret_cast<const sockaddr*>(&address), 0);
+    if (error == 0) {
+        error = uv_listen(reinterpret_cast<uv_stream_t*>(listener_.get()), backlog,
+                          [](uv_stream_t* listener, int status) {
+                              static_cast<Acceptor*>(listener->data)->on_connection(status);
+                          });
+    }
+    return error;
+}
+
+int Acceptor::port() const {
+    sockaddr_storage address{};
+    int size = sizeof(address);
+    uv_tcp_getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+void Acceptor::on_connection(int status) {
+    if (status < 0) return;  // out of descriptors: libuv has refused it
+    const bool room = make_room();
+    const Handle handle = clients_.add(loop_, *this);
+    Client& client = *clients_.find(handle);
+    client.self = handle;
+    client.used = loop_.now();
+    auto* const listener = reinterpret_cast<uv_stream_t*>(listener_.get());
+    if (client.accept(listener) != 0 || !room) client.close();
+}
+
+// At the limit the client that has been idle longest gives way: it comes again when it needs to.
+bool Acceptor::make_room() {
+    if (clients_.size() < most_clients_) return true;
+    Client* idlest = nullptr;
+    clients_.for_each([&](Handle, Client& client) {
+        if (client.closing() || client.waits()) return;
+        if (!idlest || client.used < idlest->used) idlest = &client;
+    });
+    if (idlest) idlest->close();
+    return idlest != nullptr;
+}
+
+void Acceptor::answer(const Ticket& ticket, const Answer& answer) {
+    Client* client = clients_.find(Handle::unpacked(ticket.place));
+    if (client && !client->closing()) client->answer(ticket.number, answer);
+}
+
+void Acceptor::stop_listening() {
+    if (!listener_) return;
+    uv_close(reinterpret_cast<uv_handle_t*>(listener_.release()),
+             [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
+}
+
+void Acceptor::retire() {
+    retiring_ = true;
+    clients_.for_each([](Handle, Client& client) {
+        if (!client.waits()) client.close();
+    });
+}
+
+void Acceptor::close() {
+    stop_listening();
+    clients_.for_each([](Handle, Client& client) {
+        client.withdraw_all();
+        client.close();
+    });
+}
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/acceptor.h
@@ -0,0 +1,47 @@
+// The clients' side: takes their commands, hands the calls to the core, answers in the commands' order.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "core/gateway.h"
+#include "resp/command.h"
+#include "stream.h"
+
+namespace linnetlead::net {
+
+class Acceptor final : public core::Front {
+public:
+    Acceptor(Loop& loop, core::Gateway& gateway, const topazcrank::Settings& settings,
+             std::size_t most_clients);
+    ~Acceptor() override;
+
+    // Returns libuv's error, or 0.
+    int listen(const sockaddr_storage& address);
+    int port() const;
+    void stop_listening();
+    // Closes the connections that wait for no answer now, and the others once they have theirs.
+    void retire();
+    void close();
+    bool empty() const { return clients_.size() == 0; }
+
+    void answer(const core::Ticket& ticket, const core::Answer& answer) override;
+
+private:
+    class Client;
+
+    void on_connection(int status);
+    bool make_room();
+
+    Loop& loop_;
+    core::Gateway& gateway_;
+    resp::Names names_;
+    std::size_t most_clients_;
+    std::unique_ptr<uv_tcp_t> listener_;
+    core::Slots<Client> clients_;
+    resp::Message message_;  // of the command being read
+    bool retiring_ = false;
+};
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/counter_client.cpp
@@ -0,0 +1,181 @@
+#include "counter_client.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <utility>
+
+#include "settings/words.h"
+
+namespace linnetlead::net {
+
+using core::Handle;
+using core::Span;
+using core::Time;
+using topazcrank::CountStatus;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t most_unanswered = 512;  // on one line
+constexpr Span silent_for = 1s;               // then a line is given up for a new one
+constexpr Span between_connects = 100ms;
+
+}  // namespace
+
+class CounterClient::Line final : public Stream {
+public:
+    Line(Loop& loop, CounterClient& client) : Stream(loop), client_(client), begun_(loop.now()) {}
+
+    bool full() const { return calls_.size() >= most_unanswered; }
+    // Nothing has come for long: what is written here would wait behind it.
+    bool silent() const {
+        const Time since = !connected_ ? begun_ : calls_.empty() ? Time::max() : calls_.front().made;
+        return since != Time::max() && loop_now() - since > silent_for;
+    }
+
+    void add(const std::string& name, std::string command) {
+        const std::uint64_t number = first_ + calls_.size();
+        const Time now = loop_now();
+        calls_.push_back({name, std::move(command), now, 0, {}, false});
+        calls_.back().timer = loop().arm(now + client_.timeout_, [this, number] { late(number); });
+        if (connected_) write(calls_.back());
+    }
+
+    // Whatever has not been told yet is told.
+    void give_up() {
+        const std::uint64_t sent = queued_ - unsent();
+        close();
+        for (Call& call : std::exchange(calls_, {})) {
+            const bool whole = call.end > 0 && call.end <= sent;
+            tell(call, whole ? CountStatus::timeout : CountStatus::connect_failed);
+        }
+    }
+
+    Handle self;
+    std::size_t place = 0;
+
+private:
+    struct Call {
+        std::string name;
+        std::string command;  // until it is written
+        Time made{};
+        std::uint64_t end = 0;  // of its bytes, among all that were written; 0: not yet
+        Handle timer;
+        bool told = false;  // given up: its answer is still to come
+    };
+
+    Time loop_now() const { return const_cast<Line*>(this)->loop().now(); }
+
+    void write(Call& call) {
+        to_write().append(call.command);
+        queued_ += call.command.size();
+        call.end = queued_;
+        call.command.clear();
+    }
+
+    void tell(Call& call, CountStatus status, double total = 0) {
+        if (std::exchange(call.told, true)) return;
+        loop().disarm(std::exchange(call.timer, {}));
+        client_.gateway_.counted(call.name, status, total);
+    }
+
+    void late(std::uint64_t number_of_call) {
+        Call& call = calls_[static_cast<std::size_t>(number_of_call - first_)];
+        // What was not written yet, never will be.
+        tell(call, call.end > 0 ? CountStatus::timeout : CountStatus::connect_failed);
+    }
+
+    void on_connected() override {
+        connected_ = true;
+        while (!calls_.empty() && calls_.front().told) drop_first();
+        for (Call& call : calls_) write(call);  // those given up come first: all have the same time
+    }
+
+    std::size_t on_bytes(std::string_view bytes) override {
+        std::size_t taken = 0;
+        while (taken < bytes.size() && !closing()) {
+            const resp::Parsed parsed = resp::parse(bytes.substr(taken), message_);
+            if (parsed == resp::Parsed::partial) break;
+            if (parsed == resp::Parsed::malformed || message_.array || calls_.empty()) {
+                failed();
+                return bytes.size();
+            }
+            taken += message_.size;
+            Call call = std::move(calls_.front());
+            drop_first();
+            const resp::Item& item = message_.items.front();
+            const auto total =
+                item.type == resp::Type::bulk ? settings::parse<double>(item.text) : std::nullopt;
+            tell(call, total ? CountStatus::ok : CountStatus::full, total.value_or(0));
+        }
+        return taken;
+    }
+
+    void drop_first() {
+        calls_.pop_front();
+        ++first_;
+    }
+
+    void failed() {
+        client_.failed_at_[place] = loop_now();
+        give_up();
+    }
+    void on_end(int error) override {
+        if (error == UV_EOF && calls_.empty()) return;  // closed while idle
+        failed();
+    }
+    void on_released() override { client_.lines_.remove(self); }
+
+    CounterClient& client_;
+    Time begun_;
+    std::deque<Call> calls_;   // in their order, until answered
+    std::uint64_t first_ = 0;  // number of the first of them
+    std::uint64_t queued_ = 0;
+    bool connected_ = false;
+    resp::Message message_;
+};
+
+CounterClient::CounterClient(Loop& loop, core::Gateway& gateway, const sockaddr_storage& address,
+                             Span timeout)
+    : loop_(loop), gateway_(gateway), address_(address), timeout_(timeout) {}
+CounterClient::~CounterClient() = default;
+
+void CounterClient::close() {
+    lines_.for_each([](Handle, Line& line) { line.close(); });
+}
+
+void CounterClient::add(const std::string& name, double amount, Span life) {
+    Line* line = open_line(std::hash<std::string>{}(name) % lines);
+    if (!line) return gateway_.counted(name, CountStatus::connect_failed, 0);
+    if (line->full()) return gateway_.counted(name, CountStatus::full, 0);
+    std::array<char, 48> text{};
+    const int size = std::snprintf(text.data(), text.size(), "%.7g", amount);
+    std::string command;
+    resp::write_array(command, 4);
+    resp::write_bulk(command, "TALLY");
+    resp::write_bulk(command, name);
+    resp::write_bulk(command, {text.data(), static_cast<std::size_t>(size)});
+    const auto ms = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(life).count());
+    resp::write_bulk(command, std::to_string(ms));
+    line->add(name, std::move(command));
+}
+
+CounterClient::Line* CounterClient::open_line(std::size_t number) {
+    Line* line = lines_.find(current_[number]);
+    if (line && !line->closing()) {
+        if (!line->silent()) return line;
+        line->give_up();
+    }
+    if (loop_.now() - failed_at_[number] < between_connects) return nullptr;
+    const Handle handle = lines_.add(loop_, *this);
+    line = lines_.find(handle);
+    line->self = current_[number] = handle;
+    line->place = number;
+    if (line->connect(address_) == 0) return line;
+    line->close();
+    return nullptr;
+}
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,58 @@
+// The event loop: libuv, the clock, the wheel, and the writes gathered until the end of a turn.
+#pragma once
+
+#include <uv.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "core/ports.h"
+#include "wheel.h"
+
+namespace linnetlead::net {
+
+class Stream;
+
+class Loop final : public core::Timers {
+public:
+    Loop();
+    ~Loop() override;
+    Loop(const Loop&) = delete;
+    Loop& operator=(const Loop&) = delete;
+
+    uv_loop_t* uv() { return &loop_; }
+    void run();
+    void stop() { uv_stop(&loop_); }
+    // At the end, once every stream is being closed: waits until libuv has let go of them.
+    void drain();
+
+    core::Time now() const override;
+    core::Handle arm(core::Time at, std::function<void()> action) override;
+    void disarm(core::Handle timer) override { wheel_.disarm(timer); }
+
+    void flush_later(Stream& stream) { to_flush_.push_back(&stream); }
+    void flush_no_more(const Stream& stream);
+    // One read's bytes for all connections: what is left of them, each keeps for itself.
+    uv_buf_t scratch() { return uv_buf_init(scratch_.data(), static_cast<unsigned>(scratch_.size())); }
+
+private:
+    Wheel::Tick tick_of(core::Time at) const;
+    void on_timer();
+    void before_wait();
+
+    uv_loop_t loop_{};
+    uv_timer_t timer_{};
+    uv_prepare_t prepare_{};
+    core::Time unix_at_start_;
+    std::uint64_t clock_at_start_;
+    Wheel wheel_;
+    Wheel::Tick timer_set_to_ = 0;  // 0: not set
+    std::vector<Stream*> to_flush_;
+    std::array<char, 64 * 1024> scratch_{};
+};
+
+// "host:port" in figures, as the environment, the configuration and the registry give it.
+bool read_address(const std::string& text, sockaddr_storage& address);
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/registry_watch.cpp
@@ -0,0 +1,127 @@
+#include "registry_watch.h"
+
+#include <utility>
+
+namespace linnetlead::net {
+
+using core::Handle;
+using core::Span;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Span wait = 20s;      // asked of discovery
+constexpr Span wait_more = 1s;  // beyond that it is silent, and asked anew
+constexpr Span connect_time = 1s;
+constexpr Span retry_after = 80ms;  // a watch goes on if the next call comes within 200 ms
+
+}  // namespace
+
+class RegistryWatch::Connection final : public Stream {
+public:
+    Connection(Loop& loop, RegistryWatch& watch) : Stream(loop), watch_(watch) { arm(connect_time); }
+
+    Handle self;
+
+private:
+    void arm(Span time) {
+        loop().disarm(timer_);
+        timer_ = loop().arm(loop().now() + time, [this] { give_up(); });
+    }
+    void ask() {
+        to_write().append(watch_.request());
+        arm(wait + wait_more);
+    }
+    void give_up() {
+        close();
+        watch_.connect_later();
+    }
+
+    void on_connected() override { ask(); }
+    std::size_t on_bytes(std::string_view bytes) override {
+        std::size_t taken = 0;
+        const auto state = reader_.take(bytes, taken);
+        if (state == http::ResponseReader::State::partial) return bytes.size();
+        const bool good = state == http::ResponseReader::State::whole && taken == bytes.size() &&
+                          watch_.apply(reader_.status(), reader_.body());
+        if (!good) {
+            give_up();
+        } else if (!reader_.keeps_open()) {
+            close();
+            watch_.connect();
+        } else {
+            ask();
+        }
+        return bytes.size();
+    }
+    void on_end(int) override { watch_.connect_later(); }
+    void on_released() override {
+        loop().disarm(timer_);
+        watch_.connections_.remove(self);
+    }
+
+    RegistryWatch& watch_;
+    http::ResponseReader reader_;
+    Handle timer_;
+};
+
+RegistryWatch::RegistryWatch(Loop& loop, core::Gateway& gateway, std::string address,
+                             std::int64_t known_version)
+    : loop_(loop), gateway_(gateway), address_(std::move(address)), version_(known_version) {}
+RegistryWatch::~RegistryWatch() = default;
+
+bool RegistryWatch::start() {
+    if (!read_address(address_, to_)) return false;
+    connect();
+    return true;
+}
+
+void RegistryWatch::close() {
+    closed_ = true;
+    loop_.disarm(retry_);
+    connections_.for_each([](Handle, Connection& connection) { connection.close(); });
+}
+
+void RegistryWatch::connect() {
+    if (closed_) return;
+    const Handle handle = connections_.add(loop_, *this);
+    Connection& connection = *connections_.find(handle);
+    connection.self = handle;
+    if (connection.connect(to_) != 0) {
+        connection.close();
+        connect_later();
+    }
+}
+
+void RegistryWatch::connect_later() {
+    loop_.disarm(retry_);
+    retry_ = loop_.arm(loop_.now() + retry_after, [this] { connect(); });
+}
+
+std::string RegistryWatch::request() const {
+    std::string target = "/api/targets";
+    if (version_ >= 0) {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+        target += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(ms);
+    }
+    return http::write_get(target, address_);
+}
+
+// A response that is no list is answered by asking for the whole one.
+bool RegistryWatch::apply(int status, const std::string& body) {
+    constexpr int ok = 200;
+    const auto list = status == ok ? http::read_list(body) : std::nullopt;
+    if (!list || (!list->full && (version_ < 0 || list->version < version_))) {
+        version_ = -1;
+        return false;
+    }
+    version_ = list->version;
+    if (list->full) {
+        gateway_.listed(topazcrank::ListKind::full, list->entries);
+    } else if (!list->entries.empty()) {
+        gateway_.listed(topazcrank::ListKind::changes, list->entries);
+    }
+    return true;
+}
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/registry_watch.h
@@ -0,0 +1,40 @@
+// Watches the registry: one HTTP connection to discovery, always with a call that waits for news.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/gateway.h"
+#include "http/message.h"
+#include "stream.h"
+
+namespace linnetlead::net {
+
+class RegistryWatch {
+public:
+    // Goes on from the version that is known; below 0: from none.
+    RegistryWatch(Loop& loop, core::Gateway& gateway, std::string address, std::int64_t known_version);
+    ~RegistryWatch();
+    // Returns false where the address is none.
+    bool start();
+    void close();
+
+private:
+    class Connection;
+
+    void connect();
+    void connect_later();
+    bool apply(int status, const std::string& body);
+    std::string request() const;
+
+    Loop& loop_;
+    core::Gateway& gateway_;
+    std::string address_;
+    sockaddr_storage to_{};
+    std::int64_t version_;
+    core::Slots<Connection> connections_;
+    core::Handle retry_;
+    bool closed_ = false;
+};
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,144 @@
+#include "stream.h"
+
+namespace linnetlead::net {
+
+namespace {
+
+template <typename Request>
+Stream& of(const Request* request) {
+    return *static_cast<Stream*>(request->data);
+}
+
+}  // namespace
+
+Stream::Stream(Loop& loop) : loop_(loop) {
+    uv_tcp_init(loop.uv(), &tcp_);
+    tcp_.data = connect_.data = write_.data = shutdown_.data = this;
+}
+
+Stream::~Stream() {
+    if (in_flush_list_) loop_.flush_no_more(*this);
+}
+
+int Stream::connect(const sockaddr_storage& to) {
+    return uv_tcp_connect(&connect_, &tcp_, reinterpret_cast<const sockaddr*>(&to),
+                          [](uv_connect_t* request, int status) {
+                              Stream& self = of(request);
+                              if (self.closing_) return;
+                              if (status < 0) return self.broken(status);
+                              self.start();
+                              self.on_connected();
+                          });
+}
+
+int Stream::accept(uv_stream_t* listener) {
+    const int error = uv_accept(listener, reinterpret_cast<uv_stream_t*>(&tcp_));
+    if (error == 0) start();
+    return error;
+}
+
+void Stream::start() {
+    open_ = true;
+    uv_tcp_nodelay(&tcp_, 1);
+    read_more(true);
+    if (!out_.empty()) to_write();
+}
+
+void Stream::read_more(bool wanted) {
+    if (wanted == reading_ || closing_) return;
+    reading_ = wanted;
+    auto* const stream = reinterpret_cast<uv_stream_t*>(&tcp_);
+    if (!wanted) {
+        uv_read_stop(stream);
+        return;
+    }
+    uv_read_start(
+        stream, [](uv_handle_t* h, std::size_t, uv_buf_t* into) { *into = of(h).loop_.scratch(); },
+        [](uv_stream_t* s, ssize_t size, const uv_buf_t* from) { of(s).received(size, from->base); });
+}
+
+void Stream::received(ssize_t size, const char* data) {
+    if (size == 0) return;  // nothing there after all
+    if (size < 0) return broken(static_cast<int>(size));
+    if (finishing_) return;
+    const std::string_view bytes(data, static_cast<std::size_t>(size));
+    if (rest_.empty()) {
+        const std::size_t taken = on_bytes(bytes);
+        if (!closing_ && !finishing_) rest_.assign(bytes.substr(taken));
+    } else {
+        rest_.append(bytes);
+        take_rest();
+    }
+}
+
+void Stream::take_rest() {
+    if (rest_.empty() || closing_ || finishing_) return;
+    const std::size_t taken = on_bytes(rest_);
+    rest_.erase(0, taken);
+}
+
+void Stream::broken(int error) {
+    if (closing_) return;
+    close();
+    on_end(error);
+}
+
+std::string& Stream::to_write() {
+    if (!in_flush_list_ && !closing_) {
+        in_flush_list_ = true;
+        loop_.flush_later(*this);
+    }
+    return out_;
+}
+
+void Stream::flush() {
+    in_flush_list_ = false;
+    if (!open_ || closing_ || shut_ || !writing_.empty()) return;
+    auto* const stream = reinterpret_cast<uv_stream_t*>(&tcp_);
+    if (!out_.empty()) {
+        uv_buf_t buffer = uv_buf_init(out_.data(), static_cast<unsigned>(out_.size()));
+        const int taken = uv_try_write(stream, &buffer, 1);
+        if (taken < 0 && taken != UV_EAGAIN) return broken(taken);
+        out_.erase(0, static_cast<std::size_t>(taken < 0 ? 0 : taken));
+    }
+    if (out_.empty()) return written_all();
+    writing_.swap(out_);
+    uv_buf_t buffer = uv_buf_init(writing_.data(), static_cast<unsigned>(writing_.size()));
+    const int error = uv_write(&write_, stream, &buffer, 1, [](uv_write_t* request, int status) {
+        Stream& self = of(request);
+        if (self.closing_) return;
+        if (status < 0) {
+            // libuv no longer counts what it failed to write.
+            self.lost_ = self.writing_.size();
+            return self.broken(status);
+        }
+        self.writing_.clear();
+        self.flush();
+    });
+    if (error < 0) broken(error);
+}
+
+void Stream::written_all() {
+    if (!finishing_) return on_written();
+    shut_ = true;
+    uv_shutdown(&shutdown_, reinterpret_cast<uv_stream_t*>(&tcp_), [](uv_shutdown_t*, int) {});
+}
+
+std::size_t Stream::unsent() const {
+    return out_.size() + lost_ + uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&tcp_));
+}
+
+void Stream::finish() {
+    if (finishing_ || closing_) return;
+    finishing_ = true;
+    read_more(true);
+    to_write();
+}
+
+void Stream::close() {
+    if (closing_) return;
+    closing_ = true;
+    uv_close(reinterpret_cast<uv_handle_t*>(&tcp_), [](uv_handle_t* h) { of(h).on_released(); });
+}
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,73 @@
+// One TCP connection. Writes are gathered until the loop's turn ends; reads hand out slices of a buffer.
+#pragma once
+
+#include <uv.h>
+
+#include <string>
+#include <string_view>
+
+#include "loop.h"
+
+namespace linnetlead::net {
+
+class Stream {
+public:
+    explicit Stream(Loop& loop);
+    virtual ~Stream();
+    Stream(const Stream&) = delete;
+    Stream& operator=(const Stream&) = delete;
+
+    // Errors are libuv's: 0 or below. A connect that fails later ends in on_end().
+    int connect(const sockaddr_storage& to);
+    int accept(uv_stream_t* listener);
+
+    // What is appended goes out at the end of the loop's turn.
+    std::string& to_write();
+    void flush();
+    // Bytes that the kernel has not taken.
+    std::size_t unsent() const;
+    void read_more(bool wanted);
+    // Offers once more what on_bytes() has left. Not from within on_bytes().
+    void take_rest();
+    // At once, unsent bytes lost. on_released() follows when libuv has let go; nothing else does.
+    void close();
+    // Once all is written: ends the sending, drops what still comes, and closes when the peer has.
+    void finish();
+    bool closing() const { return closing_; }
+    bool finishing() const { return finishing_; }
+
+protected:
+    Loop& loop() { return loop_; }
+
+private:
+    virtual void on_connected() {}
+    // Returns how many bytes it has taken; the rest comes again, with more behind it.
+    virtual std::size_t on_bytes(std::string_view bytes) = 0;
+    // The connection broke or ended (UV_EOF). It is being closed.
+    virtual void on_end(int error) = 0;
+    virtual void on_written() {}     // all that was written, the kernel has taken
+    virtual void on_released() = 0;  // the object may be destroyed
+
+    void start();
+    void received(ssize_t size, const char* data);
+    void broken(int error);
+    void written_all();
+
+    Loop& loop_;
+    uv_tcp_t tcp_{};
+    uv_connect_t connect_{};
+    uv_write_t write_{};
+    uv_shutdown_t shutdown_{};
+    std::string out_;      // gathered
+    std::string writing_;  // handed to libuv
+    std::string rest_;     // read, not yet taken
+    std::size_t lost_ = 0;
+    bool open_ = false;
+    bool in_flush_list_ = false;
+    bool reading_ = false;
+    bool finishing_ = false;
+    bool shut_ = false;
+    bool closing_ = false;
+};
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/worker_pool.cpp
@@ -0,0 +1,270 @@
+#include "worker_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "resp/command.h"
+
+namespace linnetlead::net {
+
+using core::AttemptEnd;
+using core::Ending;
+using core::Handle;
+using core::Span;
+using core::Stage;
+using core::Time;
+using core::WorkerId;
+using topazcrank::Outcome;
+
+namespace {
+
+constexpr Span probe_timeout = std::chrono::milliseconds(250);
+
+}  // namespace
+
+class WorkerPool::Connection final : public Stream {
+public:
+    Connection(Loop& loop, WorkerPool& pool, WorkerId id)
+        : Stream(loop), pool_(pool), worker(std::move(id)) {}
+
+    // What is to be done on the connection: a call, or without a payload a probe.
+    void begin(Handle call, const core::Payload* payload, Time until) {
+        call_ = call;
+        payload_ = payload;
+        until_ = until;
+        busy_ = true;
+        answering_ = false;
+        loop().disarm(timer_);
+        if (connected_) return write();
+        arm(std::min(until, loop().now() + pool_.limits_.connect_timeout));
+    }
+
+    // Only an unused connection can be used again after it.
+    void end(AttemptEnd end, bool reusable = false) {
+        end.stage = stage();
+        busy_ = false;
+        loop().disarm(std::exchange(timer_, {}));
+        if (reusable) {
+            rest();
+        } else {
+            close();
+        }
+        if (payload_) {
+            pool_.gateway_.attempt_ended(call_, end);
+        } else {
+            const Outcome outcome = end.ending == Ending::served ? Outcome::ok : core::outcome_of(end);
+            pool_.gateway_.probed(worker, outcome, end.report);
+        }
+    }
+
+    bool busy() const { return busy_; }
+    bool unsent_call() const { return busy_ && !connected_; }
+
+    Handle self;
+
+private:
+    Stage stage() const {
+        if (!connected_) return Stage::unconnected;
+        if (unsent() > 0) return Stage::partly_written;
+        return answering_ ? Stage::answering : Stage::written;
+    }
+
+    void write() {
+        arm(until_);
+        std::string& out = to_write();
+        if (payload_) {
+            resp::write_call(out, *payload_, until_ - loop().now());
+        } else {
+            out.append("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n");
+        }
+    }
+
+    void arm(Time at) {
+        timer_ = loop().arm(at, [this] {
+            timer_ = {};
+            if (busy_) {
+                end({Stage::unconnected, Ending::timed_out, {}, 0, {}});
+            } else {
+                close();  // idle for so long that the worker is about to close it
+            }
+        });
+    }
+
+    void rest() {
+        arm(loop().now() + pool_.limits_.idle * 8 / 10);
+        pool_.workers_.at(worker).idle.push_back(self);
+    }
+
+    void on_connected() override {
+        connected_ = true;
+        loop().disarm(timer_);
+        write();
+    }
+
+    std::size_t on_bytes(std::string_view bytes) override {
+        if (!busy_) {  // an answer to nothing
+            close();
+            return bytes.size();
+        }
+        answering_ = true;
+        resp::Message& message = pool_.message_;
+        const resp::Parsed parsed = resp::parse(bytes, message);
+        if (parsed == resp::Parsed::partial) return 0;
+        if (parsed == resp::Parsed::malformed) {
+            end({});
+            return bytes.size();
+        }
+        AttemptEnd answer;
+        if (payload_) {
+            answer = resp::read_reply(message);
+        } else if (!message.array && message.items[0].type == resp::Type::bulk) {
+            answer.ending = Ending::served;
+            answer.report = resp::read_report(message.items[0].text);
+        } else {
+            answer.ending = Ending::error;
+        }
+        // Bytes behind the answer, or an answer before the call was out, leave the next one in doubt.
+        const bool clean = message.size == bytes.size() && unsent() == 0 && answer.ending != Ending::broken;
+        const auto at = pool_.workers_.find(worker);
+        end(answer, clean && at != pool_.workers_.end() && at->second.wanted);
+        return bytes.size();
+    }
+
+    void on_end(int) override {
+        if (busy_) end({});
+    }
+
+    void on_released() override {
+        loop().disarm(timer_);
+        const auto at = pool_.workers_.find(worker);
+        if (at != pool_.workers_.end()) {
+            auto& idle = at->second.idle;
+            idle.erase(std::remove(idle.begin(), idle.end(), self), idle.end());
+        }
+        pool_.connections_.remove(self);
+    }
+
+    WorkerPool& pool_;
+
+public:
+    const WorkerId worker;
+
+private:
+    Handle call_;
+    const core::Payload* payload_ = nullptr;  // the core keeps it while the attempt is out
+    Time until_{};
+    Handle timer_;
+    bool connected_ = false;
+    bool busy_ = false;
+    bool answering_ = false;
+};
+
+WorkerPool::WorkerPool(Loop& loop, core::Gateway& gateway, Limits limits)
+    : loop_(loop), gateway_(gateway), limits_(limits) {}
+WorkerPool::~WorkerPool() = default;
+
+void WorkerPool::close() {
+    connections_.for_each([](Handle, Connection& connection) { connection.close(); });
+}
+
+Handle WorkerPool::start(Handle call, const WorkerId& worker, const core::Payload& payload, Time until) {
+    Connection* connection = connection_to(worker);
+    if (!connection) {
+        gateway_.attempt_ended(call, {});
+        return {};
+    }
+    connection->begin(call, &payload, until);
+    return connection->self;
+}
+
+void WorkerPool::give_up(Handle attempt) {
+    Connection* connection = connections_.find(attempt);
+    if (connection && connection->busy()) connection->end({Stage::unconnected, Ending::given_up, {}, 0, {}});
+}
+
+void WorkerPool::probe(const WorkerId& worker) {
+    if (Connection* connection = connection_to(worker)) {
+        connection->begin({}, nullptr, loop_.now() + probe_timeout);
+    } else {
+        gateway_.probed(worker, Outcome::connect_failed, {});
+    }
+}
+
+// The idle connection used last, or a new one.
+WorkerPool::Connection* WorkerPool::connection_to(const WorkerId& id) {
+    const auto at = workers_.find(id);
+    if (at == workers_.end() || !at->second.wanted) return nullptr;
+    Worker& worker = at->second;
+    while (!worker.idle.empty()) {
+        Connection* idle = connections_.find(worker.idle.back());
+        worker.idle.pop_back();
+        if (idle && !idle->closing()) return idle;
+    }
+    if (!make_room()) return nullptr;
+    const Handle handle = connections_.add(loop_, *this, id);
+    Connection* connection = connections_.find(handle);
+    connection->self = handle;
+    if (connection->connect(worker.to) != 0) {
+        connection->close();
+        return nullptr;
+    }
+    return connection;
+}
+
+bool WorkerPool::make_room() {
+    if (connections_.size() < limits_.connections) return true;
+    for (auto& [id, worker] : workers_) {
+        if (worker.idle.empty()) continue;
+        if (Connection* oldest = connections_.find(worker.idle.front())) oldest->close();
+        worker.idle.erase(worker.idle.begin());
+        return true;
+    }
+    return false;
+}
+
+void WorkerPool::told(const std::vector<core::Listed>& entries, bool whole) {
+    std::unordered_map<WorkerId, bool> was_wanted;
+    for (auto& [id, worker] : workers_) {
+        was_wanted[id] = worker.wanted;
+        if (whole) worker.wanted = false;
+    }
+    for (const core::Listed& listed : entries) {
+        Worker& worker = workers_[listed.entry.id];
+        const bool fresh = worker.address != listed.address || worker.started != listed.entry.started;
+        if (fresh) {
+            forget_connections(listed.entry.id, worker);
+            worker.address = listed.address;
+            worker.started = listed.entry.started;
+        }
+        worker.wanted =
+            listed.entry.state == topazcrank::ServerState::in && read_address(listed.address, worker.to);
+    }
+    for (auto it = workers_.begin(); it != workers_.end();) {
+        const WorkerId id = it->first;
+        Worker& worker = (it++)->second;
+        if (worker.wanted) continue;
+        const auto was = was_wanted.find(id);
+        if (was == was_wanted.end() || was->second) forget_connections(id, worker);
+        const bool on_list = std::any_of(entries.begin(), entries.end(), [&](const core::Listed& listed) {
+            return listed.entry.id == id && listed.entry.state != topazcrank::ServerState::out;
+        });
+        if (whole && !on_list) workers_.erase(id);
+    }
+}
+
+// Closes the idle connections, and ends what has not been sent yet: on a connection that comes up later it
+// would go out after the worker had asked for nothing more.
+void WorkerPool::forget_connections(const WorkerId& id, Worker& worker) {
+    for (const Handle idle : std::exchange(worker.idle, {})) {
+        if (Connection* connection = connections_.find(idle)) connection->close();
+    }
+    std::vector<Handle> unsent;
+    connections_.for_each([&](Handle handle, Connection& connection) {
+        if (connection.worker == id && connection.unsent_call()) unsent.push_back(handle);
+    });
+    for (const Handle handle : unsent) {
+        if (Connection* connection = connections_.find(handle)) connection->end({});
+    }
+}
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/worker_pool.h
@@ -0,0 +1,55 @@
+// The workers' side: connections to each worker, one call at a time on each.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/gateway.h"
+#include "resp/parser.h"
+#include "stream.h"
+
+namespace linnetlead::net {
+
+class WorkerPool final : public core::Workers {
+public:
+    struct Limits {
+        std::size_t connections = 256;
+        core::Span connect_timeout = std::chrono::milliseconds(250);
+        core::Span idle = std::chrono::seconds(30);  // a worker closes an idle connection after this
+    };
+    WorkerPool(Loop& loop, core::Gateway& gateway, Limits limits);
+    ~WorkerPool() override;
+    void close();
+
+    core::Handle start(core::Handle call, const core::WorkerId& worker, const core::Payload& payload,
+                       core::Time until) override;
+    void give_up(core::Handle attempt) override;
+    void probe(const core::WorkerId& worker) override;
+    void told(const std::vector<core::Listed>& entries, bool whole) override;
+
+    std::size_t connections() const { return connections_.size(); }
+
+private:
+    class Connection;
+    struct Worker {
+        std::string address;
+        sockaddr_storage to{};
+        core::Time started{};
+        bool wanted = false;             // listed, and neither draining nor gone
+        std::vector<core::Handle> idle;  // the one used last comes last
+    };
+
+    Connection* connection_to(const core::WorkerId& id);
+    void forget_connections(const core::WorkerId& id, Worker& worker);
+    bool make_room();
+
+    Loop& loop_;
+    core::Gateway& gateway_;
+    Limits limits_;
+    std::unordered_map<core::WorkerId, Worker> workers_;
+    core::Slots<Connection> connections_;
+    resp::Message message_;  // of the reply being read
+};
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/resp/command.cpp
@@ -0,0 +1,158 @@
+#include "command.h"
+
+#include <algorithm>
+
+#include "settings/words.h"
+
+namespace linnetlead::resp {
+
+using settings::parse;
+
+namespace {
+
+// Visits the pairs of a list such as c=lookup,t=team,d=480; false where a part is no pair.
+template <typename Visit>
+bool each_pair(std::string_view list, Visit visit) {
+    while (!list.empty()) {
+        const auto end = std::min(list.find(','), list.size());
+        const auto part = list.substr(0, end);
+        list.remove_prefix(std::min(end + 1, list.size()));
+        const auto equals = part.find('=');
+        if (equals == std::string_view::npos || equals == 0) return false;
+        visit(part.substr(0, equals), part.substr(equals + 1));
+    }
+    return true;
+}
+
+bool is_hex16(std::string_view text) {
+    constexpr std::size_t digits = 16;
+    return text.size() == digits && parse<std::uint64_t>(text, digits).has_value();
+}
+
+bool starts_with(std::string_view text, std::string_view start) {
+    return text.substr(0, start.size()) == start;
+}
+
+}  // namespace
+
+Names::Names(const topazcrank::Settings& settings) {
+    for (std::size_t i = 0; i < settings.classes.size(); ++i) {
+        const bool safe = settings.classes[i].repeat == topazcrank::Repeat::safe;
+        classes_[settings.classes[i].name] = {static_cast<int>(i), safe};
+    }
+    for (std::size_t i = 0; i < settings.plans.size(); ++i) {
+        plans_[settings.plans[i].name] = static_cast<int>(i);
+    }
+}
+
+std::optional<Names::Class> Names::find_class(std::string_view name) const {
+    const auto at = classes_.find(std::string(name));
+    return at == classes_.end() ? std::nullopt : std::optional(at->second);
+}
+
+std::optional<int> Names::find_plan(std::string_view name) const {
+    const auto at = plans_.find(std::string(name));
+    return at == plans_.end() ? std::nullopt : std::optional(at->second);
+}
+
+const char* read_call(const Message& message, const Names& names, core::Time now, core::Call& call) {
+    // verb, customer, id, pairs and perhaps a body
+    if (message.items.size() < 4 || message.items.size() > 5) return "wrong number of arguments";
+    const std::string_view verb = message.items[0].text;
+    const std::string_view customer = message.items[1].text;
+    const std::string_view pairs = message.items[3].text;
+    if (!is_hex16(customer)) return "customer is not 16 hex digits";
+    if (!is_hex16(message.items[2].text)) return "id is not 16 hex digits";
+
+    topazcrank::Request& request = call.request;
+    request = {};
+    request.customer = customer;
+    std::optional<Names::Class> cls;
+    std::optional<int> plan;
+    std::optional<std::int64_t> wait_ms;
+    std::string_view wait_text;
+    bool good = true;
+    const bool are_pairs = each_pair(pairs, [&](std::string_view name, std::string_view value) {
+        if (name == "c") cls = names.find_class(value);
+        if (name == "t") plan = names.find_plan(value);
+        if (name == "d") wait_ms = parse<std::int64_t>(wait_text = value);
+        if (name == "r") request.client_repeat = value == "1";
+        const auto number = [&](auto& into, double least) {
+            const auto got = parse<std::decay_t<decltype(into)>>(value);
+            if (!got || *got < least || *got > 1e6) return void(good = false);
+            into = *got;
+        };
+        if (name == "units") number(request.units, 0);
+        if (name == "spread") number(request.set_size, 1);
+        if (name == "first") number(request.set_start, 0);
+    });
+    if (!are_pairs) return "malformed names and values";
+    if (!cls) return "unknown class";
+    if (!plan) return "unknown plan";
+    if (!wait_ms || *wait_ms < 0 || *wait_ms > 3'600'000) return "bad d";
+    if (!good) return "bad number";
+    if ((verb == "Q.ASK") != cls->safe) return "class does not go with this command";
+    request.cls = cls->number;
+    request.plan = *plan;
+    request.due = now + std::chrono::milliseconds(*wait_ms);
+
+    // Kept ready to be sent on: all but the wait is passed on unchanged.
+    core::Payload& payload = call.payload;
+    payload.bytes.clear();
+    write_array(payload.bytes, message.items.size());
+    for (int i = 0; i < 3; ++i) write_bulk(payload.bytes, message.items[static_cast<std::size_t>(i)].text);
+    const auto mark = [&](std::size_t i) {
+        payload.marks[i] = static_cast<std::uint32_t>(payload.bytes.size());
+    };
+    mark(0);
+    payload.bytes.append(pairs.substr(0, static_cast<std::size_t>(wait_text.data() - pairs.data())));
+    mark(1);
+    payload.bytes.append(wait_text.data() + wait_text.size(), pairs.data() + pairs.size());
+    mark(2);
+    if (message.items.size() > 4) write_bulk(payload.bytes, message.items[4].text);
+    return nullptr;
+}
+
+void write_call(std::string& out, const core::Payload& payload, core::Span wait) {
+    const auto ms = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(wait).count());
+    const std::string text = std::to_string(ms);
+    const std::string_view bytes = payload.bytes;
+    const auto [pairs, rest, body] = payload.marks;
+    out.append(bytes.substr(0, pairs));
+    out.append(1, '$').append(std::to_string(body - pairs + text.size())).append("\r\n");
+    out.append(bytes.substr(pairs, rest - pairs)).append(text).append(bytes.substr(rest, body - rest));
+    out.append("\r\n").append(bytes.substr(body));
+}
+
+topazcrank::LoadReport read_report(std::string_view text) {
+    topazcrank::LoadReport report;
+    each_pair(text, [&](std::string_view name, std::string_view value) {
+        if (const auto number = parse<double>(value)) settings::set_report_field(report, name, *number);
+    });
+    return report;
+}
+
+core::AttemptEnd read_reply(const Message& message) {
+    core::AttemptEnd end;
+    end.stage = core::Stage::answering;
+    if (message.items.empty()) return end;
+    const Item& first = message.items.front();
+    if (!message.array) {
+        if (first.type != Type::error) return end;  // no answer of a worker: broken
+        end.ending = starts_with(first.text, "BUSY") ? core::Ending::turned_away : core::Ending::error;
+        return end;
+    }
+    if (first.type != Type::bulk) return end;
+    end.ending = core::Ending::served;
+    end.value = first.text;
+    if (message.items.size() > 1) {
+        each_pair(message.items[1].text, [&](std::string_view name, std::string_view value) {
+            const auto number = parse<double>(value);
+            if (name == "cost" && number && *number > 0) end.true_units = *number;
+        });
+    }
+    if (message.items.size() > 2) end.report = read_report(message.items[2].text);
+    return end;
+}
+
+}  // namespace linnetlead::resp
--- /dev/null
+++ b/src/resp/command.h
@@ -0,0 +1,44 @@
+// The commands and answers of the platform's protocol, in terms of the core.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "core/gateway.h"
+#include "parser.h"
+#include "settings/settings.h"
+
+namespace linnetlead::resp {
+
+// Class and plan names as the settings give them.
+class Names {
+public:
+    explicit Names(const topazcrank::Settings& settings);
+
+    struct Class {
+        int number = 0;
+        bool safe = false;
+    };
+    std::optional<Class> find_class(std::string_view name) const;
+    std::optional<int> find_plan(std::string_view name) const;
+
+private:
+    std::unordered_map<std::string, Class> classes_;
+    std::unordered_map<std::string, int> plans_;
+};
+
+// Reads Q.ASK or Q.DO into a call whose deadline counts from `now`. Returns the error reply's text, or
+// nullptr when it was read.
+const char* read_call(const Message& message, const Names& names, core::Time now, core::Call& call);
+
+// The same command for a worker, saying how long the gateway will wait.
+void write_call(std::string& out, const core::Payload& payload, core::Span wait);
+
+// A worker's whole reply.
+core::AttemptEnd read_reply(const Message& message);
+
+topazcrank::LoadReport read_report(std::string_view text);
+
+}  // namespace linnetlead::resp
--- /dev/null
+++ b/src/resp/parser.cpp
@@ -0,0 +1,106 @@
+#include "parser.h"
+
+#include <charconv>
+
+namespace linnetlead::resp {
+
+namespace {
+
+class Reader {
+public:
+    explicit Reader(std::string_view buffer) : buffer_(buffer) {}
+
+    std::size_t taken() const { return at_; }
+
+    // A type byte and the rest of its line.
+    Parsed line(char& type, std::string_view& rest) {
+        const auto end = buffer_.find('\n', at_);
+        if (end == std::string_view::npos) {
+            return buffer_.size() - at_ > most_line ? Parsed::malformed : Parsed::partial;
+        }
+        if (end - at_ > most_line || end < at_ + 2 || buffer_[end - 1] != '\r') return Parsed::malformed;
+        type = buffer_[at_];
+        rest = buffer_.substr(at_ + 1, end - at_ - 2);
+        at_ = end + 1;
+        return Parsed::whole;
+    }
+
+    Parsed bulk(std::size_t size, std::string_view& text) {
+        if (buffer_.size() - at_ < size + 2) return Parsed::partial;
+        if (buffer_.substr(at_ + size, 2) != "\r\n") return Parsed::malformed;
+        text = buffer_.substr(at_, size);
+        at_ += size + 2;
+        return Parsed::whole;
+    }
+
+    Parsed item(char type, std::string_view rest, Item& item) {
+        item.text = rest;
+        switch (type) {
+            case '+':
+                item.type = Type::simple;
+                return Parsed::whole;
+            case '-':
+                item.type = Type::error;
+                return Parsed::whole;
+            case ':':
+                item.type = Type::integer;
+                return Parsed::whole;
+            case '$': {
+                if (rest == "-1") {
+                    item = {Type::null, {}};
+                    return Parsed::whole;
+                }
+                std::size_t size = 0;
+                if (!length(rest, most_bulk, size)) return Parsed::malformed;
+                item.type = Type::bulk;
+                return bulk(size, item.text);
+            }
+            default:
+                return Parsed::malformed;
+        }
+    }
+
+    static bool length(std::string_view text, std::size_t most, std::size_t& value) {
+        const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+        return result.ec == std::errc{} && result.ptr == text.data() + text.size() && value <= most;
+    }
+
+private:
+    std::string_view buffer_;
+    std::size_t at_ = 0;
+};
+
+}  // namespace
+
+Parsed parse(std::string_view buffer, Message& message) {
+    message.items.clear();
+    message.array = false;
+    message.size = 0;
+    Reader reader(buffer);
+    char type = 0;
+    std::string_view rest;
+    if (const Parsed got = reader.line(type, rest); got != Parsed::whole) return got;
+    std::size_t count = 1;
+    message.array = type == '*';
+    if (message.array && !Reader::length(rest, most_items, count)) return Parsed::malformed;
+    for (std::size_t i = 0; i < count; ++i) {
+        if (message.array) {
+            if (const Parsed got = reader.line(type, rest); got != Parsed::whole) return got;
+        }
+        Item item;
+        if (const Parsed got = reader.item(type, rest, item); got != Parsed::whole) return got;
+        message.items.push_back(item);
+    }
+    message.size = reader.taken();
+    return Parsed::whole;
+}
+
+void write_bulk(std::string& out, std::string_view text) {
+    out.append(1, '$').append(std::to_string(text.size())).append("\r\n").append(text).append("\r\n");
+}
+
+void write_array(std::string& out, std::size_t items) {
+    out.append(1, '*').append(std::to_string(items)).append("\r\n");
+}
+
+}  // namespace linnetlead::resp
--- /dev/null
+++ b/src/resp/parser.h
@@ -0,0 +1,37 @@
+// RESP2, read from and written to buffers. No input or output of its own.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace linnetlead::resp {
+
+constexpr std::size_t most_bulk = 64 * 1024;  // a value's most bytes
+constexpr std::size_t most_items = 64;        // of an array
+constexpr std::size_t most_line = 1024;
+
+enum class Type { simple, error, integer, bulk, null };
+
+struct Item {
+    Type type = Type::null;
+    std::string_view text;  // a slice of the buffer that was parsed
+};
+
+struct Message {
+    bool array = false;
+    std::vector<Item> items;  // one unless it is an array
+    std::size_t size = 0;     // bytes of the buffer that it takes
+};
+
+enum class Parsed { whole, partial, malformed };
+
+// Reads the message at the start of the buffer. A partial one is read again from its start once more bytes
+// are there: bulks are stepped over, so that this costs little. Arrays inside arrays are malformed here.
+Parsed parse(std::string_view buffer, Message& message);
+
+void write_bulk(std::string& out, std::string_view text);
+void write_array(std::string& out, std::size_t items);
+
+}  // namespace linnetlead::resp
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,164 @@
+#include "settings.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "words.h"
+
+namespace linnetlead::settings {
+
+using namespace topazcrank;
+
+namespace {
+
+constexpr std::array<Word<Repeat>, 3> repeats{
+    {{"retryable", Repeat::safe}, {"dedup", Repeat::keyed}, {"fragile", Repeat::unsafe}}};
+constexpr std::array<Word<KeyScope>, 3> key_scopes{
+    {{"all", KeyScope::all}, {"zone", KeyScope::zone}, {"cell", KeyScope::cell}}};
+constexpr std::array<Word<ReportSource>, 3> report_sources{
+    {{"none", ReportSource::none}, {"answers", ReportSource::answers}, {"probe", ReportSource::probe}}};
+constexpr std::array<Word<bool>, 2> list_modes{{{"pushed", false}, {"on_request", true}}};
+constexpr std::array<Word<bool>, 2> truths{{{"true", true}, {"false", false}}};
+
+// Reads one set of pairs.
+class InfoReader {
+public:
+    explicit InfoReader(const Pairs& pairs) : pairs_(pairs) {}
+
+    void read(const std::string& key, std::string& into) const {
+        if (const auto* text = get(key)) into = *text;
+    }
+    void read(const std::string& key, double& into) const { number(key, into); }
+    void read(const std::string& key, int& into) const { number(key, into); }
+    void read(const std::string& key, Span& into) const {
+        std::int64_t nanoseconds = into.count();
+        number(key, nanoseconds);
+        into = Span{nanoseconds};
+    }
+    template <typename Value, std::size_t count>
+    void read(const std::string& key, const std::array<Word<Value>, count>& words, Value& into) const {
+        const auto* text = get(key);
+        if (!text) return;
+        const auto value = look_up(words, *text);
+        if (!value) throw SettingsError("setting " + key + ": unknown value '" + *text + "'");
+        into = *value;
+    }
+    void read(const std::string& key, bool& into) const { read(key, truths, into); }
+    int list_size(const std::string& key) const {
+        int size = 0;
+        number(key, size);
+        constexpr int most = 10000;
+        if (size < 0 || size > most) throw SettingsError("setting " + key + ": out of range");
+        return size;
+    }
+    std::vector<std::string> words(const std::string& key) const {
+        std::vector<std::string> list;
+        const auto* text = get(key);
+        for (std::size_t at = 0; text && at < text->size();) {
+            const auto end = std::min(text->find(',', at), text->size());
+            list.push_back(text->substr(at, end - at));
+            at = end + 1;
+        }
+        return list;
+    }
+
+private:
+    const std::string* get(const std::string& key) const {
+        const auto it = pairs_.find(key);
+        return it == pairs_.end() ? nullptr : &it->second;
+    }
+    template <typename Number>
+    void number(const std::string& key, Number& into) const {
+        const auto* text = get(key);
+        if (!text) return;
+        auto value = parse<Number>(*text);
+        if constexpr (!std::is_floating_point_v<Number>) {
+            // "2.0" stands for a whole number
+            const auto real = value ? std::nullopt : parse<double>(*text);
+            constexpr double top = 9e15;
+            if (real && std::abs(*real) < top && std::floor(*real) == *real)
+                value = static_cast<Number>(*real);
+        }
+        if (!value) throw SettingsError("setting " + key + ": not a number or out of range: '" + *text + "'");
+        into = *value;
+    }
+    const Pairs& pairs_;
+};
+
+}  // namespace
+
+Site read_site(const Pairs& pairs) {
+    const InfoReader info(pairs);
+    Site site;
+    Settings& s = site.settings;
+    info.read("balancers", s.gateways);
+    info.read("me", s.self);
+    info.read("zone", s.zone);
+    info.read("quantum", s.tick);
+    info.read("extra.may_count", s.may_count);
+    info.read("extra.count_limit", s.count_timeout);
+    info.read("extra.call_price", s.count_price);
+    info.read("extra.units_top", s.most_units);
+    info.read("limits.cancel", s.may_cancel);
+    info.read("limits.may_probe", s.may_probe);
+    info.read("limits.second_copies", s.second_copies);
+    info.read("limits.retry_after", s.retry_after);
+    info.read("limits.max_retry_after", s.most_retry_after);
+    info.read("limits.max_attempts", s.most_attempts);
+    info.read("discovery", list_modes, s.list_on_request);
+    info.read("guarantees.must_ask_in", s.list_ask_within);
+    info.read("report.how", report_sources, s.reports);
+    info.read("guarantees.cold_from", s.cold_from);
+    info.read("guarantees.ramp_time", s.ramp_time);
+    info.read("guarantees.fall_multiple", s.fall_multiple);
+    info.read("guarantees.fall", s.fall_time);
+    info.read("deductions.waste", s.waste_price);
+    info.read("deductions.late_fail", s.late_fail_price);
+    info.read("deductions.cross_zone", s.cross_zone_price);
+    for (int i = 0; i < info.list_size("classes.count"); ++i) {
+        const std::string at = "classes." + std::to_string(i) + ".";
+        ClassSettings c;
+        info.read(at + "name", c.name);
+        info.read(at + "aim", c.aim);
+        info.read(at + "deadline", c.deadline);
+        info.read(at + "idempotency", repeats, c.repeat);
+        info.read(at + "key_scope", key_scopes, c.key_scope);
+        info.read(at + "dedup_window", c.key_window);
+        info.read(at + "worth", c.worth);
+        info.read(at + "late_worth", c.late_worth);
+        s.classes.push_back(c);
+    }
+    for (int i = 0; i < info.list_size("tariffs.count"); ++i) {
+        const std::string at = "tariffs." + std::to_string(i) + ".";
+        PlanSettings p;
+        info.read(at + "name", p.name);
+        info.read(at + "units_per_s", p.rate);
+        info.read(at + "most_at_once", p.burst);
+        info.read(at + "max_out", p.max_open);
+        info.read(at + "hard_rate", p.ceiling_rate);
+        info.read(at + "never_over_depth", p.ceiling_burst);
+        info.read(at + "hard_slack", p.ceiling_slack);
+        info.read(at + "pays", p.price);
+        info.read(at + "extra_worth", p.over_worth);
+        info.read(at + "beyond_costs", p.over_cost);
+        s.plans.push_back(p);
+    }
+    site.report_fields = info.words("report.fields");
+    info.read("guarantees.answer_slack", site.answer_slack);
+    info.read("limits.conn_idle", site.conn_idle);
+    info.read("limits.connect_timeout", site.connect_timeout);
+    info.read("limits.max_open", site.max_open);
+    return site;
+}
+
+void set_report_field(LoadReport& report, std::string_view name, double value) {
+    // The simulator's wire and the sockets name some fields differently.
+    if (name == "concurrent" || name == "inflight") report.in_flight = value;
+    if (name == "depth" || name == "queue") report.queued = value;
+    if (name == "load_share" || name == "util") report.utilisation = value;
+    if (name == "mean_ms" || name == "latency_ms") report.service_ms = value;
+    if (name == "tps" || name == "qps") report.per_second = value;
+    if (name == "err_ps" || name == "eps") report.errors_per_second = value;
+}
+
+}  // namespace linnetlead::settings
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,38 @@
+// The one reader of settings, for the simulator's wire and for the gateway's configuration alike.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "topazcrank/policy.h"
+
+namespace linnetlead::settings {
+
+// Path and value, as in classes.0.name=quote-read.
+using Pairs = std::unordered_map<std::string, std::string>;
+
+class SettingsError : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+struct Site {
+    topazcrank::Settings settings;  // what the decision module takes
+    std::vector<std::string> report_fields;
+    // What only the sockets need.
+    topazcrank::Span answer_slack{};
+    topazcrank::Span conn_idle{};
+    topazcrank::Span connect_timeout{};
+    int max_open = 0;
+};
+
+// Missing keys leave the neutral values of the module's interface.
+Site read_site(const Pairs& pairs);
+
+// Sets one value of a load report; unknown names are skipped.
+void set_report_field(topazcrank::LoadReport& report, std::string_view name, double value);
+
+}  // namespace linnetlead::settings
