--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -31,6 +31,7 @@
         constexpr std::size_t kept = 64;
         const std::size_t sockets = std::max(config.sockets, 2 * kept) - kept;
         clients = sockets * 6 / 10;
+        unsent = config.memory_mb * 1024 * 1024 / 4;
         workers = sockets - clients;
         calls.bytes = config.memory_mb * 1024 * 1024 / 4;
         calls.calls =
@@ -39,6 +40,7 @@
     static constexpr int most_calls = 4096;
     std::size_t clients = 0;
     std::size_t workers = 0;
+    std::size_t unsent = 0;
     core::Gateway::Limits calls;
 };
 
@@ -52,7 +54,7 @@
                    config.counter.empty() ? sockaddr_storage{} : address_of("counter", config.counter),
                    config.site.settings.count_timeout),
           registry_(loop_, gateway_, config.discovery, config.known.version),
-          acceptor_(loop_, gateway_, config.site.settings, shares_.clients) {
+          acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}) {
         gateway_.attach(pool_, counter_);
         if (config.known.version >= 0) gateway_.listed(topazcrank::ListKind::cached, config.known.entries);
         if (!registry_.start()) throw std::runtime_error("discovery: no address: '" + config.discovery + "'");
@@ -69,6 +71,7 @@
     }
 
     void run() {
+        std::fprintf(stderr, "linnetlead: listening on port %d\n", acceptor_.port());
         loop_.run();
         close();
     }
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr int backlog = 512;
-constexpr std::size_t most_pipelined = 64;            // commands of one client without an answer
-constexpr std::size_t much_unsent = 256 * 1024;       // to one client: no more is read from it
-constexpr std::size_t most_unsent = 4 * 1024 * 1024;  // it does not read: it is given up
+constexpr std::size_t most_pipelined = 64;        // commands of one client without an answer
+constexpr std::size_t much_unsent = 64 * 1024;    // to one client: no more is read from it
+constexpr std::size_t most_unsent = 1024 * 1024;  // it does not read: it is given up
 constexpr core::Span farewell = std::chrono::seconds(1);
 
 void write_answer(std::string& out, const Answer& answer) {
@@ -50,11 +50,18 @@
         } else {
             write_answer(entry.reply, answer);
         }
-        if (unsent() > most_unsent) {
+        note_unsent();
+        // Guards the memory against clients that ask and do not read.
+        if (unsent() > most_unsent ||
+            (unsent() > much_unsent && acceptor_.unsent_ > acceptor_.most_unsent_)) {
             withdraw_all();
             close();
         }
     }
+    void note_unsent() {
+        acceptor_.unsent_ -= std::exchange(noted_unsent_, closing() ? 0 : unsent());
+        acceptor_.unsent_ += noted_unsent_;
+    }
     bool waits() const { return !entries_.empty() || unsent() > 0; }
 
     void withdraw_all() {
@@ -72,6 +79,7 @@
     };
 
     std::size_t on_bytes(std::string_view bytes) override {
+        if (last_) return bytes.size();
         std::size_t taken = 0;
         used = loop().now();
         while (taken < bytes.size() && !closing() && !finishing()) {
@@ -146,6 +154,7 @@
     }
 
     void on_written() override {
+        note_unsent();
         if (entries_.size() < most_pipelined) {
             read_more(true);
             take_rest();
@@ -154,17 +163,24 @@
     }
     // The client has gone away: nobody waits for its calls.
     void on_end(int) override { withdraw_all(); }
-    void on_released() override { acceptor_.clients_.remove(self); }
+    void on_released() override {
+        note_unsent();
+        acceptor_.clients_.remove(self);
+    }
 
     Acceptor& acceptor_;
     std::deque<Entry> entries_;  // commands without an answer, in their order
     std::uint64_t first_ = 0;    // number of the first of them
-    bool last_ = false;          // no command is read any more
+    std::size_t noted_unsent_ = 0;
+    bool last_ = false;  // no command is read any more
 };
 
-Acceptor::Acceptor(Loop& loop, core::Gateway& gateway, const topazcrank::Settings& settings,
-                   std::size_t most_clients)
-    : loop_(loop), gateway_(gateway), names_(settings), most_clients_(most_clients) {}
+Acceptor::Acceptor(Loop& loop, core::Gateway& gateway, const topazcrank::Settings& settings, Limits limits)
+    : loop_(loop),
+      gateway_(gateway),
+      names_(settings),
+      most_clients_(limits.clients),
+      most_unsent_(limits.unsent) {}
 Acceptor::~Acceptor() = default;
 
 int Acceptor::listen(const sockaddr_storage& address) {
--- a/src/net/acceptor.h
+++ b/src/net/acceptor.h
@@ -13,8 +13,11 @@
 
 class Acceptor final : public core::Front {
 public:
-    Acceptor(Loop& loop, core::Gateway& gateway, const topazcrank::Settings& settings,
-             std::size_t most_clients);
+    struct Limits {
+        std::size_t clients = 512;              // connections
+        std::size_t unsent = 32 * 1024 * 1024;  // bytes, to all clients
+    };
+    Acceptor(Loop& loop, core::Gateway& gateway, const topazcrank::Settings& settings, Limits limits);
     ~Acceptor() override;
 
     // Returns libuv's error, or 0.
@@ -38,6 +41,8 @@
     core::Gateway& gateway_;
     resp::Names names_;
     std::size_t most_clients_;
+    std::size_t most_unsent_;
+    std::size_t unsent_ = 0;
     std::unique_ptr<uv_tcp_t> listener_;
     core::Slots<Client> clients_;
     resp::Message message_;  // of the command being read
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -23,6 +23,8 @@
 
     uv_loop_t* uv() { return &loop_; }
     void run();
+    // What is ready now, without a wait.
+    void turn() { uv_run(&loop_, UV_RUN_NOWAIT); }
     void stop() { uv_stop(&loop_); }
     // At the end, once every stream is being closed: waits until libuv has let go of them.
     void drain();
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -42,7 +42,11 @@
         std::size_t taken = 0;
         const auto state = reader_.take(bytes, taken);
         if (state == http::ResponseReader::State::partial) return bytes.size();
-        const bool good = state == http::ResponseReader::State::whole && taken == bytes.size() &&
+        take_response(state, taken == bytes.size());
+        return bytes.size();
+    }
+    void take_response(http::ResponseReader::State state, bool clean) {
+        const bool good = state == http::ResponseReader::State::whole && clean &&
                           watch_.apply(reader_.status(), reader_.body());
         if (!good) {
             give_up();
@@ -52,9 +56,14 @@
         } else {
             ask();
         }
-        return bytes.size();
     }
-    void on_end(int) override { watch_.connect_later(); }
+    void on_end(int error) override {
+        // A response without a length ends with its connection.
+        std::size_t taken = 0;
+        const bool whole = error == UV_EOF && reader_.take({}, taken) == http::ResponseReader::State::whole;
+        if (whole) return take_response(http::ResponseReader::State::whole, true);
+        watch_.connect_later();
+    }
     void on_released() override {
         loop().disarm(timer_);
         watch_.connections_.remove(self);
--- a/src/resp/command.cpp
+++ b/src/resp/command.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+// The wait counts from when the client sent the command, and the answer has its way to go: so much sooner
+// is the call over here, but never by more than a tenth of the wait.
+constexpr std::chrono::milliseconds travel{10};
+
 // Visits the pairs of a list such as c=lookup,t=team,d=480; false where a part is no pair.
 template <typename Visit>
 bool each_pair(std::string_view list, Visit visit) {
@@ -94,7 +98,8 @@
     if ((verb == "Q.ASK") != cls->safe) return "class does not go with this command";
     request.cls = cls->number;
     request.plan = *plan;
-    request.due = now + std::chrono::milliseconds(*wait_ms);
+    const std::chrono::milliseconds wait(*wait_ms);
+    request.due = now + wait - std::min(travel, wait / 10);
 
     // Kept ready to be sent on: all but the wait is passed on unchanged.
     core::Payload& payload = call.payload;
--- a/src/resp/parser.cpp
+++ b/src/resp/parser.cpp
@@ -26,6 +26,7 @@
     }
 
     Parsed bulk(std::size_t size, std::string_view& text) {
+        if (at_ + size + 2 > most_message) return Parsed::malformed;
         if (buffer_.size() - at_ < size + 2) return Parsed::partial;
         if (buffer_.substr(at_ + size, 2) != "\r\n") return Parsed::malformed;
         text = buffer_.substr(at_, size);
--- a/src/resp/parser.h
+++ b/src/resp/parser.h
@@ -8,8 +8,9 @@
 
 namespace linnetlead::resp {
 
-constexpr std::size_t most_bulk = 64 * 1024;  // a value's most bytes
-constexpr std::size_t most_items = 64;        // of an array
+constexpr std::size_t most_bulk = 64 * 1024;                // a value's most bytes
+constexpr std::size_t most_message = most_bulk + 8 * 1024;  // no buffer has to hold more
+constexpr std::size_t most_items = 64;                      // of an array
 constexpr std::size_t most_line = 1024;
 
 enum class Type { simple, error, integer, bulk, null };
--- /dev/null
+++ b/tests/socket_test.cpp
@@ -0,0 +1,630 @@
+// Real sockets on loopback, one test for each rule and for each failure that was found. The peers are plain
+// sockets in the test's own thread; it turns the loop until what it waits for is there.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <memory>
+
+#include "net/acceptor.h"
+#include "net/counter_client.h"
+#include "net/registry_watch.h"
+#include "net/worker_pool.h"
+#include "resp/parser.h"
+
+namespace linnetlead {
+
+using namespace std::chrono_literals;
+using core::Listed;
+using topazcrank::ListKind;
+
+constexpr auto patience = 10s;  // how long a test waits for what must come
+
+// One end of a connection.
+class Peer {
+public:
+    explicit Peer(int fd) : fd_(fd) { fcntl(fd_, F_SETFL, O_NONBLOCK); }
+    Peer(Peer&& other) noexcept
+        : got(std::move(other.got)), ended(other.ended), fd_(std::exchange(other.fd_, -1)) {}
+    ~Peer() { close(); }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    void write(const std::string& text) {
+        EXPECT_EQ(::send(fd_, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+    }
+    const std::string& read() {
+        char buffer[4096];
+        ssize_t size = 0;
+        while (!ended && (size = ::recv(fd_, buffer, sizeof(buffer), 0)) != -1) {
+            ended = size == 0;
+            got.append(buffer, static_cast<std::size_t>(size));
+        }
+        if (!ended && errno != EAGAIN) ended = true;
+        return got;
+    }
+    bool has(const std::string& text) { return read().find(text) != std::string::npos; }
+    bool is_over() { return read(), ended; }
+
+    std::string got;
+    bool ended = false;
+
+private:
+    int fd_;
+};
+
+class Listener {
+public:
+    explicit Listener(int backlog = 16) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(bind(fd_, reinterpret_cast<sockaddr*>(&any), sizeof(any)), 0);
+        EXPECT_EQ(listen(fd_, backlog), 0);
+        fcntl(fd_, F_SETFL, O_NONBLOCK);
+        socklen_t size = sizeof(at);
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+    }
+    ~Listener() { close(); }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(ntohs(at.sin_port)); }
+    std::unique_ptr<Peer> accept() {
+        const int fd = ::accept(fd_, nullptr, nullptr);
+        return fd < 0 ? nullptr : std::make_unique<Peer>(fd);
+    }
+    sockaddr_in at{};
+
+private:
+    int fd_;
+};
+
+Peer connect_to(std::uint16_t port) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    to.sin_port = htons(port);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    fcntl(fd, F_SETFL, O_NONBLOCK);
+    ::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+    return Peer(fd);
+}
+
+settings::Site site() {
+    settings::Site site;
+    site.conn_idle = 30s;
+    site.connect_timeout = 250ms;
+    topazcrank::Settings& s = site.settings;
+    s.classes.resize(3);
+    const char* names[] = {"read", "create", "hold"};
+    for (std::size_t i = 0; i < 3; ++i) {
+        s.classes[i].name = names[i];
+        s.classes[i].repeat = static_cast<topazcrank::Repeat>(i);
+        s.classes[i].aim = 1s;
+        s.classes[i].deadline = 3s;
+        s.classes[i].key_window = 2s;
+        s.classes[i].late_worth = 0.2;
+    }
+    s.plans.resize(1);
+    s.plans[0].name = "team";
+    s.plans[0].rate = 1000;
+    s.plans[0].burst = 2000;
+    s.count_timeout = 50ms;
+    s.most_units = 4;
+    s.most_attempts = 4;
+    s.may_probe = s.may_cancel = true;
+    return site;
+}
+
+Listed listed(const std::string& id, const std::string& address,
+              topazcrank::ServerState state = topazcrank::ServerState::in) {
+    Listed one;
+    one.entry.id = id;
+    one.entry.state = state;
+    one.address = address;
+    return one;
+}
+
+std::string call(const std::string& cls, int d_ms = 3000, const std::string& body = {}) {
+    static std::uint64_t next_id = 0;
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016llx", static_cast<unsigned long long>(++next_id));
+    std::string out;
+    resp::write_array(out, body.empty() ? 4 : 5);
+    resp::write_bulk(out, cls == "read" ? "Q.ASK" : "Q.DO");
+    resp::write_bulk(out, "00000000b4d65521");
+    resp::write_bulk(out, id);
+    resp::write_bulk(out, "c=" + cls + ",t=team,d=" + std::to_string(d_ms) + ",units=1,spread=1,first=0");
+    if (!body.empty()) resp::write_bulk(out, body);
+    return out;
+}
+
+std::string served(const std::string& value) {
+    std::string out = "*3\r\n";
+    resp::write_bulk(out, value);
+    return out + "$-1\r\n$-1\r\n";
+}
+
+struct Rig {
+    explicit Rig(settings::Site with = site(), std::size_t most_clients = 64)
+        : gateway(with, 7, {256, 1 << 22}, loop),
+          pool(loop, gateway, {64, with.connect_timeout, with.conn_idle}),
+          counter(loop, gateway, reinterpret_cast<const sockaddr_storage&>(counting.at),
+                  with.settings.count_timeout),
+          acceptor(loop, gateway, with.settings, {most_clients, 1 << 22}) {
+        gateway.attach(pool, counter);
+        sockaddr_storage any{};
+        net::read_address("127.0.0.1:0", any);
+        EXPECT_EQ(acceptor.listen(any), 0);
+    }
+    ~Rig() {
+        acceptor.close();
+        pool.close();
+        counter.close();
+        loop.drain();
+    }
+    Peer client() { return connect_to(static_cast<std::uint16_t>(acceptor.port())); }
+    template <typename Condition>
+    bool until(Condition condition) {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!condition()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            loop.turn();
+            usleep(200);
+        }
+        return true;
+    }
+    std::unique_ptr<Peer> accepted(Listener& listener) {
+        std::unique_ptr<Peer> peer;
+        EXPECT_TRUE(until([&] { return (peer = listener.accept()) != nullptr; }));
+        return peer;
+    }
+
+    Listener counting;
+    net::Loop loop;
+    core::Gateway gateway;
+    net::WorkerPool pool;
+    net::CounterClient counter;
+    net::Acceptor acceptor;
+};
+
+// ---- Rule 1: one answer to every call, in time and in order -------------------------------------------
+
+TEST(Rule1, PipelinedCallsAreAnsweredOnceInTheirOrder) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("read") + call("hold", 3000, "BODY"));
+    auto first = rig.accepted(worker);
+    auto second = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return first->has("c=read") && second->has("BODY"); }));
+    client.write("*1\r\n$4\r\nPING\r\n");
+    second->write(served("two"));
+    ASSERT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 1; }));
+    EXPECT_EQ(client.read(), "");
+    first->write(served("one"));
+    ASSERT_TRUE(rig.until([&] { return client.has("PONG"); }));
+    EXPECT_EQ(client.got, "$3\r\none\r\n$3\r\ntwo\r\n+PONG\r\n");
+    // Both connections rest now, and the next call takes one of them.
+    client.write(call("hold"));
+    ASSERT_TRUE(rig.until([&] { return first->has("c=hold") || second->has("d=2990"); }));
+    EXPECT_EQ(rig.pool.connections(), 2u);
+}
+
+TEST(Rule1, ACallToASilentWorkerIsAnsweredBeforeItsDeadline) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    const auto sent = std::chrono::steady_clock::now();
+    client.write(call("hold", 300));
+    auto silent = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return !client.read().empty(); }));
+    EXPECT_GE(std::chrono::steady_clock::now() - sent, 250ms);
+    EXPECT_EQ(client.got, "-ERR failed\r\n");                   // it may have run
+    EXPECT_TRUE(rig.until([&] { return silent->is_over(); }));  // and the worker is told to stop
+}
+
+TEST(Rule1, AClientThatClosesHasWithdrawnItsCalls) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("read"));
+    auto peer = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=read"); }));
+    client.close();
+    peer->write(served("late"));
+    EXPECT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 0; }));
+}
+
+// ---- Rule 2: what may have run is not sent again ------------------------------------------------------
+
+TEST(Rule2, AnUnsafeCallThatBrokeAfterItsLastByteFailsAndIsNotSentAgain) {
+    Rig rig;
+    Listener one, other;
+    rig.gateway.listed(ListKind::full, {listed("a", one.address()), listed("b", other.address())});
+    Peer client = rig.client();
+    client.write(call("hold"));
+    std::unique_ptr<Peer> got;
+    ASSERT_TRUE(rig.until([&] { return (got = one.accept()) || (got = other.accept()); }));
+    ASSERT_TRUE(rig.until([&] { return got->has("c=hold"); }));
+    got->close();
+    ASSERT_TRUE(rig.until([&] { return !client.read().empty(); }));
+    EXPECT_EQ(client.got, "-ERR failed\r\n");
+    EXPECT_FALSE(one.accept() || other.accept());
+}
+
+TEST(Rule2, AnUnsafeCallThatNoWorkerTookIsRefusedAsHarmless) {
+    Rig rig;
+    Listener worker;
+    const std::string address = worker.address();
+    worker.close();
+    rig.gateway.listed(ListKind::full, {listed("w", address)});
+    Peer client = rig.client();
+    client.write(call("hold"));
+    ASSERT_TRUE(rig.until([&] { return !client.read().empty(); }));
+    EXPECT_EQ(client.got.substr(0, 5), "-BUSY");
+}
+
+// The kernel takes the first bytes, but not the last: the peer reads nothing and then is gone.
+TEST(Rule2, AConnectionKnowsWhatTheKernelHasNotTaken) {
+    struct Writer : net::Stream {
+        using Stream::Stream;
+        std::size_t on_bytes(std::string_view bytes) override { return bytes.size(); }
+        void on_end(int) override { left = unsent(); }
+        void on_released() override { released = true; }
+        std::size_t left = 0;
+        bool released = false;
+    };
+    net::Loop loop;
+    Listener listener;
+    Writer writer(loop);
+    ASSERT_EQ(writer.connect(reinterpret_cast<const sockaddr_storage&>(listener.at)), 0);
+    const std::size_t much = 32 << 20;
+    writer.to_write().assign(much, 'x');
+    std::unique_ptr<Peer> peer;
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!peer || writer.unsent() == much) {
+        ASSERT_LT(std::chrono::steady_clock::now(), end);
+        loop.turn();
+        if (!peer) peer = listener.accept();
+    }
+    peer->close();
+    while (!writer.released && std::chrono::steady_clock::now() < end) loop.turn();
+    EXPECT_GT(writer.left, 0u);
+    EXPECT_LT(writer.left, much);
+}
+
+TEST(Rule2, AWorkersOwnOverloadReplyIsNotPassedOnButTriedElsewhere) {
+    Rig rig;
+    Listener one, other;
+    rig.gateway.listed(ListKind::full, {listed("a", one.address()), listed("b", other.address())});
+    Peer client = rig.client();
+    client.write(call("hold"));
+    std::unique_ptr<Peer> first, second;
+    ASSERT_TRUE(rig.until([&] { return (first = one.accept()) || (second = other.accept()); }));
+    Peer& busy = first ? *first : *second;
+    ASSERT_TRUE(rig.until([&] { return busy.has("c=hold"); }));
+    busy.write("-BUSY 7\r\n");
+    ASSERT_TRUE(rig.until(
+        [&] { return first ? (second = other.accept()) != nullptr : (first = one.accept()) != nullptr; }));
+    Peer& free = &busy == first.get() ? *second : *first;
+    ASSERT_TRUE(rig.until([&] { return free.has("c=hold"); }));
+    free.write(served("v"));
+    ASSERT_TRUE(rig.until([&] { return client.has("\r\nv\r\n"); }));
+    EXPECT_EQ(client.got, "$1\r\nv\r\n");
+}
+
+TEST(Rule2, BytesThatAreNoAnswerEndTheirConnectionAlone) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("hold") + call("hold"));
+    auto bad = rig.accepted(worker);
+    auto good = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return bad->has("c=hold") && good->has("c=hold"); }));
+    bad->write("HTTP/1.1 200 OK\r\n");
+    ASSERT_TRUE(rig.until([&] { return bad->is_over(); }));
+    good->write(served("v"));
+    ASSERT_TRUE(rig.until([&] { return client.has("$1\r\nv\r\n"); }));
+    EXPECT_TRUE(client.has("-ERR failed\r\n"));
+}
+
+// ---- Rule 3: nothing new to a worker that drains or is gone -------------------------------------------
+
+// Its backlog is full, so that a connection to it neither comes up nor fails. It comes up after the worker
+// was told to drain, and must carry nothing.
+TEST(Rule3, ACallStillConnectingToAWorkerThatDrainsIsNotSent) {
+    auto patient = site();
+    patient.connect_timeout = 8s;
+    Rig rig(patient);
+    Listener worker(0);
+    std::vector<Peer> fillers;
+    for (int i = 0; i < 2; ++i) fillers.push_back(connect_to(ntohs(worker.at.sin_port)));
+    usleep(20000);
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("hold"));
+    ASSERT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 1; }));
+    using topazcrank::ServerState;
+    rig.gateway.listed(ListKind::changes, {listed("w", worker.address(), ServerState::draining)});
+    ASSERT_TRUE(rig.until([&] { return !client.read().empty(); }));
+    EXPECT_EQ(client.got.substr(0, 5), "-BUSY");  // it never ran, and is answered at once
+    std::vector<std::unique_ptr<Peer>> taken;
+    const auto end = std::chrono::steady_clock::now() + 1500ms;  // time for a SYN to be sent again
+    while (std::chrono::steady_clock::now() < end) {
+        rig.loop.turn();
+        if (auto peer = worker.accept()) taken.push_back(std::move(peer));
+        for (auto& peer : taken) EXPECT_EQ(peer->read(), "");
+        usleep(1000);
+    }
+}
+
+// ---- Rules 4 and 5: the module's, seen through sockets ------------------------------------------------
+
+TEST(Rule4, AColdWorkerGetsLessThanItsPart) {
+    auto with = site();
+    with.settings.cold_from = 0.19;
+    with.settings.ramp_time = 600s;
+    Rig rig(with);
+    Listener warm, cold;
+    Listed started = listed("cold", cold.address());
+    started.entry.started = rig.loop.now();
+    rig.gateway.listed(ListKind::full, {listed("warm", warm.address()), started});
+    Peer client = rig.client();
+    std::vector<std::unique_ptr<Peer>> workers;
+    int asked_cold = 0;
+    std::vector<bool> is_cold;
+    const int calls = 100;
+    for (int i = 0; i < calls; ++i) {
+        client.got.clear();
+        client.write(call("read"));
+        ASSERT_TRUE(rig.until([&] {
+            for (Listener* listener : {&warm, &cold}) {
+                if (auto peer = listener->accept()) {
+                    workers.push_back(std::move(peer));
+                    is_cold.push_back(listener == &cold);
+                }
+            }
+            for (std::size_t w = 0; w < workers.size(); ++w) {
+                if (!workers[w]->has("c=read")) continue;
+                workers[w]->got.clear();
+                workers[w]->write(served("v"));
+                asked_cold += is_cold[w] ? 1 : 0;
+            }
+            return client.has("\r\nv\r\n");
+        }));
+    }
+    EXPECT_LT(asked_cold, calls / 2);
+}
+
+TEST(Rule5, ACeilingLetsNoMoreThroughThanItsStoreHolds) {
+    auto with = site();
+    with.settings.plans[0].ceiling_rate = 0.001;
+    with.settings.plans[0].ceiling_burst = 5;
+    with.settings.tick = 1ms;
+    Rig rig(with);
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    std::string all;
+    for (int i = 0; i < 20; ++i) all += call("read");
+    client.write(all);
+    std::vector<std::unique_ptr<Peer>> workers;
+    const auto refused = [&] {
+        std::size_t n = 0;
+        for (auto at = client.read().find("-BUSY"); at != std::string::npos;
+             at = client.got.find("-BUSY", at + 1))
+            ++n;
+        return n;
+    };
+    std::size_t sent = 0;
+    ASSERT_TRUE(rig.until([&] {
+        if (auto peer = worker.accept()) workers.push_back(std::move(peer));
+        for (auto& peer : workers) {
+            if (!peer->has("c=read")) continue;
+            peer->got.clear();
+            peer->write(served("v"));
+            ++sent;
+        }
+        return rig.gateway.open_calls() == 0 && sent + refused() == 20;
+    }));
+    EXPECT_LE(sent, 5u);
+}
+
+// ---- Bad input and limits -----------------------------------------------------------------------------
+
+TEST(Acceptor, AnswersWhatItDoesNotKnowAndClosesWhereFramingIsLost) {
+    const struct {
+        std::string in, out;
+        bool closed;
+    } cases[] = {
+        {"*1\r\n$4\r\nNOPE\r\n*1\r\n$4\r\nPING\r\n", "-ERR unknown command\r\n+PONG\r\n", false},
+        {"*1\r\n+PING\r\n", "-ERR commands are arrays of bulk strings\r\n", false},
+        {"*2\r\n$5\r\nHELLO\r\n$1\r\n3\r\n", "-ERR unknown command\r\n", false},
+        {call("none"), "-ERR unknown class\r\n", false},
+        {"GET / HTTP/1.1\r\n\r\n", "-ERR protocol error\r\n", true},
+        {"*1\r\n$99999999\r\n", "-ERR protocol error\r\n", true},
+    };
+    Rig rig;
+    for (const auto& c : cases) {
+        Peer client = rig.client();
+        client.write(c.in);
+        EXPECT_TRUE(rig.until([&] { return client.read() == c.out; })) << client.got;
+        EXPECT_TRUE(!c.closed || rig.until([&] { return client.is_over(); })) << c.in;
+    }
+}
+
+TEST(Acceptor, AtItsLimitTheClientIdleLongestGivesWay) {
+    Rig rig(site(), 2);
+    std::vector<Peer> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.push_back(rig.client());
+        clients.back().write("*1\r\n$4\r\nPING\r\n");
+        ASSERT_TRUE(rig.until([&] { return clients.back().has("PONG"); })) << i;
+    }
+    EXPECT_TRUE(rig.until([&] { return clients[0].is_over(); }));
+    EXPECT_FALSE(clients[1].is_over());
+}
+
+// ---- The counter --------------------------------------------------------------------------------------
+
+// A reply that comes after its call's time-out belongs to that call, not to the next one.
+TEST(Counter, RepliesAreMatchedInOrderAlsoAfterATimeOut) {
+    auto with = site();
+    with.settings.may_count = true;
+    with.settings.gateways = 3;
+    Rig rig(with);
+    rig.counter.add("late", 1, 1s);
+    auto line = rig.accepted(rig.counting);
+    ASSERT_TRUE(rig.until([&] { return line->has("TALLY\r\n$4\r\nlate\r\n$1\r\n1\r\n$4\r\n1000\r\n"); }));
+    const auto end = std::chrono::steady_clock::now() + 100ms;
+    while (std::chrono::steady_clock::now() < end) rig.loop.turn();
+    rig.counter.add("late", 2, 1s);
+    line->write("$1\r\n1\r\n$1\r\n3\r\n");  // both fit: neither is an answer to nothing
+    ASSERT_TRUE(rig.until([&] { return line->has("$1\r\n2\r\n"); }));
+    rig.counter.add("late", 0, 1s);
+    ASSERT_TRUE(rig.until([&] { return line->has("$1\r\n0\r\n"); }));
+    EXPECT_FALSE(line->is_over());
+    line->write("$1\r\n3\r\n$1\r\n9\r\n");  // the last one answers nothing: the line is given up
+    EXPECT_TRUE(rig.until([&] { return line->is_over(); }));
+}
+
+TEST(Counter, AfterAResetTheNextCallOpensANewLine) {
+    Rig rig;
+    rig.counter.add("n", 1, 1s);
+    rig.accepted(rig.counting)->close();
+    std::unique_ptr<Peer> line;
+    ASSERT_TRUE(rig.until([&] {
+        usleep(20000);
+        rig.counter.add("n", 1, 1s);
+        return (line = rig.counting.accept()) != nullptr;
+    }));
+    EXPECT_TRUE(rig.until([&] { return line->has("TALLY"); }));
+}
+
+// ---- The registry -------------------------------------------------------------------------------------
+
+std::string response(const std::string& json) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(json.size()) + "\r\n\r\n" + json;
+}
+
+TEST(Registry, IsWatchedAgainAtOnceAndAfterABreakOrNonsense) {
+    Rig rig;
+    Listener discovery, worker;
+    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41);
+    ASSERT_TRUE(watch.start());
+    auto first = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return first->has("GET /api/targets?index=41&wait=20000 HTTP/1.1\r\n"); }));
+    first->write(
+        response(R"({"version":42,"full":false,"servers":[{"id":"w","addr":")" + worker.address() + "\"}]}"));
+    ASSERT_TRUE(rig.until([&] { return first->has("index=42&"); }));
+    Peer client = rig.client();
+    client.write(call("read"));
+    rig.accepted(worker)->write(served("v"));
+    ASSERT_TRUE(rig.until([&] { return client.has("\r\nv\r\n"); }));
+    first->close();
+    auto second = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return second->has("index=42&"); }));
+    second->write(response("[no list]"));
+    auto third = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return third->has("GET /api/targets HTTP/1.1\r\n"); }));  // the whole list
+    watch.close();
+    rig.loop.turn();
+}
+
+// ---- The program --------------------------------------------------------------------------------------
+
+struct Program {
+    explicit Program(const std::string& config) {
+        path = ::testing::TempDir() + "linnetlead." + std::to_string(getpid()) + ".json";
+        std::ofstream(path) << config;
+        int ends[2];
+        EXPECT_EQ(pipe(ends), 0);
+        pid = fork();
+        if (pid == 0) {
+            dup2(ends[1], 2);
+            ::close(ends[0]);
+            setenv("BALANCER_CONFIG", path.c_str(), 1);
+            execl(LINNETLEAD_PROGRAM, LINNETLEAD_PROGRAM, nullptr);
+            _exit(99);
+        }
+        ::close(ends[1]);
+        errors = ends[0];
+    }
+    ~Program() {
+        if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
+        ::close(errors);
+        unlink(path.c_str());
+    }
+    std::string line() {  // one write to the error stream
+        char text[1024];
+        const ssize_t size = read(errors, text, sizeof(text));
+        return std::string(text, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+    }
+    int exit_code() {
+        int status = 0;
+        waitpid(std::exchange(pid, 0), &status, 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    std::string path;
+    pid_t pid = 0;
+    int errors = 0;
+};
+
+TEST(Program, SaysInOneLineWhatIsWrongWithItsConfiguration) {
+    for (const char* bad : {"{", R"({"settings":{}})", R"({"listen":"nowhere","settings":{}})"}) {
+        Program program(bad);
+        EXPECT_EQ(program.exit_code(), 1);
+        const std::string line = program.line();
+        EXPECT_EQ(line.substr(0, 12), "linnetlead: ");
+        EXPECT_EQ(line.find('\n'), line.size() - 1) << line;
+    }
+}
+
+// Told to stop, it serves on for a while, closes what is idle, answers what it has taken, and ends.
+TEST(Program, ServesWhatItHasTakenAfterSigterm) {
+    Listener worker, discovery;
+    Program program(R"({"listen":"127.0.0.1:0","discovery":")" + discovery.address() +
+                    R"(","known":{"version":1,"full":true,"servers":[{"id":"w","addr":")" + worker.address() +
+                    R"("}]},"settings":{"classes":[{"name":"read","idempotency":"retryable","aim":8000000000,
+                    "deadline":8000000000}],"tariffs":[{"name":"team","units_per_s":100,"most_at_once":100}],
+                    "limits":{"connect_timeout":250000000,"conn_idle":30000000000,"max_attempts":3}}})");
+    const auto end = std::chrono::steady_clock::now() + patience;
+    const auto wait_for = [&](auto condition) {
+        while (!condition() && std::chrono::steady_clock::now() < end) usleep(2000);
+        return condition();
+    };
+    const std::string ready = program.line();
+    ASSERT_EQ(ready.find("linnetlead: listening on port "), 0u) << ready;
+    const auto at = static_cast<std::uint16_t>(std::stoi(ready.substr(ready.rfind(' '))));
+    Peer idle = connect_to(at);
+    idle.write("*1\r\n$4\r\nPING\r\n");
+    ASSERT_TRUE(wait_for([&] { return idle.has("PONG"); }));
+    Peer busy = connect_to(at);
+    busy.write(call("read", 8000));
+    std::unique_ptr<Peer> peer;
+    ASSERT_TRUE(wait_for([&] { return peer || (peer = worker.accept()); }));
+    ASSERT_TRUE(wait_for([&] { return peer->has("c=read"); }));
+    kill(program.pid, SIGTERM);
+    Peer late = connect_to(at);  // connections still come for a while
+    late.write("*1\r\n$4\r\nPING\r\n");
+    EXPECT_TRUE(wait_for([&] { return late.has("PONG"); }));
+    EXPECT_TRUE(wait_for([&] { return idle.is_over() && late.is_over(); }));
+    EXPECT_FALSE(busy.is_over());
+    peer->write(served("v"));
+    EXPECT_TRUE(wait_for([&] { return busy.has("\r\nv\r\n") && busy.is_over(); }));
+    EXPECT_EQ(program.exit_code(), 0);
+}
+
+}  // namespace linnetlead
