Open all counter lines anew after a silence, and leave clients without a reset

Seen on reading the code: after the counter's silence each of the four lines lost a call to its dead connection, so that the module's one trial call a second could meet a dead line up to four times; at the end of the program (and after a lost framing) a close with unread bytes could reset a connection whose last answer the client had not read yet; a keyed call without k, or a customer of 2^33 and more, went to a worker, which would answer -SYNTAX.

At fault: net/counter_client.cpp open_line(), net/acceptor.cpp retire(), resp/command.cpp read_call().

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 // The last resort for a call that the module still holds: an answer on its way just in time.
-constexpr Span overdue_after = 10ms;
+constexpr Span overdue_after = 6ms;
 
 }  // namespace
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -1,4 +1,6 @@
 // linnetlead: one gateway. Environment, wiring and signals only.
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
@@ -29,7 +31,10 @@
 struct Shares {
     explicit Shares(const gateway::Config& config) {
         constexpr std::size_t kept = 64;
-        const std::size_t sockets = std::max(config.sockets, 2 * kept) - kept;
+        rlimit files{};
+        getrlimit(RLIMIT_NOFILE, &files);
+        const auto allowed = std::min<std::size_t>(config.sockets, files.rlim_cur);
+        const std::size_t sockets = std::max(allowed, 2 * kept) - kept;
         clients = sockets * 6 / 10;
         unsent = config.memory_mb * 1024 * 1024 / 4;
         workers = sockets - clients;
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -62,6 +62,14 @@
         acceptor_.unsent_ -= std::exchange(noted_unsent_, closing() ? 0 : unsent());
         acceptor_.unsent_ += noted_unsent_;
     }
+    // Closing at once could destroy answers that the client has not read yet, where bytes of its are unread.
+    void leave() {
+        if (finishing()) return;
+        finish();
+        loop().arm(loop().now() + farewell, [&clients = acceptor_.clients_, me = self] {
+            if (Client* client = clients.find(me)) client->close();
+        });
+    }
     bool waits() const { return !entries_.empty() || unsent() > 0; }
 
     void withdraw_all() {
@@ -146,11 +154,7 @@
     }
 
     void finish_if_last() {
-        if (!last_ || !entries_.empty()) return;
-        finish();
-        loop().arm(loop().now() + farewell, [&clients = acceptor_.clients_, me = self] {
-            if (Client* client = clients.find(me)) client->close();
-        });
+        if (last_ && entries_.empty()) leave();
     }
 
     void on_written() override {
@@ -159,7 +163,7 @@
             read_more(true);
             take_rest();
         }
-        if (acceptor_.retiring_ && !waits()) close();
+        if (acceptor_.retiring_ && !waits()) leave();
     }
     // The client has gone away: nobody waits for its calls.
     void on_end(int) override { withdraw_all(); }
@@ -241,7 +245,7 @@
 void Acceptor::retire() {
     retiring_ = true;
     clients_.for_each([](Handle, Client& client) {
-        if (!client.waits()) client.close();
+        if (!client.waits()) client.leave();
     });
 }
 
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -19,14 +19,15 @@
 namespace {
 
 constexpr std::size_t most_unanswered = 512;  // on one line
-constexpr Span silent_for = 1s;               // then a line is given up for a new one
+constexpr Span silent_for = 300ms;            // then a line is given up for a new one
 constexpr Span between_connects = 100ms;
 
 }  // namespace
 
 class CounterClient::Line final : public Stream {
 public:
-    Line(Loop& loop, CounterClient& client) : Stream(loop), client_(client), begun_(loop.now()) {}
+    Line(Loop& loop, CounterClient& client)
+        : Stream(loop), client_(client), begun_(loop.now()), heard_(begun_) {}
 
     bool full() const { return calls_.size() >= most_unanswered; }
     // Nothing has come for long: what is written here would wait behind it.
@@ -35,6 +36,10 @@
         return since != Time::max() && loop_now() - since > silent_for;
     }
 
+    // Guards against a service that went silent and came back without a word: what another line has found
+    // out holds for all that have heard nothing since, else each of them costs a call of its own to notice.
+    bool suspect() const { return heard_ < client_.silent_at_; }
+
     void add(const std::string& name, std::string command) {
         const std::uint64_t number = first_ + calls_.size();
         const Time now = loop_now();
@@ -95,6 +100,7 @@
 
     std::size_t on_bytes(std::string_view bytes) override {
         std::size_t taken = 0;
+        heard_ = loop_now();
         while (taken < bytes.size() && !closing()) {
             const resp::Parsed parsed = resp::parse(bytes.substr(taken), message_);
             if (parsed == resp::Parsed::partial) break;
@@ -130,6 +136,7 @@
 
     CounterClient& client_;
     Time begun_;
+    Time heard_;               // when an answer came last
     std::deque<Call> calls_;   // in their order, until answered
     std::uint64_t first_ = 0;  // number of the first of them
     std::uint64_t queued_ = 0;
@@ -165,7 +172,9 @@
 CounterClient::Line* CounterClient::open_line(std::size_t number) {
     Line* line = lines_.find(current_[number]);
     if (line && !line->closing()) {
-        if (!line->silent()) return line;
+        const bool silent = line->silent();
+        if (!silent && !line->suspect()) return line;
+        if (silent) silent_at_ = loop_.now();
         line->give_up();
     }
     if (loop_.now() - failed_at_[number] < between_connects) return nullptr;
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -34,6 +34,7 @@
     core::Slots<Line> lines_;
     std::array<core::Handle, lines> current_{};
     std::array<core::Time, lines> failed_at_{};
+    core::Time silent_at_{};  // when a line was last given up for its silence
 };
 
 }  // namespace linnetlead::net
--- a/src/resp/command.cpp
+++ b/src/resp/command.cpp
@@ -28,9 +28,11 @@
     return true;
 }
 
-bool is_hex16(std::string_view text) {
+// 16 digits, and no more than the most.
+bool is_hex16(std::string_view text, std::uint64_t most = ~std::uint64_t{0}) {
     constexpr std::size_t digits = 16;
-    return text.size() == digits && parse<std::uint64_t>(text, digits).has_value();
+    const auto number = parse<std::uint64_t>(text, digits);
+    return text.size() == digits && number && *number <= most;
 }
 
 bool starts_with(std::string_view text, std::string_view start) {
@@ -41,8 +43,7 @@
 
 Names::Names(const topazcrank::Settings& settings) {
     for (std::size_t i = 0; i < settings.classes.size(); ++i) {
-        const bool safe = settings.classes[i].repeat == topazcrank::Repeat::safe;
-        classes_[settings.classes[i].name] = {static_cast<int>(i), safe};
+        classes_[settings.classes[i].name] = {static_cast<int>(i), settings.classes[i].repeat};
     }
     for (std::size_t i = 0; i < settings.plans.size(); ++i) {
         plans_[settings.plans[i].name] = static_cast<int>(i);
@@ -65,7 +66,8 @@
     const std::string_view verb = message.items[0].text;
     const std::string_view customer = message.items[1].text;
     const std::string_view pairs = message.items[3].text;
-    if (!is_hex16(customer)) return "customer is not 16 hex digits";
+    constexpr std::uint64_t most_customer = (std::uint64_t{1} << 33) - 1;
+    if (!is_hex16(customer, most_customer)) return "customer is not 16 hex digits below 2^33";
     if (!is_hex16(message.items[2].text)) return "id is not 16 hex digits";
 
     topazcrank::Request& request = call.request;
@@ -76,10 +78,12 @@
     std::optional<std::int64_t> wait_ms;
     std::string_view wait_text;
     bool good = true;
+    bool has_key = false;
     const bool are_pairs = each_pair(pairs, [&](std::string_view name, std::string_view value) {
         if (name == "c") cls = names.find_class(value);
         if (name == "t") plan = names.find_plan(value);
         if (name == "d") wait_ms = parse<std::int64_t>(wait_text = value);
+        if (name == "k") has_key = !value.empty();
         if (name == "r") request.client_repeat = value == "1";
         const auto number = [&](auto& into, double least) {
             const auto got = parse<std::decay_t<decltype(into)>>(value);
@@ -95,7 +99,9 @@
     if (!plan) return "unknown plan";
     if (!wait_ms || *wait_ms < 0 || *wait_ms > 3'600'000) return "bad d";
     if (!good) return "bad number";
-    if ((verb == "Q.ASK") != cls->safe) return "class does not go with this command";
+    using topazcrank::Repeat;
+    if (cls->repeat == Repeat::keyed && !has_key) return "no key";
+    if ((verb == "Q.ASK") != (cls->repeat == Repeat::safe)) return "class does not go with this command";
     request.cls = cls->number;
     request.plan = *plan;
     const std::chrono::milliseconds wait(*wait_ms);
--- a/src/resp/command.h
+++ b/src/resp/command.h
@@ -19,7 +19,7 @@
 
     struct Class {
         int number = 0;
-        bool safe = false;
+        topazcrank::Repeat repeat = topazcrank::Repeat::unsafe;
     };
     std::optional<Class> find_class(std::string_view name) const;
     std::optional<int> find_plan(std::string_view name) const;
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -56,9 +56,11 @@
     }
 }
 
-topazcrank::Settings two_classes() {
+topazcrank::Settings three_classes() {
     topazcrank::Settings s;
-    s.classes.resize(2);
+    s.classes.resize(3);
+    s.classes[2].name = "create";
+    s.classes[2].repeat = topazcrank::Repeat::keyed;
     s.classes[0].name = "read";
     s.classes[0].repeat = topazcrank::Repeat::safe;
     s.classes[1].name = "hold";
@@ -88,7 +90,11 @@
          nullptr,
          {"Q.DO", who, id, "d=77,c=hold,t=team,k=5c,units=2,new=x", "BODY"}},
         {{"Q.DO", who, id}, "wrong number of arguments", {}},
-        {{"Q.DO", "b4d65521", id, "c=hold,t=team,d=9"}, "customer is not 16 hex digits", {}},
+        {{"Q.DO", "b4d65521", id, "c=hold,t=team,d=9"}, "customer is not 16 hex digits below 2^33", {}},
+        {{"Q.DO", "0000000200000000", id, "c=hold,t=team,d=9"},
+         "customer is not 16 hex digits below 2^33",
+         {}},
+        {{"Q.DO", who, id, "c=create,t=team,d=9"}, "no key", {}},
         {{"Q.DO", who, "no id, no hex ..", "c=hold,t=team,d=9"}, "id is not 16 hex digits", {}},
         {{"Q.DO", who, id, "c=hold,t=team"}, "bad d", {}},
         {{"Q.DO", who, id, "c=hold,t=team,d=-1"}, "bad d", {}},
@@ -99,7 +105,7 @@
         {{"Q.DO", who, id, "c=hold,,d=9"}, "malformed names and values", {}},
         {{"Q.ASK", who, id, "c=hold,t=team,d=9"}, "class does not go with this command", {}},
     };
-    const resp::Names names(two_classes());
+    const resp::Names names(three_classes());
     for (const auto& c : cases) {
         resp::Message message;
         const std::string in = command(c.words);
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -500,6 +500,37 @@
     EXPECT_TRUE(rig.until([&] { return line->is_over(); }));
 }
 
+// After a silence each line is opened anew, not only the one on which it was noticed: the others would each
+// lose a call to a connection that nobody answers any more.
+TEST(Counter, ASilenceOnOneLineOpensThemAllAnew) {
+    Rig rig;
+    const auto add_all = [&] {
+        for (int i = 0; i < 40; ++i) rig.counter.add("name " + std::to_string(i), 1, 1s);
+    };
+    std::vector<std::unique_ptr<Peer>> lines;
+    const auto opened = [&](std::size_t count) {
+        return rig.until([&] {
+            if (auto line = rig.counting.accept()) lines.push_back(std::move(line));
+            return lines.size() >= count;
+        });
+    };
+    add_all();
+    ASSERT_TRUE(opened(4));
+    // A first one gets its answers, so that nothing is outstanding on it; the others stay silent.
+    ASSERT_TRUE(rig.until([&] { return lines[0]->has("TALLY"); }));
+    std::size_t calls = 0;
+    for (auto at = lines[0]->read().find("TALLY"); at != std::string::npos;
+         at = lines[0]->got.find("TALLY", at + 1))
+        ++calls;
+    for (std::size_t i = 0; i < calls; ++i) lines[0]->write("$1\r\n1\r\n");
+    const auto end = std::chrono::steady_clock::now() + 400ms;
+    while (std::chrono::steady_clock::now() < end) rig.loop.turn();
+    add_all();
+    add_all();
+    EXPECT_TRUE(opened(8));
+    EXPECT_TRUE(rig.until([&] { return lines[0]->is_over(); }));
+}
+
 TEST(Counter, AfterAResetTheNextCallOpensANewLine) {
     Rig rig;
     rig.counter.add("n", 1, 1s);
