Stop exceptions at the connection and at the module's event

Seen on reading the code against the house style: an exception in a libuv callback would end the program, and one from the module would leave the core believing that it was still inside the module, so that no event would reach it again.

Checked: a connection whose reader throws ends alone (Stream test), 28 tests under ASan and UBSan. Ruled out: a leak of call slots, which are now dropped before the module hears of a withdrawal or an outcome, not after.

At fault: net/stream.cpp (callbacks), core/gateway.cpp tell(), withdraw(), attempt_ended().

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <exception>
 #include <utility>
 
 namespace linnetlead::core {
@@ -40,15 +41,26 @@
         return;
     }
     telling_ = true;
-    event();
+    guarded(event);
     while (!later_.empty()) {
         const auto next = std::move(later_.front());
         later_.pop_front();
-        next();
+        guarded(next);
     }
     telling_ = false;
 }
 
+// An exception of the module's costs the event in hand, not the gateway. A call that it leaves without an
+// answer gets one in overdue().
+template <typename Event>
+void Gateway::guarded(const Event& event) {
+    try {
+        event();
+    } catch (const std::exception& e) {
+        log(e.what());
+    }
+}
+
 // ---- From the fronts ------------------------------------------------------------------------------------
 
 Handle Gateway::take(Call call, Front& front, Ticket ticket) {
@@ -77,10 +89,8 @@
     if (!call || call->answered) return;
     call->answered = true;
     timers_.disarm(std::exchange(call->deadline, {}));
-    tell([this, handle] {
-        policy_->on_withdrawn(timers_.now(), handle.packed());
-        drop_if_done(handle);
-    });
+    drop_if_done(handle);
+    tell([this, handle] { policy_->on_withdrawn(timers_.now(), handle.packed()); });
 }
 
 // The module answers before the deadline: attempts are cut to it. Should it not, the client still hears.
@@ -88,10 +98,7 @@
     Open* call = calls_.find(handle);
     if (!call || call->answered) return;
     conclude(handle, *call, {Verdict::failed, {}, {}});
-    tell([this, handle] {
-        policy_->on_withdrawn(timers_.now(), handle.packed());
-        drop_if_done(handle);
-    });
+    tell([this, handle] { policy_->on_withdrawn(timers_.now(), handle.packed()); });
 }
 
 void Gateway::conclude(Handle handle, Open& call, const Answer& answer) {
@@ -130,10 +137,8 @@
     call->may_have_run = call->may_have_run || !proves_not_run(result.outcome);
     result.concluded = call->answered || end.ending == Ending::served;
     if (end.ending == Ending::served) conclude(handle, *call, {Verdict::served, end.value, {}});
-    tell([this, handle, result = std::move(result)] {
-        policy_->on_result(timers_.now(), result);
-        drop_if_done(handle);
-    });
+    drop_if_done(handle);
+    tell([this, result = std::move(result)] { policy_->on_result(timers_.now(), result); });
 }
 
 void Gateway::probed(const WorkerId& worker, Outcome outcome, const topazcrank::LoadReport& report) {
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -69,6 +69,8 @@
 
     template <typename Event>
     void tell(Event event);
+    template <typename Event>
+    void guarded(const Event& event);
     void conclude(Handle handle, Open& call, const Answer& answer);
     void overdue(Handle handle);
     void drop_if_done(Handle handle);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,5 +1,8 @@
 #include "stream.h"
 
+#include <cstdio>
+#include <exception>
+
 namespace linnetlead::net {
 
 namespace {
@@ -20,14 +23,27 @@
     if (in_flush_list_) loop_.flush_no_more(*this);
 }
 
+// Exceptions stop at the connection: none may pass through libuv, and the other connections go on.
+template <typename Act>
+void Stream::guarded(Act act) {
+    try {
+        act();
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "linnetlead: a connection ends: %s\n", e.what());
+        broken(UV_ECANCELED);
+    }
+}
+
 int Stream::connect(const sockaddr_storage& to) {
     return uv_tcp_connect(&connect_, &tcp_, reinterpret_cast<const sockaddr*>(&to),
                           [](uv_connect_t* request, int status) {
                               Stream& self = of(request);
                               if (self.closing_) return;
                               if (status < 0) return self.broken(status);
-                              self.start();
-                              self.on_connected();
+                              self.guarded([&self] {
+                                  self.start();
+                                  self.on_connected();
+                              });
                           });
 }
 
@@ -54,7 +70,9 @@
     }
     uv_read_start(
         stream, [](uv_handle_t* h, std::size_t, uv_buf_t* into) { *into = of(h).loop_.scratch(); },
-        [](uv_stream_t* s, ssize_t size, const uv_buf_t* from) { of(s).received(size, from->base); });
+        [](uv_stream_t* s, ssize_t size, const uv_buf_t* from) {
+            of(s).guarded([&] { of(s).received(size, from->base); });
+        });
 }
 
 void Stream::received(ssize_t size, const char* data) {
@@ -101,7 +119,7 @@
         if (taken < 0 && taken != UV_EAGAIN) return broken(taken);
         out_.erase(0, static_cast<std::size_t>(taken < 0 ? 0 : taken));
     }
-    if (out_.empty()) return written_all();
+    if (out_.empty()) return guarded([this] { written_all(); });
     writing_.swap(out_);
     uv_buf_t buffer = uv_buf_init(writing_.data(), static_cast<unsigned>(writing_.size()));
     const int error = uv_write(&write_, stream, &buffer, 1, [](uv_write_t* request, int status) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -49,6 +49,8 @@
     virtual void on_released() = 0;  // the object may be destroyed
 
     void start();
+    template <typename Act>
+    void guarded(Act act);
     void received(ssize_t size, const char* data);
     void broken(int error);
     void written_all();
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -477,6 +477,25 @@
     EXPECT_FALSE(clients[1].is_over());
 }
 
+TEST(Stream, AnExceptionEndsItsConnectionAndNoMore) {
+    struct Thrower : net::Stream {
+        using Stream::Stream;
+        std::size_t on_bytes(std::string_view) override { throw std::runtime_error("as the test wants it"); }
+        void on_end(int) override { ended = true; }
+        void on_released() override { released = true; }
+        bool ended = false, released = false;
+    };
+    Rig rig;
+    Listener listener;
+    Thrower thrower(rig.loop);
+    ASSERT_EQ(thrower.connect(reinterpret_cast<const sockaddr_storage&>(listener.at)), 0);
+    rig.accepted(listener)->write("x");
+    EXPECT_TRUE(rig.until([&] { return thrower.ended && thrower.released; }));
+    Peer client = rig.client();
+    client.write("*1\r\n$4\r\nPING\r\n");
+    EXPECT_TRUE(rig.until([&] { return client.has("PONG"); }));
+}
+
 // ---- The counter --------------------------------------------------------------------------------------
 
 // A reply that comes after its call's time-out belongs to that call, not to the next one.
