--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -33,7 +33,7 @@
     // Nothing has come for long: what is written here would wait behind it.
     bool silent() const {
         const Time since = !connected_ ? begun_ : calls_.empty() ? Time::max() : calls_.front().made;
-        return since != Time::max() && loop_now() - since > silent_for;
+        return since != Time::max() && loop().now() - since > silent_for;
     }
 
     // Guards against a service that went silent and came back without a word: what another line has found
@@ -42,7 +42,7 @@
 
     void add(const std::string& name, std::string command) {
         const std::uint64_t number = first_ + calls_.size();
-        const Time now = loop_now();
+        const Time now = loop().now();
         calls_.push_back({name, std::move(command), now, 0, {}, false});
         calls_.back().timer = loop().arm(now + client_.timeout_, [this, number] { late(number); });
         if (connected_) write(calls_.back());
@@ -71,8 +71,6 @@
         bool told = false;  // given up: its answer is still to come
     };
 
-    Time loop_now() const { return const_cast<Line*>(this)->loop().now(); }
-
     void write(Call& call) {
         to_write().append(call.command);
         queued_ += call.command.size();
@@ -100,7 +98,7 @@
 
     std::size_t on_bytes(std::string_view bytes) override {
         std::size_t taken = 0;
-        heard_ = loop_now();
+        heard_ = loop().now();
         while (taken < bytes.size() && !closing()) {
             const resp::Parsed parsed = resp::parse(bytes.substr(taken), message_);
             if (parsed == resp::Parsed::partial) break;
@@ -125,7 +123,7 @@
     }
 
     void failed() {
-        client_.failed_at_[place] = loop_now();
+        client_.failed_at_[place] = loop().now();
         give_up();
     }
     void on_end(int error) override {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -37,7 +37,7 @@
     bool finishing() const { return finishing_; }
 
 protected:
-    Loop& loop() { return loop_; }
+    Loop& loop() const { return loop_; }
 
 private:
     virtual void on_connected() {}
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -25,7 +25,7 @@
 class WorkerPool::Connection final : public Stream {
 public:
     Connection(Loop& loop, WorkerPool& pool, WorkerId id)
-        : Stream(loop), pool_(pool), worker(std::move(id)) {}
+        : Stream(loop), worker(std::move(id)), pool_(pool) {}
 
     // What is to be done on the connection: a call, or without a payload a probe.
     void begin(Handle call, const core::Payload* payload, Time until) {
@@ -39,7 +39,8 @@
         arm(std::min(until, loop().now() + pool_.limits_.connect_timeout));
     }
 
-    // Only an unused connection can be used again after it.
+    // Ends the attempt that is out. A reusable connection rests until the next; any other is closed, which is
+    // also how an attempt is given up.
     void end(AttemptEnd end, bool reusable = false) {
         end.stage = stage();
         busy_ = false;
@@ -60,6 +61,7 @@
     bool busy() const { return busy_; }
     bool unsent_call() const { return busy_ && !connected_; }
 
+    const WorkerId worker;
     Handle self;
 
 private:
@@ -145,11 +147,6 @@
     }
 
     WorkerPool& pool_;
-
-public:
-    const WorkerId worker;
-
-private:
     Handle call_;
     const core::Payload* payload_ = nullptr;  // the core keeps it while the attempt is out
     Time until_{};
