Drop a second look at finished calls, and simplify how the pool hears of a list

Seen on a last read: attempt_ended() looked up a served call again to drop it, which conclude() had done; a probe's outcome repeated what outcome_of() says of a served one; told() kept a map of who was wanted before, to spare a call that does nothing for a worker that was not. Checked: 28 and 81 tests under ASan and UBSan, formatting. Behaviour stays.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -136,8 +136,11 @@
     call->attempt = {};
     call->may_have_run = call->may_have_run || !proves_not_run(result.outcome);
     result.concluded = call->answered || end.ending == Ending::served;
-    if (end.ending == Ending::served) conclude(handle, *call, {Verdict::served, end.value, {}});
-    drop_if_done(handle);
+    if (end.ending == Ending::served && !call->answered) {
+        conclude(handle, *call, {Verdict::served, end.value, {}});
+    } else {
+        drop_if_done(handle);
+    }
     tell([this, result = std::move(result)] { policy_->on_result(timers_.now(), result); });
 }
 
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -53,8 +53,7 @@
         if (payload_) {
             pool_.gateway_.attempt_ended(call_, end);
         } else {
-            const Outcome outcome = end.ending == Ending::served ? Outcome::ok : core::outcome_of(end);
-            pool_.gateway_.probed(worker, outcome, end.report);
+            pool_.gateway_.probed(worker, core::outcome_of(end), end.report);
         }
     }
 
@@ -220,11 +219,7 @@
 }
 
 void WorkerPool::told(const std::vector<core::Listed>& entries, bool whole) {
-    std::unordered_map<WorkerId, bool> was_wanted;
-    for (auto& [id, worker] : workers_) {
-        was_wanted[id] = worker.wanted;
-        if (whole) worker.wanted = false;
-    }
+    for (auto& [id, worker] : workers_) worker.wanted = worker.wanted && !whole;
     for (const core::Listed& listed : entries) {
         Worker& worker = workers_[listed.entry.id];
         const bool fresh = worker.address != listed.address || worker.started != listed.entry.started;
@@ -240,8 +235,7 @@
         const WorkerId id = it->first;
         Worker& worker = (it++)->second;
         if (worker.wanted) continue;
-        const auto was = was_wanted.find(id);
-        if (was == was_wanted.end() || was->second) forget_connections(id, worker);
+        forget_connections(id, worker);  // nothing is left to forget of one that was not wanted before
         const bool on_list = std::any_of(entries.begin(), entries.end(), [&](const core::Listed& listed) {
             return listed.entry.id == id && listed.entry.state != topazcrank::ServerState::out;
         });
