End a call in one place, and drop a setting that nobody reads

Seen on a last read: withdraw() and conclude() both marked a call answered, disarmed its deadline and dropped it; answer_slack was read and never used. Behaviour stays.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -87,9 +87,7 @@
 void Gateway::withdraw(Handle handle) {
     Open* call = calls_.find(handle);
     if (!call || call->answered) return;
-    call->answered = true;
-    timers_.disarm(std::exchange(call->deadline, {}));
-    drop_if_done(handle);
+    settle(handle, *call);
     tell([this, handle] { policy_->on_withdrawn(timers_.now(), handle.packed()); });
 }
 
@@ -103,14 +101,19 @@
 
 void Gateway::conclude(Handle handle, Open& call, const Answer& answer) {
     if (call.answered) return;
-    call.answered = true;
-    timers_.disarm(std::exchange(call.deadline, {}));
     Front* const front = call.front;
     const Ticket ticket = call.ticket;
-    drop_if_done(handle);
+    settle(handle, call);
     front->answer(ticket, answer);
 }
 
+// Nothing more is owed to the client.
+void Gateway::settle(Handle handle, Open& call) {
+    call.answered = true;
+    timers_.disarm(std::exchange(call.deadline, {}));
+    drop_if_done(handle);
+}
+
 void Gateway::drop_if_done(Handle handle) {
     const Open* call = calls_.find(handle);
     if (!call || !call->answered || call->out) return;
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -71,6 +71,7 @@
     void tell(Event event);
     template <typename Event>
     void guarded(const Event& event);
+    void settle(Handle handle, Open& call);
     void conclude(Handle handle, Open& call, const Answer& answer);
     void overdue(Handle handle);
     void drop_if_done(Handle handle);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -144,7 +144,6 @@
         s.plans.push_back(p);
     }
     site.report_fields = info.words("report.fields");
-    info.read("guarantees.answer_slack", site.answer_slack);
     info.read("limits.conn_idle", site.conn_idle);
     info.read("limits.connect_timeout", site.connect_timeout);
     info.read("limits.max_open", site.max_open);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -23,7 +23,6 @@
     topazcrank::Settings settings;  // what the decision module takes
     std::vector<std::string> report_fields;
     // What only the sockets need.
-    topazcrank::Span answer_slack{};
     topazcrank::Span conn_idle{};
     topazcrank::Span connect_timeout{};
     int max_open = 0;
