--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -66,6 +66,9 @@
             if (!list) throw std::runtime_error("known is not a list of workers");
             config.known = *list;
         }
+        json fixed = root;
+        for (const char* name : {"discovery", "counter", "known", "seed"}) fixed.erase(name);
+        config.fixed = fixed.dump();
         settings::Pairs pairs;
         flatten(root.at("settings"), "", pairs);
         config.site = settings::read_site(pairs);
@@ -75,24 +78,31 @@
     return config;
 }
 
-Config load_config() {
-    const auto variable = [](const char* name) {
-        const char* value = std::getenv(name);
-        return std::string(value ? value : "");
-    };
+namespace {
+
+std::string variable(const char* name) {
+    const char* value = std::getenv(name);
+    return value ? value : "";
+}
+
+}  // namespace
+
+Config load_file() {
     const std::string path = variable("BALANCER_CONFIG");
     if (path.empty()) throw std::runtime_error("BALANCER_CONFIG is not set");
     std::ifstream file(path, std::ios::binary);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf())) throw std::runtime_error("cannot read " + path);
-    Config config = read_config(text.str());
+    return read_config(text.str());
+}
+
+void override_by_environment(Config& config) {
     const auto override_by = [&](const char* name, std::string& into) {
         if (std::string value = variable(name); !value.empty()) into = std::move(value);
     };
     override_by("BALANCER_NAME", config.name);
     override_by("BALANCER_LISTEN", config.listen);
     override_by("BALANCER_DISCOVERY", config.discovery);
-    return config;
 }
 
 }  // namespace linnetlead::gateway
--- a/src/gateway/config.h
+++ b/src/gateway/config.h
@@ -19,10 +19,13 @@
     std::size_t sockets = 1024;
     http::List known;
     settings::Site site;
+    std::string fixed;  // the text of what only a restart changes
 };
 
 // Throws std::runtime_error, saying in one line what is wrong.
 Config read_config(const std::string& json);
-Config load_config();  // from the environment and the file it names
+Config load_file();  // the one that the environment names
+// For the start. Read again later, the file is the newer of the two, and what changes in it stands.
+void override_by_environment(Config& config);
 
 }  // namespace linnetlead::gateway
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -2,6 +2,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -27,6 +28,10 @@
     return address;
 }
 
+sockaddr_storage counter_of(const gateway::Config& config) {
+    return config.counter.empty() ? sockaddr_storage{} : address_of("counter", config.counter);
+}
+
 // Clients may take the larger part of the sockets, workers the rest; some are kept for everything else.
 struct Shares {
     explicit Shares(const gateway::Config& config) {
@@ -49,15 +54,22 @@
     core::Gateway::Limits calls;
 };
 
+// A hangup ends a program that does not handle it: before the handler is there and once it is gone, it waits.
+void hold_back_hangups(bool hold) {
+    sigset_t hangup;
+    sigemptyset(&hangup);
+    sigaddset(&hangup, SIGHUP);
+    sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &hangup, nullptr);
+}
+
 class Program {
 public:
-    explicit Program(const gateway::Config& config)
-        : shares_(config),
+    Program(const gateway::Config& config, gateway::Config file)
+        : file_(std::move(file)),
+          shares_(config),
           gateway_(config.site, config.seed, shares_.calls, loop_),
           pool_(loop_, gateway_, {shares_.workers, config.site.connect_timeout, config.site.conn_idle}),
-          counter_(loop_, gateway_,
-                   config.counter.empty() ? sockaddr_storage{} : address_of("counter", config.counter),
-                   config.site.settings.count_timeout),
+          counter_(loop_, gateway_, counter_of(config), config.site.settings.count_timeout),
           registry_(loop_, gateway_, config.discovery, config.known.version),
           acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}) {
         gateway_.attach(pool_, counter_);
@@ -67,12 +79,18 @@
             throw std::runtime_error("cannot listen on " + config.listen + ": " + uv_strerror(error));
         }
         for (const auto& cls : config.site.settings.classes) longest_ = std::max(longest_, cls.deadline);
-        for (auto& [signal, number] : {std::pair(&term_, SIGTERM), std::pair(&interrupt_, SIGINT)}) {
-            uv_signal_init(loop_.uv(), signal);
-            signal->data = this;
+        for (std::size_t i = 0; i < signals_.size(); ++i) {
+            uv_signal_init(loop_.uv(), &signals_[i]);
+            signals_[i].data = this;
             uv_signal_start(
-                signal, [](uv_signal_t* s, int) { static_cast<Program*>(s->data)->stop(); }, number);
+                &signals_[i],
+                [](uv_signal_t* signal, int number) {
+                    auto& self = *static_cast<Program*>(signal->data);
+                    number == SIGHUP ? self.reload() : self.stop();
+                },
+                handled[i]);
         }
+        hold_back_hangups(false);
     }
 
     void run() {
@@ -82,6 +100,23 @@
     }
 
 private:
+    // The file read again, and checked whole before anything changes. Calls in hand go on.
+    void reload() {
+        try {
+            gateway::Config next = gateway::load_file();
+            const bool moved = next.discovery != file_.discovery && !next.discovery.empty();
+            if (moved) address_of("discovery", next.discovery);
+            const sockaddr_storage counter = counter_of(next);
+            if (moved) registry_.move(next.discovery);
+            if (next.counter != file_.counter) counter_.move(counter);
+            if (next.fixed != file_.fixed) {
+                std::fprintf(stderr, "linnetlead: only discovery and counter change without a restart\n");
+            }
+            file_ = std::move(next);
+        } catch (const std::exception& e) {
+            std::fprintf(stderr, "linnetlead: new configuration not taken: %s\n", e.what());
+        }
+    }
     void stop() {
         if (stop_at_ != core::Time{}) return;
         stop_at_ = loop_.now() + still_accepting;
@@ -100,12 +135,14 @@
         pool_.close();
         counter_.close();
         registry_.close();
-        for (uv_signal_t* signal : {&term_, &interrupt_}) {
-            uv_close(reinterpret_cast<uv_handle_t*>(signal), nullptr);
-        }
+        hold_back_hangups(true);
+        for (uv_signal_t& signal : signals_) uv_close(reinterpret_cast<uv_handle_t*>(&signal), nullptr);
         loop_.drain();
     }
 
+    static constexpr std::array<int, 3> handled{SIGTERM, SIGINT, SIGHUP};
+
+    gateway::Config file_;  // as read last, without the environment
     net::Loop loop_;
     Shares shares_;
     core::Gateway gateway_;
@@ -113,8 +150,7 @@
     net::CounterClient counter_;
     net::RegistryWatch registry_;
     net::Acceptor acceptor_;
-    uv_signal_t term_{};
-    uv_signal_t interrupt_{};
+    std::array<uv_signal_t, handled.size()> signals_{};
     core::Span longest_{};
     core::Time stop_at_{};
 };
@@ -124,8 +160,11 @@
 int main() {
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        const gateway::Config config = gateway::load_config();
-        Program program(config);
+        hold_back_hangups(true);
+        const gateway::Config file = gateway::load_file();
+        gateway::Config config = file;
+        gateway::override_by_environment(config);
+        Program program(config, file);
         program.run();
     } catch (const std::exception& e) {
         std::fprintf(stderr, "linnetlead: %s\n", e.what());
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -58,6 +58,11 @@
         }
     }
 
+    void retire() {
+        retiring_ = true;
+        close_if_over();
+    }
+
     Handle self;
     std::size_t place = 0;
 
@@ -82,6 +87,11 @@
         if (std::exchange(call.told, true)) return;
         loop().disarm(std::exchange(call.timer, {}));
         client_.gateway_.counted(call.name, status, total);
+        close_if_over();
+    }
+    void close_if_over() {
+        const bool waits = std::any_of(calls_.begin(), calls_.end(), [](const Call& c) { return !c.told; });
+        if (retiring_ && !waits) close();
     }
 
     void late(std::uint64_t number_of_call) {
@@ -123,7 +133,7 @@
     }
 
     void failed() {
-        client_.failed_at_[place] = loop().now();
+        if (!retiring_) client_.failed_at_[place] = loop().now();
         give_up();
     }
     void on_end(int error) override {
@@ -139,6 +149,7 @@
     std::uint64_t first_ = 0;  // number of the first of them
     std::uint64_t queued_ = 0;
     bool connected_ = false;
+    bool retiring_ = false;
     resp::Message message_;
 };
 
@@ -147,6 +158,15 @@
     : loop_(loop), gateway_(gateway), address_(address), timeout_(timeout) {}
 CounterClient::~CounterClient() = default;
 
+void CounterClient::move(const sockaddr_storage& address) {
+    address_ = address;
+    current_ = {};
+    failed_at_ = {};
+    lines_.for_each([](Handle, Line& line) {
+        if (!line.closing()) line.retire();
+    });
+}
+
 void CounterClient::close() {
     lines_.for_each([](Handle, Line& line) { line.close(); });
 }
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -15,6 +15,8 @@
 public:
     CounterClient(Loop& loop, core::Gateway& gateway, const sockaddr_storage& address, core::Span timeout);
     ~CounterClient() override;
+    // Goes over to another address. The old lines are written nothing more and end with their last answer.
+    void move(const sockaddr_storage& address);
     void close();
 
     void add(const std::string& name, double amount, core::Span life) override;
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -85,8 +85,19 @@
     return true;
 }
 
+bool RegistryWatch::move(std::string address) {
+    address_ = std::move(address);
+    version_ = -1;
+    hang_up();
+    return start();
+}
+
 void RegistryWatch::close() {
     closed_ = true;
+    hang_up();
+}
+
+void RegistryWatch::hang_up() {
     loop_.disarm(retry_);
     connections_.for_each([](Handle, Connection& connection) { connection.close(); });
 }
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -17,11 +17,14 @@
     ~RegistryWatch();
     // Returns false where the address is none.
     bool start();
+    // Goes over to another address, and asks there for the whole list: its versions may be others.
+    bool move(std::string address);
     void close();
 
 private:
     class Connection;
 
+    void hang_up();
     void connect();
     void connect_later();
     bool apply(int status, const std::string& body);
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -550,6 +550,21 @@
     EXPECT_TRUE(rig.until([&] { return lines[0]->is_over(); }));
 }
 
+TEST(Counter, MovedToAnotherAddressTheOldLineEndsWithItsLastAnswer) {
+    Rig rig;
+    Listener other;
+    rig.counter.add("n", 1, 1s);
+    auto line = rig.accepted(rig.counting);
+    ASSERT_TRUE(rig.until([&] { return line->has("TALLY"); }));
+    rig.counter.move(reinterpret_cast<const sockaddr_storage&>(other.at));
+    rig.counter.add("n", 0, 1s);
+    auto moved = rig.accepted(other);
+    EXPECT_TRUE(rig.until([&] { return moved->has("$1\r\n0\r\n"); }));
+    line->write("$1\r\n1\r\n");
+    EXPECT_TRUE(rig.until([&] { return line->is_over(); }));
+    EXPECT_FALSE(moved->is_over());
+}
+
 TEST(Counter, AfterAResetTheNextCallOpensANewLine) {
     Rig rig;
     rig.counter.add("n", 1, 1s);
@@ -627,11 +642,38 @@
         waitpid(std::exchange(pid, 0), &status, 0);
         return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
     }
+    void reload(const std::string& config) {
+        std::ofstream(path) << config;
+        kill(pid, SIGHUP);
+    }
+    Peer client() {
+        const std::string ready = line();
+        EXPECT_EQ(ready.find("linnetlead: listening on port "), 0u) << ready;
+        port = static_cast<std::uint16_t>(std::stoi(ready.substr(ready.rfind(' '))));
+        return connect_to(port);
+    }
     std::string path;
     pid_t pid = 0;
     int errors = 0;
+    std::uint16_t port = 0;
 };
 
+std::string config_of(const Listener& discovery, const Listener& counter, const std::string& worker) {
+    return R"({"listen":"127.0.0.1:0","discovery":")" + discovery.address() + R"(","counter":")" +
+           counter.address() + R"(","known":{"version":1,"full":true,"servers":[{"id":"w","addr":")" +
+           worker +
+           R"("}]},"settings":{"classes":[{"name":"read","idempotency":"retryable","aim":8000000000,
+           "deadline":8000000000}],"tariffs":[{"name":"team","units_per_s":100,"most_at_once":100}],
+           "limits":{"connect_timeout":250000000,"conn_idle":30000000000,"max_attempts":3}}})";
+}
+
+template <typename Condition>
+bool wait_for(Condition condition) {
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!condition() && std::chrono::steady_clock::now() < end) usleep(2000);
+    return condition();
+}
+
 TEST(Program, SaysInOneLineWhatIsWrongWithItsConfiguration) {
     for (const char* bad : {"{", R"({"settings":{}})", R"({"listen":"nowhere","settings":{}})"}) {
         Program program(bad);
@@ -642,32 +684,51 @@
     }
 }
 
+// SIGHUP's default ends the program, and with it every call in hand.
+TEST(Program, TakesANewConfigurationUnderWayAndKeepsTheOldOneWhereItIsBad) {
+    Listener worker, old_discovery, new_discovery, counter;
+    Program program(config_of(old_discovery, counter, worker.address()));
+    Peer client = program.client();
+    std::unique_ptr<Peer> asked, watch, moved;
+    const auto accept = [](Listener& from, std::unique_ptr<Peer>& into) {
+        return wait_for([&] { return into || (into = from.accept()); });
+    };
+    client.write(call("read", 8000));
+    ASSERT_TRUE(accept(worker, asked) && accept(old_discovery, watch));
+    for (const std::string& bad :
+         {std::string("{\"disc"), std::string(R"({"discovery":"x","settings":{}})")}) {
+        program.reload(bad);
+        const std::string line = program.line();
+        EXPECT_EQ(line.find("linnetlead: new configuration not taken: "), 0u) << line;
+        EXPECT_EQ(line.find('\n'), line.size() - 1) << line;
+    }
+    EXPECT_FALSE(watch->is_over());
+    for (int i = 0; i < 3; ++i) program.reload(config_of(new_discovery, counter, worker.address()));
+    ASSERT_TRUE(accept(new_discovery, moved));
+    EXPECT_TRUE(wait_for([&] { return moved->has("GET /api/targets HTTP/1.1\r\n"); }));  // the whole list
+    EXPECT_TRUE(wait_for([&] { return watch->is_over(); }));
+    ASSERT_TRUE(wait_for([&] { return asked->has("c=read"); }));
+    asked->write(served("v"));
+    EXPECT_TRUE(wait_for([&] { return client.has("\r\nv\r\n"); }));
+    kill(program.pid, SIGTERM);
+    program.reload(config_of(old_discovery, counter, worker.address()));
+    EXPECT_EQ(program.exit_code(), 0);
+}
+
 // Told to stop, it serves on for a while, closes what is idle, answers what it has taken, and ends.
 TEST(Program, ServesWhatItHasTakenAfterSigterm) {
     Listener worker, discovery;
-    Program program(R"({"listen":"127.0.0.1:0","discovery":")" + discovery.address() +
-                    R"(","known":{"version":1,"full":true,"servers":[{"id":"w","addr":")" + worker.address() +
-                    R"("}]},"settings":{"classes":[{"name":"read","idempotency":"retryable","aim":8000000000,
-                    "deadline":8000000000}],"tariffs":[{"name":"team","units_per_s":100,"most_at_once":100}],
-                    "limits":{"connect_timeout":250000000,"conn_idle":30000000000,"max_attempts":3}}})");
-    const auto end = std::chrono::steady_clock::now() + patience;
-    const auto wait_for = [&](auto condition) {
-        while (!condition() && std::chrono::steady_clock::now() < end) usleep(2000);
-        return condition();
-    };
-    const std::string ready = program.line();
-    ASSERT_EQ(ready.find("linnetlead: listening on port "), 0u) << ready;
-    const auto at = static_cast<std::uint16_t>(std::stoi(ready.substr(ready.rfind(' '))));
-    Peer idle = connect_to(at);
+    Program program(config_of(discovery, discovery, worker.address()));
+    Peer idle = program.client();
     idle.write("*1\r\n$4\r\nPING\r\n");
     ASSERT_TRUE(wait_for([&] { return idle.has("PONG"); }));
-    Peer busy = connect_to(at);
+    Peer busy = connect_to(program.port);
     busy.write(call("read", 8000));
     std::unique_ptr<Peer> peer;
     ASSERT_TRUE(wait_for([&] { return peer || (peer = worker.accept()); }));
     ASSERT_TRUE(wait_for([&] { return peer->has("c=read"); }));
     kill(program.pid, SIGTERM);
-    Peer late = connect_to(at);  // connections still come for a while
+    Peer late = connect_to(program.port);  // connections still come for a while
     late.write("*1\r\n$4\r\nPING\r\n");
     EXPECT_TRUE(wait_for([&] { return late.has("PONG"); }));
     EXPECT_TRUE(wait_for([&] { return idle.is_over() && late.is_over(); }));
