--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -24,6 +24,7 @@
       limits_(limits),
       classes_(site.settings.classes),
       most_attempts_(site.settings.most_attempts),
+      most_units_(site.settings.most_units),
       policy_(new topazcrank::Policy(site.settings, seed, timers.now(), *this)) {}
 Gateway::~Gateway() = default;
 
@@ -133,7 +134,8 @@
     result.server = call->worker;
     result.outcome = outcome_of(end);
     result.lag = now - call->sent;
-    result.true_units = end.true_units;
+    // Guards the quotas against a cost that cannot be.
+    result.true_units = end.true_units <= most_units_ ? end.true_units : 0;
     result.report = end.report;
     call->out = false;
     call->attempt = {};
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -82,6 +82,7 @@
     Limits limits_;
     std::vector<topazcrank::ClassSettings> classes_;
     int most_attempts_;
+    double most_units_;
     Slots<Open> calls_;
     std::size_t bytes_ = 0;
     Handle wake_;
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <utility>
 
+#include "resp/command.h"
 #include "settings/words.h"
 
 namespace linnetlead::net {
@@ -113,15 +114,22 @@
             const resp::Parsed parsed = resp::parse(bytes.substr(taken), message_);
             if (parsed == resp::Parsed::partial) break;
             if (parsed == resp::Parsed::malformed || message_.array || calls_.empty()) {
-                failed();
+                give_up();
+                return bytes.size();
+            }
+            const resp::Item& item = message_.items.front();
+            const bool bulk = item.type == resp::Type::bulk;
+            const auto total = bulk ? settings::parse<double>(item.text) : std::nullopt;
+            const bool refused = item.type == resp::Type::error &&
+                                 (resp::is_word(item.text, "BUSY") || resp::is_word(item.text, "ERR"));
+            // Guards against a reply without a number: the amount was added, and the line is of no use.
+            if (!total && !refused) {
+                give_up();
                 return bytes.size();
             }
             taken += message_.size;
             Call call = std::move(calls_.front());
             drop_first();
-            const resp::Item& item = message_.items.front();
-            const auto total =
-                item.type == resp::Type::bulk ? settings::parse<double>(item.text) : std::nullopt;
             tell(call, total ? CountStatus::ok : CountStatus::full, total.value_or(0));
         }
         return taken;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,5 +1,8 @@
 #include "stream.h"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <cstdio>
 #include <exception>
 
@@ -146,6 +149,13 @@
     return out_.size() + lost_ + uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&tcp_));
 }
 
+bool Stream::is_quiet() const {
+    uv_os_fd_t fd = -1;
+    char byte = 0;
+    return rest_.empty() && uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void Stream::finish() {
     if (finishing_ || closing_) return;
     finishing_ = true;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -26,6 +26,8 @@
     void flush();
     // Bytes that the kernel has not taken.
     std::size_t unsent() const;
+    // Nothing has come that is not read yet, and the peer has not ended.
+    bool is_quiet() const;
     void read_more(bool wanted);
     // Offers once more what on_bytes() has left. Not from within on_bytes().
     void take_rest();
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr Span probe_timeout = std::chrono::milliseconds(250);
+constexpr Span time_to_rest = std::chrono::milliseconds(5);  // before a connection takes its next call
 
 }  // namespace
 
@@ -58,6 +59,7 @@
     }
 
     bool busy() const { return busy_; }
+    Time rests_since() const { return rests_since_; }
     bool unsent_call() const { return busy_ && !connected_; }
 
     const WorkerId worker;
@@ -92,7 +94,8 @@
     }
 
     void rest() {
-        arm(loop().now() + pool_.limits_.idle * 8 / 10);
+        rests_since_ = loop().now();
+        arm(rests_since_ + pool_.limits_.idle * 8 / 10);
         pool_.workers_.at(worker).idle.push_back(self);
     }
 
@@ -110,11 +113,12 @@
         answering_ = true;
         resp::Message& message = pool_.message_;
         const resp::Parsed parsed = resp::parse(bytes, message);
-        if (parsed == resp::Parsed::partial) return 0;
-        if (parsed == resp::Parsed::malformed) {
+        // Guards against spoilt answers: the call may have run, and its client hears so at once.
+        if (parsed == resp::Parsed::malformed || (payload_ && !resp::may_become_reply(message))) {
             end({});
             return bytes.size();
         }
+        if (parsed == resp::Parsed::partial) return 0;
         AttemptEnd answer;
         if (payload_) {
             answer = resp::read_reply(message);
@@ -149,6 +153,7 @@
     Handle call_;
     const core::Payload* payload_ = nullptr;  // the core keeps it while the attempt is out
     Time until_{};
+    Time rests_since_{};
     Handle timer_;
     bool connected_ = false;
     bool busy_ = false;
@@ -191,10 +196,16 @@
     const auto at = workers_.find(id);
     if (at == workers_.end() || !at->second.wanted) return nullptr;
     Worker& worker = at->second;
-    while (!worker.idle.empty()) {
-        Connection* idle = connections_.find(worker.idle.back());
-        worker.idle.pop_back();
-        if (idle && !idle->closing()) return idle;
+    // Guards against surplus behind an answer, which would be taken for the next one's: it is given time to
+    // come, and nothing may lie there unread.
+    const Time rested_since = loop_.now() - time_to_rest;
+    for (std::size_t i = worker.idle.size(); i-- > 0;) {
+        Connection* idle = connections_.find(worker.idle[i]);
+        if (idle && !idle->closing() && idle->rests_since() > rested_since) continue;
+        worker.idle.erase(worker.idle.begin() + static_cast<std::ptrdiff_t>(i));
+        if (!idle || idle->closing()) continue;
+        if (idle->is_quiet()) return idle;
+        idle->close();
     }
     if (!make_room()) return nullptr;
     const Handle handle = connections_.add(loop_, *this, id);
--- a/src/resp/command.cpp
+++ b/src/resp/command.cpp
@@ -35,12 +35,12 @@
     return text.size() == digits && number && *number <= most;
 }
 
-bool starts_with(std::string_view text, std::string_view start) {
-    return text.substr(0, start.size()) == start;
-}
+constexpr std::size_t reply_items = 3;  // value, figures on use, load report
 
 }  // namespace
 
+bool is_word(std::string_view text, std::string_view word) { return text.substr(0, text.find(' ')) == word; }
+
 Names::Names(const topazcrank::Settings& settings) {
     for (std::size_t i = 0; i < settings.classes.size(); ++i) {
         classes_[settings.classes[i].name] = {static_cast<int>(i), settings.classes[i].repeat};
@@ -143,26 +143,31 @@
     return report;
 }
 
+bool may_become_reply(const Message& message) {
+    if (message.array && message.count != reply_items) return false;
+    return message.items.empty() || message.items.front().type == (message.array ? Type::bulk : Type::error);
+}
+
 core::AttemptEnd read_reply(const Message& message) {
-    core::AttemptEnd end;
+    core::AttemptEnd end;  // broken, unless it turns out to be an answer of a worker's
     end.stage = core::Stage::answering;
-    if (message.items.empty()) return end;
-    const Item& first = message.items.front();
+    if (!may_become_reply(message)) return end;
+    const std::string_view first = message.items.front().text;
     if (!message.array) {
-        if (first.type != Type::error) return end;  // no answer of a worker: broken
-        end.ending = starts_with(first.text, "BUSY") ? core::Ending::turned_away : core::Ending::error;
+        if (is_word(first, "BUSY")) {
+            end.ending = core::Ending::turned_away;
+        } else if (is_word(first, "ERR") || is_word(first, "SYNTAX")) {
+            end.ending = core::Ending::error;
+        }
         return end;
     }
-    if (first.type != Type::bulk) return end;
     end.ending = core::Ending::served;
-    end.value = first.text;
-    if (message.items.size() > 1) {
-        each_pair(message.items[1].text, [&](std::string_view name, std::string_view value) {
-            const auto number = parse<double>(value);
-            if (name == "cost" && number && *number > 0) end.true_units = *number;
-        });
-    }
-    if (message.items.size() > 2) end.report = read_report(message.items[2].text);
+    end.value = first;
+    each_pair(message.items[1].text, [&](std::string_view name, std::string_view value) {
+        const auto number = parse<double>(value);
+        if (name == "cost" && number && *number > 0) end.true_units = *number;
+    });
+    end.report = read_report(message.items[2].text);
     return end;
 }
 
--- a/src/resp/command.h
+++ b/src/resp/command.h
@@ -12,6 +12,9 @@
 
 namespace linnetlead::resp {
 
+// Whether an error line's text begins with the word.
+bool is_word(std::string_view text, std::string_view word);
+
 // Class and plan names as the settings give them.
 class Names {
 public:
@@ -36,9 +39,12 @@
 // The same command for a worker, saying how long the gateway will wait.
 void write_call(std::string& out, const core::Payload& payload, core::Span wait);
 
-// A worker's whole reply.
+// A worker's whole reply. What cannot be read in its figures or its report spoils neither.
 core::AttemptEnd read_reply(const Message& message);
 
+// False where what has come so far can become no reply of a worker's: known before it is whole.
+bool may_become_reply(const Message& message);
+
 topazcrank::LoadReport read_report(std::string_view text);
 
 }  // namespace linnetlead::resp
--- a/src/resp/parser.cpp
+++ b/src/resp/parser.cpp
@@ -15,6 +15,11 @@
     // A type byte and the rest of its line.
     Parsed line(char& type, std::string_view& rest) {
         const auto end = buffer_.find('\n', at_);
+        // Guards against noise without an end: its first byte tells, nobody has to wait for a line's end.
+        constexpr std::string_view types = "+-:$*";
+        if (at_ < buffer_.size() && types.find(buffer_[at_]) == std::string_view::npos) {
+            return Parsed::malformed;
+        }
         if (end == std::string_view::npos) {
             return buffer_.size() - at_ > most_line ? Parsed::malformed : Parsed::partial;
         }
@@ -76,15 +81,16 @@
 Parsed parse(std::string_view buffer, Message& message) {
     message.items.clear();
     message.array = false;
+    message.count = 0;
     message.size = 0;
     Reader reader(buffer);
     char type = 0;
     std::string_view rest;
     if (const Parsed got = reader.line(type, rest); got != Parsed::whole) return got;
-    std::size_t count = 1;
     message.array = type == '*';
-    if (message.array && !Reader::length(rest, most_items, count)) return Parsed::malformed;
-    for (std::size_t i = 0; i < count; ++i) {
+    message.count = 1;
+    if (message.array && !Reader::length(rest, most_items, message.count)) return Parsed::malformed;
+    for (std::size_t i = 0; i < message.count; ++i) {
         if (message.array) {
             if (const Parsed got = reader.line(type, rest); got != Parsed::whole) return got;
         }
--- a/src/resp/parser.h
+++ b/src/resp/parser.h
@@ -23,6 +23,7 @@
 struct Message {
     bool array = false;
     std::vector<Item> items;  // one unless it is an array
+    std::size_t count = 0;    // of items, as announced: known before all of them are there
     std::size_t size = 0;     // bytes of the buffer that it takes
 };
 
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -38,6 +38,8 @@
         {"PING\r\n", Parsed::malformed, 0, 0},
         {"+bare\n", Parsed::malformed, 0, 0},
         {"\n", Parsed::malformed, 0, 0},
+        {"\xb6 noise without an end", Parsed::malformed, 0, 0},
+        {"*3\r\nx", Parsed::malformed, 0, 0},
         {std::string(resp::most_line + 1, '+'), Parsed::malformed, 0, 0},
         {"$" + std::to_string(big.size()) + "\r\n" + big + "\r\n", Parsed::malformed, 0, 0},
         // Two values that fit one by one, but not the most that a buffer has to hold.
@@ -139,6 +141,14 @@
         {"*3\r\n$-1\r\n$-1\r\n$-1\r\n", core::Ending::broken, "", 0, -1},
         {"+OK\r\n", core::Ending::broken, "", 0, -1},
         {"*0\r\n", core::Ending::broken, "", 0, -1},
+        {":5\r\n", core::Ending::broken, "", 0, -1},
+        {"-BUSYBODY\r\n", core::Ending::broken, "", 0, -1},
+        {"-ERR bad request\r\n", core::Ending::error, "", 0, -1},
+        {"*2\r\n$1\r\nv\r\n$-1\r\n", core::Ending::broken, "", 0, -1},
+        {"*3\r\n:1\r\n$-1\r\n$-1\r\n", core::Ending::broken, "", 0, -1},
+        // What cannot be read beside the value spoils nothing.
+        {"*3\r\n$1\r\nv\r\n$3\r\n%,=\r\n:7\r\n", core::Ending::served, "v", 0, -1},
+        {"*3\r\n$1\r\nv\r\n$8\r\ncost=nan\r\n$10\r\ninflight=x\r\n", core::Ending::served, "v", 0, -1},
     };
     for (const auto& c : cases) {
         resp::Message message;
@@ -149,6 +159,12 @@
         EXPECT_EQ(end.true_units, c.units) << c.in;
         EXPECT_EQ(end.report.in_flight.value_or(-1), c.in_flight) << c.in;
     }
+    for (const char* hopeless :
+         {"*1000000000\r\n", "*3\r\n*3\r\n", "*4\r\n", "*3\r\n$3000000000\r\nab", "*3\r\n:5\r\n"}) {
+        resp::Message message;
+        const bool malformed = resp::parse(hopeless, message) == Parsed::malformed;
+        EXPECT_TRUE(malformed || !resp::may_become_reply(message)) << hopeless;
+    }
 }
 
 TEST(Attempt, ItsOutcomeFollowsFromHowFarItHadCome) {
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -213,7 +213,8 @@
     first->write(served("one"));
     ASSERT_TRUE(rig.until([&] { return client.has("PONG"); }));
     EXPECT_EQ(client.got, "$3\r\none\r\n$3\r\ntwo\r\n+PONG\r\n");
-    // Both connections rest now, and the next call takes one of them.
+    // Both connections rest now, and once they have, the next call takes one of them.
+    usleep(20000);
     client.write(call("hold"));
     ASSERT_TRUE(rig.until([&] { return first->has("c=hold") || second->has("d=2990"); }));
     EXPECT_EQ(rig.pool.connections(), 2u);
@@ -340,6 +341,36 @@
     EXPECT_TRUE(client.has("-ERR failed\r\n"));
 }
 
+// Behind a good answer there may be more than belongs to it: taken for the next call's, it would serve that
+// one with another's value.
+TEST(Rule2, SurplusBehindAnAnswerIsNeverTakenForTheNextCalls) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    const auto ask = [&](Peer& connection, const std::string& answer) {
+        ASSERT_TRUE(rig.until([&] { return connection.has("c=hold"); }));
+        connection.got.clear();
+        connection.write(answer);
+    };
+    client.write(call("hold"));
+    auto first = rig.accepted(worker);
+    ask(*first, served("one") + served("one"));
+    ASSERT_TRUE(rig.until([&] { return client.has("\r\none\r\n") && first->is_over(); }));
+    client.write(call("hold"));
+    auto second = rig.accepted(worker);
+    ask(*second, served("two"));
+    ASSERT_TRUE(rig.until([&] { return client.has("\r\ntwo\r\n"); }));
+    // It comes while the connection rests, and nothing has read it yet when the next call is taken.
+    usleep(20000);
+    client.write(call("hold"));
+    second->write(served("two"));
+    auto third = rig.accepted(worker);
+    ask(*third, served("three"));
+    ASSERT_TRUE(rig.until([&] { return client.has("\r\nthree\r\n"); }));
+    EXPECT_EQ(client.got, "$3\r\none\r\n$3\r\ntwo\r\n$5\r\nthree\r\n");
+}
+
 // ---- Rule 3: nothing new to a worker that drains or is gone -------------------------------------------
 
 // Its backlog is full, so that a connection to it neither comes up nor fails. It comes up after the worker
@@ -550,6 +581,28 @@
     EXPECT_TRUE(rig.until([&] { return lines[0]->is_over(); }));
 }
 
+// The amount of a spoilt reply's call was added, and so may be those behind it; the line is of no more use.
+TEST(Counter, ASpoiltReplyEndsItsLineAndTheNextCallOpensAnother) {
+    Rig rig;
+    for (const char* spoilt : {"$3\r\nabc\r\n", "\xb6\xd6", ":5\r\n", "*1\r\n$1\r\n3\r\n", "-NONE\r\n"}) {
+        rig.counter.add("n", 1, 1s);
+        auto line = rig.accepted(rig.counting);
+        ASSERT_TRUE(rig.until([&] { return line->has("TALLY"); }));
+        line->write(spoilt);
+        EXPECT_TRUE(rig.until([&] { return line->is_over(); })) << spoilt;
+    }
+    std::unique_ptr<Peer> line;
+    for (const char* good : {"$1\r\n3\r\n", "-BUSY\r\n", "-ERR no such call\r\n"}) {
+        rig.counter.add("n", 1, 1s);
+        if (!line) line = rig.accepted(rig.counting);
+        ASSERT_TRUE(rig.until([&] { return line->has("TALLY"); }));
+        line->got.clear();
+        line->write(good);
+        rig.loop.turn();
+        EXPECT_FALSE(line->is_over()) << good;
+    }
+}
+
 TEST(Counter, MovedToAnotherAddressTheOldLineEndsWithItsLastAnswer) {
     auto with = site();
     with.settings.count_timeout = patience;
