Turn bad clients away by their own: ranges, open ids, silence, half commands, bounded reads

Wrong lines: read_call()'s one range of 0 to 1e6 for all numbers; Acceptor::make_room(), which closed the longest idle client, usual ones before newcomers that never ask, and knew no time for them; Stream::received(), since libuv reads up to 32 buffers of one peer in a turn; Shares, with 64 sockets fixed. Ruled out: the 60 MB values (told malformed by their length, error line before the close, also before). Done: ranges by the settings, 16 hex digits for keys, an error for a second use of an open call's id, one buffer a peer and turn, 2 s for those that never ask or stop amid a command, shares derived.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -70,16 +70,22 @@
         front.answer(ticket, {Verdict::refused, {}, {}});
         return {};
     }
+    // Guards the open call: workers would take the two for one.
+    if (!names_.insert(call.name).second) {
+        front.answer(ticket, {Verdict::failed, {}, {}});
+        return {};
+    }
     const Handle handle = calls_.add();
     Open& open = *calls_.find(handle);
     open.front = &front;
     open.ticket = ticket;
+    open.name = call.name;
     open.payload = std::move(call.payload);
     open.due = call.request.due;
     open.cls = call.request.cls;
     open.deadline = timers_.arm(open.due + overdue_after, [this, handle] { overdue(handle); });
     bytes_ += size;
-    // The handle serves as the module's id: ids of clients may be anything, even twice the same.
+    // The handle serves as the module's id: a client's may come again once its call is over.
     call.request.id = handle.packed();
     tell([this, request = std::move(call.request)] { policy_->on_request(timers_.now(), request); });
     return calls_.find(handle) ? handle : Handle{};
@@ -119,6 +125,7 @@
     const Open* call = calls_.find(handle);
     if (!call || !call->answered || call->out) return;
     bytes_ -= call->payload.bytes.size();
+    names_.erase(call->name);
     calls_.remove(handle);
 }
 
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <unordered_set>
 
 #include "ports.h"
 #include "settings/settings.h"
@@ -14,6 +15,7 @@
 // What a front hands over.
 struct Call {
     topazcrank::Request request;  // its id is the core's to give
+    std::uint64_t name = 0;       // the client's own id
     Payload payload;
 };
 
@@ -29,7 +31,8 @@
     // Both must be set before the first event.
     void attach(Workers& workers, Counter& counter);
 
-    // From the fronts. The answer may come before take() returns; a null handle says that it has.
+    // From the fronts. The answer may come before take() returns; a null handle says that it has. A second
+    // call under an open one's name fails.
     Handle take(Call call, Front& front, Ticket ticket);
     void withdraw(Handle call);
     std::size_t open_calls() const { return calls_.size(); }
@@ -44,6 +47,7 @@
     struct Open {
         Front* front = nullptr;
         Ticket ticket;
+        std::uint64_t name = 0;
         Payload payload;
         Time due{};
         int cls = 0;
@@ -84,6 +88,7 @@
     int most_attempts_;
     double most_units_;
     Slots<Open> calls_;
+    std::unordered_set<std::uint64_t> names_;  // of those
     std::size_t bytes_ = 0;
     Handle wake_;
     Time wake_at_ = Time::max();
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -32,21 +32,22 @@
     return config.counter.empty() ? sockaddr_storage{} : address_of("counter", config.counter);
 }
 
-// Clients may take the larger part of the sockets, workers the rest; some are kept for everything else.
+// Usual clients hold a third of the sockets at most. Beside them there is room for some that never ask, for
+// the workers, and for everything else (listener, registry, counter, the loop's own).
 struct Shares {
     explicit Shares(const gateway::Config& config) {
-        constexpr std::size_t kept = 64;
         rlimit files{};
         getrlimit(RLIMIT_NOFILE, &files);
-        const auto allowed = std::min<std::size_t>(config.sockets, files.rlim_cur);
-        const std::size_t sockets = std::max(allowed, 2 * kept) - kept;
-        clients = sockets * 6 / 10;
+        const auto sockets = std::max(std::min<std::size_t>(config.sockets, files.rlim_cur), least_sockets);
+        const std::size_t kept = sockets / 8;
+        clients = sockets / 3 + sockets / 8;
         unsent = config.memory_mb * 1024 * 1024 / 4;
-        workers = sockets - clients;
+        workers = sockets - clients - kept;
         calls.bytes = config.memory_mb * 1024 * 1024 / 4;
         calls.calls =
             std::max(1, config.site.max_open > 0 ? std::min(config.site.max_open, most_calls) : most_calls);
     }
+    static constexpr std::size_t least_sockets = 192;
     static constexpr int most_calls = 4096;
     std::size_t clients = 0;
     std::size_t workers = 0;
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -1,5 +1,6 @@
 #include "acceptor.h"
 
+#include <tuple>
 #include <utility>
 
 namespace linnetlead::net {
@@ -7,6 +8,7 @@
 using core::Answer;
 using core::Handle;
 using core::Ticket;
+using core::Time;
 using core::Verdict;
 
 namespace {
@@ -16,6 +18,8 @@
 constexpr std::size_t much_unsent = 64 * 1024;    // to one client: no more is read from it
 constexpr std::size_t most_unsent = 1024 * 1024;  // it does not read: it is given up
 constexpr core::Span farewell = std::chrono::seconds(1);
+constexpr core::Span look_over_every = std::chrono::milliseconds(200);
+constexpr core::Span patience = std::chrono::milliseconds(1900);  // with one that does not ask
 
 void write_answer(std::string& out, const Answer& answer) {
     switch (answer.verdict) {
@@ -71,13 +75,29 @@
         });
     }
     bool waits() const { return !entries_.empty() || unsent() > 0; }
+    // Guards against clients that never ask, stop amid a command, or ask once and stay for good: where
+    // connections run short, they hold what others need.
+    void look_over(Time now, bool crowded) {
+        if (closing() || finishing() || waits()) return;
+        if (half_since_ != Time{} && now - half_since_ > patience) {
+            reply("-ERR command is not whole\r\n");
+            leave();
+        } else if (now - used > patience && (!asked_ || crowded)) {
+            close();
+        }
+    }
+    // Who gives way first where there is no room: lowest.
+    std::tuple<bool, bool, Time> claim() const {
+        return {asked_ && half_since_ == Time{} && !finishing(), unsent() > 0, used};
+    }
+    bool may_give_way() const { return !closing() && entries_.empty(); }
 
     void withdraw_all() {
         for (const Entry& entry : std::exchange(entries_, {})) acceptor_.gateway_.withdraw(entry.call);
     }
 
     Handle self;
-    core::Time used{};  // when its last command came
+    Time used{};  // when it came, or when its last call did
 
 private:
     struct Entry {
@@ -89,7 +109,7 @@
     std::size_t on_bytes(std::string_view bytes) override {
         if (last_) return bytes.size();
         std::size_t taken = 0;
-        used = loop().now();
+        const Time now = loop().now();
         while (taken < bytes.size() && !closing() && !finishing()) {
             if (entries_.size() >= most_pipelined || unsent() > much_unsent) {
                 read_more(false);  // goes on in on_written()
@@ -97,7 +117,11 @@
             }
             resp::Message& message = acceptor_.message_;
             const resp::Parsed parsed = resp::parse(bytes.substr(taken), message);
-            if (parsed == resp::Parsed::partial) break;
+            if (parsed == resp::Parsed::partial) {
+                if (taken > 0 || half_since_ == Time{}) half_since_ = now;
+                return taken;
+            }
+            half_since_ = {};
             const bool command = parsed == resp::Parsed::whole && message.array;
             if (!command) {  // what follows cannot be told apart any more
                 reply("-ERR protocol error\r\n");
@@ -128,6 +152,8 @@
         if (const char* error = resp::read_call(message, acceptor_.names_, loop().now(), call)) {
             return reply("-ERR " + std::string(error) + "\r\n");
         }
+        asked_ = true;
+        used = loop().now();
         const std::uint64_t number = first_ + entries_.size();
         entries_.emplace_back();
         const Handle handle = acceptor_.gateway_.take(std::move(call), acceptor_, {self.packed(), number});
@@ -176,6 +202,8 @@
     std::deque<Entry> entries_;  // commands without an answer, in their order
     std::uint64_t first_ = 0;    // number of the first of them
     std::size_t noted_unsent_ = 0;
+    Time half_since_{};  // when the command that is not whole yet began
+    bool asked_ = false;
     bool last_ = false;  // no command is read any more
 };
 
@@ -198,6 +226,7 @@
                               static_cast<Acceptor*>(listener->data)->on_connection(status);
                           });
     }
+    if (error == 0) look_over();
     return error;
 }
 
@@ -219,16 +248,23 @@
     if (client.accept(listener) != 0 || !room) client.close();
 }
 
-// At the limit the client that has been idle longest gives way: it comes again when it needs to.
+// At the limit one that waits for nothing gives way: one that never asked, before the one idle longest, which
+// comes again when it needs to.
 bool Acceptor::make_room() {
     if (clients_.size() < most_clients_) return true;
-    Client* idlest = nullptr;
+    Client* least = nullptr;
     clients_.for_each([&](Handle, Client& client) {
-        if (client.closing() || client.waits()) return;
-        if (!idlest || client.used < idlest->used) idlest = &client;
+        if (client.may_give_way() && (!least || client.claim() < least->claim())) least = &client;
     });
-    if (idlest) idlest->close();
-    return idlest != nullptr;
+    if (least) least->close();
+    return least != nullptr;
+}
+
+void Acceptor::look_over() {
+    const Time now = loop_.now();
+    const bool crowded = clients_.size() > most_clients_ / 2;
+    clients_.for_each([&](Handle, Client& client) { client.look_over(now, crowded); });
+    look_over_ = loop_.arm(now + look_over_every, [this] { look_over(); });
 }
 
 void Acceptor::answer(const Ticket& ticket, const Answer& answer) {
@@ -251,6 +287,7 @@
 
 void Acceptor::close() {
     stop_listening();
+    loop_.disarm(look_over_);
     clients_.for_each([](Handle, Client& client) {
         client.withdraw_all();
         client.close();
--- a/src/net/acceptor.h
+++ b/src/net/acceptor.h
@@ -36,6 +36,7 @@
 
     void on_connection(int status);
     bool make_room();
+    void look_over();
 
     Loop& loop_;
     core::Gateway& gateway_;
@@ -44,6 +45,7 @@
     std::size_t most_unsent_;
     std::size_t unsent_ = 0;
     std::unique_ptr<uv_tcp_t> listener_;
+    core::Handle look_over_;
     core::Slots<Client> clients_;
     resp::Message message_;  // of the command being read
     bool retiring_ = false;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <cstdio>
 #include <exception>
+#include <utility>
 
 namespace linnetlead::net {
 
@@ -66,13 +67,17 @@
 void Stream::read_more(bool wanted) {
     if (wanted == reading_ || closing_) return;
     reading_ = wanted;
-    auto* const stream = reinterpret_cast<uv_stream_t*>(&tcp_);
-    if (!wanted) {
-        uv_read_stop(stream);
-        return;
+    if (wanted) {
+        start_reading();
+    } else {
+        uv_read_stop(reinterpret_cast<uv_stream_t*>(&tcp_));
     }
+}
+
+void Stream::start_reading() {
     uv_read_start(
-        stream, [](uv_handle_t* h, std::size_t, uv_buf_t* into) { *into = of(h).loop_.scratch(); },
+        reinterpret_cast<uv_stream_t*>(&tcp_),
+        [](uv_handle_t* h, std::size_t, uv_buf_t* into) { *into = of(h).loop_.scratch(); },
         [](uv_stream_t* s, ssize_t size, const uv_buf_t* from) {
             of(s).guarded([&] { of(s).received(size, from->base); });
         });
@@ -81,6 +86,12 @@
 void Stream::received(ssize_t size, const char* data) {
     if (size == 0) return;  // nothing there after all
     if (size < 0) return broken(static_cast<int>(size));
+    if (static_cast<std::size_t>(size) == loop_.scratch().len) {
+        // Guards the other connections against a peer at full speed: one buffer a turn.
+        uv_read_stop(reinterpret_cast<uv_stream_t*>(&tcp_));
+        reads_next_turn_ = true;
+        to_write();
+    }
     if (finishing_) return;
     const std::string_view bytes(data, static_cast<std::size_t>(size));
     if (rest_.empty()) {
@@ -114,6 +125,7 @@
 
 void Stream::flush() {
     in_flush_list_ = false;
+    if (std::exchange(reads_next_turn_, false) && reading_ && !closing_) start_reading();
     if (!open_ || closing_ || shut_ || !writing_.empty()) return;
     auto* const stream = reinterpret_cast<uv_stream_t*>(&tcp_);
     if (!out_.empty()) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -51,6 +51,7 @@
     virtual void on_released() = 0;  // the object may be destroyed
 
     void start();
+    void start_reading();
     template <typename Act>
     void guarded(Act act);
     void received(ssize_t size, const char* data);
@@ -69,6 +70,7 @@
     bool open_ = false;
     bool in_flush_list_ = false;
     bool reading_ = false;
+    bool reads_next_turn_ = false;
     bool finishing_ = false;
     bool shut_ = false;
     bool closing_ = false;
--- a/src/resp/command.cpp
+++ b/src/resp/command.cpp
@@ -28,11 +28,9 @@
     return true;
 }
 
-// 16 digits, and no more than the most.
-bool is_hex16(std::string_view text, std::uint64_t most = ~std::uint64_t{0}) {
+std::optional<std::uint64_t> hex16(std::string_view text) {
     constexpr std::size_t digits = 16;
-    const auto number = parse<std::uint64_t>(text, digits);
-    return text.size() == digits && number && *number <= most;
+    return text.size() == digits ? parse<std::uint64_t>(text, digits) : std::nullopt;
 }
 
 constexpr std::size_t reply_items = 3;  // value, figures on use, load report
@@ -41,7 +39,8 @@
 
 bool is_word(std::string_view text, std::string_view word) { return text.substr(0, text.find(' ')) == word; }
 
-Names::Names(const topazcrank::Settings& settings) {
+Names::Names(const topazcrank::Settings& settings)
+    : most_units(settings.most_units), gateways(settings.gateways) {
     for (std::size_t i = 0; i < settings.classes.size(); ++i) {
         classes_[settings.classes[i].name] = {static_cast<int>(i), settings.classes[i].repeat};
     }
@@ -67,8 +66,12 @@
     const std::string_view customer = message.items[1].text;
     const std::string_view pairs = message.items[3].text;
     constexpr std::uint64_t most_customer = (std::uint64_t{1} << 33) - 1;
-    if (!is_hex16(customer, most_customer)) return "customer is not 16 hex digits below 2^33";
-    if (!is_hex16(message.items[2].text)) return "id is not 16 hex digits";
+    const auto customer_number = hex16(customer);
+    if (!customer_number || *customer_number > most_customer)
+        return "customer is not 16 hex digits below 2^33";
+    const auto id = hex16(message.items[2].text);
+    if (!id) return "id is not 16 hex digits";
+    call.name = *id;
 
     topazcrank::Request& request = call.request;
     request = {};
@@ -83,21 +86,22 @@
         if (name == "c") cls = names.find_class(value);
         if (name == "t") plan = names.find_plan(value);
         if (name == "d") wait_ms = parse<std::int64_t>(wait_text = value);
-        if (name == "k") has_key = !value.empty();
+        if (name == "k") has_key = hex16(value).has_value();
         if (name == "r") request.client_repeat = value == "1";
-        const auto number = [&](auto& into, double least) {
+        const auto number = [&](auto& into, auto least, auto most) {
             const auto got = parse<std::decay_t<decltype(into)>>(value);
-            if (!got || *got < least || *got > 1e6) return void(good = false);
+            if (!got || *got < least || *got > most) return void(good = false);
             into = *got;
         };
-        if (name == "units") number(request.units, 0);
-        if (name == "spread") number(request.set_size, 1);
-        if (name == "first") number(request.set_start, 0);
+        if (name == "units") number(request.units, names.least_units, names.most_units);
+        if (name == "spread") number(request.set_size, 1, names.gateways);
+        if (name == "first") number(request.set_start, 0, names.gateways - 1);
     });
     if (!are_pairs) return "malformed names and values";
     if (!cls) return "unknown class";
     if (!plan) return "unknown plan";
-    if (!wait_ms || *wait_ms < 0 || *wait_ms > 3'600'000) return "bad d";
+    constexpr std::int64_t most_wait_ms = 3'600'000;
+    if (!wait_ms || *wait_ms <= 0 || *wait_ms > most_wait_ms) return "bad d";
     if (!good) return "bad number";
     using topazcrank::Repeat;
     if (cls->repeat == Repeat::keyed && !has_key) return "no key";
--- a/src/resp/command.h
+++ b/src/resp/command.h
@@ -15,7 +15,7 @@
 // Whether an error line's text begins with the word.
 bool is_word(std::string_view text, std::string_view word);
 
-// Class and plan names as the settings give them.
+// Class and plan names as the settings give them, and the ranges of numbers.
 class Names {
 public:
     explicit Names(const topazcrank::Settings& settings);
@@ -27,6 +27,10 @@
     std::optional<Class> find_class(std::string_view name) const;
     std::optional<int> find_plan(std::string_view name) const;
 
+    static constexpr double least_units = 1e-3;
+    const double most_units;
+    const int gateways;
+
 private:
     std::unordered_map<std::string, Class> classes_;
     std::unordered_map<std::string, int> plans_;
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -68,6 +68,8 @@
     s.classes[1].name = "hold";
     s.plans.resize(1);
     s.plans[0].name = "team";
+    s.most_units = 4;
+    s.gateways = 3;
     return s;
 }
 
@@ -104,6 +106,16 @@
         {{"Q.DO", who, id, "c=hold,t=none,d=9"}, "unknown plan", {}},
         {{"Q.DO", who, id, "c=hold,t=team,d=9,units=nan"}, "bad number", {}},
         {{"Q.DO", who, id, "c=hold,t=team,d=9,spread=0"}, "bad number", {}},
+        {{"Q.DO", who, id, "c=hold,t=team,d=9,spread=4"}, "bad number", {}},
+        {{"Q.DO", who, id, "c=hold,t=team,d=9,spread=2.5"}, "bad number", {}},
+        {{"Q.DO", who, id, "c=hold,t=team,d=9,first=3"}, "bad number", {}},
+        {{"Q.DO", who, id, "c=hold,t=team,d=9,first=99999999999999999999"}, "bad number", {}},
+        {{"Q.DO", who, id, "c=hold,t=team,d=9,units=0"}, "bad number", {}},
+        {{"Q.DO", who, id, "c=hold,t=team,d=9,units=1e12"}, "bad number", {}},
+        {{"Q.DO", who, id, "c=hold,t=team,d=9,units=-40"}, "bad number", {}},
+        {{"Q.DO", who, id, "c=hold,t=team,d=0"}, "bad d", {}},
+        {{"Q.DO", who, id, "c=hold,t=team,d=99999999999999999999"}, "bad d", {}},
+        {{"Q.DO", who, id, "c=create,t=team,d=9,k=5c"}, "no key", {}},
         {{"Q.DO", who, id, "c=hold,,d=9"}, "malformed names and values", {}},
         {{"Q.ASK", who, id, "c=hold,t=team,d=9"}, "class does not go with this command", {}},
     };
