Drop workers that are gone from the pool's table, and what is meant for them at a passed-on address

A string keeps its capacity when it is cleared, in every connection that saw a burst. Checked: the new test counts the table (5 entries for 5 gone ids before, none now) and sees the call go to the passed-on address without the change.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -16,6 +16,16 @@
     return *static_cast<Stream*>(request->data);
 }
 
+// Guards the memory after bursts: a string keeps its capacity when it is cleared.
+void emptied(std::string& text) {
+    constexpr std::size_t much = 4096;
+    if (text.capacity() > much) {
+        std::string().swap(text);
+    } else {
+        text.clear();
+    }
+}
+
 }  // namespace
 
 Stream::Stream(Loop& loop) : loop_(loop) {
@@ -106,7 +116,7 @@
 void Stream::take_rest() {
     if (rest_.empty() || closing_ || finishing_) return;
     const std::size_t taken = on_bytes(rest_);
-    rest_.erase(0, taken);
+    taken < rest_.size() ? void(rest_.erase(0, taken)) : emptied(rest_);
 }
 
 void Stream::broken(int error) {
@@ -134,7 +144,10 @@
         if (taken < 0 && taken != UV_EAGAIN) return broken(taken);
         out_.erase(0, static_cast<std::size_t>(taken < 0 ? 0 : taken));
     }
-    if (out_.empty()) return guarded([this] { written_all(); });
+    if (out_.empty()) {
+        emptied(out_);
+        return guarded([this] { written_all(); });
+    }
     writing_.swap(out_);
     uv_buf_t buffer = uv_buf_init(writing_.data(), static_cast<unsigned>(writing_.size()));
     const int error = uv_write(&write_, stream, &buffer, 1, [](uv_write_t* request, int status) {
@@ -145,7 +158,7 @@
             self.lost_ = self.writing_.size();
             return self.broken(status);
         }
-        self.writing_.clear();
+        emptied(self.writing_);
         self.flush();
     });
     if (error < 0) broken(error);
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -259,15 +259,29 @@
         worker.wanted =
             listed.entry.state == topazcrank::ServerState::in && read_address(listed.address, worker.to);
     }
+    for (const core::Listed& listed : entries) {
+        if (workers_[listed.entry.id].wanted) drop_predecessors(listed);
+    }
     for (auto it = workers_.begin(); it != workers_.end();) {
         const WorkerId id = it->first;
         Worker& worker = (it++)->second;
         if (worker.wanted) continue;
         forget_connections(id, worker);  // nothing is left to forget of one that was not wanted before
-        const bool on_list = std::any_of(entries.begin(), entries.end(), [&](const core::Listed& listed) {
-            return listed.entry.id == id && listed.entry.state != topazcrank::ServerState::out;
-        });
-        if (whole && !on_list) workers_.erase(id);
+        const auto on_list = std::find_if(entries.begin(), entries.end(),
+                                          [&](const core::Listed& listed) { return listed.entry.id == id; });
+        // Guards the table against ever-new ids: gone ones leave it, by a whole list or a change alike.
+        const bool listed = on_list != entries.end();
+        if (listed ? on_list->entry.state == topazcrank::ServerState::out : whole) workers_.erase(id);
+    }
+}
+
+// Guards a new worker against calls meant for one that is gone but still listed: what is sent to that one's
+// address reaches the new one, unaware of how cold it is.
+void WorkerPool::drop_predecessors(const core::Listed& successor) {
+    for (auto& [id, worker] : workers_) {
+        const bool older = worker.started < successor.entry.started;
+        if (id == successor.entry.id || !older || worker.address != successor.address) continue;
+        worker.wanted = false;
     }
 }
 
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -28,6 +28,7 @@
     void probe(const core::WorkerId& worker) override;
     void told(const std::vector<core::Listed>& entries, bool whole) override;
 
+    std::size_t workers() const { return workers_.size(); }
     std::size_t connections() const { return connections_.size(); }
 
 private:
@@ -42,6 +43,7 @@
 
     Connection* connection_to(const core::WorkerId& id);
     void forget_connections(const core::WorkerId& id, Worker& worker);
+    void drop_predecessors(const core::Listed& successor);
     bool make_room();
     void note_reuse(core::Span rested, bool good);
 
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -432,6 +432,30 @@
     }
 }
 
+// New workers under new ids replace the old ones all day.
+TEST(Registry, WorkersThatAreGoneLeaveTheTableAndTheirAddressPassesOn) {
+    Rig rig;
+    Listener at;
+    using topazcrank::ServerState;
+    for (int i = 0; i < 5; ++i) {
+        const std::string id = "w" + std::to_string(i);
+        rig.gateway.listed(ListKind::changes, {listed(id, at.address())});
+        rig.gateway.listed(ListKind::changes, {listed(id, at.address(), ServerState::draining)});
+        EXPECT_EQ(rig.pool.workers(), 1u);
+        rig.gateway.listed(ListKind::changes, {listed(id, at.address(), ServerState::out)});
+        EXPECT_EQ(rig.pool.workers(), 0u);
+    }
+    // One that vanished is still listed when another has its address: what is meant for it goes nowhere.
+    rig.gateway.listed(ListKind::full, {listed("old", at.address())});
+    Listed successor = listed("new", at.address(), ServerState::in);
+    successor.entry.started = rig.loop.now();
+    rig.pool.told({successor}, false);  // the module has not heard of it: it chooses the old one
+    Peer client = rig.client();
+    client.write(call("hold"));
+    ASSERT_TRUE(rig.until([&] { return client.has("-BUSY"); })) << client.got;
+    EXPECT_FALSE(at.accept());
+}
+
 // ---- Rules 4 and 5: the module's, seen through sockets ------------------------------------------------
 
 TEST(Rule4, AColdWorkerGetsLessThanItsPart) {
