--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -53,6 +53,9 @@
 constexpr double doubt_gain = 0.5;  // EWMA of a server's failures
 constexpr double doubt_forgotten_s = 2;
 constexpr double doubt_power = 2;
+constexpr int shut_after = 2;  // attempts turned away in a row: it drains, whatever the list still says
+constexpr Span shut_for = 250ms;
+constexpr int most_shut = 8;  // times as long
 constexpr double as_good_as_all = 0.9;
 constexpr double least_served = 0.004;
 constexpr double group_gain = 0.05;
@@ -161,6 +164,8 @@
     std::multiset<Time> out;  // when each attempt that still burdens it was sent
     double bound = 1;         // on attempts out from here
     bool probed = false;      // a probe is out
+    int turned_away = 0;      // attempts in a row, with none served between them
+    Time shut_until{};        // so long it is left out, then tried again
 };
 
 struct Found {  // a server that has answered a probe lately
@@ -616,6 +621,7 @@
     bool usable(const Server& s, const Open& r, Time now) const {
         const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                        [&s](const Attempt& a) { return a.server == s.entry.id; });
+        if (now < s.shut_until) return false;
         const bool room = static_cast<double>(s.out.size()) < std::max(1.0, bound_of(s) * warm_share(s, now));
         return !tried && room && may_be_sent_to(s) && allowed(r, &s, now);
     }
@@ -820,6 +826,13 @@
         if (result.outcome == Outcome::ok) learn(static_cast<std::size_t>(r.cls), result.lag);
         // Over so many mean lags it is silence (a class failed, answers lost): refusing more would not help.
         const bool silent = mean > 0 && seconds(result.lag) >= tail_of_mean * mean;
+        // Guards against servers that drain before the list says so: they turn all away at once, seem idle
+        // and so draw more, and their answers say nothing of load. A full one still serves between.
+        if (result.outcome == Outcome::ok) s.turned_away = 0;
+        if (result.outcome == Outcome::full && ++s.turned_away >= shut_after) {
+            s.shut_until = now + shut_for * std::min(s.turned_away - shut_after + 1, most_shut);
+            return false;
+        }
         const bool by_load =
             result.outcome == Outcome::full || (result.outcome == Outcome::timeout && !silent);
         if (result.outcome == Outcome::ok || by_load) adapt_bound(s, by_load || late);
@@ -846,6 +859,8 @@
             Server& s = at->second;
             if (fresh || s.entry.started != entry.started) {  // a new process: nothing learnt holds
                 s.doubt = {};
+                s.turned_away = 0;
+                s.shut_until = {};
                 s.bound = first_bound / cfg_.gateways / fleet_bound_;
             }
             s.entry = entry;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -783,4 +783,27 @@
 }
 
 }  // namespace
+// One that drains before the list says so turns all away at once, seems idle and would draw ever more.
+TEST(Servers, OneThatTurnsAllAwayIsLeftOutForAWhileAndTriedAgain) {
+    auto settings = make_settings();
+    settings.gateways = 1;
+    Gateway g(settings);
+    const auto sent_to_a = [&] {
+        int n = 0;
+        for (const auto& s : g.out.sent) n += s.server == "a" ? 1 : 0;
+        return n;
+    };
+    for (int i = 0; i < 40; ++i) {  // the others keep what they get, so that they have no room soon
+        const auto id = g.submit();
+        const bool to_a = g.sends(id) > 0 && g.out.sent.back().server == "a";
+        if (to_a) g.resolve(id, Outcome::full, 1ms);
+    }
+    EXPECT_EQ(sent_to_a(), 2);
+    g.run_to(g.now + 300ms);
+    g.resolve(g.submit(), Outcome::ok);
+    EXPECT_EQ(sent_to_a(), 3);
+    g.submit();
+    EXPECT_EQ(sent_to_a(), 4);
+}
+
 }  // namespace topazcrank::testing
