Read the clock once per choice of connection, and give the tests one way to answer a call

Seen on a last read: connection_to() read the clock twice and for each idle connection; config.cpp had two unnamed namespaces; two tests waited for a call and answered it in code of the same shape; the newest module test stood outside its unnamed namespace. Behaviour and assertions stay.

--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -41,6 +41,11 @@
     }
 }
 
+std::string variable(const char* name) {
+    const char* value = std::getenv(name);
+    return value ? value : "";
+}
+
 }  // namespace
 
 Config read_config(const std::string& text) {
@@ -78,15 +83,6 @@
     return config;
 }
 
-namespace {
-
-std::string variable(const char* name) {
-    const char* value = std::getenv(name);
-    return value ? value : "";
-}
-
-}  // namespace
-
 Config load_file() {
     const std::string path = variable("BALANCER_CONFIG");
     if (path.empty()) throw std::runtime_error("BALANCER_CONFIG is not set");
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -205,13 +205,13 @@
     Worker& worker = at->second;
     // Guards against surplus behind an answer, which would be taken for the next one's: it is given time to
     // come, and nothing may lie there unread.
-    const Time rested_since = loop_.now() - time_to_rest;
+    const Time now = loop_.now();
     for (std::size_t i = worker.idle.size(); i-- > 0;) {
         Connection* idle = connections_.find(worker.idle[i]);
-        if (idle && !idle->closing() && idle->rests_since() > rested_since) continue;
+        if (idle && !idle->closing() && now - idle->rests_since() < time_to_rest) continue;
         worker.idle.erase(worker.idle.begin() + static_cast<std::ptrdiff_t>(i));
         if (!idle || idle->closing()) continue;
-        if (idle->is_quiet() && loop_.now() - idle->rests_since() < reuse_within_) return idle;
+        if (idle->is_quiet() && now - idle->rests_since() < reuse_within_) return idle;
         idle->close();
     }
     if (!make_room()) return nullptr;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -782,7 +782,6 @@
     EXPECT_EQ(runs[0], runs[1]);
 }
 
-}  // namespace
 // One that drains before the list says so turns all away at once, seems idle and would draw ever more.
 TEST(Servers, OneThatTurnsAllAwayIsLeftOutForAWhileAndTriedAgain) {
     auto settings = make_settings();
@@ -806,4 +805,5 @@
     EXPECT_EQ(sent_to_a(), 4);
 }
 
+}  // namespace
 }  // namespace topazcrank::testing
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -185,6 +185,11 @@
         }
         return true;
     }
+    void answer_hold(Peer& worker, const std::string& answer) {
+        ASSERT_TRUE(until([&] { return worker.has("c=hold"); }));
+        worker.got.clear();
+        worker.write(answer);
+    }
     std::unique_ptr<Peer> accepted(Listener& listener) {
         std::unique_ptr<Peer> peer;
         EXPECT_TRUE(until([&] { return (peer = listener.accept()) != nullptr; }));
@@ -352,25 +357,20 @@
     Listener worker;
     rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
     Peer client = rig.client();
-    const auto ask = [&](Peer& connection, const std::string& answer) {
-        ASSERT_TRUE(rig.until([&] { return connection.has("c=hold"); }));
-        connection.got.clear();
-        connection.write(answer);
-    };
     client.write(call("hold"));
     auto first = rig.accepted(worker);
-    ask(*first, served("one") + served("one"));
+    rig.answer_hold(*first, served("one") + served("one"));
     ASSERT_TRUE(rig.until([&] { return client.has("\r\none\r\n") && first->is_over(); }));
     client.write(call("hold"));
     auto second = rig.accepted(worker);
-    ask(*second, served("two"));
+    rig.answer_hold(*second, served("two"));
     ASSERT_TRUE(rig.until([&] { return client.has("\r\ntwo\r\n"); }));
     // It comes while the connection rests, and nothing has read it yet when the next call is taken.
     usleep(20000);
     client.write(call("hold"));
     second->write(served("two"));
     auto third = rig.accepted(worker);
-    ask(*third, served("three"));
+    rig.answer_hold(*third, served("three"));
     ASSERT_TRUE(rig.until([&] { return client.has("\r\nthree\r\n"); }));
     EXPECT_EQ(client.got, "$3\r\none\r\n$3\r\ntwo\r\n$5\r\nthree\r\n");
 }
@@ -387,9 +387,7 @@
         client.write(call("hold"));
         auto peer = rig.accepted(worker);
         if (!peer) return peer;
-        EXPECT_TRUE(rig.until([&] { return peer->has("c=hold"); }));
-        peer->got.clear();
-        peer->write(served("v"));
+        rig.answer_hold(*peer, served("v"));
         EXPECT_TRUE(rig.until([&] { return client.has("\r\nv\r\n"); }));
         usleep(100000);
         return peer;
