--- a/include/topazcrank/policy.h
+++ b/include/topazcrank/policy.h
@@ -16,6 +16,9 @@
 using RequestId = std::uint64_t;
 using ServerId = std::string;  // compared, hashed and handed back, never interpreted
 
+using Pools = std::uint32_t;  // a set of pools, a bit for each
+constexpr Pools all_pools = ~Pools{0};
+
 enum class Repeat { safe, keyed, unsafe };
 enum class KeyScope { all, zone, cell };
 enum class ReportSource { none, answers, probe };
@@ -87,6 +90,8 @@
     int set_size = 1;   // gateways through which this customer comes
     int set_start = 0;  // the first of them
     bool client_repeat = false;
+    Pools pools = all_pools;     // where the first attempt goes, unless none of them can take it
+    Pools fallback = all_pools;  // where it goes then, and where further attempts go
 };
 
 struct LoadReport {
@@ -117,6 +122,7 @@
     double weight = 1;
     Time started{};  // 0: long ago
     ServerState state = ServerState::in;
+    Pools pools = all_pools;  // those it belongs to
 };
 
 // What the gateway carries out. Calls are made while an event is being handled.
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -83,6 +83,8 @@
     open.payload = std::move(call.payload);
     open.due = call.request.due;
     open.cls = call.request.cls;
+    open.units = static_cast<float>(call.request.units);
+    if (routes_) open.mark = routes_->route(timers_.now(), call.request);
     open.deadline = timers_.arm(open.due + overdue_after, [this, handle] { overdue(handle); });
     bytes_ += size;
     // The handle serves as the module's id: a client's may come again once its call is over.
@@ -145,6 +147,9 @@
     result.true_units = end.true_units <= most_units_ ? end.true_units : 0;
     result.report = end.report;
     call->out = false;
+    if (routes_ && call->attempts == 1) {
+        routes_->ended(call->mark, call->cls, call->units, result.outcome, result.lag);
+    }
     call->attempt = {};
     call->may_have_run = call->may_have_run || !proves_not_run(result.outcome);
     result.concluded = call->answered || end.ending == Ending::served;
@@ -161,6 +166,7 @@
 }
 
 void Gateway::counted(const std::string& name, topazcrank::CountStatus status, double total) {
+    if (routes_ && routes_->counted(timers_.now(), name, status, total)) return;
     tell([this, name, status, total] { policy_->on_counted(timers_.now(), name, status, total); });
 }
 
@@ -168,6 +174,7 @@
     std::vector<topazcrank::ServerEntry> known;
     known.reserve(entries.size());
     for (const Listed& one : entries) known.push_back(one.entry);
+    if (routes_) routes_->listed(timers_.now(), kind, known);
     // The workers' side hears before anything that the module does upon it.
     tell([this, kind, known = std::move(known), entries] {
         workers_->told(entries, kind != topazcrank::ListKind::changes);
@@ -175,6 +182,12 @@
     });
 }
 
+void Gateway::marked(std::vector<topazcrank::ServerEntry> entries) {
+    tell([this, entries = std::move(entries)] {
+        policy_->on_list(timers_.now(), topazcrank::ListKind::changes, entries);
+    });
+}
+
 // ---- The module's actions -------------------------------------------------------------------------------
 
 // The rules are the module's to keep. What it asks for against them is not carried out.
@@ -187,6 +200,7 @@
     call->out = true;
     call->sent = now;
     call->worker = worker;
+    if (routes_ && call->attempts == 1) call->mark = routes_->sent(now, call->mark, call->cls, worker);
     const bool again =
         call->may_have_run && classes_[static_cast<std::size_t>(call->cls)].repeat == Repeat::unsafe;
     if (again || call->attempts > most_attempts_ || now >= call->due) {
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -30,6 +30,8 @@
     ~Gateway() override;
     // Both must be set before the first event.
     void attach(Workers& workers, Counter& counter);
+    // Nothing: every call goes to all workers.
+    void attach(Routes* routes) { routes_ = routes; }
 
     // From the fronts. The answer may come before take() returns; a null handle says that it has. A second
     // call under an open one's name fails.
@@ -42,6 +44,8 @@
     void probed(const WorkerId& worker, topazcrank::Outcome outcome, const topazcrank::LoadReport& report);
     void counted(const std::string& name, topazcrank::CountStatus status, double total);
     void listed(topazcrank::ListKind kind, const std::vector<Listed>& entries);
+    // Entries whose pools are others now, though nothing else of them has changed.
+    void marked(std::vector<topazcrank::ServerEntry> entries);
 
 private:
     struct Open {
@@ -51,6 +55,8 @@
         Payload payload;
         Time due{};
         int cls = 0;
+        float units = 0;
+        std::uint32_t mark = 0;  // of the routes, for the first attempt
         int attempts = 0;
         bool out = false;
         bool may_have_run = false;
@@ -83,6 +89,7 @@
     Timers& timers_;
     Workers* workers_ = nullptr;
     Counter* counter_ = nullptr;
+    Routes* routes_ = nullptr;
     Limits limits_;
     std::vector<topazcrank::ClassSettings> classes_;
     int most_attempts_;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -77,4 +77,20 @@
     virtual void add(const std::string& name, double amount, Span life) = 0;
 };
 
+// Which pools a call may go to, and what came of it. Where there is none, every call goes to all workers.
+class Routes {
+public:
+    virtual ~Routes() = default;
+    // Sets the pools of a call just taken. Returns a mark that goes with it.
+    virtual std::uint32_t route(Time now, topazcrank::Request& request) = 0;
+    // Sets the pools of the list's entries.
+    virtual void listed(Time now, topazcrank::ListKind kind,
+                        std::vector<topazcrank::ServerEntry>& entries) = 0;
+    // The first attempt of a call goes to a worker, and ends. Returns the mark that goes with its end.
+    virtual std::uint32_t sent(Time now, std::uint32_t mark, int cls, const WorkerId& worker) = 0;
+    virtual void ended(std::uint32_t mark, int cls, double units, topazcrank::Outcome outcome, Span lag) = 0;
+    // Of a count whose name is its own; false: it is not.
+    virtual bool counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) = 0;
+};
+
 }  // namespace linnetlead::core
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -86,6 +86,10 @@
 Config load_file() {
     const std::string path = variable("BALANCER_CONFIG");
     if (path.empty()) throw std::runtime_error("BALANCER_CONFIG is not set");
+    return load_file(path);
+}
+
+Config load_file(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf())) throw std::runtime_error("cannot read " + path);
--- a/src/gateway/config.h
+++ b/src/gateway/config.h
@@ -25,6 +25,7 @@
 // Throws std::runtime_error, saying in one line what is wrong.
 Config read_config(const std::string& json);
 Config load_file();  // the one that the environment names
+Config load_file(const std::string& path);
 // For the start. Read again later, the file is the newer of the two, and what changes in it stands.
 void override_by_environment(Config& config);
 
--- /dev/null
+++ b/src/gateway/log.h
@@ -0,0 +1,39 @@
+// Structured log: one JSON object a line on standard error, and no more lines than a bounded rate. Events of
+// the gateway itself only, never of single calls.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "routing/router.h"
+
+namespace spdlog {
+class logger;
+}
+
+namespace linnetlead::gateway {
+
+class Log {
+public:
+    explicit Log(std::string gateway);
+    // `now`: the gateway's time. Adds "time", "gateway" and "event"; what is over the rate is counted, and
+    // the next line says how many were left out.
+    void write(core::Time now, const std::string& event, nlohmann::json fields);
+
+private:
+    static constexpr double lines_a_second = 20;
+    static constexpr double lines_at_once = 100;
+    std::string gateway_;
+    std::shared_ptr<spdlog::logger> logger_;
+    double room_ = lines_at_once;
+    core::Time filled_{};
+    std::uint64_t left_out_ = 0;
+};
+
+nlohmann::json fields_of(const routing::Event& event);
+// The move as it stands, for SIGUSR1.
+nlohmann::json fields_of(const routing::Move& move, core::Time now);
+
+}  // namespace linnetlead::gateway
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -1,11 +1,13 @@
-// linnetlead: one gateway. Environment, wiring and signals only.
+// linnetlead: one gateway. Command line, environment, wiring and signals only.
 #include <sys/resource.h>
 
+#include <CLI/CLI.hpp>
 #include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <memory>
 #include <stdexcept>
 
 #include "config.h"
@@ -13,6 +15,7 @@
 #include "net/counter_client.h"
 #include "net/registry_watch.h"
 #include "net/worker_pool.h"
+#include "operators.h"
 
 namespace {
 
@@ -65,7 +68,8 @@
 
 class Program {
 public:
-    Program(const gateway::Config& config, gateway::Config file)
+    // `operators`: the path of the operators' file; empty: there is none.
+    Program(const gateway::Config& config, gateway::Config file, const std::string& operators)
         : file_(std::move(file)),
           shares_(config),
           gateway_(config.site, config.seed, shares_.calls, loop_),
@@ -74,6 +78,9 @@
           registry_(loop_, gateway_, config.discovery, config.known.version),
           acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}) {
         gateway_.attach(pool_, counter_);
+        if (!operators.empty()) {
+            operators_ = std::make_unique<gateway::Operators>(operators, config, loop_, gateway_, counter_);
+        }
         if (config.known.version >= 0) gateway_.listed(topazcrank::ListKind::cached, config.known.entries);
         if (!registry_.start()) throw std::runtime_error("discovery: no address: '" + config.discovery + "'");
         if (const int error = acceptor_.listen(address_of("listen", config.listen)); error < 0) {
@@ -87,7 +94,7 @@
                 &signals_[i],
                 [](uv_signal_t* signal, int number) {
                     auto& self = *static_cast<Program*>(signal->data);
-                    number == SIGHUP ? self.reload() : self.stop();
+                    number == SIGHUP ? self.reload() : number == SIGUSR1 ? self.tell_state() : self.stop();
                 },
                 handled[i]);
         }
@@ -117,6 +124,11 @@
         } catch (const std::exception& e) {
             std::fprintf(stderr, "linnetlead: new configuration not taken: %s\n", e.what());
         }
+        if (operators_) operators_->reload();
+    }
+    void tell_state() {
+        if (operators_) return operators_->tell_state();
+        std::fprintf(stderr, "linnetlead: %zu calls open; no operators' file\n", gateway_.open_calls());
     }
     void stop() {
         if (stop_at_ != core::Time{}) return;
@@ -132,6 +144,7 @@
         loop_.arm(loop_.now() + look_again, [this] { wait_for_answers(); });
     }
     void close() {
+        operators_.reset();
         acceptor_.close();
         pool_.close();
         counter_.close();
@@ -141,7 +154,7 @@
         loop_.drain();
     }
 
-    static constexpr std::array<int, 3> handled{SIGTERM, SIGINT, SIGHUP};
+    static constexpr std::array<int, 4> handled{SIGTERM, SIGINT, SIGHUP, SIGUSR1};
 
     gateway::Config file_;  // as read last, without the environment
     net::Loop loop_;
@@ -151,26 +164,58 @@
     net::CounterClient counter_;
     net::RegistryWatch registry_;
     net::Acceptor acceptor_;
+    std::unique_ptr<gateway::Operators> operators_;
     std::array<uv_signal_t, handled.size()> signals_{};
     core::Span longest_{};
     core::Time stop_at_{};
 };
 
+constexpr const char* version = LINNETLEAD_VERSION;
+
+// Says what is wrong with an operators' file, and where; or what is in it.
+int check(const std::string& path, const std::string& config_path) {
+    std::optional<gateway::Config> config;
+    if (!config_path.empty()) config = gateway::load_file(config_path);
+    const auto settings = gateway::read_operators(path, config ? &config->site : nullptr);
+    std::printf("%s: good: %zu pools, %zu moves%s\n", path.c_str(), settings.pools.size(),
+                settings.moves.size(), config ? "" : "; names not checked: no configuration given");
+    return 0;
+}
+
+int serve(const std::string& operators) {
+    hold_back_hangups(true);
+    const gateway::Config file = gateway::load_file();
+    gateway::Config config = file;
+    gateway::override_by_environment(config);
+    Program program(config, file, operators);
+    program.run();
+    return 0;
+}
+
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
+    CLI::App app{
+        "linnetlead, a rate-limiting gateway. Without a sub-command it serves, by the configuration "
+        "that BALANCER_CONFIG names."};
+    app.set_version_flag("--version", std::string("linnetlead ") + version);
+    std::string operators, checked, config;
+    app.add_option("--operators", operators, "the operators' file: pools and moves")->type_name("FILE");
+    CLI::App* const checking = app.add_subcommand("check", "check an operators' file, and serve nothing");
+    checking->add_option("file", checked, "the operators' file")->required();
+    checking->add_option("--config", config, "the configuration whose classes, plans and kinds it has to fit")
+        ->envname("BALANCER_CONFIG");
+    CLI::App* const schema = app.add_subcommand("schema", "print the schema of operators' files");
+    app.require_subcommand(0, 1);
+    CLI11_PARSE(app, argc, argv);
     try {
-        hold_back_hangups(true);
-        const gateway::Config file = gateway::load_file();
-        gateway::Config config = file;
-        gateway::override_by_environment(config);
-        Program program(config, file);
-        program.run();
+        if (*schema) return std::puts(std::string(operators::schema()).c_str()) < 0 ? 1 : 0;
+        if (*checking) return check(checked, config);
+        return serve(operators);
     } catch (const std::exception& e) {
         std::fprintf(stderr, "linnetlead: %s\n", e.what());
         // A loop with open handles is left to the system.
         std::_Exit(1);
     }
-    return 0;
 }
--- /dev/null
+++ b/src/operators/document.cpp
@@ -0,0 +1,295 @@
+#include "document.h"
+
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace linnetlead::operators {
+
+namespace {
+
+constexpr std::string_view schema_text = R"json({
+  "$schema": "http://json-schema.org/draft-07/schema#",
+  "title": "operators' settings of linnetlead",
+  "type": "object",
+  "additionalProperties": false,
+  "definitions": {
+    "name": {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9_.-]{0,39}$"},
+    "names": {"type": "array", "minItems": 1, "maxItems": 64, "items": {"type": "string", "minLength": 1}},
+    "time": {
+      "type": "object", "title": "a time, as in seconds(20)", "additionalProperties": false,
+      "required": ["unit", "value"],
+      "properties": {"unit": {"enum": ["time"]}, "value": {"type": "number", "minimum": 0, "maximum": 31536000}}
+    },
+    "share": {
+      "type": "object", "title": "a share, as in percent(5)", "additionalProperties": false,
+      "required": ["unit", "value"],
+      "properties": {"unit": {"enum": ["share"]}, "value": {"type": "number", "minimum": 0, "maximum": 1}}
+    }
+  },
+  "properties": {
+    "pools": {
+      "type": "array", "maxItems": 30,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["name"],
+        "properties": {
+          "name": {"$ref": "#/definitions/name"},
+          "kinds": {"$ref": "#/definitions/names"},
+          "zones": {"$ref": "#/definitions/names"},
+          "ids": {"$ref": "#/definitions/names"},
+          "cells": {"type": "array", "minItems": 1, "maxItems": 64, "items": {"type": "integer"}}
+        }
+      }
+    },
+    "moves": {
+      "type": "array", "maxItems": 1,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["name", "source", "target", "stages"],
+        "properties": {
+          "name": {"$ref": "#/definitions/name"},
+          "run": {"type": "integer", "minimum": 1, "maximum": 1000000},
+          "source": {"$ref": "#/definitions/name"},
+          "target": {"$ref": "#/definitions/name"},
+          "classes": {"$ref": "#/definitions/names"},
+          "plans": {"$ref": "#/definitions/names"},
+          "by": {"enum": ["call", "account"]},
+          "order": {"enum": ["run", "pause", "abort"]},
+          "stages": {
+            "type": "array", "minItems": 1, "maxItems": 8,
+            "items": {
+              "type": "object", "additionalProperties": false, "required": ["share"],
+              "properties": {"share": {"$ref": "#/definitions/share"}, "hold": {"$ref": "#/definitions/time"}}
+            }
+          },
+          "step": {"$ref": "#/definitions/time"},
+          "slower": {"$ref": "#/definitions/share"},
+          "shown": {"$ref": "#/definitions/share"},
+          "failures": {"type": "number", "minimum": 1, "maximum": 100},
+          "gross": {"$ref": "#/definitions/share"},
+          "least": {"type": "integer", "minimum": 1, "maximum": 1000000},
+          "lease": {"$ref": "#/definitions/time"},
+          "deadline": {"$ref": "#/definitions/time"},
+          "at_deadline": {"enum": ["undo", "hold"]},
+          "at_end": {"enum": ["keep", "return"]},
+          "headroom": {"type": "number", "minimum": 0.1, "maximum": 10}
+        }
+      }
+    }
+  }
+})json";
+
+// "[stages]" and "[2]" as valijson writes a place to what is there; "<root>" is the document.
+struct Place {
+    const Value* value = nullptr;
+    Position at;
+    std::string name;  // of the nearest argument
+};
+
+Place find_place(const Value& document, const std::vector<std::string>& context) {
+    Place place{&document, document.at, {}};
+    for (const std::string& step : context) {
+        if (step.size() < 3 || step.front() != '[') continue;
+        const std::string key = step.substr(1, step.size() - 2);
+        const Value* next = nullptr;
+        Position at = place.at;
+        if (place.value->kind == Value::Kind::list) {
+            const std::size_t i = std::strtoul(key.c_str(), nullptr, 10);
+            if (i < place.value->items.size()) next = &place.value->items[i];
+            if (next) at = next->at;
+        } else {
+            for (const Value::Field& field : place.value->fields) {
+                if (field.name != key) continue;
+                next = &field.value;
+                at = field.value.at;
+                if (key != "unit" && key != "value") place.name = key;
+            }
+        }
+        if (!next) break;
+        place.value = next;
+        place.at = at;
+    }
+    return place;
+}
+
+const nlohmann::json& schema_json() {
+    static const nlohmann::json parsed = nlohmann::json::parse(schema_text);
+    return parsed;
+}
+
+// The part of the schema that a place is checked against, with its references followed.
+const nlohmann::json* schema_at(const std::vector<std::string>& context) {
+    const nlohmann::json* at = &schema_json();
+    const auto follow = [&] {
+        if (const auto ref = at->find("$ref"); ref != at->end()) {
+            at = &schema_json().at(nlohmann::json::json_pointer(ref->get<std::string>().substr(1)));
+        }
+    };
+    for (const std::string& step : context) {
+        if (step.size() < 3 || step.front() != '[') continue;
+        const std::string key = step.substr(1, step.size() - 2);
+        follow();
+        if (const auto items = at->find("items"); items != at->end()) {
+            at = &*items;
+        } else {
+            const auto properties = at->find("properties");
+            if (properties == at->end() || !properties->contains(key)) return nullptr;
+            at = &(*properties)[key];
+        }
+    }
+    follow();
+    return at;
+}
+
+std::string in_quotes(const std::string& text) {
+    const auto to = text.rfind('\'');
+    const auto from = to == std::string::npos || to == 0 ? to : text.rfind('\'', to - 1);
+    return from == std::string::npos ? "" : text.substr(from + 1, to - from - 1);
+}
+
+std::string list_words(const nlohmann::json& words) {
+    std::string text;
+    for (const auto& word : words) text += (text.empty() ? "" : ", ") + word.dump();
+    return text;
+}
+
+bool is_quantity(const Value& value) {
+    return value.fields.size() == 2 && value.find("unit") && value.find("value");
+}
+
+std::string described(const Value& value) {
+    switch (value.kind) {
+        case Value::Kind::null:
+            return "None";
+        case Value::Kind::truth:
+            return "a truth value";
+        case Value::Kind::number:
+            return "a number";
+        case Value::Kind::text:
+            return "the text '" + value.text + "'";
+        case Value::Kind::list:
+            return "a list";
+        case Value::Kind::dict:
+            return is_quantity(value) ? "a " + value.find("unit")->text : "a dict";
+    }
+    return "this";
+}
+
+// One sentence of the operators' terms for what valijson found.
+Problem explain(const Value& document, const std::string& file,
+                const valijson::ValidationResults::Error& error) {
+    std::vector<std::string> context = error.context;
+    const bool within = context.back() == "[unit]" || context.back() == "[value]";
+    if (within) context.pop_back();  // of a quantity, which is told as a whole
+    const Place place = find_place(document, context);
+    const std::string name = place.name.empty() ? "this" : "'" + place.name + "'";
+    const bool unknown = error.description.find("additionalProperties") != std::string::npos;
+    const bool missing = error.description.find("required property") != std::string::npos;
+    const nlohmann::json* wanted = schema_at(context);
+    if (wanted && wanted->contains("title") && wanted->contains("required") &&
+        (!is_quantity(*place.value) ||
+         wanted->at("properties").at("unit").at("enum").at(0) != place.value->find("unit")->text)) {
+        return {
+            file, place.at,
+            name + " wants " + wanted->at("title").get<std::string>() + ", not " + described(*place.value)};
+    }
+    if (within) {
+        const bool share = place.value->find("unit")->text == "share";
+        return {file, place.at,
+                name + (share ? " lies between percent(0) and percent(100)" : " lies between 0 and a year")};
+    }
+    if (unknown) {
+        const std::string word = in_quotes(error.description);
+        for (const Value::Field& field : place.value->fields) {
+            if (field.name == word) return {file, field.at, "there is no argument '" + word + "' here"};
+        }
+    }
+    if (missing) {
+        const std::string word = in_quotes(error.description);
+        return {file, place.at, "the argument '" + word + "' is missing"};
+    }
+    std::string what = name + ": " + error.description;
+    if (wanted && wanted->contains("enum")) {
+        what = name + " is one of " + list_words(wanted->at("enum")) + ", not " + described(*place.value);
+    } else if (wanted && wanted->contains("pattern") && place.value->kind == Value::Kind::text) {
+        what = name + " wants a name of letters, digits, '_', '-' and '.', 40 at most";
+    } else if (wanted && place.value->kind == Value::Kind::number && wanted->value("type", "") == "integer" &&
+               std::floor(place.value->number) != place.value->number) {
+        what = name + " wants a whole number, not " + place.value->json().dump();
+    } else if (wanted && place.value->kind == Value::Kind::number && wanted->contains("minimum")) {
+        what =
+            name + " lies between " + wanted->at("minimum").dump() + " and " + wanted->at("maximum").dump();
+    } else if (wanted && place.value->kind == Value::Kind::list && wanted->contains("maxItems") &&
+               place.value->items.size() > wanted->at("maxItems").get<std::size_t>()) {
+        const auto most = wanted->at("maxItems").get<std::size_t>();
+        return {file, place.value->items[most].at, name + " holds " + std::to_string(most) + " at most"};
+    } else if (wanted && wanted->contains("type") && wanted->at("type").is_string()) {
+        const std::string type = wanted->at("type");
+        if (place.value->kind == Value::Kind::list && type == "array") {
+            what = name + " is an empty list";
+        } else {
+            what = name + " wants " +
+                   (type == "array"     ? "a list"
+                    : type == "string"  ? "a text"
+                    : type == "integer" ? "a whole number"
+                    : type == "object"  ? "a value of its own kind"
+                                        : "a " + type) +
+                   ", not " + described(*place.value);
+        }
+    }
+    return {file, place.at, what};
+}
+
+}  // namespace
+
+std::string_view schema() { return schema_text; }
+
+Result read_document(std::string_view text, const std::string& file) {
+    Result result = read_script(text, file);
+    const Value* document = std::get_if<Value>(&result);
+    if (!document) return result;
+    valijson::Schema checks;
+    valijson::SchemaParser parser;
+    const valijson::adapters::NlohmannJsonAdapter adapted_schema(schema_json());
+    parser.populateSchema(adapted_schema, checks);
+    const nlohmann::json json = document->json();
+    const valijson::adapters::NlohmannJsonAdapter adapted(json);
+    valijson::ValidationResults results;
+    valijson::Validator validator;
+    if (validator.validate(checks, adapted, &results)) return result;
+    // The innermost of what it found; of several, the first in the file.
+    valijson::ValidationResults::Error error, chosen;
+    std::optional<Position> first;
+    while (results.popError(error)) {
+        if (error.context.size() < chosen.context.size()) continue;
+        const Position at = find_place(*document, error.context).at;
+        const bool deeper = error.context.size() > chosen.context.size();
+        if (first && !deeper && std::pair(at.line, at.column) >= std::pair(first->line, first->column))
+            continue;
+        chosen = error;
+        first = at;
+    }
+    return explain(*document, file, chosen);
+}
+
+Result read_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    std::string text(most_bytes + 1, '\0');
+    file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    if (!file && !file.eof()) return Problem{path, {}, "the file cannot be read"};
+    text.resize(static_cast<std::size_t>(file.gcount()));
+    return read_document(text, path);
+}
+
+std::chrono::nanoseconds time_of(const Value& quantity) {
+    return std::chrono::nanoseconds(std::llround(quantity.find("value")->number * 1e9));
+}
+
+double share_of(const Value& quantity) { return quantity.find("value")->number; }
+
+}  // namespace linnetlead::operators
--- /dev/null
+++ b/src/operators/document.h
@@ -0,0 +1,25 @@
+// The operators' document: a script that has passed the schema. What is left to check is what the parts that
+// read it know (shares that rise, pools that overlap), and they tell it at the same places.
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "script.h"
+
+namespace linnetlead::operators {
+
+// The schema that documents are checked against: JSON Schema, draft 7.
+std::string_view schema();
+
+// Reads, runs and checks a script. The Value is a dict of the lists of declarations.
+Result read_document(std::string_view text, const std::string& file);
+// The same from a file; one that cannot be read is a Problem too.
+Result read_file(const std::string& path);
+
+// Of a checked document.
+std::chrono::nanoseconds time_of(const Value& quantity);
+double share_of(const Value& quantity);
+
+}  // namespace linnetlead::operators
--- /dev/null
+++ b/src/operators/script.cpp
@@ -0,0 +1,475 @@
+#include "script.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <functional>
+#include <limits>
+#include <map>
+#include <stdexcept>
+#include <tao/pegtl.hpp>
+#include <tao/pegtl/contrib/parse_tree.hpp>
+
+namespace linnetlead::operators {
+
+namespace grammar {
+
+// A new line ends a statement but for within brackets and behind an operator.
+namespace p = tao::pegtl;
+
+struct comment : p::seq<p::one<'#'>, p::until<p::at<p::eolf>>> {};
+struct sp : p::star<p::blank> {};
+struct nl : p::star<p::sor<p::blank, p::eol, comment>> {};
+struct name : p::identifier {};
+struct digits : p::plus<p::digit> {};
+struct exponent : p::seq<p::one<'e', 'E'>, p::opt<p::one<'+', '-'>>, digits> {};
+struct number : p::seq<digits, p::opt<p::one<'.'>, p::star<p::digit>>, p::opt<exponent>,
+                       p::not_at<p::identifier_other>> {};
+struct escape : p::seq<p::one<'\\'>, p::must<p::one<'n', 't', '\\', '"', '\''>>> {};
+template <char quote>
+struct inside : p::star<p::sor<escape, p::not_one<quote, '\\', '\n', '\r'>>> {};
+struct quote_end : p::one<'"'> {};
+struct tick_end : p::one<'\''> {};
+struct text : p::sor<p::if_must<p::one<'"'>, inside<'"'>, quote_end>,
+                     p::if_must<p::one<'\''>, inside<'\''>, tick_end>> {};
+struct expression;
+struct closing_bracket : p::one<']'> {};
+struct closing_brace : p::one<'}'> {};
+struct closing_parenthesis : p::one<')'> {};
+struct colon : p::one<':'> {};
+template <typename Item>
+struct items : p::opt<Item, nl, p::star<p::one<','>, nl, Item, nl>, p::opt<p::one<','>, nl>> {};
+struct list : p::if_must<p::one<'['>, nl, items<expression>, closing_bracket> {};
+struct entry : p::seq<expression, nl, p::must<colon>, nl, p::must<expression>> {};
+struct dict : p::if_must<p::one<'{'>, nl, items<entry>, closing_brace> {};
+struct keyword : p::seq<name, sp, p::one<'='>, p::not_at<p::one<'='>>, nl, p::must<expression>> {};
+struct argument : p::sor<keyword, expression> {};
+struct call : p::seq<name, sp, p::one<'('>, p::must<nl, items<argument>, closing_parenthesis>> {};
+struct group : p::if_must<p::one<'('>, nl, expression, nl, closing_parenthesis> {};
+struct atom : p::sor<number, text, list, dict, call, name, group> {};
+struct negative : p::seq<p::one<'-'>, sp, atom> {};
+struct operand : p::sor<negative, atom> {};
+struct times : p::one<'*', '/'> {};
+struct plus : p::one<'+', '-'> {};
+struct product : p::list_must<operand, p::seq<sp, times, nl>> {};
+struct expression : p::list_must<product, p::seq<sp, plus, nl>> {};
+struct assignment : p::seq<name, sp, p::one<'='>, p::not_at<p::one<'='>>, nl, p::must<expression>> {};
+struct statement : p::sor<assignment, expression> {};
+struct end_of_statement : p::seq<sp, p::opt<comment>, p::eolf> {};
+struct script
+    : p::until<p::eof, p::sor<p::seq<sp, p::opt<comment>, p::eol>, p::seq<sp, p::opt<comment>, p::eof>,
+                              p::seq<p::must<statement>, p::must<end_of_statement>>>> {};
+
+template <typename Rule>
+using selector =
+    p::parse_tree::selector<Rule,
+                            p::parse_tree::store_content::on<name, number, text, times, plus, call, list,
+                                                             dict, entry, keyword, assignment, negative>,
+                            p::parse_tree::fold_one::on<product, expression>>;
+
+template <typename>
+inline constexpr const char* expected = "this cannot be read here";
+template <>
+inline constexpr const char* expected<expression> = "a value is expected here";
+template <>
+inline constexpr const char* expected<operand> = "a value is expected behind the operator";
+template <>
+inline constexpr const char* expected<product> = "a value is expected behind the operator";
+template <>
+inline constexpr const char* expected<statement> = "a statement is expected here: NAME = VALUE, or a call";
+template <>
+inline constexpr const char* expected<end_of_statement> = "the statement should end here";
+template <>
+inline constexpr const char* expected<closing_bracket> = "',' or ']' is expected here";
+template <>
+inline constexpr const char* expected<closing_brace> = "',' or '}' is expected here";
+template <>
+inline constexpr const char* expected<closing_parenthesis> = "',' or ')' is expected here";
+template <>
+inline constexpr const char* expected<colon> = "':' and a value are expected behind a key";
+template <>
+inline constexpr const char* expected<quote_end> = "the text does not end on its line";
+template <>
+inline constexpr const char* expected<tick_end> = "the text does not end on its line";
+
+template <typename Rule>
+struct control : p::normal<Rule> {
+    template <typename Input, typename... States>
+    [[noreturn]] static void raise(const Input& in, States&&...) {
+        throw p::parse_error(expected<Rule>, in);
+    }
+};
+
+using Node = p::parse_tree::node;
+
+}  // namespace grammar
+
+namespace {
+
+using grammar::Node;
+using Kind = Value::Kind;
+
+// Within this file only: carried out of the recursion and made a Problem at its edge.
+struct Wrong {
+    Position at;
+    std::string what;
+};
+
+Position position_of(const Node& node) { return {node.begin().line, node.begin().column}; }
+
+struct Unit {
+    const char* name;
+    const char* of;
+    double factor;
+};
+constexpr std::array<Unit, 7> units{{{"ms", "time", 1e-3},
+                                     {"seconds", "time", 1},
+                                     {"minutes", "time", 60},
+                                     {"hours", "time", 3600},
+                                     {"days", "time", 86400},
+                                     {"percent", "share", 1e-2},
+                                     {"per_second", "rate", 1}}};
+
+// What may be called: where a declaration is listed in the document, and what the arguments without a
+// keyword are. Those with no list are values inside others.
+struct Function {
+    const char* name;
+    const char* list;
+    std::vector<const char*> positional;
+};
+const std::vector<Function>& functions() {
+    static const std::vector<Function> all{
+        {"pool", "pools", {"name"}}, {"move", "moves", {"name"}}, {"stage", nullptr, {"share"}}};
+    return all;
+}
+
+const char* name_of(Kind kind) {
+    constexpr std::array<const char*, 6> names{"None",   "a truth value", "a number",
+                                               "a text", "a list",        "a dict"};
+    return names[static_cast<std::size_t>(kind)];
+}
+
+bool is_quantity(const Value& value) {
+    return value.kind == Kind::dict && value.find("unit") && value.find("value") && value.fields.size() == 2;
+}
+
+class Evaluator {
+public:
+    Value run(const Node& script) {
+        document_.kind = Kind::dict;
+        for (const auto& child : script.children) {
+            if (child->is_type<grammar::assignment>()) {
+                assign(*child);
+            } else {
+                const Value value = evaluate(*child);
+                if (value.declares.empty()) {
+                    throw Wrong{position_of(*child), "this value is used for nothing: give it a name"};
+                }
+            }
+        }
+        return std::move(document_);
+    }
+
+private:
+    void assign(const Node& node) {
+        const std::string name = node.children[0]->string();
+        const Position at = position_of(*node.children[0]);
+        Value value = evaluate(*node.children[1]);
+        const auto [was, fresh] = names_.try_emplace(name, std::pair(at, std::move(value)));
+        if (!fresh) {
+            throw Wrong{at, "'" + name + "' has a value already, from line " +
+                                std::to_string(was->second.first.line)};
+        }
+    }
+
+    Value evaluate(const Node& node) {
+        if (node.is_type<grammar::number>()) return number_of(node);
+        if (node.is_type<grammar::text>()) return text_of(node);
+        if (node.is_type<grammar::name>()) return look_up(node);
+        if (node.is_type<grammar::call>()) return call(node);
+        if (node.is_type<grammar::negative>()) return negate(evaluate(*node.children[0]), position_of(node));
+        Value value;
+        value.at = position_of(node);
+        if (node.is_type<grammar::list>()) {
+            value.kind = Kind::list;
+            for (const auto& child : node.children) value.items.push_back(plain(evaluate(*child)));
+            return value;
+        }
+        if (node.is_type<grammar::dict>()) {
+            value.kind = Kind::dict;
+            for (const auto& child : node.children) {
+                const Value key = evaluate(*child->children[0]);
+                if (key.kind != Kind::text) throw Wrong{key.at, "a key must be a text"};
+                add_field(value, key.text, key.at, evaluate(*child->children[1]));
+            }
+            return value;
+        }
+        Value left = evaluate(*node.children[0]);
+        for (std::size_t i = 1; i + 1 < node.children.size(); i += 2) {
+            left = combine(std::move(left), node.children[i]->string()[0], evaluate(*node.children[i + 1]));
+        }
+        return left;
+    }
+
+    // A declaration used as a value stands for its name.
+    static Value plain(Value value) {
+        if (value.declares.empty()) return value;
+        const Value* name = value.find("name");
+        if (!name) return value;
+        Value text = *name;
+        text.at = value.at;
+        return text;
+    }
+
+    static void add_field(Value& into, const std::string& name, Position at, Value value) {
+        if (into.find(name)) throw Wrong{at, "'" + name + "' is given twice"};
+        into.fields.push_back({name, at, plain(std::move(value))});
+    }
+
+    static Value number_of(const Node& node) {
+        Value value;
+        value.kind = Kind::number;
+        value.at = position_of(node);
+        value.number = std::strtod(node.string().c_str(), nullptr);
+        if (!std::isfinite(value.number)) throw Wrong{value.at, "the number is too large"};
+        return value;
+    }
+
+    static Value text_of(const Node& node) {
+        Value value;
+        value.kind = Kind::text;
+        value.at = position_of(node);
+        const std::string_view written = node.string_view();
+        for (std::size_t i = 1; i + 1 < written.size(); ++i) {
+            char c = written[i];
+            if (c == '\\') {
+                c = written[++i];
+                c = c == 'n' ? '\n' : c == 't' ? '\t' : c;
+            }
+            value.text += c;
+        }
+        return value;
+    }
+
+    Value look_up(const Node& node) const {
+        const std::string name = node.string();
+        Value value;
+        value.at = position_of(node);
+        if (name == "None") return value;
+        if (name == "True" || name == "False") {
+            value.kind = Kind::truth;
+            value.truth = name == "True";
+            return value;
+        }
+        const auto known = names_.find(name);
+        if (known == names_.end()) throw Wrong{value.at, "'" + name + "' has no value before this line"};
+        value = known->second.second;
+        value.at = position_of(node);  // a mistake is told where the name is used
+        return value;
+    }
+
+    Value call(const Node& node) {
+        const std::string name = node.children[0]->string();
+        const Position at = position_of(node);
+        for (const Unit& unit : units) {
+            if (name == unit.name) return quantity(node, unit);
+        }
+        const auto known = std::find_if(functions().begin(), functions().end(),
+                                        [&](const Function& one) { return name == one.name; });
+        if (known == functions().end()) throw Wrong{at, "there is no function '" + name + "'"};
+        Value made;
+        made.kind = Kind::dict;
+        made.at = at;
+        std::size_t unnamed = 0;
+        for (std::size_t i = 1; i < node.children.size(); ++i) {
+            const Node& argument = *node.children[i];
+            if (argument.is_type<grammar::keyword>()) {
+                add_field(made, argument.children[0]->string(), position_of(argument),
+                          evaluate(*argument.children[1]));
+                continue;
+            }
+            if (made.fields.size() > unnamed) {
+                throw Wrong{position_of(argument), "an argument without a keyword behind one with a keyword"};
+            }
+            if (unnamed >= known->positional.size()) {
+                throw Wrong{position_of(argument), "'" + name + "' wants a keyword for this argument"};
+            }
+            add_field(made, known->positional[unnamed++], position_of(argument), evaluate(argument));
+        }
+        if (!known->list) return made;
+        made.declares = name;
+        list_of(known->list).items.push_back(made);
+        return made;
+    }
+
+    Value& list_of(const std::string& name) {
+        for (Value::Field& field : document_.fields) {
+            if (field.name == name) return field.value;
+        }
+        Value list;
+        list.kind = Kind::list;
+        document_.fields.push_back({name, {}, std::move(list)});
+        return document_.fields.back().value;
+    }
+
+    Value quantity(const Node& node, const Unit& unit) {
+        const Position at = position_of(node);
+        if (node.children.size() != 2) throw Wrong{at, std::string(unit.name) + "() takes one number"};
+        Value value = evaluate(*node.children[1]);
+        if (value.kind != Kind::number) {
+            throw Wrong{value.at, std::string(unit.name) + "() takes a number, not " + describe(value)};
+        }
+        return make_quantity(unit.of, value.number * unit.factor, at);
+    }
+
+    static Value make_quantity(const std::string& of, double number, Position at) {
+        Value unit, amount, made;
+        unit.kind = Kind::text;
+        unit.text = of;
+        amount.kind = Kind::number;
+        amount.number = number;
+        made.kind = Kind::dict;
+        unit.at = amount.at = made.at = at;
+        made.fields = {{"unit", at, unit}, {"value", at, amount}};
+        return made;
+    }
+
+    static std::string describe(const Value& value) {
+        return is_quantity(value) ? "a " + value.find("unit")->text : name_of(value.kind);
+    }
+
+    static Value negate(Value value, Position at) {
+        if (is_quantity(value)) return make_quantity(value.fields[0].value.text, -amount_of(value), at);
+        if (value.kind != Kind::number) throw Wrong{at, "only a number has a sign"};
+        value.number = -value.number;
+        value.at = at;
+        return value;
+    }
+
+    static double amount_of(const Value& value) {
+        return is_quantity(value) ? value.fields[1].value.number : value.number;
+    }
+
+    // Numbers, quantities of one unit, texts and lists; a quantity may be multiplied by a number.
+    static Value combine(Value left, char sign, const Value& right) {
+        const bool quantities = is_quantity(left) || is_quantity(right);
+        const bool both = is_quantity(left) && is_quantity(right);
+        const auto numeric = [](const Value& v) { return v.kind == Kind::number || is_quantity(v); };
+        const Position at = left.at;
+        if (sign == '+' && left.kind == right.kind && left.kind == Kind::text) {
+            left.text += right.text;
+            return left;
+        }
+        if (sign == '+' && left.kind == right.kind && left.kind == Kind::list) {
+            left.items.insert(left.items.end(), right.items.begin(), right.items.end());
+            return left;
+        }
+        const bool sum = sign == '+' || sign == '-';
+        const bool fit = numeric(left) && numeric(right) &&
+                         (sum ? is_quantity(left) == is_quantity(right) &&
+                                    (!both || left.fields[0].value.text == right.fields[0].value.text)
+                          : sign == '*' ? !both
+                                        : !is_quantity(right));
+        if (!fit) {
+            throw Wrong{at, std::string("'") + sign + "' does not go with " + describe(left) + " and " +
+                                describe(right)};
+        }
+        const double a = amount_of(left), b = amount_of(right);
+        if (sign == '/' && b == 0) throw Wrong{right.at, "division by zero"};
+        const double result = sign == '+' ? a + b : sign == '-' ? a - b : sign == '*' ? a * b : a / b;
+        if (!std::isfinite(result)) throw Wrong{at, "the number is too large"};
+        if (quantities) {
+            const std::string of = (is_quantity(left) ? left : right).fields[0].value.text;
+            return make_quantity(of, result, at);
+        }
+        left.number = result;
+        return left;
+    }
+
+    std::map<std::string, std::pair<Position, Value>> names_;
+    Value document_;
+};
+
+// Guards the parser's recursion.
+std::optional<Wrong> too_deep(std::string_view text) {
+    std::size_t depth = 0, line = 1;
+    char quote = 0;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (c == '\n') ++line, quote = 0;
+        if (quote) {
+            if (c == '\\') ++i;
+            if (c == quote) quote = 0;
+        } else if (c == '"' || c == '\'') {
+            quote = c;
+        } else if (c == '#') {
+            while (i + 1 < text.size() && text[i + 1] != '\n') ++i;
+        } else if (c == '(' || c == '[' || c == '{') {
+            if (++depth > most_depth) return Wrong{{line, 1}, "brackets inside brackets go too deep"};
+        } else if ((c == ')' || c == ']' || c == '}') && depth > 0) {
+            --depth;
+        }
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+std::string Problem::line() const {
+    return file + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) + ": " + what;
+}
+
+const Value* Value::find(std::string_view name) const {
+    for (const Field& field : fields) {
+        if (field.name == name) return &field.value;
+    }
+    return nullptr;
+}
+
+nlohmann::json Value::json() const {
+    switch (kind) {
+        case Kind::null:
+            return nullptr;
+        case Kind::truth:
+            return truth;
+        case Kind::number: {
+            constexpr double exact = 9e15;
+            if (std::floor(number) == number && std::abs(number) < exact) {
+                return static_cast<std::int64_t>(number);
+            }
+            return number;
+        }
+        case Kind::text:
+            return text;
+        case Kind::list: {
+            auto made = nlohmann::json::array();
+            for (const Value& item : items) made.push_back(item.json());
+            return made;
+        }
+        case Kind::dict: {
+            auto made = nlohmann::json::object();
+            for (const Field& field : fields) made[field.name] = field.value.json();
+            return made;
+        }
+    }
+    return nullptr;
+}
+
+Result read_script(std::string_view text, const std::string& file) {
+    if (text.size() > most_bytes) return Problem{file, {}, "the file is over 1 MiB"};
+    if (const auto wrong = too_deep(text)) return Problem{file, wrong->at, wrong->what};
+    tao::pegtl::memory_input<> in(text.data(), text.size(), file);
+    try {
+        const auto root = tao::pegtl::parse_tree::parse<grammar::script, grammar::selector,
+                                                        tao::pegtl::nothing, grammar::control>(in);
+        if (!root) return Problem{file, {}, "this is no script"};
+        return Evaluator().run(*root);
+    } catch (const tao::pegtl::parse_error& e) {
+        const auto& at = e.positions().front();
+        return Problem{file, {at.line, at.column}, std::string(e.message())};
+    } catch (const Wrong& wrong) {
+        return Problem{file, wrong.at, wrong.what};
+    }
+}
+
+}  // namespace linnetlead::operators
--- /dev/null
+++ b/src/operators/script.h
@@ -0,0 +1,59 @@
+// The operators' script: a Starlark-like form of assignments, literals, lists, dicts, arithmetic and calls
+// with keyword arguments. Reading it has no effects: what comes out is one document of declarations, in which
+// every value knows where it was written.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace linnetlead::operators {
+
+struct Position {
+    std::size_t line = 1;
+    std::size_t column = 1;
+};
+
+// What is wrong with a file, and where: an error as a value.
+struct Problem {
+    std::string file;
+    Position at;
+    std::string what;
+    std::string line() const;  // "FILE:LINE:COLUMN: WHAT", one line
+};
+
+// A value of the script. Quantities are dicts of a "unit" and a "value": time in seconds, share in parts of
+// one, rate in units a second.
+struct Value {
+    enum class Kind { null, truth, number, text, list, dict };
+    struct Field;
+    Kind kind = Kind::null;
+    Position at;
+    bool truth = false;
+    double number = 0;
+    std::string text;
+    std::vector<Value> items;   // of a list
+    std::vector<Field> fields;  // of a dict, in the order written
+    std::string declares;       // of a declaration: the function that made it
+
+    const Value* find(std::string_view name) const;
+    nlohmann::json json() const;
+};
+struct Value::Field {
+    std::string name;
+    Position at;
+    Value value;
+};
+
+constexpr std::size_t most_bytes = 1024 * 1024;
+constexpr std::size_t most_depth = 64;  // of brackets
+
+// The document: a dict of lists, "pools", "moves" and so on, of what was declared.
+using Result = std::variant<Value, Problem>;
+Result read_script(std::string_view text, const std::string& file);
+
+}  // namespace linnetlead::operators
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -138,6 +138,8 @@
     Time arrived{};
     Time due{};
     double units = 0;
+    Pools pools = all_pools;
+    Pools fallback = all_pools;
     std::vector<Attempt> attempts;
     int out = 0;
     bool waits = false;  // for the counter's reply, before its first attempt
@@ -168,6 +170,11 @@
     Time shut_until{};        // so long it is left out, then tried again
 };
 
+struct Choice {  // the servers of some pools that may be sent to
+    std::vector<Server*> servers;
+    double most_weight = 0;
+};
+
 struct Found {  // a server that has answered a probe lately
     ServerId server;
     Time at{};
@@ -541,7 +548,7 @@
         sum_of_bounds_ -= s.bound;
         s.bound = std::clamp(s.bound * factor, least / fleet_bound_, most_bound / fleet_bound_);
         sum_of_bounds_ += s.bound;
-        const double mean = sum_of_bounds_ / static_cast<double>(choice_.size());
+        const double mean = sum_of_bounds_ / count_;
         const double wanted = fleet_bound_ * std::pow(factor, 1 / std::max(1.0, out_now_));
         fleet_bound_ = std::clamp(wanted, least / mean, most_bound / mean);
     }
@@ -576,11 +583,16 @@
     static double size_of(const Server& s) { return std::max(s.entry.weight, 1e-6); }
     Server* pick(const Open& r, Time now) {
         if (!has_room(r.cls)) return nullptr;
-        if (Server* found = best_of_found(r, now)) return found;
-        Server* best = best_of_few(r, now, true);
+        const Pools pools = r.attempts.empty() ? r.pools : r.fallback;
+        Server* s = pick_from(r, pools, now);
+        return s || pools == r.fallback ? s : pick_from(r, r.fallback, now);
+    }
+    Server* pick_from(const Open& r, Pools pools, Time now) {
+        if (Server* found = best_of_found(r, pools, now)) return found;
+        Server* best = best_of_few(r, pools, now, true);
         // Rule 4, by chance, so that it holds for any number of gateways: a cold server gets its warm share
         // of what it would get as a warm one; the rest goes to warm servers or is refused.
-        if (best && uniform() >= warm_share(*best, now)) best = best_of_few(r, now, false);
+        if (best && uniform() >= warm_share(*best, now)) best = best_of_few(r, pools, now, false);
         return best;
     }
     // A gateway of hundreds meets a server too seldom to know it full of work that nobody waits for, and the
@@ -588,9 +600,10 @@
     // Should also cover servers that stall, are slow, cut off or dead before the list says so; hurts where
     // probes are answered beside a full queue, by the price of a probe for every fourth attempt.
     void look_around(Time now) {
-        const double few = few_attempts * static_cast<double>(choice_.size());
+        const Choice& all = choice(all_pools);
+        const double few = few_attempts * static_cast<double>(all.servers.size());
         if (!cfg_.may_probe || bound() >= few) return;
-        Server& s = draw();
+        Server& s = draw(all);
         if (s.probed || uniform() >= probes_per_attempt * warm_share(s, now)) return;
         s.probed = true;
         out_.probe(s.entry.id);
@@ -601,7 +614,7 @@
         if (outcome == Outcome::ok) found_.push_back({id, now});
         if (found_.size() > most_found) found_.pop_front();
     }
-    Server* best_of_found(const Open& r, Time now) {
+    Server* best_of_found(const Open& r, Pools pools, Time now) {
         while (!found_.empty() && now - found_.front().at > probe_good_for) found_.pop_front();
         auto best = found_.end();
         Server* server = nullptr;
@@ -609,14 +622,26 @@
         for (auto it = found_.begin(); it != found_.end(); ++it) {
             const auto at = servers_.find(it->server);
             if (at == servers_.end() || !usable(at->second, r, now)) continue;
+            if ((at->second.entry.pools & pools) == 0) continue;
             const double wait = expected_wait(at->second, r.cls, now);
             if (!server || wait < least) std::tie(best, server, least) = std::tuple(it, &at->second, wait);
         }
         if (server && --best->attempts_left <= 0) found_.erase(best);
         return server;
     }
-    Server& draw() {
-        return *choice_[static_cast<std::size_t>(uniform() * static_cast<double>(choice_.size()))];
+    const Choice& choice(Pools pools) {
+        const auto [at, fresh] = choices_.try_emplace(pools);
+        Choice& c = at->second;
+        if (!fresh) return c;
+        for (auto& [id, s] : servers_) {
+            if (!may_be_sent_to(s) || (s.entry.pools & pools) == 0) continue;
+            c.servers.push_back(&s);
+            c.most_weight = std::max(c.most_weight, size_of(s));
+        }
+        return c;
+    }
+    Server& draw(const Choice& c) {
+        return *c.servers[static_cast<std::size_t>(uniform() * static_cast<double>(c.servers.size()))];
     }
     bool usable(const Server& s, const Open& r, Time now) const {
         const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
@@ -626,13 +651,14 @@
         return !tried && room && may_be_sent_to(s) && allowed(r, &s, now);
     }
     // Drawn by size, so that the choice costs the same for any number of servers.
-    Server* best_of_few(const Open& r, Time now, bool cold_too) {
+    Server* best_of_few(const Open& r, Pools pools, Time now, bool cold_too) {
+        const Choice& c = choice(pools);
         Server* best = nullptr;
         double least = 0;
         int compared = 0;
-        for (int n = 0; n < most_draws && compared < servers_compared && !choice_.empty(); ++n) {
-            Server* s = &draw();
-            if (uniform() * most_weight_ > size_of(*s) || (!cold_too && warm_share(*s, now) < 1)) continue;
+        for (int n = 0; n < most_draws && compared < servers_compared && !c.servers.empty(); ++n) {
+            Server* s = &draw(c);
+            if (uniform() * c.most_weight > size_of(*s) || (!cold_too && warm_share(*s, now) < 1)) continue;
             if (!usable(*s, r, now)) continue;
             ++compared;
             const double wait = expected_wait(*s, r.cls, now);
@@ -749,6 +775,8 @@
         r.arrived = now;
         r.due = request.due;
         r.units = request.units;
+        r.pools = request.pools;
+        r.fallback = request.fallback;
         if (c.sparse) {
             c.untold += plan.rate > 0 ? request.units : 1;
             r.waits = look(r.customer, c, request.id, r.due, now);
@@ -869,15 +897,13 @@
         for (auto it = servers_.begin(); it != servers_.end();) {
             it = !it->second.listed && it->second.out.empty() ? servers_.erase(it) : std::next(it);
         }
-        choice_.clear();
-        sum_of_bounds_ = most_weight_ = mean_weight_ = out_now_ = 0;
+        choices_.clear();
+        count_ = sum_of_bounds_ = mean_weight_ = out_now_ = 0;
         for (auto& [id, s] : servers_) {
             if (!may_be_sent_to(s)) continue;
             out_now_ += static_cast<double>(s.out.size());
-            choice_.push_back(&s);
             sum_of_bounds_ += s.bound;
-            most_weight_ = std::max(most_weight_, size_of(s));
-            mean_weight_ += (size_of(s) - mean_weight_) / static_cast<double>(choice_.size());
+            mean_weight_ += (size_of(s) - mean_weight_) / ++count_;
         }
     }
 
@@ -952,8 +978,8 @@
     double fleet_bound_ = 1;  // what all servers' bounds are multiplied by
     double sum_of_bounds_ = 0;
     std::map<std::string, std::vector<Doubt>> doubts_;  // by zone or kind, then class
-    std::vector<Server*> choice_;                       // the servers that may be sent to
-    double most_weight_ = 0;
+    std::unordered_map<Pools, Choice> choices_;         // made when first asked for, until the list changes
+    double count_ = 0;                                  // servers that may be sent to
     double mean_weight_ = 1;
     double mean_value_ = 0;
     std::deque<Found> found_;
--- /dev/null
+++ b/src/routing/judge.cpp
@@ -0,0 +1,140 @@
+#include "judge.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace linnetlead::routing {
+
+namespace {
+
+constexpr double mixture_scale = 1.5;  // of l: most power where one pool is a fifth to twice as slow
+constexpr double suspected = 3;        // times the tolerated odds of failing
+constexpr double never = std::numeric_limits<double>::infinity();
+
+std::size_t index_of(Side side) { return side == Side::target ? 1 : 0; }
+
+// log of the normal distribution function, also far out in its lower tail.
+double log_normal_below(double x) {
+    if (x > -8) return std::log(0.5 * std::erfc(-x / std::sqrt(2.0)));
+    return -x * x / 2 - std::log(-x) - 0.5 * std::log(2 * 3.14159265358979323846);
+}
+
+}  // namespace
+
+Evidence operator+(const Evidence& a, const Evidence& b) {
+    return {a.weight + b.weight,   a.slower + b.slower,
+            a.failing + b.failing, a.stage_weight + b.stage_weight,
+            a.shown + b.shown,     a.attempts + b.attempts};
+}
+
+double log_evidence(double t, double v) {
+    if (v <= 0) return 0;
+    const double s2 = mixture_scale * mixture_scale;
+    const double spread = 1 + s2 * v;
+    return std::log(2.0) - 0.5 * std::log(spread) + s2 * t * t / (2 * spread) +
+           log_normal_below(mixture_scale * t / std::sqrt(spread));
+}
+
+double rank_sum_u(std::vector<double> first, std::vector<double> second) {
+    std::sort(first.begin(), first.end());
+    std::sort(second.begin(), second.end());
+    double u = 0;
+    std::size_t below = 0, up_to = 0;
+    for (const double x : first) {
+        while (below < second.size() && second[below] < x) ++below;
+        while (up_to < second.size() && second[up_to] <= x) ++up_to;
+        u += static_cast<double>(below) + static_cast<double>(up_to - below) / 2;
+    }
+    return u;
+}
+
+Judge::Judge(std::size_t classes, Tolerance tolerance, std::uint64_t seed)
+    : tolerance_(tolerance), random_(seed), strata_(classes * sizes) {}
+
+void Judge::keep(Sample& sample, double latency) {
+    ++sample.seen;
+    if (sample.latencies.size() < most_kept) {
+        sample.latencies.push_back(latency);
+    } else if (const std::size_t at = random_() % sample.seen; at < most_kept) {
+        sample.latencies[at] = latency;  // each of those seen is kept with the same chance
+    }
+}
+
+void Judge::ended(Side side, int cls, double units, double latency_s, bool served, bool in_aim) {
+    const auto size = static_cast<std::size_t>(std::clamp(std::ceil(units), 1.0, double{sizes})) - 1;
+    const std::size_t at = static_cast<std::size_t>(cls) * sizes + size;
+    if (at >= strata_.size()) return;
+    const bool bad = !served || !in_aim;
+    Sample& sample = strata_[at].side[index_of(side)];
+    keep(sample, served ? latency_s : never);
+    sample.bad += bad ? 1 : 0;
+    auto& last = recent_[index_of(side)];
+    last.push_back(bad);
+    if (last.size() > recent) last.pop_front();
+    if (side == Side::target) evidence_.attempts += 1;
+}
+
+void Judge::close(Stratum& stratum) {
+    Sample& source = stratum.side[0];
+    Sample& target = stratum.side[1];
+    if (source.seen == 0 || target.seen == 0) {
+        if (source.seen + target.seen > 0 && ++stratum.waited >= most_slices) stratum = {};
+        return;
+    }
+    const double n = static_cast<double>(target.latencies.size());
+    const double m = static_cast<double>(source.latencies.size());
+    const auto statistic = [&](double allowed) {
+        std::vector<double> scaled = target.latencies;
+        for (double& latency : scaled) latency /= allowed;
+        return (rank_sum_u(std::move(scaled), source.latencies) - n * m / 2) / (n + m + 1);
+    };
+    const double weight = n * m / (12 * (n + m + 1));
+    evidence_.weight += weight;
+    evidence_.slower += statistic(tolerance_.slower);
+    evidence_.stage_weight += weight;
+    evidence_.shown += statistic(tolerance_.shown);
+    // A bad attempt is in the new pool by its part of the attempts, times the odds that are tolerated.
+    const double seen_new = static_cast<double>(target.seen) * tolerance_.failures;
+    const double seen_old = static_cast<double>(source.seen);
+    const double fair = seen_new / (seen_new + seen_old);
+    const double suspect = suspected * seen_new / (suspected * seen_new + seen_old);
+    evidence_.failing +=
+        target.bad * std::log(suspect / fair) + source.bad * std::log((1 - suspect) / (1 - fair));
+    stratum = {};
+}
+
+void Judge::tick(Time now) {
+    const std::int64_t slice_now = now / slice;
+    if (slice_now != slice_number_) {
+        if (slice_number_ >= 0) {
+            for (Stratum& stratum : strata_) close(stratum);
+        }
+        slice_number_ = slice_now;
+    }
+    const std::int64_t epoch_now = now / epoch;
+    if (epoch_now != epoch_number_) {
+        epoch_number_ = epoch_now;
+        evidence_.weight = evidence_.slower = evidence_.failing = 0;
+    }
+}
+
+void Judge::restart(Time now) {
+    for (Stratum& stratum : strata_) stratum = {};
+    evidence_ = {};
+    for (auto& last : recent_) last.clear();
+    slice_number_ = now / slice;
+    epoch_number_ = now / epoch;
+}
+
+bool Judge::gross_failure() const {
+    const auto share = [](const std::deque<bool>& last) {
+        return static_cast<double>(std::count(last.begin(), last.end(), true)) /
+               static_cast<double>(std::max<std::size_t>(last.size(), 1));
+    };
+    const auto& target = recent_[1];
+    return target.size() >= least_recent && recent_[0].size() >= least_recent &&
+           share(target) >= tolerance_.gross && share(recent_[0]) < tolerance_.gross / 2;
+}
+
+}  // namespace linnetlead::routing
--- /dev/null
+++ b/src/routing/move.cpp
@@ -0,0 +1,347 @@
+#include "move.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+namespace linnetlead::routing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Evidence against the new pool, as 1 over the chance of a false alarm at each of up to eight stages and a
+// few epochs; a single gateway's own is looked at beside the tier's. For it: a pool worse than what may be
+// shown passes a stage by chance once in twenty.
+const double worse_log = std::log(1000.0);
+const double own_worse_log = std::log(4000.0);
+const double shown_log = std::log(20.0);
+constexpr int looks_in_a_row = 2;      // of the tier's: a count that was lost spoils one of them only
+constexpr int views_to_learn = 3;      // after a start
+constexpr double holdback = 0.05;      // stays in the old pool until the end, to compare with
+constexpr double share_reached = 0.8;  // of a stage's share, to be taken for the stage
+constexpr double forgotten = 0.98;     // a tick, of the shares wanted and given
+constexpr Span evidence_fresh = 6s;
+constexpr Span step_back_lag = 3s;  // a view this soon after a step is of the stage before
+
+std::string percent(double share) {
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3g%%", share * 100);
+    return text;
+}
+
+std::uint64_t hash_of(const std::string& text) {  // FNV-1a: the same at every gateway
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    return hash;
+}
+
+}  // namespace
+
+std::string MoveSettings::id() const {
+    std::string text = name + '\n' + std::to_string(run) + '\n' + source + '\n' + target;
+    for (const auto& cls : classes) text += "\nc" + cls;
+    for (const auto& plan : plans) text += "\np" + plan;
+    for (const Stage& stage : stages) text += '\n' + std::to_string(stage.share);
+    char id[17];
+    std::snprintf(id, sizeof(id), "%012llx",
+                  static_cast<unsigned long long>(hash_of(text) & 0xffffffffffffULL));
+    return id;
+}
+
+const char* name_of(State state) {
+    constexpr std::array<const char*, 7> names{"waiting",      "stepping", "holding", "halted",
+                                               "rolling back", "undone",   "done"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+Move::Move(MoveSettings settings, Site site, Time now, Counting& counting,
+           std::function<void(const Event&)> events)
+    : settings_(std::move(settings)),
+      site_(site),
+      events_(std::move(events)),
+      judge_(site.classes, settings_.tolerance, site.seed),
+      cold_(
+          [&] {
+              ColdBudget::Figures figures = site.cold;
+              figures.headroom = settings_.headroom;
+              return figures;
+          }(),
+          site.classes),
+      tier_(settings_.id(), site.gateways, static_cast<int>(settings_.stages.size()) + 3, counting),
+      paused_(settings_.order == Order::pause) {
+    judge_.restart(now);
+    if (settings_.order == Order::abort) roll_back(now, "the operators' file says abort");
+}
+
+std::optional<int> Move::place() const {
+    if (state_ == State::rolling_back || state_ == State::undone) return halted_place;
+    if (!knows_ || paused_) return std::nullopt;  // nobody goes on without this gateway
+    if (state_ == State::done) return done_place();
+    return place_of_stage(stage_);
+}
+
+double Move::stage_share(int stage) const {
+    if (stage <= 0) return 0;
+    const double share = settings_.stages[static_cast<std::size_t>(stage - 1)].share;
+    return std::min(share, 1 - holdback);
+}
+
+double Move::share(Time now) const {
+    switch (state_) {
+        case State::done:
+            return settings_.keep_at_end ? settings_.stages.back().share : 0;
+        case State::stepping: {
+            const double to = stage_share(stage_);
+            const double part = settings_.step > Span{0}
+                                    ? std::clamp(std::chrono::duration<double>(now - step_from_at_) /
+                                                     std::chrono::duration<double>(settings_.step),
+                                                 0.0, 1.0)
+                                    : 1;
+            return step_from_ + (to - step_from_) * part;
+        }
+        case State::holding:
+            return stage_share(stage_);
+        case State::halted:
+            return suspended_ || target_workers_ == 0 ? 0 : held_share_;
+        default:
+            return 0;
+    }
+}
+
+void Move::enter(Time now, State state, const std::string& reason) {
+    if (state == state_ && reason == reason_) return;
+    const Event event{now, settings_.name, state_, state, stage_, 0, reason};
+    state_ = state;
+    reason_ = reason;
+    if (events_) {
+        Event told = event;
+        told.share = share(now);
+        events_(told);
+    }
+}
+
+void Move::go_to_stage(Time now, int stage, const std::string& reason) {
+    step_from_ = state_ == State::waiting ? 0 : std::min(share(now), stage_share(stage));
+    step_from_at_ = now;
+    stage_ = stage;
+    worse_looks_ = shown_looks_ = 0;
+    wanted_ = given_ = 0;
+    judge_.restart(now);
+    if (stage > 0 && !begun_) begun_ = now;
+    enter(now, stage == 0 ? State::waiting : State::stepping, reason);
+}
+
+void Move::roll_back(Time now, const std::string& reason) {
+    if (state_ == State::rolling_back || has_ended()) return;
+    // Nothing new goes to the new pool from here on; what is out there ends in its own time.
+    enter(now, State::rolling_back, reason);
+    if (outstanding_ == 0) enter(now, State::undone, reason);
+}
+
+void Move::finish(Time now, const std::string& reason) { enter(now, State::done, reason); }
+
+void Move::ordered(Time now, Order order) {
+    settings_.order = order;
+    if (order == Order::abort) return roll_back(now, "the operators' file says abort");
+    const bool pause = order == Order::pause;
+    if (std::exchange(paused_, pause) == pause || has_ended() || state_ == State::rolling_back) return;
+    if (pause && stage_ > 0) {
+        held_share_ = share(now);
+        enter(now, State::halted, "the operators' file says pause");
+    } else if (!pause && state_ == State::halted && !suspended_) {
+        go_to_stage(now, stage_, "the operators' file says run");
+    }
+}
+
+void Move::workers(Time now, const std::vector<ColdBudget::Worker>& source,
+                   const std::vector<ColdBudget::Worker>& target) {
+    cold_.workers(source, target);
+    source_workers_ = source.size();
+    target_workers_ = target.size();
+    if (stage_ == 0 || has_ended() || state_ == State::rolling_back || paused_ || suspended_) return;
+    if (target.empty()) {
+        enter(now, State::halted, "no worker of the new pool is in service");
+    } else if (state_ == State::halted) {
+        go_to_stage(now, stage_, "the new pool has workers in service again");
+    }
+}
+
+bool Move::to_target(Time now, int cls, double draw) {
+    const double wanted = share(now);
+    if (wanted <= 0 || draw >= wanted) return false;
+    if (state_ == State::done) return true;  // the pool is the traffic's now, and the module minds its limits
+    wanted_ += 1;
+    if (!cold_.take(now, cls)) {
+        ++bounded_;
+        return false;
+    }
+    given_ += 1;
+    return true;
+}
+
+void Move::sent_to_target(Time now, int cls) {
+    cold_.carried(now, cls, true);
+    ++outstanding_;
+}
+
+void Move::ended(Side side, int cls, double units, double latency_s, bool served, bool in_aim, bool counts) {
+    if (side == Side::target) outstanding_ = std::max(0, outstanding_ - 1);
+    if (served && side == Side::source) cold_.learn(cls, latency_s);
+    if (!counts || (state_ != State::stepping && state_ != State::holding)) return;
+    judge_.ended(side, cls, units, latency_s, served, in_aim);
+}
+
+void Move::counted(Time now, const std::string& name, bool good, double total) {
+    if (tier_.counted(now, name, good, total) && tier_.take_view()) follow(now);
+}
+
+// After a start nothing is known of the others: this gateway says nothing of itself, and so holds them, until
+// it has seen some slots. It never takes silence of the counter for an answer.
+void Move::learn_place(Time now) {
+    const Tier::View& view = *tier_.view();
+    if (++views_ < views_to_learn) return;
+    knows_ = true;
+    for (int stage = 0; stage <= last_stage(); ++stage) {
+        if (view.at_place[static_cast<std::size_t>(place_of_stage(stage))] == 0) continue;
+        return go_to_stage(now, stage, "the other gateways are at stage " + std::to_string(stage));
+    }
+    if (view.at_place[static_cast<std::size_t>(done_place())] > 0) {
+        stage_ = last_stage();
+        return finish(now, "the other gateways are done");
+    }
+    go_to_stage(now, 0, "no other gateway has begun");
+}
+
+void Move::follow(Time now) {
+    const Tier::View& view = *tier_.view();
+    heard_ = now;
+    if (has_ended() || state_ == State::rolling_back) return;
+    if (view.at_place[halted_place] > 0) return roll_back(now, "another gateway has halted the move");
+    if (!knows_) return learn_place(now);
+    int least = -1, most = -1;
+    for (int stage = 0; stage <= last_stage() + 1; ++stage) {
+        if (view.at_place[static_cast<std::size_t>(place_of_stage(stage))] == 0) continue;
+        if (least < 0) least = stage;
+        most = stage;
+    }
+    if (suspended_) {
+        if (view.present < site_.gateways) return;  // heard, but not by all yet
+        suspended_ = false;
+        const int stage = least < 0 ? stage_ : std::min({least, stage_, last_stage()});
+        return go_to_stage(now, stage, "the other gateways are heard again");
+    }
+    if (least < 0 || now - step_from_at_ < step_back_lag) return;
+    if (stage_ > least + 1) {
+        // They disagree by more than a step: the safer stage is the lower one.
+        return go_to_stage(now, std::min(least, last_stage()),
+                           "another gateway is at stage " + std::to_string(least));
+    }
+    if (most == stage_ + 1 && least >= stage_ && view.present == site_.gateways && !paused_ &&
+        state_ != State::halted && target_workers_ > 0) {
+        if (stage_ == last_stage()) return finish(now, "the other gateways are done");
+        go_to_stage(now, stage_ + 1, "another gateway has gone on");
+    }
+}
+
+// Why the move stays at its stage, in words; nothing where it may go on.
+std::string Move::why_not(Time now) const {
+    if (paused_) return "paused";
+    const auto& view = tier_.view();
+    const Span slots = Tier::slot * 3;
+    if (site_.gateways > 1 && (!view || now - view->at > slots)) return "cut off from the other gateways";
+    if (!view) return "the counter has not answered yet";
+    if (view->present < site_.gateways) {
+        return std::to_string(view->present) + " of " + std::to_string(site_.gateways) + " gateways heard";
+    }
+    if (view->at_place[static_cast<std::size_t>(place_of_stage(stage_))] < site_.gateways) {
+        return "not all gateways are at this stage";
+    }
+    if (target_workers_ == 0) return "no worker of the new pool is in service";
+    if (stage_ == 0) return {};
+    if (now - holds_since_ < settings_.stages[static_cast<std::size_t>(stage_ - 1)].hold) {
+        return "the stage's hold time";
+    }
+    if (given_ < share_reached * wanted_) return "the share is bounded by what cold workers bear";
+    const Tier::Pooled& pooled = tier_.pooled();
+    const bool fresh = pooled.stage == stage_ && now - pooled.at < evidence_fresh;
+    const double attempts = fresh ? pooled.sum.attempts : 0;
+    if (attempts < static_cast<double>(settings_.tolerance.least)) {
+        return "not enough traffic: " + std::to_string(static_cast<long long>(attempts)) + " of " +
+               std::to_string(settings_.tolerance.least) + " attempts in the new pool";
+    }
+    if (shown_looks_ < looks_in_a_row) return "the new pool is not shown to be good enough yet";
+    return {};
+}
+
+bool Move::may_advance(Time now) const { return why_not(now).empty(); }
+
+void Move::judge(Time now) {
+    if (judge_.gross_failure()) {
+        return roll_back(now, "gross failure: most of the last attempts in the new pool failed");
+    }
+    const Evidence& own = judge_.evidence();
+    const double own_slower = log_evidence(own.slower, own.weight);
+    if (own_slower >= own_worse_log || own.failing >= own_worse_log) {
+        return roll_back(now, own_slower >= own_worse_log ? "slower: this gateway's own evidence"
+                                                          : "fails more: this gateway's own evidence");
+    }
+    const Tier::Pooled& pooled = tier_.pooled();
+    if (pooled.stage != stage_ || pooled.at == pooled_at_) return;
+    pooled_at_ = pooled.at;
+    const Evidence& all = pooled.sum;
+    const bool slower = log_evidence(all.slower, all.weight) >= worse_log;
+    const bool failing = all.failing >= worse_log;
+    worse_looks_ = slower || failing ? worse_looks_ + 1 : 0;
+    if (worse_looks_ >= looks_in_a_row) {
+        return roll_back(now, slower ? "slower: the evidence of all gateways"
+                                     : "fails more: the evidence of all gateways");
+    }
+    const bool shown = log_evidence(-all.shown, all.stage_weight) >= shown_log;
+    shown_looks_ = shown ? shown_looks_ + 1 : 0;
+}
+
+void Move::tick(Time now) {
+    last_tick_ = now;
+    judge_.tick(now);
+    const bool moving = state_ == State::stepping || state_ == State::holding;
+    tier_.tick(now, place(), moving ? stage_ : 0, judge_);
+    if (tier_.take_view()) follow(now);
+    wanted_ *= forgotten;
+    given_ *= forgotten;
+    if (state_ == State::rolling_back && outstanding_ == 0) enter(now, State::undone, reason_);
+    if (state_ == State::rolling_back || has_ended() || !knows_) return;
+
+    // A stage is held for as long as the others are heard, and no longer: one of them may have halted.
+    const bool cut_off = site_.gateways > 1 && (!heard_ || now - *heard_ > settings_.lease);
+    if (cut_off && !suspended_ && stage_ > 0) {
+        suspended_ = true;
+        return enter(now, State::halted, "cut off from the other gateways");
+    }
+    if (begun_ && settings_.undo_at_deadline && now - *begun_ > settings_.deadline) {
+        return roll_back(now, "the deadline has passed: " + why_not(now));
+    }
+    if (state_ == State::halted || suspended_) return;
+    if (state_ == State::stepping && now - step_from_at_ >= settings_.step) {
+        holds_since_ = now;
+        enter(now, State::holding, "the share is " + percent(stage_share(stage_)));
+    }
+    if (moving) {
+        judge(now);
+        if (state_ == State::rolling_back || has_ended()) return;
+    }
+    const bool late = begun_ && now - *begun_ > settings_.deadline;
+    if (state_ == State::stepping || late || !may_advance(now)) return;
+    if (stage_ == last_stage()) return finish(now, "every stage has been held and shown to be good");
+    go_to_stage(now, stage_ + 1, stage_ == 0 ? "all gateways are ready" : "shown to be good");
+}
+
+std::string Move::verdict(Time now) const {
+    if (has_ended() || state_ == State::rolling_back || state_ == State::halted) return reason_;
+    if (state_ == State::stepping) return "stepping";
+    const std::string why = why_not(now);
+    return why.empty() ? "good" : why;
+}
+
+}  // namespace linnetlead::routing
--- /dev/null
+++ b/src/routing/move.h
@@ -0,0 +1,151 @@
+// One move of traffic from a pool to another: its stages, its guards, and the state machine that walks
+// through them on every gateway of the tier at once. No I/O; the time is told.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cold.h"
+#include "judge.h"
+#include "tier.h"
+
+namespace linnetlead::routing {
+
+struct Stage {
+    double share = 0;
+    Span hold = std::chrono::seconds(20);
+};
+
+enum class Order { run, pause, abort };
+
+// As the operators' file has it.
+struct MoveSettings {
+    std::string name;
+    int run = 1;  // the next number starts a move anew that has ended
+    std::string source, target;
+    std::vector<std::string> classes, plans;  // none: all
+    bool by_account = false;                  // an account's calls go together
+    std::vector<Stage> stages;
+    Span step = std::chrono::seconds(5);  // in which a share rises to its stage's
+    Tolerance tolerance;
+    Span lease = std::chrono::seconds(10);  // without a word of the others
+    Span deadline = std::chrono::hours(1);
+    bool undo_at_deadline = true;
+    bool keep_at_end = true;
+    double headroom = 1.5;
+    Order order = Order::run;
+
+    // What makes it the same move at all gateways: all but what may be changed while it runs.
+    std::string id() const;
+};
+
+enum class State { waiting, stepping, holding, halted, rolling_back, undone, done };
+const char* name_of(State state);
+
+// A transition, for the log.
+struct Event {
+    Time at{};
+    std::string move;
+    State from = State::waiting, to = State::waiting;
+    int stage = 0;
+    double share = 0;  // in the new pool, from now on
+    std::string reason;
+};
+
+class Move {
+public:
+    struct Site {
+        int gateways = 1;
+        int self = 0;
+        std::size_t classes = 1;
+        std::uint64_t seed = 0;
+        ColdBudget::Figures cold;  // but for the headroom, which is the move's
+    };
+    Move(MoveSettings settings, Site site, Time now, Counting& counting,
+         std::function<void(const Event&)> events);
+
+    // Every tenth of a second or so.
+    void tick(Time now);
+    void counted(Time now, const std::string& name, bool good, double total);
+    // The workers of both pools that may be sent to.
+    void workers(Time now, const std::vector<ColdBudget::Worker>& source,
+                 const std::vector<ColdBudget::Worker>& target);
+
+    // Whether a call goes to the new pool; the draw is one of [0, 1), by the call or by its account.
+    bool to_target(Time now, int cls, double draw);
+    // A first attempt of any call has gone to the old pool.
+    void carried(Time now, int cls) { cold_.carried(now, cls, false); }
+    // One of a call meant for the new pool has gone there.
+    void sent_to_target(Time now, int cls);
+    // A first attempt that went where its call was meant for has ended. `counts` is false where its end says
+    // nothing of the pool (the client went).
+    void ended(Side side, int cls, double units, double latency_s, bool served, bool in_aim, bool counts);
+
+    // What may be changed while it runs: the order alone.
+    void ordered(Time now, Order order);
+
+    const MoveSettings& settings() const { return settings_; }
+    State state() const { return state_; }
+    int stage() const { return stage_; }  // 0: none yet
+    double share(Time now) const;
+    const std::string& reason() const { return reason_; }
+    std::string verdict(Time now) const;  // in words, for the operator
+    std::uint64_t counter_calls() const { return tier_.calls(); }
+    const Evidence& evidence() const { return judge_.evidence(); }
+    std::uint64_t bounded() const { return bounded_; }
+    int outstanding() const { return outstanding_; }
+    bool has_ended() const { return state_ == State::undone || state_ == State::done; }
+
+private:
+    // Places, as the tier counts them: halted, then each stage from none on, then done.
+    static constexpr int halted_place = 0;
+    int place_of_stage(int stage) const { return stage + 1; }
+    int done_place() const { return last_stage() + 2; }
+    int last_stage() const { return static_cast<int>(settings_.stages.size()); }
+    std::optional<int> place() const;
+
+    void enter(Time now, State state, const std::string& reason);
+    void go_to_stage(Time now, int stage, const std::string& reason);
+    void roll_back(Time now, const std::string& reason);
+    void finish(Time now, const std::string& reason);
+    void follow(Time now);       // what the others are known to do
+    void learn_place(Time now);  // after a start
+    void judge(Time now);
+    bool may_advance(Time now) const;
+    double stage_share(int stage) const;
+    std::string why_not(Time now) const;  // empty: it may go on
+
+    MoveSettings settings_;
+    Site site_;
+    std::function<void(const Event&)> events_;
+    Judge judge_;
+    ColdBudget cold_;
+    Tier tier_;
+    State state_ = State::waiting;
+    std::string reason_ = "the place of the other gateways is not known yet";
+    int stage_ = 0;
+    int views_ = 0;           // good ones since the start
+    bool knows_ = false;      // its place
+    bool suspended_ = false;  // cut off: nothing goes to the new pool until the others are heard again
+    bool paused_ = false;
+    std::optional<Time> heard_;
+    std::optional<Time> begun_;  // the first stage
+    Time step_from_at_{};
+    double step_from_ = 0;
+    double held_share_ = 0;  // while paused
+    Time holds_since_{};
+    int worse_looks_ = 0, shown_looks_ = 0;  // in a row
+    Time pooled_at_{};
+    std::size_t target_workers_ = 0, source_workers_ = 0;
+    int outstanding_ = 0;
+    // Calls since the last look that a stage's share was for, and those that the new pool had room for.
+    double wanted_ = 0, given_ = 0;
+    Time last_tick_{};
+    std::uint64_t bounded_ = 0;
+};
+
+}  // namespace linnetlead::routing
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,189 @@
+#include "router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace linnetlead::routing {
+
+using core::WorkerId;
+using topazcrank::ListKind;
+using topazcrank::Outcome;
+using topazcrank::ServerEntry;
+using topazcrank::ServerState;
+
+namespace {
+
+double fraction(std::uint64_t bits) { return static_cast<double>(bits >> 11) * 0x1.0p-53; }
+
+// The finisher of SplitMix64 (Steele, Lea and Flood, 2014), so that accounts fall evenly.
+std::uint64_t mixed(std::uint64_t x) {
+    x += 0x9e3779b97f4a7c15ULL;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+std::uint64_t hash_of(const std::string& text) {
+    std::uint64_t hash = 0;
+    for (const char c : text) hash = mixed(hash ^ static_cast<unsigned char>(c));
+    return hash;
+}
+
+}  // namespace
+
+Router::Router(const topazcrank::Settings& site, std::uint64_t seed, Outside outside)
+    : site_(site), seed_(seed), outside_(std::move(outside)), random_(seed) {}
+
+std::size_t Router::place(const ServerEntry& entry) const {
+    const auto at = std::find_if(settings_.pools.begin(), settings_.pools.end(),
+                                 [&](const Pool& pool) { return pool.holds(entry); });
+    return at == settings_.pools.end() ? 0 : static_cast<std::size_t>(at - settings_.pools.begin()) + 1;
+}
+
+std::size_t Router::number_of(const std::string& name) const {
+    const auto at = std::find_if(settings_.pools.begin(), settings_.pools.end(),
+                                 [&](const Pool& pool) { return pool.name == name; });
+    return at == settings_.pools.end() ? 0 : static_cast<std::size_t>(at - settings_.pools.begin()) + 1;
+}
+
+std::string Router::pool_of(const WorkerId& worker) const {
+    const auto at = workers_.find(worker);
+    return at == workers_.end() || at->second.pool == 0 ? "" : settings_.pools[at->second.pool - 1].name;
+}
+
+void Router::configure(Time now, RoutingSettings settings) {
+    settings_ = std::move(settings);
+    std::vector<ServerEntry> changed;
+    for (auto& [id, worker] : workers_) {
+        const std::size_t pool = place(worker.entry);
+        worker.pool = pool;
+        worker.entry.pools = bit(pool);
+        changed.push_back(worker.entry);
+    }
+    if (settings_.moves.empty()) {
+        move_.reset();
+        ++generation_;
+    } else {
+        const MoveSettings& next = settings_.moves.front();
+        source_ = number_of(next.source);
+        target_ = number_of(next.target);
+        // The same move goes on where it is; any other begins anew, its traffic in the old pool.
+        if (move_ && move_->settings().id() == next.id()) {
+            move_->ordered(now, next.order);
+        } else {
+            start(now, next);
+        }
+    }
+    tell_workers(now);
+    if (outside_.marked && !changed.empty()) outside_.marked(std::move(changed));
+}
+
+void Router::start(Time now, const MoveSettings& settings) {
+    ++generation_;
+    Move::Site site;
+    site.gateways = site_.gateways;
+    site.self = site_.self;
+    site.classes = site_.classes.size();
+    site.seed = seed_ + generation_;
+    site.cold = {site_.cold_from, site_.ramp_time, site_.fall_multiple, site_.fall_time, settings.headroom};
+    move_ = std::make_unique<Move>(settings, site, now, static_cast<Counting&>(*this), outside_.event);
+    account_salt_ = hash_of(settings.id());
+    const auto meant = [](const auto& all, const std::vector<std::string>& named) {
+        std::vector<bool> made;
+        for (const auto& one : all) {
+            made.push_back(named.empty() || std::find(named.begin(), named.end(), one.name) != named.end());
+        }
+        return made;
+    };
+    classes_ = meant(site_.classes, settings.classes);
+    plans_ = meant(site_.plans, settings.plans);
+}
+
+void Router::tell_workers(Time now) {
+    std::vector<ColdBudget::Worker> source, target;
+    others_serve_ = false;
+    for (const auto& [id, worker] : workers_) {
+        if (worker.entry.state != ServerState::in) continue;
+        if (move_ && worker.pool == target_) {
+            target.push_back({worker.entry.weight, worker.entry.started});
+        } else {
+            others_serve_ = true;
+            if (worker.pool == source_) source.push_back({worker.entry.weight, worker.entry.started});
+        }
+    }
+    if (move_) move_->workers(now, source, target);
+}
+
+void Router::tick(Time now) {
+    if (move_) move_->tick(now);
+}
+
+std::uint32_t Router::route(Time now, topazcrank::Request& request) {
+    if (!move_) return mark(for_nothing);
+    // All but the new pool: what is not for the move, and what the move leaves.
+    const Pools rest = others_serve_ ? ~bit(target_) : topazcrank::all_pools;
+    request.pools = request.fallback = rest;
+    const bool meant =
+        classes_[static_cast<std::size_t>(request.cls)] && plans_[static_cast<std::size_t>(request.plan)];
+    if (!meant) return mark(for_nothing);
+    const double draw =
+        fraction(move_->settings().by_account ? mixed(hash_of(request.customer) ^ account_salt_) : random_());
+    if (move_->to_target(now, request.cls, draw)) {
+        request.pools = bit(target_);
+        return mark(for_target);
+    }
+    if (others_serve_) request.pools = bit(source_);
+    return mark(for_source);
+}
+
+void Router::listed(Time now, ListKind kind, std::vector<ServerEntry>& entries) {
+    if (kind == ListKind::failed) return;
+    if (kind != ListKind::changes) workers_.clear();
+    for (ServerEntry& entry : entries) {
+        const std::size_t pool = place(entry);
+        entry.pools = bit(pool);
+        if (entry.state == ServerState::out) {
+            workers_.erase(entry.id);
+        } else {
+            workers_[entry.id] = {entry, pool};
+        }
+    }
+    tell_workers(now);
+}
+
+// An attempt speaks of a pool where it went to the one that its call was meant for. What found no room there
+// and went elsewhere says nothing of either.
+std::uint32_t Router::sent(Time now, std::uint32_t of_call, int cls, const WorkerId& worker) {
+    if (!move_) return mark(for_nothing);
+    const auto at = workers_.find(worker);
+    if (at == workers_.end()) return mark(for_nothing);
+    const std::size_t pool = at->second.pool;
+    if (pool == source_) move_->carried(now, cls);
+    const auto meant = static_cast<Meant>(of_call & 3);
+    if (meant == for_nothing || of_call >> 2 != generation_) return mark(for_nothing);
+    if (pool != (meant == for_target ? target_ : source_)) return mark(for_nothing);
+    if (meant == for_target) move_->sent_to_target(now, cls);
+    return of_call;
+}
+
+void Router::ended(std::uint32_t of_attempt, int cls, double units, Outcome outcome, Span lag) {
+    const auto meant = static_cast<Meant>(of_attempt & 3);
+    if (!move_ || meant == for_nothing || of_attempt >> 2 != generation_) return;
+    const bool served = outcome == Outcome::ok;
+    const bool counts = outcome != Outcome::cancelled && outcome != Outcome::not_sent;
+    const bool in_aim = lag <= site_.classes[static_cast<std::size_t>(cls)].aim;
+    move_->ended(meant == for_target ? Side::target : Side::source, cls, units,
+                 std::chrono::duration<double>(lag).count(), served, in_aim, counts);
+}
+
+bool Router::counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) {
+    if (name.compare(0, Tier::prefix.size(), Tier::prefix) != 0) return false;
+    if (move_) move_->counted(now, name, status == topazcrank::CountStatus::ok, total);
+    return true;
+}
+
+void Router::count(const std::string& name, double amount, Span life) {
+    if (outside_.count) outside_.count(name, amount, life);
+}
+
+}  // namespace linnetlead::routing
--- /dev/null
+++ b/src/routing/router.h
@@ -0,0 +1,72 @@
+// The routes of one gateway: which pool each worker is in, which pools each call may go to, and the move
+// under way. Decides without I/O; what it counts and tells goes out through what it is given.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/ports.h"
+#include "settings.h"
+
+namespace linnetlead::routing {
+
+class Router final : public core::Routes, private Counting {
+public:
+    struct Outside {
+        std::function<void(const std::string& name, double amount, Span life)> count;
+        std::function<void(const Event&)> event;
+        // Workers that are in other pools now, for Gateway::marked.
+        std::function<void(std::vector<topazcrank::ServerEntry>)> marked;
+    };
+    Router(const topazcrank::Settings& site, std::uint64_t seed, Outside outside);
+
+    // At start, and whenever the operators' file has changed.
+    void configure(Time now, RoutingSettings settings);
+    void tick(Time now);
+
+    std::uint32_t route(Time now, topazcrank::Request& request) override;
+    void listed(Time now, topazcrank::ListKind kind, std::vector<topazcrank::ServerEntry>& entries) override;
+    std::uint32_t sent(Time now, std::uint32_t mark, int cls, const core::WorkerId& worker) override;
+    void ended(std::uint32_t mark, int cls, double units, topazcrank::Outcome outcome, Span lag) override;
+    bool counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) override;
+
+    const Move* move() const { return move_.get(); }
+    std::string pool_of(const core::WorkerId& worker) const;
+
+private:
+    using Pools = topazcrank::Pools;
+    struct Known {
+        topazcrank::ServerEntry entry;
+        std::size_t pool = 0;  // 0: of none; else its number in the file, from 1
+    };
+    // A mark: the move's generation, and what the call was meant for or its attempt went to.
+    enum Meant : std::uint32_t { for_nothing, for_source, for_target };
+    std::uint32_t mark(Meant meant) const { return generation_ << 2 | meant; }
+
+    void count(const std::string& name, double amount, Span life) override;
+    std::size_t place(const topazcrank::ServerEntry& entry) const;
+    Pools bit(std::size_t pool) const { return Pools{1} << pool; }
+    std::size_t number_of(const std::string& pool) const;
+    void tell_workers(Time now);
+    void start(Time now, const MoveSettings& settings);
+
+    topazcrank::Settings site_;
+    std::uint64_t seed_;
+    Outside outside_;
+    std::mt19937_64 random_;
+    RoutingSettings settings_;
+    std::map<core::WorkerId, Known> workers_;  // as long as the list
+    std::unique_ptr<Move> move_;
+    std::uint32_t generation_ = 0;
+    std::vector<bool> classes_, plans_;  // that the move is for
+    std::size_t source_ = 0, target_ = 0;
+    bool others_serve_ = false;  // some worker outside the new pool may be sent to
+    std::uint64_t account_salt_ = 0;
+};
+
+}  // namespace linnetlead::routing
--- /dev/null
+++ b/src/routing/settings.cpp
@@ -0,0 +1,185 @@
+#include "settings.h"
+
+#include <algorithm>
+
+namespace linnetlead::routing {
+
+using operators::Problem;
+using operators::Value;
+
+namespace {
+
+struct Wrong {  // within this file only
+    operators::Position at;
+    std::string what;
+};
+
+template <typename Item>
+bool contains(const std::vector<Item>& items, const Item& item) {
+    return std::find(items.begin(), items.end(), item) != items.end();
+}
+
+std::vector<std::string> texts(const Value& of, const char* name) {
+    std::vector<std::string> made;
+    if (const Value* list = of.find(name)) {
+        for (const Value& item : list->items) made.push_back(item.text);
+    }
+    return made;
+}
+
+// No worker can be in both: one of the lists keeps them apart.
+template <typename Item>
+bool apart(const std::vector<Item>& a, const std::vector<Item>& b) {
+    return !a.empty() && !b.empty() &&
+           std::none_of(a.begin(), a.end(), [&](const Item& item) { return contains(b, item); });
+}
+bool apart(const Pool& a, const Pool& b) {
+    return apart(a.kinds, b.kinds) || apart(a.zones, b.zones) || apart(a.ids, b.ids) ||
+           apart(a.cells, b.cells);
+}
+
+class Reader {
+public:
+    Reader(const Value& document, const settings::Site* site) : document_(document), site_(site) {}
+
+    RoutingSettings read() {
+        RoutingSettings settings;
+        if (const Value* pools = document_.find("pools")) {
+            for (const Value& pool : pools->items) settings.pools.push_back(read_pool(pool, settings.pools));
+        }
+        if (const Value* moves = document_.find("moves")) {
+            for (const Value& move : moves->items) settings.moves.push_back(read_move(move, settings.pools));
+        }
+        return settings;
+    }
+
+private:
+    void known(const Value& of, const char* name, const std::vector<std::string>& all, const char* what) {
+        const Value* list = of.find(name);
+        if (!list || !site_ || all.empty()) return;
+        for (const Value& item : list->items) {
+            if (!contains(all, item.text)) {
+                throw Wrong{item.at, std::string("there is no ") + what + " '" + item.text + "'"};
+            }
+        }
+    }
+
+    Pool read_pool(const Value& from, const std::vector<Pool>& before) {
+        Pool pool;
+        pool.name = from.find("name")->text;
+        for (const Pool& other : before) {
+            if (other.name == pool.name) {
+                throw Wrong{from.at, "there is a pool '" + pool.name + "' already"};
+            }
+        }
+        pool.kinds = texts(from, "kinds");
+        pool.zones = texts(from, "zones");
+        pool.ids = texts(from, "ids");
+        if (const Value* cells = from.find("cells")) {
+            for (const Value& cell : cells->items) pool.cells.push_back(static_cast<int>(cell.number));
+        }
+        if (pool.kinds.empty() && pool.zones.empty() && pool.ids.empty() && pool.cells.empty()) {
+            throw Wrong{from.at,
+                        "the pool '" + pool.name + "' names no workers: give kinds, zones, cells or ids"};
+        }
+        if (site_) {
+            known(from, "kinds", site_->kinds, "kind");
+            known(from, "zones", site_->zones, "zone");
+        }
+        return pool;
+    }
+
+    const Pool& pool_of(const Value& move, const char* name, const std::vector<Pool>& pools) {
+        const Value& named = *move.find(name);
+        const auto at = std::find_if(pools.begin(), pools.end(),
+                                     [&](const Pool& pool) { return pool.name == named.text; });
+        if (at == pools.end()) throw Wrong{named.at, "there is no pool '" + named.text + "'"};
+        return *at;
+    }
+
+    MoveSettings read_move(const Value& from, const std::vector<Pool>& pools) {
+        MoveSettings move;
+        move.name = from.find("name")->text;
+        const Pool& source = pool_of(from, "source", pools);
+        const Pool& target = pool_of(from, "target", pools);
+        const operators::Position at = from.find("target")->at;
+        if (&source == &target) throw Wrong{at, "a move onto itself"};
+        if (!apart(source, target)) {
+            throw Wrong{at, "the pools '" + source.name + "' and '" + target.name +
+                                "' overlap: no list keeps their workers apart"};
+        }
+        move.source = source.name;
+        move.target = target.name;
+        move.classes = texts(from, "classes");
+        move.plans = texts(from, "plans");
+        if (site_) {
+            std::vector<std::string> classes, plans;
+            for (const auto& cls : site_->settings.classes) classes.push_back(cls.name);
+            for (const auto& plan : site_->settings.plans) plans.push_back(plan.name);
+            known(from, "classes", classes, "class");
+            known(from, "plans", plans, "plan");
+        }
+        double last = 0;
+        for (const Value& one : from.find("stages")->items) {
+            Stage stage;
+            const Value& share = *one.find("share");
+            stage.share = operators::share_of(share);
+            if (stage.share <= last) throw Wrong{share.at, "the shares of the stages must rise"};
+            last = stage.share;
+            if (const Value* hold = one.find("hold")) stage.hold = operators::time_of(*hold);
+            move.stages.push_back(stage);
+        }
+        const auto time = [&](const char* name, Span& into) {
+            if (const Value* value = from.find(name)) into = operators::time_of(*value);
+        };
+        time("step", move.step);
+        time("lease", move.lease);
+        time("deadline", move.deadline);
+        if (const Value* run = from.find("run")) move.run = static_cast<int>(run->number);
+        const auto above = [&](const char* name, double& into) {
+            if (const Value* value = from.find(name)) into = 1 + operators::share_of(*value);
+        };
+        above("slower", move.tolerance.slower);
+        above("shown", move.tolerance.shown);
+        if (move.tolerance.shown <= move.tolerance.slower) {
+            const Value* shown = from.find("shown");
+            throw Wrong{(shown ? *shown : *from.find("slower")).at, "'shown' must lie above 'slower'"};
+        }
+        if (const Value* failures = from.find("failures")) move.tolerance.failures = failures->number;
+        if (const Value* gross = from.find("gross")) move.tolerance.gross = operators::share_of(*gross);
+        if (const Value* least = from.find("least")) {
+            move.tolerance.least = static_cast<std::size_t>(least->number);
+        }
+        if (const Value* headroom = from.find("headroom")) move.headroom = headroom->number;
+        const auto is = [&](const char* name, const char* word) {
+            const Value* value = from.find(name);
+            return value && value->text == word;
+        };
+        move.by_account = is("by", "account");
+        move.undo_at_deadline = !is("at_deadline", "hold");
+        move.keep_at_end = !is("at_end", "return");
+        move.order = is("order", "pause") ? Order::pause : is("order", "abort") ? Order::abort : Order::run;
+        return move;
+    }
+
+    const Value& document_;
+    const settings::Site* site_;
+};
+
+}  // namespace
+
+bool Pool::holds(const topazcrank::ServerEntry& entry) const {
+    return (kinds.empty() || contains(kinds, entry.kind)) && (zones.empty() || contains(zones, entry.zone)) &&
+           (ids.empty() || contains(ids, entry.id)) && (cells.empty() || contains(cells, entry.cell));
+}
+
+std::variant<RoutingSettings, Problem> read_routing(const Value& document, const std::string& file,
+                                                    const settings::Site* site) {
+    try {
+        return Reader(document, site).read();
+    } catch (const Wrong& wrong) {
+        return Problem{file, wrong.at, wrong.what};
+    }
+}
+
+}  // namespace linnetlead::routing
--- /dev/null
+++ b/src/routing/settings.h
@@ -0,0 +1,34 @@
+// What the operators' document says of pools and moves, checked for what a schema cannot say.
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "move.h"
+#include "operators/document.h"
+#include "settings/settings.h"
+
+namespace linnetlead::routing {
+
+// A worker belongs to the first pool whose every list names it; an empty list says nothing.
+struct Pool {
+    std::string name;
+    std::vector<std::string> kinds, zones, ids;
+    std::vector<int> cells;
+
+    bool holds(const topazcrank::ServerEntry& entry) const;
+};
+
+struct RoutingSettings {
+    std::vector<Pool> pools;
+    std::vector<MoveSettings> moves;  // one at most
+};
+
+// `site`: the platform's settings, whose classes, plans, kinds and zones are the only ones; none: not
+// checked.
+std::variant<RoutingSettings, operators::Problem> read_routing(const operators::Value& document,
+                                                               const std::string& file,
+                                                               const settings::Site* site);
+
+}  // namespace linnetlead::routing
--- /dev/null
+++ b/src/routing/tier.cpp
@@ -0,0 +1,154 @@
+#include "tier.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace linnetlead::routing {
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Span life = 8s;  // of a count: read once, in the next slot
+
+constexpr std::array<double Evidence::*, 6> parts{&Evidence::weight,  &Evidence::slower,
+                                                  &Evidence::failing, &Evidence::stage_weight,
+                                                  &Evidence::shown,   &Evidence::attempts};
+
+}  // namespace
+
+Tier::Tier(std::string move_id, int gateways, int places, Counting& counting)
+    : id_(std::move(move_id)), gateways_(gateways), places_(places), counting_(counting) {
+    per_name_ = std::max(1, static_cast<int>(most_digits / std::log10(gateways + 1.0)));
+}
+
+std::string Tier::name(char what, std::int64_t slot_number, std::size_t part) const {
+    return std::string(prefix) + id_ + '.' + what + '.' + std::to_string(slot_number) + '.' +
+           std::to_string(part);
+}
+
+std::string Tier::evidence_name(const Told& as, std::size_t part) const {
+    return name('e', as.slot, part) + '.' + std::to_string(as.stage) + '.' + std::to_string(as.epoch);
+}
+
+void Tier::count(const std::string& what, double amount) {
+    ++calls_;
+    counting_.count(what, amount, life);
+}
+
+void Tier::tell_place(std::int64_t slot_number, int place) {
+    const double digit = std::pow(gateways_ + 1.0, place % per_name_);
+    count(name('p', slot_number, static_cast<std::size_t>(place / per_name_)), digit);
+}
+
+void Tier::ask_places(std::int64_t slot_number) {
+    const auto names = static_cast<std::size_t>((places_ + per_name_ - 1) / per_name_);
+    places_asked_ = {slot_number, std::vector<std::optional<double>>(names), names};
+    for (std::size_t part = 0; part < names; ++part) count(name('p', slot_number, part), 0);
+}
+
+void Tier::tell_evidence(const Told& as, const Evidence& mine) {
+    if (mine.stage_weight <= 0) return;
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        if (const double amount = mine.*parts[part]; amount != 0) count(evidence_name(as, part), amount);
+    }
+}
+
+void Tier::ask_evidence(const Told& as) {
+    evidence_asked_as_ = as;
+    evidence_asked_ = {as.slot, std::vector<std::optional<double>>(parts.size()), parts.size()};
+    for (std::size_t part = 0; part < parts.size(); ++part) count(evidence_name(as, part), 0);
+}
+
+void Tier::tick(Time now, std::optional<int> place, int stage, const Judge& judge) {
+    const std::int64_t slot_now = now / slot;
+    if (gateways_ == 1) return tick_alone(now, slot_now, place, stage, judge);
+    if (place && slot_now != told_slot_) {
+        told_slot_ = slot_now;
+        tell_place(slot_now, *place);
+    }
+    if (slot_now != asked_slot_ && now - slot * slot_now >= read_after) {
+        asked_slot_ = slot_now;
+        ask_places(slot_now - 1);
+    }
+    const std::int64_t evidence_now = now / evidence_slot;
+    if (stage > 0 && evidence_now != told_.slot) {
+        told_before_ = std::exchange(told_, Told{evidence_now, stage, judge.epoch_number()});
+        tell_evidence(told_, judge.evidence());
+    }
+    if (evidence_now != asked_evidence_ && now - evidence_slot * evidence_now >= read_after) {
+        asked_evidence_ = evidence_now;
+        // What was told in the slot before, also where a stage or an epoch has ended since.
+        for (const Told& as : {told_, told_before_}) {
+            if (as.slot == evidence_now - 1) ask_evidence(as);
+        }
+    }
+}
+
+// A tier of one gateway needs no counter to agree.
+void Tier::tick_alone(Time now, std::int64_t slot_now, std::optional<int> place, int stage,
+                      const Judge& judge) {
+    if (slot_now == told_slot_) return;
+    told_slot_ = slot_now;
+    View view;
+    view.at = now;
+    view.at_place.assign(static_cast<std::size_t>(places_), 0);
+    if (place) view.at_place[static_cast<std::size_t>(*place)] = view.present = 1;
+    view_ = std::move(view);
+    view_is_new_ = true;
+    pooled_ = {judge.evidence(), stage, judge.epoch_number(), now};
+}
+
+bool Tier::counted(Time now, const std::string& of, bool good, double total) {
+    const auto note = [&](Asked& asked, const auto& name_of) {
+        for (std::size_t part = 0; part < asked.totals.size(); ++part) {
+            if (asked.totals[part] || of != name_of(part)) continue;
+            if (!good || !std::isfinite(total)) {
+                asked.totals.clear();  // this slot says nothing
+                return false;
+            }
+            asked.totals[part] = total;
+            return --asked.missing == 0;
+        }
+        return false;
+    };
+    if (note(places_asked_, [&](std::size_t part) { return name('p', places_asked_.slot, part); })) {
+        View view;
+        view.at = now;
+        view.at_place.assign(static_cast<std::size_t>(places_), 0);
+        const auto base = static_cast<std::int64_t>(gateways_ + 1);
+        for (int place = 0; place < places_;) {
+            auto rest = std::llround(*places_asked_.totals[static_cast<std::size_t>(place / per_name_)]);
+            for (int i = 0; i < per_name_ && place < places_; ++i, ++place) {
+                const auto here = static_cast<int>(rest % base);
+                view.at_place[static_cast<std::size_t>(place)] = here;
+                view.present += here;
+                rest /= base;
+            }
+        }
+        places_asked_ = {};
+        // More than there are: a gateway that died and came back within the slot, or nonsense.
+        if (view.present > gateways_) return false;
+        view_ = std::move(view);
+        view_is_new_ = true;
+        return true;
+    }
+    const auto evidence_of = [&](std::size_t part) { return evidence_name(evidence_asked_as_, part); };
+    if (note(evidence_asked_, evidence_of)) {
+        pooled_ = {};
+        for (std::size_t part = 0; part < parts.size(); ++part) {
+            pooled_.sum.*parts[part] = *evidence_asked_.totals[part];
+        }
+        pooled_.stage = evidence_asked_as_.stage;
+        pooled_.epoch = evidence_asked_as_.epoch;
+        pooled_.at = now;
+        evidence_asked_ = {};
+        return true;
+    }
+    return false;
+}
+
+bool Tier::take_view() { return std::exchange(view_is_new_, false); }
+
+}  // namespace linnetlead::routing
--- /dev/null
+++ b/src/routing/tier.h
@@ -0,0 +1,98 @@
+// What the gateways of a tier tell each other of a move, by way of the shared counter: in each slot of time
+// every gateway adds its place in the move to the slot's count, and reads the slot before, which then is
+// complete. A count is a number of seven digits, so the number of gateways at each place is a digit of it, to
+// a base above the number of gateways; many places or gateways take several counts.
+//
+// Counts are never corrected and never carried over: a slot that was lost, spoilt or emptied only says
+// nothing.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "judge.h"
+
+namespace linnetlead::routing {
+
+// What a count is asked for. The names begin with Tier::prefix.
+class Counting {
+public:
+    virtual ~Counting() = default;
+    // Ends in one Tier::counted() or none, where no counter is at hand.
+    virtual void count(const std::string& name, double amount, Span life) = 0;
+};
+
+class Tier {
+public:
+    static constexpr std::string_view prefix = "mv.";
+    static constexpr Span slot = std::chrono::seconds(1);
+    static constexpr Span evidence_slot = std::chrono::seconds(2);
+    // Behind the edge of a slot, so that gateways whose clocks differ by less have told theirs.
+    static constexpr Span read_after = std::chrono::milliseconds(350);
+
+    struct View {
+        Time at{};                  // when it was learnt
+        std::vector<int> at_place;  // gateways at each place
+        int present = 0;
+    };
+
+    // `places`: how many there are. The move's id is part of every name.
+    Tier(std::string move_id, int gateways, int places, Counting& counting);
+
+    // Tells and asks what is due. Place: nothing while this gateway does not know its own.
+    void tick(Time now, std::optional<int> place, int stage, const Judge& judge);
+    // A count of this move's; true when it changed what is known.
+    bool counted(Time now, const std::string& name, bool good, double total);
+
+    const std::optional<View>& view() const { return view_; }
+    bool take_view();  // there is one that was not taken before
+    // The evidence of all gateways that told theirs, of the newest slot that is complete; with it the stage
+    // and epoch it is of.
+    struct Pooled {
+        Evidence sum;
+        int stage = -1;
+        std::int64_t epoch = -1;
+        Time at{};
+    };
+    const Pooled& pooled() const { return pooled_; }
+    std::uint64_t calls() const { return calls_; }
+
+private:
+    static constexpr int most_digits = 7;
+    struct Told {  // under which stage and epoch evidence went out
+        std::int64_t slot = -1;
+        int stage = -1;
+        std::int64_t epoch = -1;
+    };
+    struct Asked {
+        std::int64_t slot = -1;
+        std::vector<std::optional<double>> totals;
+        std::size_t missing = 0;
+    };
+    std::string name(char what, std::int64_t slot, std::size_t part) const;
+    std::string evidence_name(const Told& as, std::size_t part) const;
+    void tell_place(std::int64_t slot, int place);
+    void ask_places(std::int64_t slot);
+    void tell_evidence(const Told& as, const Evidence& mine);
+    void ask_evidence(const Told& as);
+    void tick_alone(Time now, std::int64_t slot_now, std::optional<int> place, int stage, const Judge& judge);
+    void count(const std::string& name, double amount);
+
+    std::string id_;
+    int gateways_;
+    int places_;
+    Counting& counting_;
+    int per_name_;  // places in one count
+    std::int64_t told_slot_ = -1, asked_slot_ = -1, asked_evidence_ = -1;
+    Told told_, told_before_;
+    Asked places_asked_, evidence_asked_;
+    Told evidence_asked_as_;
+    std::optional<View> view_;
+    bool view_is_new_ = false;
+    Pooled pooled_;
+    std::uint64_t calls_ = 0;
+};
+
+}  // namespace linnetlead::routing
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -144,6 +144,8 @@
         s.plans.push_back(p);
     }
     site.report_fields = info.words("report.fields");
+    site.kinds = info.words("kinds");
+    site.zones = info.words("zones");
     info.read("limits.conn_idle", site.conn_idle);
     info.read("limits.connect_timeout", site.connect_timeout);
     info.read("limits.max_open", site.max_open);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -22,6 +22,7 @@
 struct Site {
     topazcrank::Settings settings;  // what the decision module takes
     std::vector<std::string> report_fields;
+    std::vector<std::string> kinds, zones;  // of the workers
     // What only the sockets need.
     topazcrank::Span conn_idle{};
     topazcrank::Span connect_timeout{};
