--- /dev/null
+++ b/standin/town.cpp
@@ -0,0 +1,640 @@
+#include "town.h"
+
+#include <arpa/inet.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "settings/words.h"
+
+namespace linnetlead::standin {
+
+using core::Handle;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr Span answer_slack = 66ms;  // behind a call's deadline
+constexpr Span drain_within = 550ms;
+constexpr Span look_every = 20ms;
+constexpr Span two_out_within = 20ms;
+
+sockaddr_storage address_of(std::uint16_t port) {
+    sockaddr_storage address{};
+    net::read_address("127.0.0.1:" + std::to_string(port), address);
+    return address;
+}
+
+// A server in the loop: every connection is a Connection(Loop&, Owner&), in the owner's slots.
+template <typename Connection>
+class Server {
+public:
+    template <typename Owner>
+    Server(net::Loop& loop, Owner& owner) : listener_(new uv_tcp_t) {
+        uv_tcp_init(loop.uv(), listener_);
+        const sockaddr_storage any = address_of(0);
+        constexpr int backlog = 512;
+        accept_ = [this, &loop, &owner] {
+            const Handle handle = connections.add(loop, owner);
+            Connection& connection = *connections.find(handle);
+            connection.self = handle;
+            if (connection.accept(reinterpret_cast<uv_stream_t*>(listener_)) != 0) connection.close();
+        };
+        listener_->data = this;
+        uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&any), 0);
+        const int error = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), backlog,
+                                    [](uv_stream_t* stream, int status) {
+                                        auto* self = static_cast<Server*>(stream->data);
+                                        if (status == 0) self->accept_();
+                                    });
+        if (error != 0) throw std::runtime_error("a stand-in cannot listen");
+        sockaddr_storage at{};
+        int size = sizeof(at);
+        uv_tcp_getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
+        port = ntohs(reinterpret_cast<const sockaddr_in&>(at).sin_port);
+    }
+    void close() {
+        if (!listener_) return;
+        uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(listener_, nullptr)),
+                 [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
+        connections.for_each([](Handle, Connection& connection) { connection.close(); });
+    }
+    std::uint16_t port = 0;
+    core::Slots<Connection> connections;
+
+private:
+    uv_tcp_t* listener_;
+    std::function<void()> accept_;
+};
+
+// Takes whole commands off the bytes; the rest comes again.
+template <typename Act>
+std::size_t each_message(std::string_view bytes, resp::Message& message, Act act) {
+    std::size_t taken = 0;
+    while (taken < bytes.size()) {
+        if (resp::parse(bytes.substr(taken), message) != resp::Parsed::whole) break;
+        taken += message.size;
+        act(message);
+    }
+    return taken;
+}
+
+}  // namespace
+
+std::string Audit::broken() const {
+    std::string all;
+    const auto note = [&](const char* what, std::uint64_t count) {
+        if (count > 0) all += std::string(all.empty() ? "" : ", ") + std::to_string(count) + ' ' + what;
+    };
+    note("unanswered", unanswered);
+    note("answered twice", answered_twice);
+    note("answered late", late);
+    note("wrong values", wrong_value);
+    note("two attempts out at once", two_out);
+    note("never-twice calls sent again", ran_again);
+    note("sent to drained workers", after_drain);
+    return all;
+}
+
+// ---- The workers ----------------------------------------------------------------------------------------
+
+class Town::WorkerPeer {
+public:
+    class Connection final : public net::Stream {
+    public:
+        Connection(net::Loop& loop, WorkerPeer& peer) : Stream(loop), peer_(peer) {}
+        Handle self;
+
+    private:
+        std::size_t on_bytes(std::string_view bytes) override {
+            return each_message(bytes, peer_.message_, [&](const resp::Message& m) { take(m); });
+        }
+        void take(const resp::Message& message) {
+            if (message.items.size() < 4) {
+                to_write().append(message.items[0].text == "INFO" ? "$18\r\ninflight=0,queue=0\r\n"
+                                                                  : "+PONG\r\n");
+                return;
+            }
+            const auto id = settings::parse<std::uint64_t>(message.items[2].text, 16);
+            double work = 0;
+            peer_.town_.arrived(id.value_or(0), peer_.id, work);
+            peer_.last = loop().now();
+            if (peer_.first == Time{}) peer_.first = peer_.last;
+            if (peer_.drained_at > Time{0} && loop().now() > peer_.drained_at + drain_within) {
+                ++peer_.town_.audit.after_drain;
+            }
+            const Told told = peer_.model.arrive(loop().now(), work);
+            call_ = id.value_or(0);
+            out_ = true;
+            if (told.never) return;
+            timer_ = loop().arm(told.at, [this, ending = told.ending] { answer(ending); });
+        }
+        void answer(core::Ending ending) {
+            timer_ = {};
+            if (!out_ || closing()) return;
+            finish_call(ending != core::Ending::turned_away);
+            char value[17];
+            std::snprintf(value, sizeof(value), "%016llx", static_cast<unsigned long long>(call_));
+            if (ending == core::Ending::turned_away) {
+                to_write().append("-BUSY\r\n");
+            } else if (ending == core::Ending::error) {
+                to_write().append("-ERR failed\r\n");
+            } else {
+                to_write().append("*3\r\n$16\r\n").append(value).append("\r\n$-1\r\n$-1\r\n");
+            }
+        }
+        void finish_call(bool may_have_run) {
+            if (std::exchange(out_, false)) peer_.town_.ended(call_, may_have_run);
+        }
+        void on_end(int) override { finish_call(true); }
+        void on_released() override {
+            finish_call(true);
+            loop().disarm(timer_);
+            peer_.server_.connections.remove(self);
+        }
+        WorkerPeer& peer_;
+        Handle timer_;
+        std::uint64_t call_ = 0;
+        bool out_ = false;
+    };
+
+    WorkerPeer(Town& town, std::string name, std::string of_kind, WorkerFigures figures, Time began,
+               std::uint64_t seed)
+        : id(std::move(name)),
+          kind(std::move(of_kind)),
+          started(began),
+          model(figures, began, seed),
+          town_(town),
+          server_(town.loop_, *this) {}
+    std::uint16_t port() const { return server_.port; }
+    void close() { server_.close(); }
+
+    const std::string id, kind;
+    Time started;
+    Stage stage = Stage::in_service;
+    Time drained_at{};
+    Time first{}, last{};  // calls
+    WorkerModel model;
+
+private:
+    Town& town_;
+    resp::Message message_;
+    Server<Connection> server_;
+};
+
+// ---- The counter ----------------------------------------------------------------------------------------
+
+class Town::CounterPeer {
+public:
+    class Connection final : public net::Stream {
+    public:
+        Connection(net::Loop& loop, CounterPeer& peer) : Stream(loop), peer_(peer) {}
+        Handle self;
+
+    private:
+        std::size_t on_bytes(std::string_view bytes) override {
+            return each_message(bytes, peer_.message_, [&](const resp::Message& m) { take(m); });
+        }
+        void take(const resp::Message& message) {
+            if (message.items.size() != 4) return void(to_write().append("+PONG\r\n"));
+            const auto amount = settings::parse<double>(message.items[2].text);
+            const auto ms = settings::parse<std::int64_t>(message.items[3].text);
+            if (!amount || !ms) return void(to_write().append("-ERR no such call\r\n"));
+            const auto total = peer_.model.tally(loop().now(), std::string(message.items[1].text), *amount,
+                                                 std::chrono::milliseconds(*ms));
+            if (peer_.model.mood == CounterModel::Mood::refusing) to_write().append("-BUSY\r\n");
+            if (!total) return;
+            char text[48];
+            std::snprintf(text, sizeof(text), "%.7g", *total);
+            resp::write_bulk(to_write(), text);
+        }
+        void on_end(int) override {}
+        void on_released() override { peer_.server.connections.remove(self); }
+        CounterPeer& peer_;
+    };
+    explicit CounterPeer(net::Loop& loop) : server(loop, *this) {}
+    CounterModel model;
+    resp::Message message_;
+    Server<Connection> server;
+};
+
+// ---- The registry ---------------------------------------------------------------------------------------
+
+class Town::RegistryPeer {
+public:
+    class Connection final : public net::Stream {
+    public:
+        Connection(net::Loop& loop, RegistryPeer& peer) : Stream(loop), peer_(peer) {}
+        Handle self;
+        void tell() {
+            if (!asked_ || peer_.silent || (index_ >= peer_.version && loop().now() < until_)) return;
+            asked_ = false;
+            loop().disarm(timer_);
+            const bool news = index_ < peer_.version;
+            const std::string body =
+                news ? peer_.town_.listed()
+                     : json{{"version", peer_.version}, {"full", false}, {"servers", json::array()}}.dump();
+            to_write().append("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                              "\r\n\r\n" + body);
+        }
+
+    private:
+        std::size_t on_bytes(std::string_view bytes) override {
+            const auto end = bytes.find("\r\n\r\n");
+            if (end == std::string_view::npos) return 0;
+            const std::string request(bytes.substr(0, end));
+            const auto number = [&](const char* name) -> std::int64_t {
+                const auto at = request.find(name);
+                return at == std::string::npos
+                           ? -1
+                           : std::strtoll(request.c_str() + at + std::strlen(name), nullptr, 10);
+            };
+            index_ = number("index=");
+            until_ = loop().now() + std::chrono::milliseconds(std::max<std::int64_t>(number("wait="), 0));
+            asked_ = true;
+            timer_ = loop().arm(until_, [this] { tell(); });
+            tell();
+            return end + 4;
+        }
+        void on_end(int) override {}
+        void on_released() override {
+            loop().disarm(timer_);
+            peer_.server.connections.remove(self);
+        }
+        RegistryPeer& peer_;
+        bool asked_ = false;
+        std::int64_t index_ = -1;
+        Time until_{};
+        Handle timer_;
+    };
+    RegistryPeer(net::Loop& loop, Town& town) : town_(town), server(loop, *this) {}
+    void tell_all() {
+        server.connections.for_each([](Handle, Connection& connection) { connection.tell(); });
+    }
+    std::int64_t version = 1;
+    bool silent = false;
+
+private:
+    Town& town_;
+
+public:
+    Server<Connection> server;
+};
+
+// ---- The clients ----------------------------------------------------------------------------------------
+
+class Town::Client final : public net::Stream {
+public:
+    Client(net::Loop& loop, Town& town, int gateway) : Stream(loop), town_(town), gateway_(gateway) {}
+    void ask(std::uint64_t id, const std::string& command) {
+        call_ = id;
+        waits_ = true;
+        to_write().append(command);
+    }
+    Handle self;
+
+private:
+    std::size_t on_bytes(std::string_view bytes) override {
+        resp::Message message;
+        return each_message(bytes, message, [&](const resp::Message& m) {
+            if (!std::exchange(waits_, false)) return void(++town_.audit.answered_twice);
+            town_.answered(call_, m);
+            town_.gateways_[static_cast<std::size_t>(gateway_)].idle.push_back(self);
+        });
+    }
+    void on_end(int) override {}
+    void on_released() override {
+        Gateway& gateway = town_.gateways_[static_cast<std::size_t>(gateway_)];
+        --gateway.connections;
+        auto& idle = gateway.idle;
+        idle.erase(std::remove(idle.begin(), idle.end(), self), idle.end());
+        town_.clients_.remove(self);
+    }
+    Town& town_;
+    int gateway_;
+    std::uint64_t call_ = 0;
+    bool waits_ = false;
+};
+
+// ---- The town -------------------------------------------------------------------------------------------
+
+Town::Town(TownSettings settings)
+    : settings_(std::move(settings)),
+      random_(settings_.seed),
+      counter_(std::make_unique<CounterPeer>(loop_)),
+      registry_(std::make_unique<RegistryPeer>(loop_, *this)),
+      gateways_(static_cast<std::size_t>(settings_.gateways)) {
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+Town::~Town() {
+    load(false);
+    for (Gateway& gateway : gateways_) {
+        gateway.process.reset();
+        if (!gateway.operators_path.empty()) unlink(gateway.operators_path.c_str());
+    }
+    clients_.for_each([](Handle, Client& client) { client.close(); });
+    counter_->server.close();
+    registry_->server.close();
+    for (auto& [id, worker] : workers_) worker->close();
+    loop_.drain();
+}
+
+Time Town::now() const { return loop_.now(); }
+CounterModel& Town::counter() { return counter_->model; }
+Process& Town::gateway(int number) { return *gateways_[static_cast<std::size_t>(number)].process; }
+
+WorkerModel& Town::add_worker(const std::string& id, const std::string& kind, WorkerFigures figures,
+                              Time started) {
+    workers_.emplace_back(id, std::make_unique<WorkerPeer>(*this, id, kind, figures, started,
+                                                           settings_.seed * 1000 + workers_.size()));
+    return workers_.back().second->model;
+}
+
+WorkerModel& Town::worker(const std::string& id) {
+    for (auto& [name, worker] : workers_) {
+        if (name == id) return worker->model;
+    }
+    throw std::runtime_error("no worker " + id);
+}
+
+std::uint64_t Town::calls_of(const std::string& id) { return worker(id).calls; }
+Time Town::first_call_of(const std::string& id) {
+    for (auto& [name, worker] : workers_) {
+        if (name == id) return worker->first;
+    }
+    return {};
+}
+Time Town::last_call_of(const std::string& id) {
+    for (auto& [name, worker] : workers_) {
+        if (name == id) return worker->last;
+    }
+    return {};
+}
+
+void Town::list(const std::string& id, Stage stage) {
+    for (auto& [name, worker] : workers_) {
+        if (name != id) continue;
+        worker->stage = stage;
+        worker->drained_at = stage == Stage::in_service ? Time{} : now();
+    }
+    ++registry_->version;
+    registry_->tell_all();
+}
+
+void Town::registry_is_silent(bool silent) {
+    registry_->silent = silent;
+    registry_->tell_all();
+}
+
+std::string Town::listed() const {
+    json servers = json::array();
+    for (const auto& [id, worker] : workers_) {
+        if (worker->stage == Stage::terminated) continue;
+        servers.push_back({{"id", id},
+                           {"addr", "127.0.0.1:" + std::to_string(worker->port())},
+                           {"zone", "dc-1"},
+                           {"kind", worker->kind},
+                           {"cell", 0},
+                           {"state", worker->stage == Stage::in_service ? "in_service" : "terminating"},
+                           {"weight", 1.0},
+                           {"started_ms", worker->started / 1ms}});
+    }
+    return json{{"version", registry_->version}, {"full", true}, {"servers", servers}}.dump();
+}
+
+std::string Town::config_of(int number) const {
+    const topazcrank::Settings s = settings_of(settings_.mix, settings_.gateways, number);
+    constexpr const char* repeats[] = {"retryable", "dedup", "fragile"};
+    json classes = json::array();
+    for (const auto& cls : s.classes) {
+        classes.push_back({{"name", cls.name},
+                           {"idempotency", repeats[static_cast<int>(cls.repeat)]},
+                           {"key_scope", "all"},
+                           {"dedup_window", cls.key_window.count()},
+                           {"aim", cls.aim.count()},
+                           {"deadline", cls.deadline.count()},
+                           {"worth", cls.worth},
+                           {"late_worth", cls.late_worth}});
+    }
+    const auto& plan = s.plans.front();
+    const json settings{
+        {"balancers", s.gateways},
+        {"me", s.self},
+        {"zone", s.zone},
+        {"quantum", s.tick.count()},
+        {"discovery", "pushed"},
+        {"classes", classes},
+        {"tariffs", {{{"name", plan.name}, {"units_per_s", plan.rate}, {"most_at_once", plan.burst}}}},
+        {"extra",
+         {{"may_count", true}, {"count_limit", s.count_timeout.count()}, {"units_top", s.most_units}}},
+        {"limits",
+         {{"cancel", true},
+          {"may_probe", true},
+          {"retry_after", true},
+          {"max_retry_after", s.most_retry_after.count()},
+          {"max_attempts", s.most_attempts},
+          {"conn_idle", 30000000000},
+          {"connect_timeout", 250000000}}},
+        {"report", {{"how", "probe"}, {"fields", {"concurrent", "depth"}}}},
+        {"guarantees",
+         {{"answer_slack", 16000000},
+          {"cold_from", s.cold_from},
+          {"ramp_time", s.ramp_time.count()},
+          {"fall_multiple", s.fall_multiple},
+          {"fall", s.fall_time.count()},
+          {"stop_sending_within", 500000000}}}};
+    return json{{"name", "n" + std::to_string(number)},
+                {"listen", gateways_[static_cast<std::size_t>(number)].address},
+                {"discovery", "127.0.0.1:" + std::to_string(registry_->server.port)},
+                {"counter", "127.0.0.1:" + std::to_string(counter_->server.port)},
+                {"seed", std::to_string(settings_.seed + static_cast<std::uint64_t>(number))},
+                {"limits", {{"memory_mb", 192}, {"sockets", 1024}}},
+                {"known", json::parse(listed())},
+                {"settings", settings}}
+        .dump();
+}
+
+void Town::start() {
+    for (int i = 0; i < settings_.gateways; ++i) {
+        gateways_[static_cast<std::size_t>(i)].address = "127.0.0.1:0";
+        start_again(i);
+    }
+}
+
+void Town::start_again(int number) {
+    Gateway& gateway = gateways_[static_cast<std::size_t>(number)];
+    std::vector<std::string> arguments;
+    if (!settings_.operators.empty()) {
+        if (gateway.operators_path.empty()) {
+            gateway.operators_path = temporary_path("star");
+            write_file(gateway.operators_path, settings_.operators);
+        }
+        arguments = {"--operators", gateway.operators_path};
+    }
+    gateway.process = std::make_unique<Process>(settings_.program, config_of(number), arguments);
+    // The loop must turn meanwhile: the gateway asks the registry first of all.
+    gateway.address = "127.0.0.1:" + std::to_string(gateway.process->listening());
+}
+
+void Town::kill(int number) {
+    Gateway& gateway = gateways_[static_cast<std::size_t>(number)];
+    gateway.process.reset();
+    for (auto at = calls_.begin(); at != calls_.end();) {
+        const bool gone = at->second.gateway == number && !at->second.answered;
+        audit.lost_with_gateway += gone ? 1 : 0;
+        at = gone ? calls_.erase(at) : std::next(at);
+    }
+    run_for(50ms);
+}
+
+void Town::operate(const std::string& text, int number) {
+    for (int i = 0; i < settings_.gateways; ++i) {
+        if (number >= 0 && i != number) continue;
+        Gateway& gateway = gateways_[static_cast<std::size_t>(i)];
+        write_file(gateway.operators_path, text);
+        if (gateway.process) gateway.process->signal(SIGHUP);
+    }
+}
+
+void Town::load(bool on) {
+    loop_.disarm(std::exchange(next_, {}));
+    next_at_ = now();
+    if (on) next_call();
+}
+
+// The wheel's ticks are coarse: all that has come due goes out.
+void Town::next_call() {
+    std::exponential_distribution<double> gap(settings_.calls_per_s);
+    std::uniform_int_distribution<int> which(0, settings_.gateways - 1);
+    while (next_at_ <= now()) {
+        const int gateway = which(random_);
+        const DrawnCall drawn = draw_call(settings_.mix, settings_.customers, random_);
+        if (gateways_[static_cast<std::size_t>(gateway)].process) ask(gateway, drawn);
+        next_at_ += span_of(gap(random_));
+    }
+    next_ = loop_.arm(next_at_, [this] { next_call(); });
+}
+
+void Town::ask(int number, const DrawnCall& drawn) {
+    Gateway& gateway = gateways_[static_cast<std::size_t>(number)];
+    Client* client = nullptr;
+    while (!client && !gateway.idle.empty()) {
+        client = clients_.find(gateway.idle.back());
+        gateway.idle.pop_back();
+        if (client && client->closing()) client = nullptr;
+    }
+    if (!client) {
+        if (gateway.connections >= static_cast<std::size_t>(settings_.most_connections)) return;
+        const Handle handle = clients_.add(loop_, *this, number);
+        client = clients_.find(handle);
+        client->self = handle;
+        ++gateway.connections;
+        if (client->connect(address_of(gateway.process->port)) != 0) return client->close();
+    }
+    const std::uint64_t id = ++next_id_;
+    const auto cls = static_cast<std::size_t>(drawn.cls);
+    const Span wait = span_of(settings_.mix.deadline[cls]);
+    calls_[id] = {now(), now() + wait, number, drawn.cls, drawn.work, 0, false, false};
+    ++audit.asked;
+    char hex[17];
+    std::string command;
+    resp::write_array(command, 4);
+    resp::write_bulk(command, drawn.cls == 0 ? "Q.ASK" : "Q.DO");
+    std::snprintf(hex, sizeof(hex), "%016llx", static_cast<unsigned long long>(drawn.customer));
+    resp::write_bulk(command, hex);
+    std::snprintf(hex, sizeof(hex), "%016llx", static_cast<unsigned long long>(id));
+    resp::write_bulk(command, hex);
+    constexpr const char* names[] = {"quote-read", "quote-create", "slot-hold"};
+    std::string pairs = std::string("c=") + names[cls] + ",t=basico,d=" + std::to_string(wait / 1ms);
+    if (drawn.cls == 1) pairs += std::string(",k=") + hex;
+    pairs += ",units=" + std::to_string(static_cast<int>(drawn.units)) +
+             ",spread=" + std::to_string(settings_.gateways) + ",first=0";
+    resp::write_bulk(command, pairs);
+    client->ask(id, command);
+}
+
+void Town::answered(std::uint64_t id, const resp::Message& message) {
+    const auto at = calls_.find(id);
+    if (at == calls_.end()) return;
+    Call& call = at->second;
+    if (std::exchange(call.answered, true)) ++audit.answered_twice;
+    const Span took = now() - call.asked;
+    if (now() > call.due + answer_slack) ++audit.late;
+    const resp::Item& item = message.items.front();
+    if (item.type == resp::Type::error) {
+        ++(item.text.substr(0, 4) == "BUSY" ? audit.refused : audit.failed);
+    } else {
+        ++audit.served;
+        if (seconds(took) <= settings_.mix.aim[static_cast<std::size_t>(call.cls)]) ++audit.in_aim;
+        if (settings::parse<std::uint64_t>(item.text, 16) != id) ++audit.wrong_value;
+    }
+    if (call.out == 0) calls_.erase(at);
+}
+
+void Town::arrived(std::uint64_t id, const std::string&, double& work) {
+    ++audit.attempts;
+    const auto at = calls_.find(id);
+    if (at == calls_.end()) return;  // of a gateway that was killed
+    Call& call = at->second;
+    work = call.work;
+    constexpr int never_twice = 2;
+    if (call.cls == never_twice && (call.may_have_run || call.out > 0)) ++audit.ran_again;
+    if (call.out++ == 0) return;
+    // The earlier one's end may be in the same turn of the loop, and be seen only behind this.
+    loop_.arm(now() + two_out_within, [this, id] {
+        const auto call_now = calls_.find(id);
+        if (call_now != calls_.end() && call_now->second.out > 1) ++audit.two_out;
+    });
+}
+
+void Town::ended(std::uint64_t id, bool may_have_run) {
+    const auto at = calls_.find(id);
+    if (at == calls_.end()) return;
+    --at->second.out;
+    at->second.may_have_run |= may_have_run;
+    if (at->second.answered && at->second.out == 0) calls_.erase(at);
+}
+
+void Town::read_logs() {
+    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+        Gateway& gateway = gateways_[i];
+        if (!gateway.process) continue;
+        gateway.errors += gateway.process->errors_so_far();
+        for (auto end = gateway.errors.find('\n'); end != std::string::npos;
+             end = gateway.errors.find('\n')) {
+            log_.push_back({static_cast<int>(i), now(), gateway.errors.substr(0, end)});
+            gateway.errors.erase(0, end + 1);
+        }
+    }
+}
+
+bool Town::run_until(const std::function<bool()>& condition, Span within) {
+    const Time end = now() + within;
+    bool stop = false;
+    std::function<void()> look = [&] {
+        read_logs();
+        if (stop || condition() || now() >= end) return loop_.stop();
+        loop_.arm(now() + look_every, look);
+    };
+    loop_.arm(now(), look);
+    loop_.run();
+    // A call that should have its answer by now has none.
+    for (auto at = calls_.begin(); at != calls_.end();) {
+        const bool missing = !at->second.answered && now() > at->second.due + 1s;
+        audit.unanswered += missing ? 1 : 0;
+        at = missing ? calls_.erase(at) : std::next(at);
+    }
+    return condition();
+}
+
+void Town::run_for(Span time) {
+    run_until([] { return false; }, time);
+}
+
+}  // namespace linnetlead::standin
--- /dev/null
+++ b/standin/town.h
@@ -0,0 +1,128 @@
+// Everything round a tier of real gateway processes, on loopback in one loop: workers, counter, registry and
+// clients, with an auditor that sees every attempt and every answer. Times are real.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "model.h"
+#include "net/stream.h"
+#include "peer.h"
+#include "resp/parser.h"
+
+namespace linnetlead::standin {
+
+struct TownSettings {
+    std::string program;  // of the gateway
+    int gateways = 3;
+    double calls_per_s = 120;  // at all gateways
+    int customers = 200;
+    int most_connections = 64;  // of the clients, to each gateway
+    Mix mix;
+    std::uint64_t seed = 1;
+    std::string operators;  // the operators' file's text; empty: none
+};
+
+// What the auditor counted. Rules are broken where a figure of the second row is not 0.
+struct Audit {
+    std::uint64_t asked = 0, served = 0, in_aim = 0, refused = 0, failed = 0, lost_with_gateway = 0;
+    std::uint64_t unanswered = 0, answered_twice = 0, late = 0, wrong_value = 0, two_out = 0, ran_again = 0,
+                  after_drain = 0;
+    std::uint64_t attempts = 0;
+    std::string broken() const;  // the rules that are, in words; empty: none
+};
+
+class Town {
+public:
+    explicit Town(TownSettings settings);
+    ~Town();
+    Town(const Town&) = delete;
+    Town& operator=(const Town&) = delete;
+
+    // Before start(), or while it runs with tell_list() behind it.
+    WorkerModel& add_worker(const std::string& id, const std::string& kind, WorkerFigures figures,
+                            Time started = Time{0});
+    WorkerModel& worker(const std::string& id);
+    enum class Stage { in_service, terminating, terminated };
+    void list(const std::string& id, Stage stage);  // told at once to whom watches
+    void registry_is_silent(bool silent);
+    CounterModel& counter();
+
+    void start();  // the gateways; returns once all answer PING
+    void load(bool on);
+    void run_for(Span time);
+    bool run_until(const std::function<bool()>& condition, Span within);
+    Time now() const;
+
+    // The operators' file of all gateways, or of one, and SIGHUP.
+    void operate(const std::string& text, int gateway = -1);
+    Process& gateway(int number);
+    void kill(int gateway);
+    void start_again(int gateway);
+
+    // Lines of the gateways' logs, as JSON text, that came since the start.
+    struct Logged {
+        int gateway = 0;
+        Time at{};  // when it was read
+        std::string line;
+    };
+    const std::vector<Logged>& log() const { return log_; }
+    std::uint64_t calls_of(const std::string& worker);
+    Time first_call_of(const std::string& worker);
+    Time last_call_of(const std::string& worker);
+
+    Audit audit;
+
+private:
+    class WorkerPeer;
+    class CounterPeer;
+    class RegistryPeer;
+    class Client;
+    struct Call {
+        Time asked{}, due{};
+        int gateway = 0;
+        int cls = 0;
+        double work = 0;
+        int out = 0;
+        bool may_have_run = false;
+        bool answered = false;
+    };
+    struct Gateway {
+        std::unique_ptr<Process> process;
+        std::string operators_path;
+        std::string address;
+        std::string errors;  // not yet whole lines
+        std::vector<core::Handle> idle;
+        std::size_t connections = 0;
+    };
+
+    void next_call();
+    void ask(int gateway, const DrawnCall& drawn);
+    void answered(std::uint64_t id, const resp::Message& message);
+    void arrived(std::uint64_t id, const std::string& worker, double& work);
+    void ended(std::uint64_t id, bool may_have_run);
+    void read_logs();
+    std::string config_of(int gateway) const;
+    std::string listed() const;
+
+    TownSettings settings_;
+    net::Loop loop_;
+    std::mt19937_64 random_;
+    std::vector<std::pair<std::string, std::unique_ptr<WorkerPeer>>> workers_;
+    std::unique_ptr<CounterPeer> counter_;
+    std::unique_ptr<RegistryPeer> registry_;
+    std::vector<Gateway> gateways_;
+    core::Slots<Client> clients_;
+    std::unordered_map<std::uint64_t, Call> calls_;
+    std::uint64_t next_id_ = 0;
+    core::Handle next_;
+    Time next_at_{};
+    std::vector<Logged> log_;
+};
+
+}  // namespace linnetlead::standin
--- /dev/null
+++ b/standin/world.cpp
@@ -0,0 +1,341 @@
+#include "world.h"
+
+#include <algorithm>
+#include <cstring>
+#include <map>
+#include <utility>
+
+namespace linnetlead::standin {
+
+using core::AttemptEnd;
+using core::Ending;
+using core::Handle;
+using core::Stage;
+using core::WorkerId;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Span way = 500us;          // one way, between any two
+constexpr Span router_tick = 100ms;  // as the program does
+constexpr Span told_of_answer_late = 20ms;
+
+}  // namespace
+
+core::Handle Clock::arm(Time at, std::function<void()> action) {
+    const Handle timer = timers_.add(std::move(action));
+    due_.push({std::max(at, now_), ++armed_, timer});
+    return timer;
+}
+
+void Clock::run_to(Time until) {
+    while (!due_.empty() && due_.top().at <= until) {
+        const Due due = due_.top();
+        due_.pop();
+        auto* action = timers_.find(due.timer);
+        if (!action) continue;
+        now_ = due.at;
+        const auto run = std::move(*action);
+        timers_.remove(due.timer);
+        run();
+    }
+    now_ = until;
+}
+
+class World::Node final : public core::Timers,
+                          public core::Workers,
+                          public core::Counter,
+                          public core::Front {
+public:
+    Node(World& world, int self, std::uint64_t seed, Span skew)
+        : world_(world),
+          self_(self),
+          skew_(skew),
+          gateway_(site_of(world, self), seed, {4096, 64 << 20}, *this),
+          router_(settings_of(world.settings_.mix, world.settings_.gateways, self), seed,
+                  {[this](const std::string& name, double amount, Span life) { add(name, amount, life); },
+                   [this](const routing::Event& event) {
+                       world_.events.push_back({self_, event});
+                   },
+                   [this](std::vector<topazcrank::ServerEntry> entries) {
+                       gateway_.marked(std::move(entries));
+                   }}) {
+        gateway_.attach(*this, *this);
+        gateway_.attach(&router_);
+    }
+    ~Node() override {
+        for (const Handle timer : std::exchange(armed_, {})) world_.clock_.disarm(timer);
+    }
+
+    void listed(const std::vector<core::Listed>& entries) {
+        gateway_.listed(topazcrank::ListKind::full, entries);
+    }
+    void configure(const routing::RoutingSettings& settings) { router_.configure(now(), settings); }
+    void begin() { tick(); }
+    const routing::Router& router() const { return router_; }
+    std::size_t open() const { return open_.size(); }
+    bool cut = false;
+
+    void take(const DrawnCall& drawn) {
+        core::Call call;
+        call.name = ++calls_;
+        call.request.cls = drawn.cls;
+        call.request.units = drawn.units;
+        call.request.customer = std::to_string(drawn.customer);
+        call.request.set_size = world_.settings_.gateways;
+        call.request.due =
+            now() + span_of(world_.settings_.mix.deadline[static_cast<std::size_t>(drawn.cls)]);
+        call.payload.bytes.assign(reinterpret_cast<const char*>(&drawn.work), sizeof(drawn.work));
+        call.payload.bytes.append(reinterpret_cast<const char*>(&call.name), sizeof(call.name));
+        ++world_.tally.taken;
+        open_[call.name] = {now(), call.request.due, drawn.cls, 0, false};
+        const std::uint64_t name = call.name;
+        gateway_.take(std::move(call), *this, {0, name});
+    }
+
+    // Timers. A killed gateway's never go off.
+    Time now() const override { return world_.clock_.now() + skew_; }
+    Handle arm(Time at, std::function<void()> action) override {
+        if (armed_.size() > 4 * live_ + 64) forget_old();
+        const Handle timer = world_.clock_.arm(at - skew_, std::move(action));
+        armed_.push_back(timer);
+        return timer;
+    }
+    void disarm(Handle timer) override { world_.clock_.disarm(timer); }
+
+    // Workers.
+    Handle start(Handle call, const WorkerId& id, const core::Payload& payload, Time until) override {
+        const auto at = wanted_.find(id);
+        if (at == wanted_.end() || !at->second) {
+            ++world_.tally.sent_to_unwanted;
+            gateway_.attempt_ended(call, {});
+            return {};
+        }
+        double work = 0;
+        std::uint64_t name = 0;
+        std::memcpy(&work, payload.bytes.data(), sizeof(work));
+        std::memcpy(&name, payload.bytes.data() + sizeof(work), sizeof(name));
+        if (const auto open = open_.find(name); open != open_.end()) {
+            constexpr int never_twice = 2;
+            if (open->second.out++ > 0) ++world_.tally.two_out;
+            if (open->second.cls == never_twice && open->second.may_have_run) ++world_.tally.ran_again;
+        }
+        const Handle attempt = attempts_.add(Attempt{call, name, {}, {}});
+        WorkerModel& model = world_.worker(id);
+        if (kinds_[id] == world_.target_kind) {
+            ++world_.tally.attempts_in_target;
+            world_.tally.last_in_target = world_.clock_.now();
+        }
+        const Told told = model.arrive(world_.clock_.now() + way, work);
+        if (!told.never) {
+            attempts_.find(attempt)->answer =
+                arm(told.at + way + skew_, [this, attempt, ending = told.ending] { end(attempt, ending); });
+        }
+        attempts_.find(attempt)->timeout = arm(until, [this, attempt] { end(attempt, Ending::timed_out); });
+        return attempt;
+    }
+    void give_up(Handle attempt) override { end(attempt, Ending::given_up); }
+    void probe(const WorkerId& id) override {
+        arm(now() + 2 * way, [this, id] { gateway_.probed(id, topazcrank::Outcome::ok, {}); });
+    }
+    void told(const std::vector<core::Listed>& entries, bool whole) override {
+        if (whole) wanted_.clear();
+        for (const core::Listed& one : entries) {
+            wanted_[one.entry.id] = one.entry.state == topazcrank::ServerState::in;
+            kinds_[one.entry.id] = one.entry.kind;
+        }
+    }
+
+    // The counter.
+    void add(const std::string& name, double amount, Span life) override {
+        const Time sent = world_.clock_.now();
+        const auto total = cut ? std::nullopt : world_.counter.tally(sent + way, name, amount, life);
+        using topazcrank::CountStatus;
+        const bool full = !cut && world_.counter.mood == CounterModel::Mood::refusing;
+        const Span wait = total || full ? 2 * way + 1ms : 80ms;
+        const CountStatus status = total ? CountStatus::ok : full ? CountStatus::full : CountStatus::timeout;
+        arm(now() + wait, [this, name, status, total] { gateway_.counted(name, status, total.value_or(0)); });
+    }
+
+    // The clients.
+    void answer(const core::Ticket& ticket, const core::Answer& answer) override {
+        const auto at = open_.find(ticket.number);
+        if (at == open_.end()) {
+            ++world_.tally.answered_twice;
+            return;
+        }
+        Tally& tally = world_.tally;
+        ++tally.answered;
+        const Span took = now() - at->second.taken;
+        if (now() > at->second.due + told_of_answer_late) ++tally.late_answers;
+        if (answer.verdict == core::Verdict::served) {
+            ++tally.served;
+            const double aim = world_.settings_.mix.aim[static_cast<std::size_t>(at->second.cls)];
+            if (seconds(took) <= aim) ++tally.in_aim;
+        }
+        tally.refused += answer.verdict == core::Verdict::refused ? 1 : 0;
+        tally.failed += answer.verdict == core::Verdict::failed ? 1 : 0;
+        open_.erase(at);
+    }
+
+private:
+    struct Attempt {
+        Handle call;
+        std::uint64_t name = 0;
+        Handle answer, timeout;
+    };
+    struct OpenCall {
+        Time taken{}, due{};
+        int cls = 0;
+        int out = 0;
+        bool may_have_run = false;
+    };
+
+    static settings::Site site_of(const World& world, int self) {
+        settings::Site site;
+        site.settings = settings_of(world.settings_.mix, world.settings_.gateways, self);
+        return site;
+    }
+    void forget_old() {
+        // Timers that have gone off are no longer to be disarmed.
+        live_ = 0;
+        std::vector<Handle> kept;
+        for (const Handle timer : armed_) {
+            if (world_.clock_.armed(timer)) kept.push_back(timer);
+        }
+        armed_ = std::move(kept);
+        live_ = armed_.size();
+    }
+    void end(Handle handle, Ending ending) {
+        Attempt* attempt = attempts_.find(handle);
+        if (!attempt) return;
+        const Attempt ended = *attempt;
+        attempts_.remove(handle);
+        disarm(ended.answer);
+        disarm(ended.timeout);
+        if (const auto open = open_.find(ended.name); open != open_.end()) {
+            --open->second.out;
+            open->second.may_have_run |= ending != Ending::turned_away;
+        }
+        AttemptEnd result;
+        result.stage = ending == Ending::served ? Stage::answering : Stage::written;
+        result.ending = ending;
+        gateway_.attempt_ended(ended.call, result);
+    }
+    void tick() {
+        router_.tick(now());
+        arm(now() + router_tick, [this] { tick(); });
+    }
+
+    World& world_;
+    int self_;
+    Span skew_;
+    std::vector<Handle> armed_;
+    std::size_t live_ = 0;
+    core::Slots<Attempt> attempts_;
+    std::map<std::uint64_t, OpenCall> open_;
+    std::map<WorkerId, bool> wanted_;
+    std::map<WorkerId, std::string> kinds_;
+    std::uint64_t calls_ = 0;
+    core::Gateway gateway_;
+    routing::Router router_;
+};
+
+World::World(WorldSettings settings)
+    : settings_(std::move(settings)), clock_(std::chrono::hours(500000)), random_(settings_.seed) {
+    std::uniform_real_distribution<double> skew(-0.5, 0.5);
+    for (int i = 0; i < settings_.gateways; ++i) {
+        skews_.push_back(span_of(skew(random_) * seconds(settings_.most_skew)));
+        nodes_.push_back(nullptr);
+    }
+    for (int i = 0; i < settings_.gateways; ++i) start(i);
+    load(true);
+}
+World::~World() = default;
+
+void World::load(bool on) {
+    clock_.disarm(next_);
+    if (on) next_call();
+}
+
+void World::next_call() {
+    std::exponential_distribution<double> gap(settings_.calls_per_s);
+    next_ = clock_.arm(clock_.now() + span_of(gap(random_)), [this] {
+        const DrawnCall call = draw_call(settings_.mix, settings_.customers, random_);
+        std::uniform_int_distribution<std::size_t> which(0, nodes_.size() - 1);
+        Node* node = nodes_[which(random_)].get();
+        if (!workers_.empty() && node) node->take(call);
+        next_call();
+    });
+}
+
+WorkerModel& World::add_worker(const std::string& id, const std::string& kind, WorkerFigures figures,
+                               Time started, double weight) {
+    Listed one;
+    one.listed.entry.id = id;
+    one.listed.entry.kind = kind;
+    one.listed.entry.zone = "dc-1";
+    one.listed.entry.started = started;
+    one.listed.entry.weight = weight;
+    one.model = std::make_unique<WorkerModel>(figures, started, settings_.seed * 1000 + workers_.size());
+    workers_.emplace_back(id, std::move(one));
+    return *workers_.back().second.model;
+}
+
+WorkerModel& World::worker(const std::string& id) {
+    const auto at =
+        std::find_if(workers_.begin(), workers_.end(), [&](const auto& w) { return w.first == id; });
+    return *at->second.model;
+}
+
+void World::change_worker(const std::string& id,
+                          const std::function<void(topazcrank::ServerEntry&)>& change) {
+    for (auto& [name, one] : workers_) {
+        if (name == id) change(one.listed.entry);
+    }
+}
+
+void World::tell_list() {
+    std::vector<core::Listed> entries;
+    for (const auto& [id, one] : workers_) entries.push_back(one.listed);
+    for (const auto& node : nodes_) {
+        if (node) node->listed(entries);
+    }
+}
+
+void World::configure(const routing::RoutingSettings& settings) {
+    routing_ = settings;
+    for (const auto& node : nodes_) {
+        if (node) node->configure(settings);
+    }
+}
+void World::configure(int gateway, const routing::RoutingSettings& settings) {
+    nodes_[static_cast<std::size_t>(gateway)]->configure(settings);
+}
+
+void World::kill(int gateway) {
+    auto& node = nodes_[static_cast<std::size_t>(gateway)];
+    if (node) tally.lost += node->open();
+    node.reset();
+}
+
+void World::start(int gateway) {
+    auto& node = nodes_[static_cast<std::size_t>(gateway)];
+    const std::uint64_t seed = settings_.seed * 7919 + ++starts_;
+    node = std::make_unique<Node>(*this, gateway, seed, skews_[static_cast<std::size_t>(gateway)]);
+    node->configure(routing_);
+    std::vector<core::Listed> entries;
+    for (const auto& [id, one] : workers_) entries.push_back(one.listed);
+    if (!entries.empty()) node->listed(entries);
+    node->begin();
+}
+
+void World::cut_counter(int gateway, bool cut) { nodes_[static_cast<std::size_t>(gateway)]->cut = cut; }
+void World::run_for(Span time) { clock_.run_to(clock_.now() + time); }
+const routing::Move* World::move(int gateway) const {
+    const auto& node = nodes_[static_cast<std::size_t>(gateway)];
+    return node ? node->router().move() : nullptr;
+}
+bool World::alive(int gateway) const { return nodes_[static_cast<std::size_t>(gateway)] != nullptr; }
+
+}  // namespace linnetlead::standin
--- /dev/null
+++ b/standin/world.h
@@ -0,0 +1,111 @@
+// A tier of gateways in virtual time: the real core, decision module and routes, among modelled workers, a
+// modelled counter and a modelled load. One seed, one course of events.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "core/gateway.h"
+#include "model.h"
+#include "routing/router.h"
+
+namespace linnetlead::standin {
+
+class Clock {
+public:
+    explicit Clock(Time start) : now_(start) {}
+    Time now() const { return now_; }
+    core::Handle arm(Time at, std::function<void()> action);
+    void disarm(core::Handle timer) { timers_.remove(timer); }
+    bool armed(core::Handle timer) { return timers_.find(timer) != nullptr; }
+    void run_to(Time until);
+
+private:
+    struct Due {
+        Time at{};
+        std::uint64_t number = 0;
+        core::Handle timer;
+        bool operator>(const Due& other) const {
+            return at != other.at ? at > other.at : number > other.number;
+        }
+    };
+    Time now_;
+    std::uint64_t armed_ = 0;
+    core::Slots<std::function<void()>> timers_;
+    std::priority_queue<Due, std::vector<Due>, std::greater<Due>> due_;
+};
+
+struct WorldSettings {
+    int gateways = 3;
+    double calls_per_s = 120;  // at all gateways
+    int customers = 200;
+    Mix mix;
+    std::uint64_t seed = 1;
+    Span most_skew{};  // between the gateways' clocks
+};
+
+// What the clients and the rules' auditor saw.
+struct Tally {
+    std::uint64_t taken = 0, answered = 0, lost = 0, served = 0, in_aim = 0, refused = 0, failed = 0;
+    std::uint64_t answered_twice = 0, late_answers = 0;
+    std::uint64_t two_out = 0, ran_again = 0;  // rule 2
+    std::uint64_t sent_to_unwanted = 0;        // rule 3
+    std::uint64_t attempts_in_target = 0;
+    Time last_in_target{};  // when an attempt went there last
+};
+
+class World {
+public:
+    explicit World(WorldSettings settings);
+    ~World();
+
+    // Before or while it runs. `weight`: as listed.
+    WorkerModel& add_worker(const std::string& id, const std::string& kind, WorkerFigures figures,
+                            Time started = Time{0}, double weight = 1);
+    void change_worker(const std::string& id, const std::function<void(topazcrank::ServerEntry&)>& change);
+    WorkerModel& worker(const std::string& id);
+    void tell_list();  // to all gateways, at once
+    void configure(const routing::RoutingSettings& settings);
+    void configure(int gateway, const routing::RoutingSettings& settings);
+    void kill(int gateway);
+    void start(int gateway);  // one that was killed, from nothing
+    void cut_counter(int gateway, bool cut);
+
+    void load(bool on);
+    void run_for(Span time);
+    Time now() const { return clock_.now(); }
+    const routing::Move* move(int gateway) const;
+    bool alive(int gateway) const;
+
+    CounterModel counter;
+    Tally tally;
+    std::string target_kind;  // whose attempts the tally counts
+    struct Noted {
+        int gateway = 0;
+        routing::Event event;
+    };
+    std::vector<Noted> events;
+
+private:
+    class Node;
+    struct Listed {
+        core::Listed listed;
+        std::unique_ptr<WorkerModel> model;
+    };
+    void next_call();
+
+    WorldSettings settings_;
+    Clock clock_;
+    std::mt19937_64 random_;
+    std::vector<std::pair<std::string, Listed>> workers_;
+    routing::RoutingSettings routing_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::vector<Span> skews_;
+    std::uint64_t starts_ = 0;
+    core::Handle next_;
+};
+
+}  // namespace linnetlead::standin
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -17,91 +17,19 @@
 #include "net/registry_watch.h"
 #include "net/worker_pool.h"
 #include "resp/parser.h"
+#include "standin/peer.h"
 
 namespace linnetlead {
 
 using namespace std::chrono_literals;
 using core::Listed;
+using standin::connect_to;
+using standin::Listener;
+using standin::Peer;
 using topazcrank::ListKind;
 
 constexpr auto patience = 10s;  // how long a test waits for what must come
 
-// One end of a connection.
-class Peer {
-public:
-    explicit Peer(int fd) : fd_(fd) { fcntl(fd_, F_SETFL, O_NONBLOCK); }
-    Peer(Peer&& other) noexcept
-        : got(std::move(other.got)), ended(other.ended), fd_(std::exchange(other.fd_, -1)) {}
-    ~Peer() { close(); }
-    void close() {
-        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
-    }
-    void write(const std::string& text) {
-        EXPECT_EQ(::send(fd_, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
-    }
-    std::size_t write_some(std::string_view text) {
-        return static_cast<std::size_t>(
-            std::max<ssize_t>(::send(fd_, text.data(), text.size(), MSG_NOSIGNAL), 0));
-    }
-    const std::string& read() {
-        char buffer[4096];
-        ssize_t size = 0;
-        while (!ended && (size = ::recv(fd_, buffer, sizeof(buffer), 0)) != -1) {
-            ended = size == 0;
-            got.append(buffer, static_cast<std::size_t>(size));
-        }
-        if (!ended && errno != EAGAIN) ended = true;
-        return got;
-    }
-    bool has(const std::string& text) { return read().find(text) != std::string::npos; }
-    bool is_over() { return read(), ended; }
-
-    std::string got;
-    bool ended = false;
-
-private:
-    int fd_;
-};
-
-class Listener {
-public:
-    explicit Listener(int backlog = 16) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
-        sockaddr_in any{};
-        any.sin_family = AF_INET;
-        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        EXPECT_EQ(bind(fd_, reinterpret_cast<sockaddr*>(&any), sizeof(any)), 0);
-        EXPECT_EQ(listen(fd_, backlog), 0);
-        fcntl(fd_, F_SETFL, O_NONBLOCK);
-        socklen_t size = sizeof(at);
-        getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
-    }
-    ~Listener() { close(); }
-    void close() {
-        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
-    }
-    std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
-    std::unique_ptr<Peer> accept() {
-        const int fd = ::accept(fd_, nullptr, nullptr);
-        return fd < 0 ? nullptr : std::make_unique<Peer>(fd);
-    }
-    std::uint16_t port() const { return ntohs(reinterpret_cast<const sockaddr_in&>(at).sin_port); }
-    sockaddr_storage at{};
-
-private:
-    int fd_;
-};
-
-Peer connect_to(std::uint16_t port) {
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    to.sin_port = htons(port);
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    fcntl(fd, F_SETFL, O_NONBLOCK);
-    ::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to));
-    return Peer(fd);
-}
-
 settings::Site site() {
     settings::Site site;
     site.conn_idle = 30s;
@@ -791,52 +719,10 @@
 
 // ---- The program --------------------------------------------------------------------------------------
 
-struct Program {
-    explicit Program(const std::string& config) {
-        path = ::testing::TempDir() + "linnetlead." + std::to_string(getpid()) + ".json";
-        std::ofstream(path) << config;
-        int ends[2];
-        EXPECT_EQ(pipe(ends), 0);
-        pid = fork();
-        if (pid == 0) {
-            dup2(ends[1], 2);
-            ::close(ends[0]);
-            setenv("BALANCER_CONFIG", path.c_str(), 1);
-            execl(LINNETLEAD_PROGRAM, LINNETLEAD_PROGRAM, nullptr);
-            _exit(99);
-        }
-        ::close(ends[1]);
-        errors = ends[0];
-    }
-    ~Program() {
-        if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
-        ::close(errors);
-        unlink(path.c_str());
-    }
-    std::string line() {  // one write to the error stream
-        char text[1024];
-        const ssize_t size = read(errors, text, sizeof(text));
-        return std::string(text, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
-    }
-    int exit_code() {
-        int status = 0;
-        waitpid(std::exchange(pid, 0), &status, 0);
-        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    }
-    void reload(const std::string& config) {
-        std::ofstream(path) << config;
-        kill(pid, SIGHUP);
-    }
-    Peer client() {
-        const std::string ready = line();
-        EXPECT_EQ(ready.find("linnetlead: listening on port "), 0u) << ready;
-        port = static_cast<std::uint16_t>(std::stoi(ready.substr(ready.rfind(' '))));
-        return connect_to(port);
-    }
-    std::string path;
-    pid_t pid = 0;
-    int errors = 0;
-    std::uint16_t port = 0;
+struct Program : standin::Process {
+    explicit Program(const std::string& config, std::vector<std::string> arguments = {})
+        : Process(LINNETLEAD_PROGRAM, config, std::move(arguments)) {}
+    Peer client() { return connect_to(listening()); }
 };
 
 std::string config_of(const Listener& discovery, const Listener& counter, const std::string& worker) {
