--- a/bench/moves.cpp
+++ b/bench/moves.cpp
@@ -1,6 +1,7 @@
 // Measures moves of traffic: thousands in virtual time for the chances, some on real sockets for the whole.
 //
 //     moves [--short] [--program FILE] [--seeds N] [--only virtual|sockets]
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -8,7 +9,9 @@
 #include <algorithm>
 #include <atomic>
 #include <cmath>
+#include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -211,6 +214,57 @@
             {"broken", town.audit.broken()}};
 }
 
+// ---- Instructions a call, by callgrind ------------------------------------------------------------------
+
+double instructions(const std::string& program, const std::string& operators, double calls_per_s,
+                    double& calls) {
+    const std::string out = standin::temporary_path("callgrind"), wrapper = standin::temporary_path("sh");
+    standin::write_file(wrapper, "#!/bin/sh\nexec valgrind --tool=callgrind --callgrind-out-file=" + out +
+                                     ".%p -q " + program + " \"$@\"\n");
+    chmod(wrapper.c_str(), 0755);
+    double sum = 0;
+    {
+        standin::TownSettings settings;
+        settings.program = wrapper;
+        settings.gateways = 2;
+        settings.calls_per_s = calls_per_s;
+        settings.operators = operators;
+        standin::Town town(settings);
+        for (int i = 0; i < workers_of_a_pool; ++i) {
+            town.add_worker("old" + std::to_string(i), "std", {});
+            town.add_worker("new" + std::to_string(i), "fast", {});
+        }
+        town.start();
+        town.load(calls_per_s > 0);
+        town.run_for(30s);
+        town.load(false);
+        town.run_for(2s);
+        calls = static_cast<double>(town.audit.asked);
+        std::vector<pid_t> pids;
+        for (int i = 0; i < 2; ++i) {
+            pids.push_back(town.gateway(i).pid);
+            town.gateway(i).signal(SIGTERM);
+        }
+        town.run_until([&] { return town.gateway(0).has_ended() && town.gateway(1).has_ended(); }, 20s);
+        for (const pid_t pid : pids) {
+            const std::string path = out + "." + std::to_string(pid);
+            std::ifstream file(path);
+            for (std::string line; std::getline(file, line);) {
+                if (line.compare(0, 8, "totals: ") == 0) sum += std::stod(line.substr(8));
+            }
+            unlink(path.c_str());
+        }
+    }
+    unlink(wrapper.c_str());
+    return sum;
+}
+
+double per_call(const std::string& program, const std::string& operators) {
+    double calls = 0, none = 0;
+    const double loaded = instructions(program, operators, 100, calls);
+    return (loaded - instructions(program, "", 0, none)) / calls;
+}
+
 // Each run in a process of its own, some at once.
 std::vector<json> in_processes(const std::vector<std::function<json()>>& runs, std::size_t at_once) {
     std::vector<json> results(runs.size());
@@ -255,7 +309,9 @@
     app.add_option("--program", program, "the gateway");
     app.add_option("--seeds", seeds, "of the runs on sockets");
     app.add_option("--moves", moves, "in virtual time");
-    app.add_option("--only", only)->check(CLI::IsMember({"virtual", "sockets", "table"}));
+    app.add_option("--only", only)->check(CLI::IsMember({"virtual", "sockets", "table", "cpu"}));
+    std::string before;
+    app.add_option("--before", before, "with --only cpu: the program to compare with; needs valgrind");
     CLI11_PARSE(app, argc, argv);
     if (brief) seeds = 1, moves = 60;
     bool good = true;
@@ -299,6 +355,18 @@
             std::printf("\n");
         }
     }
+    if (only == "cpu") {
+        // A move that stays at a stage, with all that it counts and compares.
+        const std::string held =
+            pools +
+            "move(\"held\", source = old, target = new, stages = [stage(percent(50), hold = hours(1))])\n";
+        const double was = before.empty() ? 0 : per_call(before, "");
+        const double is = per_call(program, ""), moving = per_call(program, held);
+        std::printf("instructions a call: %.0f before, %.0f without a file, %.0f with a move under way\n",
+                    was, is, moving);
+        if (was > 0) bar("cost_without_file", is / was - 1, 0.01);
+        bar("cost_of_a_move", moving / (was > 0 ? was : is) - 1, 0.05);
+    }
     if (only.empty() || only == "sockets") {
         std::vector<std::function<json()>> runs;
         for (int seed = 1; seed <= seeds; ++seed) {
--- a/include/topazcrank/policy.h
+++ b/include/topazcrank/policy.h
@@ -40,6 +40,7 @@
 
 struct PlanSettings {
     std::string name;
+    std::string tag;  // of its counts: apart from any other's, and the same at all gateways
     double rate = 0;  // units a second; 0: no quota on the rate
     double burst = 0;
     int max_open = 0;         // attempts out at once; 0: no such quota
@@ -157,6 +158,10 @@
     void on_probed(Time now, const ServerId& server, Outcome outcome, const LoadReport& report);
     void on_counted(Time now, const std::string& name, CountStatus status, double total);
     void on_wake(Time now);
+    // Further plans, behind those that there are; positions never change. A customer whose next request names
+    // another plan goes over to it then: what it has left goes with it, within the new store, and nothing of
+    // the old plan's refill still to come.
+    void on_plans(Time now, const std::vector<PlanSettings>& more);
 
 private:
     class Impl;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -84,6 +84,7 @@
     open.due = call.request.due;
     open.cls = call.request.cls;
     open.units = static_cast<float>(call.request.units);
+    if (accounts_) accounts_->taken(timers_.now(), handle, call.request);
     if (routes_) open.mark = routes_->route(timers_.now(), call.request);
     open.deadline = timers_.arm(open.due + overdue_after, [this, handle] { overdue(handle); });
     bytes_ += size;
@@ -123,9 +124,25 @@
     drop_if_done(handle);
 }
 
+// A try counts once, when its first attempt has reached a worker whole, whatever the worker made of it.
+void Gateway::note_use(Handle handle, Open& call, const AttemptEnd& end,
+                       const topazcrank::AttemptResult& result) {
+    const double units = call.units;
+    if (end.stage >= Stage::written && !std::exchange(call.sent_on, true)) {
+        accounts_->sent_on(timers_.now(), handle, units);
+    }
+    const bool told = end.ending == Ending::served && result.true_units > 0;
+    if (told && result.true_units != units) accounts_->settled(handle, result.true_units - units);
+}
+
+void Gateway::add_plans(std::vector<topazcrank::PlanSettings> more) {
+    tell([this, more = std::move(more)] { policy_->on_plans(timers_.now(), more); });
+}
+
 void Gateway::drop_if_done(Handle handle) {
     const Open* call = calls_.find(handle);
     if (!call || !call->answered || call->out) return;
+    if (accounts_) accounts_->over(handle);
     bytes_ -= call->payload.bytes.size();
     names_.erase(call->name);
     calls_.remove(handle);
@@ -150,6 +167,7 @@
     if (routes_ && call->attempts == 1) {
         routes_->ended(call->mark, call->cls, call->units, result.outcome, result.lag);
     }
+    if (accounts_) note_use(handle, *call, end, result);
     call->attempt = {};
     call->may_have_run = call->may_have_run || !proves_not_run(result.outcome);
     result.concluded = call->answered || end.ending == Ending::served;
@@ -200,6 +218,7 @@
     call->out = true;
     call->sent = now;
     call->worker = worker;
+    if (accounts_ && call->attempts == 1) accounts_->sending(handle, call->units);
     if (routes_ && call->attempts == 1) call->mark = routes_->sent(now, call->mark, call->cls, worker);
     const bool again =
         call->may_have_run && classes_[static_cast<std::size_t>(call->cls)].repeat == Repeat::unsafe;
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -32,6 +32,10 @@
     void attach(Workers& workers, Counter& counter);
     // Nothing: every call goes to all workers.
     void attach(Routes* routes) { routes_ = routes; }
+    // Nothing: calls are under the plan that they name.
+    void attach(Accounts* accounts) { accounts_ = accounts; }
+    // Plans that the settings do not have, behind those that there are.
+    void add_plans(std::vector<topazcrank::PlanSettings> more);
 
     // From the fronts. The answer may come before take() returns; a null handle says that it has. A second
     // call under an open one's name fails.
@@ -57,6 +61,7 @@
         int cls = 0;
         float units = 0;
         std::uint32_t mark = 0;  // of the routes, for the first attempt
+        bool sent_on = false;    // an attempt has reached a worker whole
         int attempts = 0;
         bool out = false;
         bool may_have_run = false;
@@ -82,6 +87,7 @@
     template <typename Event>
     void guarded(const Event& event);
     void settle(Handle handle, Open& call);
+    void note_use(Handle handle, Open& call, const AttemptEnd& end, const topazcrank::AttemptResult& result);
     void conclude(Handle handle, Open& call, const Answer& answer);
     void overdue(Handle handle);
     void drop_if_done(Handle handle);
@@ -90,6 +96,7 @@
     Workers* workers_ = nullptr;
     Counter* counter_ = nullptr;
     Routes* routes_ = nullptr;
+    Accounts* accounts_ = nullptr;
     Limits limits_;
     std::vector<topazcrank::ClassSettings> classes_;
     int most_attempts_;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -77,6 +77,23 @@
     virtual void add(const std::string& name, double amount, Span life) = 0;
 };
 
+// Which plan an account's calls are under, and what it has used. Where there is none, calls are under the
+// plan that they name.
+class Accounts {
+public:
+    virtual ~Accounts() = default;
+    // A call just taken: sets its plan.
+    virtual void taken(Time now, Handle call, topazcrank::Request& request) = 0;
+    // Its first attempt is about to go out.
+    virtual void sending(Handle call, double units) = 0;
+    // It was first sent on: the first of its attempts that reached a worker whole has ended.
+    virtual void sent_on(Time now, Handle call, double units) = 0;
+    // Its first good answer told the true units.
+    virtual void settled(Handle call, double difference) = 0;
+    // Nothing more comes of it.
+    virtual void over(Handle call) = 0;
+};
+
 // Which pools a call may go to, and what came of it. Where there is none, every call goes to all workers.
 class Routes {
 public:
--- /dev/null
+++ b/src/gateway/commands.cpp
@@ -0,0 +1,179 @@
+#include "commands.h"
+
+#include <chrono>
+#include <cstdio>
+#include <map>
+#include <optional>
+#include <stdexcept>
+
+#include "config.h"
+#include "operators.h"
+#include "plans/store.h"
+
+namespace linnetlead::gateway {
+
+namespace {
+
+using plans::PlanBook;
+using plans::Store;
+
+std::optional<Config> config_of(const std::string& path) {
+    return path.empty() ? std::nullopt : std::optional(load_file(path));
+}
+
+core::Time instant_of(const std::string& text) {
+    if (text.empty()) return std::chrono::system_clock::now().time_since_epoch();
+    const auto instant = plans::read_instant(text);
+    if (!instant) throw std::runtime_error("an instant is written 2026-12-01T10:00:00Z, not '" + text + "'");
+    return *instant;
+}
+
+std::string hex_of(plans::AccountId account) {
+    char text[17];
+    std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(account));
+    return text;
+}
+
+std::string figures_of(const topazcrank::PlanSettings& plan) {
+    char text[160];
+    std::snprintf(text, sizeof(text), "%g units/s, burst %g, %d open, price %g, over %g/%g", plan.rate,
+                  plan.burst, plan.max_open, plan.price, plan.over_worth, plan.over_cost);
+    return text;
+}
+
+// Each account's plan in force, by name.
+std::map<plans::AccountId, std::string> in_force(const PlanBook& book, core::Time at) {
+    std::map<plans::AccountId, std::string> made;
+    for (const plans::Term& term : book.terms) {
+        if (term.since <= at && at < term.until) {
+            made[term.account] = book.plans[static_cast<std::size_t>(term.plan)].name;
+        } else {
+            made.try_emplace(term.account, "");
+        }
+    }
+    return made;
+}
+
+std::unique_ptr<Store> open_ledger(const std::string& path) {
+    std::string problem;
+    auto store = Store::open_to_read(path, problem);
+    if (!store) throw std::runtime_error(problem);
+    return store;
+}
+
+}  // namespace
+
+int check_operators(const std::string& path, const std::string& config_path) {
+    const auto config = config_of(config_path);
+    const OperatorSettings settings = read_operators(path, config ? &config->site : nullptr);
+    std::printf("%s: good: %zu pools, %zu moves, %zu plans, %zu terms of accounts%s\n", path.c_str(),
+                settings.routing.pools.size(), settings.routing.moves.size(), settings.book->plans.size(),
+                settings.book->terms.size(), config ? "" : "; names not checked: no configuration given");
+    return 0;
+}
+
+int show_plans(const std::string& path, const std::string& config_path, const std::string& at,
+               const std::string& account) {
+    const auto config = config_of(config_path);
+    const auto book = read_operators(path, config ? &config->site : nullptr).book;
+    const core::Time now = instant_of(at);
+    if (!account.empty()) {
+        const auto id = plans::read_account(account);
+        if (!id) throw std::runtime_error("an account is 16 hex digits below 2^33, not '" + account + "'");
+        for (const plans::Term& term : book->terms) {
+            if (term.account != *id) continue;
+            std::printf(
+                "%s %s from %s until %s%s\n", account.c_str(),
+                book->plans[static_cast<std::size_t>(term.plan)].name.c_str(),
+                term.since > core::Time{0} ? plans::write_instant(term.since).c_str() : "ever",
+                term.until < plans::forever ? plans::write_instant(term.until).c_str() : "further notice",
+                term.since <= now && now < term.until ? "  <- in force" : "");
+        }
+        return 0;
+    }
+    for (const auto& plan : book->plans)
+        std::printf("plan %s: %s\n", plan.name.c_str(), figures_of(plan).c_str());
+    for (const auto& [id, name] : in_force(*book, now)) {
+        std::printf("%s %s\n", hex_of(id).c_str(), name.empty() ? "(as its calls say)" : name.c_str());
+    }
+    return 0;
+}
+
+int diff_plans(const std::string& old_path, const std::string& new_path, const std::string& config_path,
+               const std::string& at) {
+    const auto config = config_of(config_path);
+    const settings::Site* site = config ? &config->site : nullptr;
+    const auto before = read_operators(old_path, site).book, after = read_operators(new_path, site).book;
+    const core::Time now = instant_of(at);
+    const auto figures = [](const PlanBook& book) {
+        std::map<std::string, std::string> made;
+        for (const auto& plan : book.plans) made[plan.name] = figures_of(plan);
+        return made;
+    };
+    bool differ = false;
+    const auto compare = [&](const auto& was, const auto& is, const auto& name) {
+        auto all = was;
+        all.insert(is.begin(), is.end());
+        for (const auto& [key, ignored] : all) {
+            const auto old_one = was.find(key), new_one = is.find(key);
+            const std::string from = old_one == was.end() ? "" : old_one->second;
+            const std::string to = new_one == is.end() ? "" : new_one->second;
+            if (from == to) continue;
+            differ = true;
+            std::printf("%s: %s -> %s\n", name(key).c_str(), from.empty() ? "none" : from.c_str(),
+                        to.empty() ? "none" : to.c_str());
+        }
+    };
+    compare(figures(*before), figures(*after), [](const std::string& name) { return "plan " + name; });
+    compare(in_force(*before, now), in_force(*after, now), hex_of);
+    std::printf(differ ? "" : "no difference at %s\n", plans::write_instant(now).c_str());
+    return 0;
+}
+
+int show_usage(const std::string& path, bool as_json) {
+    const auto store = open_ledger(path);
+    for (const Store::Row& row : store->rows()) {
+        const double units = plans::units_of(row.use.guessed + row.use.settled);
+        const double exported = plans::units_of(row.exported.guessed + row.exported.settled);
+        const std::string account =
+            row.account == plans::Ledger::no_account ? "(given up)" : hex_of(row.account);
+        if (as_json) {
+            const nlohmann::json line{
+                {"account", account},     {"plan", row.plan}, {"period", plans::write_instant(row.period)},
+                {"tries", row.use.tries}, {"units", units},   {"exported_units", exported}};
+            std::printf("%s\n", line.dump().c_str());
+        } else {
+            std::printf("%s %-16s %s %10lld tries %14.3f units, %14.3f exported\n", account.c_str(),
+                        row.plan.c_str(), plans::write_instant(row.period).c_str(),
+                        static_cast<long long>(row.use.tries), units, exported);
+        }
+    }
+    if (!as_json) {
+        std::printf("at most %.3f units were sent on before a crash and are not counted\n",
+                    plans::units_of(store->uncertain()));
+    }
+    return 0;
+}
+
+int export_usage(const std::string& path, const std::string& folder) {
+    const auto store = open_ledger(path);
+    const auto numbers = store->batch_numbers();
+    for (const std::int64_t number : numbers) {
+        const auto batch = store->batch(number);
+        if (!batch || !write_batch(folder, store->ledger_id(), *batch)) {
+            throw std::runtime_error("a batch cannot be written to " + folder);
+        }
+    }
+    std::printf("%zu batches written to %s\n", numbers.size(), folder.c_str());
+    return 0;
+}
+
+int verify_usage(const std::string& path) {
+    const auto store = open_ledger(path);
+    const auto wrong = store->verify();
+    for (const std::string& line : wrong) std::printf("%s\n", line.c_str());
+    if (wrong.empty()) std::printf("%s: good: %zu rows\n", path.c_str(), store->rows().size());
+    return wrong.empty() ? 0 : 1;
+}
+
+}  // namespace linnetlead::gateway
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -56,6 +56,9 @@
         config.listen = root.value("listen", std::string());
         config.discovery = root.value("discovery", std::string());
         config.counter = root.value("counter", std::string());
+        config.peer_listen = root.value("peer_listen", std::string());
+        config.peers_all = root.value("peers_all", std::string());
+        config.peers = root.value("peers", std::vector<std::string>());
         constexpr int hex = 16;
         const std::string seed = root.value("seed", std::string("0"));
         const auto number = settings::parse<std::uint64_t>(seed, hex);
--- a/src/gateway/config.h
+++ b/src/gateway/config.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "http/message.h"
 #include "settings/settings.h"
@@ -13,7 +14,9 @@
     std::string name;
     std::string listen;
     std::string discovery;
-    std::string counter;  // empty: there is none
+    std::string counter;                 // empty: there is none
+    std::string peer_listen, peers_all;  // empty: there is none
+    std::vector<std::string> peers;
     std::uint64_t seed = 0;
     std::size_t memory_mb = 192;
     std::size_t sockets = 1024;
--- /dev/null
+++ b/src/gateway/keeper.h
@@ -0,0 +1,46 @@
+// The ledger's store on a thread of its own: the loop hands over one job at a time and hears of its end.
+#pragma once
+
+#include <uv.h>
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "net/loop.h"
+#include "plans/store.h"
+
+namespace linnetlead::gateway {
+
+class Keeper {
+public:
+    Keeper(net::Loop& loop, std::unique_ptr<plans::Store> store);
+    ~Keeper() { close(); }
+    Keeper(const Keeper&) = delete;
+    Keeper& operator=(const Keeper&) = delete;
+
+    bool busy() const { return busy_; }
+    // `job` runs on the thread, `done` on the loop. Not while busy.
+    void run(std::function<void(plans::Store&)> job, std::function<void()> done);
+    // Waits for the job in hand, then runs a last one here, at the program's end.
+    void finish(const std::function<void(plans::Store&)>& last);
+    void close();
+
+private:
+    void work();
+
+    std::unique_ptr<plans::Store> store_;
+    uv_async_t* async_ = nullptr;
+    bool busy_ = false;
+    std::function<void()> done_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::function<void(plans::Store&)> job_;  // under the mutex
+    bool stop_ = false;                       // under the mutex
+    bool idle_ = true;                        // under the mutex
+    std::thread thread_;
+};
+
+}  // namespace linnetlead::gateway
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <stdexcept>
 
+#include "commands.h"
 #include "config.h"
 #include "net/acceptor.h"
 #include "net/counter_client.h"
@@ -144,11 +145,11 @@
         loop_.arm(loop_.now() + look_again, [this] { wait_for_answers(); });
     }
     void close() {
-        operators_.reset();
         acceptor_.close();
         pool_.close();
         counter_.close();
         registry_.close();
+        if (operators_) operators_->close();  // behind the last answers, which count
         hold_back_hangups(true);
         for (uv_signal_t& signal : signals_) uv_close(reinterpret_cast<uv_handle_t*>(&signal), nullptr);
         loop_.drain();
@@ -172,16 +173,6 @@
 
 constexpr const char* version = LINNETLEAD_VERSION;
 
-// Says what is wrong with an operators' file, and where; or what is in it.
-int check(const std::string& path, const std::string& config_path) {
-    std::optional<gateway::Config> config;
-    if (!config_path.empty()) config = gateway::load_file(config_path);
-    const auto settings = gateway::read_operators(path, config ? &config->site : nullptr);
-    std::printf("%s: good: %zu pools, %zu moves%s\n", path.c_str(), settings.pools.size(),
-                settings.moves.size(), config ? "" : "; names not checked: no configuration given");
-    return 0;
-}
-
 int serve(const std::string& operators) {
     hold_back_hangups(true);
     const gateway::Config file = gateway::load_file();
@@ -200,19 +191,65 @@
         "linnetlead, a rate-limiting gateway. Without a sub-command it serves, by the configuration "
         "that BALANCER_CONFIG names."};
     app.set_version_flag("--version", std::string("linnetlead ") + version);
-    std::string operators, checked, config;
-    app.add_option("--operators", operators, "the operators' file: pools and moves")->type_name("FILE");
-    CLI::App* const checking = app.add_subcommand("check", "check an operators' file, and serve nothing");
-    checking->add_option("file", checked, "the operators' file")->required();
-    checking->add_option("--config", config, "the configuration whose classes, plans and kinds it has to fit")
-        ->envname("BALANCER_CONFIG");
-    CLI::App* const schema = app.add_subcommand("schema", "print the schema of operators' files");
     app.require_subcommand(0, 1);
-    CLI11_PARSE(app, argc, argv);
+    std::string operators, file, other, config, at, account, folder;
+    bool as_json = false;
+    int code = 0;
+    app.add_option("--operators", operators, "the operators' file")->type_name("FILE");
+    const auto command = [&](CLI::App& parent, const char* name, const char* help, auto run) {
+        CLI::App* const made = parent.add_subcommand(name, help);
+        made->callback([&code, run] { code = run(); });
+        return made;
+    };
+    const auto with_config = [&](CLI::App* of) {
+        of->add_option("--config", config, "the configuration that it has to fit")
+            ->envname("BALANCER_CONFIG");
+    };
+    const auto with_file = [&](CLI::App* of, std::string& into, const char* name, const char* help) {
+        of->add_option(name, into, help)->required();
+    };
+    constexpr const char* operators_file = "the operators' file";
+    CLI::App* one = command(app, "check", "check an operators' file",
+                            [&] { return gateway::check_operators(file, config); });
+    with_file(one, file, "file", operators_file);
+    with_config(one);
+    command(app, "schema", "print the schema of operators' files",
+            [] { return std::puts(std::string(operators::schema()).c_str()) < 0 ? 1 : 0; });
+    CLI::App* const plans = app.add_subcommand("plans", "the plan book");
+    plans->require_subcommand(1);
+    one =
+        command(*plans, "check", "check a plan book", [&] { return gateway::check_operators(file, config); });
+    with_file(one, file, "file", operators_file);
+    with_config(one);
+    one = command(*plans, "show", "who is on which plan",
+                  [&] { return gateway::show_plans(file, config, at, account); });
+    with_file(one, file, "file", operators_file);
+    one->add_option("--at", at, "the instant; else now");
+    one->add_option("--account", account, "this one's terms alone");
+    with_config(one);
+    one = command(*plans, "diff", "what differs between two plan books",
+                  [&] { return gateway::diff_plans(file, other, config, at); });
+    with_file(one, file, "old", operators_file);
+    with_file(one, other, "new", operators_file);
+    one->add_option("--at", at, "the instant; else now");
+    with_config(one);
+    CLI::App* const usage = app.add_subcommand("usage", "a usage ledger");
+    usage->require_subcommand(1);
+    one = command(*usage, "show", "what was used", [&] { return gateway::show_usage(file, as_json); });
+    with_file(one, file, "ledger", "the ledger");
+    one->add_flag("--json", as_json, "a JSON object a line");
+    one = command(*usage, "export", "write its batches to a folder",
+                  [&] { return gateway::export_usage(file, folder); });
+    with_file(one, file, "ledger", "the ledger");
+    with_file(one, folder, "--to", "the folder");
+    one = command(*usage, "verify", "recompute sums, sequence and checksums",
+                  [&] { return gateway::verify_usage(file); });
+    with_file(one, file, "ledger", "the ledger");
     try {
-        if (*schema) return std::puts(std::string(operators::schema()).c_str()) < 0 ? 1 : 0;
-        if (*checking) return check(checked, config);
-        return serve(operators);
+        app.parse(argc, argv);
+        return app.get_subcommands().empty() ? serve(operators) : code;
+    } catch (const CLI::ParseError& e) {
+        return app.exit(e);
     } catch (const std::exception& e) {
         std::fprintf(stderr, "linnetlead: %s\n", e.what());
         // A loop with open handles is left to the system.
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -6,7 +6,7 @@
 
 namespace linnetlead::gateway {
 
-routing::RoutingSettings read_operators(const std::string& path, const settings::Site* site) {
+OperatorSettings read_operators(const std::string& path, const settings::Site* site) {
     const operators::Result document = operators::read_file(path);
     if (const auto* problem = std::get_if<operators::Problem>(&document)) {
         throw std::runtime_error(problem->line());
@@ -15,31 +15,79 @@
     if (const auto* problem = std::get_if<operators::Problem>(&routing)) {
         throw std::runtime_error(problem->line());
     }
-    return std::get<routing::RoutingSettings>(std::move(routing));
+    auto book = plans::read_book(std::get<operators::Value>(document), path, site);
+    if (const auto* problem = std::get_if<operators::Problem>(&book)) {
+        throw std::runtime_error(problem->line());
+    }
+    return {std::get<routing::RoutingSettings>(std::move(routing)),
+            std::get<std::shared_ptr<const plans::PlanBook>>(std::move(book)),
+            plans::read_usage(std::get<operators::Value>(document))};
 }
 
-Operators::Operators(std::string path, const Config& config, core::Timers& timers, core::Gateway& gateway,
+// A file being read on a thread of libuv's. It outlives its owner, should that go first.
+struct Operators::Reading {
+    uv_work_t work{};
+    Operators* owner = nullptr;
+    std::string path;
+    settings::Site site;
+    OperatorSettings settings;
+    std::string problem;
+};
+
+Operators::Operators(std::string path, const Config& config, net::Loop& loop, core::Gateway& gateway,
                      core::Counter& counter)
     : path_(std::move(path)),
       site_(config.site),
-      timers_(timers),
+      timers_(loop),
       gateway_(gateway),
       log_(config.name),
+      peers_(loop, [this](std::string_view text) { router_.heard(timers_.now(), text); }),
       router_(
           config.site.settings, config.seed,
           {[&counter](const std::string& name, double amount, core::Span life) {
                counter.add(name, amount, life);
            },
            [this](const routing::Event& event) { log_.write(event.at, "move", fields_of(event)); },
+           [this](const std::string& text) { peers_.tell(text); },
            [this](std::vector<topazcrank::ServerEntry> entries) { gateway_.marked(std::move(entries)); }}) {
-    router_.configure(timers_.now(), read_operators(path_, &site_));
+    const OperatorSettings settings = read_operators(path_, &site_);
+    router_.configure(timers_.now(), settings.routing);
+    if (settings.usage.wanted || !settings.book->terms.empty()) {
+        usage_ =
+            std::make_unique<Usage>(config.name, config.seed, site_, settings.usage, loop, gateway, log_);
+        usage_->take_book(settings.book);
+    }
+    if (site_.may_tell_peers && !config.peer_listen.empty()) open_peers(config);
     gateway_.attach(&router_);
     tick();
 }
 
-Operators::~Operators() {
-    timers_.disarm(timer_);
-    gateway_.attach(nullptr);
+// Without them a halt takes a second or two longer.
+void Operators::open_peers(const Config& config) {
+    const auto read = [](const std::string& text) {
+        sockaddr_storage address{};
+        if (!net::read_address(text, address)) throw std::runtime_error("peers: no address: '" + text + "'");
+        return address;
+    };
+    std::vector<sockaddr_storage> addresses;
+    for (const std::string& peer : config.peers) {
+        if (peer != config.peer_listen) addresses.push_back(read(peer));
+    }
+    const sockaddr_storage all = config.peers_all.empty() ? sockaddr_storage{} : read(config.peers_all);
+    peers_.peers(std::move(addresses), config.peers_all.empty() ? nullptr : &all);
+    if (const int error = peers_.listen(read(config.peer_listen)); error < 0) {
+        throw std::runtime_error("cannot listen on " + config.peer_listen + ": " + uv_strerror(error));
+    }
+}
+
+Operators::~Operators() { close(); }
+
+void Operators::close() {
+    timers_.disarm(std::exchange(timer_, {}));
+    gateway_.attach(static_cast<core::Routes*>(nullptr));
+    if (reading_) std::exchange(reading_, nullptr)->owner = nullptr;
+    if (usage_) usage_->close();
+    peers_.close();
 }
 
 void Operators::tick() {
@@ -48,16 +96,57 @@
 }
 
 void Operators::reload() {
-    try {
-        router_.configure(timers_.now(), read_operators(path_, &site_));
-        log_.write(timers_.now(), "operators", {{"file", path_}, {"taken", true}});
-    } catch (const std::runtime_error& e) {
-        log_.write(timers_.now(), "operators", {{"file", path_}, {"taken", false}, {"problem", e.what()}});
+    if (reading_) {
+        read_again_ = true;
+    } else {
+        read_beside();
     }
 }
 
+void Operators::read_beside() {
+    read_again_ = false;
+    auto* reading = reading_ = new Reading;
+    reading->work.data = reading;
+    reading->owner = this;
+    reading->path = path_;
+    reading->site = site_;
+    const auto read = [](uv_work_t* work) {
+        auto& self = *static_cast<Reading*>(work->data);
+        try {
+            self.settings = read_operators(self.path, &self.site);
+        } catch (const std::exception& e) {
+            self.problem = e.what();
+        }
+    };
+    const auto take = [](uv_work_t* work, int) {
+        const std::unique_ptr<Reading> self(static_cast<Reading*>(work->data));
+        Operators* const owner = self->owner;
+        if (!owner) return;
+        owner->reading_ = nullptr;
+        if (self->problem.empty()) {
+            owner->take(self->settings);
+        } else {
+            owner->log_.write(owner->timers_.now(), "operators",
+                              {{"file", owner->path_}, {"taken", false}, {"problem", self->problem}});
+        }
+        if (owner->read_again_) owner->read_beside();
+    };
+    uv_queue_work(timers_.uv(), &reading->work, read, take);
+}
+
+void Operators::take(const OperatorSettings& settings) {
+    const core::Time now = timers_.now();
+    router_.configure(now, settings.routing);
+    if (usage_) usage_->take_book(settings.book);
+    const bool needs_restart = !usage_ && (settings.usage.wanted || !settings.book->terms.empty());
+    nlohmann::json fields{{"file", path_}, {"taken", true}};
+    if (needs_restart) fields["problem"] = "plans and use are switched on by a restart";
+    log_.write(now, "operators", std::move(fields));
+}
+
 void Operators::tell_state() {
     nlohmann::json state{{"open_calls", gateway_.open_calls()}};
+    if (usage_) state["usage"] = usage_->state();
     if (const routing::Move* move = router_.move()) state["move"] = fields_of(*move, timers_.now());
     log_.write(timers_.now(), "state", std::move(state));
 }
--- a/src/gateway/operators.h
+++ b/src/gateway/operators.h
@@ -2,41 +2,61 @@
 // that it sets up, the log of what happens.
 #pragma once
 
+#include <memory>
 #include <string>
 
 #include "config.h"
 #include "core/gateway.h"
 #include "log.h"
+#include "net/peer_link.h"
 #include "routing/router.h"
+#include "usage.h"
 
 namespace linnetlead::gateway {
 
+// All that an operators' file says.
+struct OperatorSettings {
+    routing::RoutingSettings routing;
+    std::shared_ptr<const plans::PlanBook> book;
+    plans::UsageSettings usage;
+};
 // Reads and checks a file. `site`: the platform's settings that it has to fit; none: not checked. Throws
 // std::runtime_error with the one line "FILE:LINE:COLUMN: WHAT".
-routing::RoutingSettings read_operators(const std::string& path, const settings::Site* site);
+OperatorSettings read_operators(const std::string& path, const settings::Site* site);
 
 class Operators {
 public:
     // Reads the file; throws as read_operators() does. Attach the router before the first list is told.
-    Operators(std::string path, const Config& config, core::Timers& timers, core::Gateway& gateway,
+    Operators(std::string path, const Config& config, net::Loop& loop, core::Gateway& gateway,
               core::Counter& counter);
     ~Operators();
     Operators(const Operators&) = delete;
     Operators& operator=(const Operators&) = delete;
 
-    void reload();  // a bad file is told in a line, and the old one stays
+    // Read beside the loop, since lists of accounts are long, and then taken at once. A bad file is told in a
+    // line, and the old one stays.
+    void reload();
     void tell_state();
+    void close();
 
 private:
     static constexpr core::Span tick_every = std::chrono::milliseconds(100);
+    struct Reading;
     void tick();
+    void take(const OperatorSettings& settings);
+    void read_beside();
+    void open_peers(const Config& config);
 
     std::string path_;
     settings::Site site_;
-    core::Timers& timers_;
+    net::Loop& timers_;
     core::Gateway& gateway_;
     Log log_;
+    net::PeerLink peers_;
     routing::Router router_;
+    std::unique_ptr<Usage> usage_;  // where the file says something of plans or use
+    Reading* reading_ = nullptr;
+    bool read_again_ = false;
     core::Handle timer_;
 };
 
--- /dev/null
+++ b/src/gateway/usage.h
@@ -0,0 +1,58 @@
+// The accounts in the running gateway: the ledger is flushed to its store, batches are made, pushed to the
+// billing receiver and written to files. The loop waits for none of it.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/gateway.h"
+#include "keeper.h"
+#include "log.h"
+#include "net/http_post.h"
+#include "plans/accounts.h"
+#include "plans/settings.h"
+
+namespace linnetlead::gateway {
+
+class Usage {
+public:
+    // Throws std::runtime_error, in one line, where the ledger cannot be used.
+    Usage(const std::string& gateway, std::uint64_t seed, const settings::Site& site,
+          plans::UsageSettings settings, net::Loop& loop, core::Gateway& core, Log& log);
+    ~Usage();
+
+    void take_book(std::shared_ptr<const plans::PlanBook> book);
+    nlohmann::json state() const;
+    // At the program's end: everything is kept, and the epoch is closed.
+    void close();
+
+private:
+    static constexpr core::Span tick_every = std::chrono::milliseconds(50);
+    void tick();
+    void flush(bool with_batch);
+    void push();
+    void answered(const plans::Batch& batch, const net::HttpPost::Answer& answer);
+    void note_problem(const std::string& problem);
+
+    plans::UsageSettings settings_;
+    net::Loop& loop_;
+    core::Gateway& core_;
+    Log& log_;
+    plans::Accounts accounts_;
+    std::string ledger_id_, gateway_;
+    core::Span store_uncertain_{};
+    plans::Milliunits uncertain_ = 0;
+    std::unique_ptr<Keeper> keeper_;
+    std::unique_ptr<net::HttpPost> post_;
+    core::Handle timer_;
+    core::Time batch_at_{}, push_at_{}, flush_at_{};
+    bool may_have_unsent_ = true;  // batches without a receipt
+    int failures_ = 0;
+    std::int64_t batches_ = 0, receipts_ = 0;
+    std::string problem_;
+};
+
+// Writes a batch under its name, whole or not at all. False: it could not be written.
+bool write_batch(const std::string& folder, const std::string& ledger, const plans::Batch& batch);
+
+}  // namespace linnetlead::gateway
--- /dev/null
+++ b/src/net/peer_link.cpp
@@ -0,0 +1,78 @@
+#include "peer_link.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace linnetlead::net {
+
+namespace {
+
+bool same(const sockaddr* a, const sockaddr_storage& b) {
+    if (a->sa_family != AF_INET || b.ss_family != AF_INET) return false;
+    const auto& one = reinterpret_cast<const sockaddr_in&>(*a);
+    const auto& other = reinterpret_cast<const sockaddr_in&>(b);
+    return one.sin_port == other.sin_port && one.sin_addr.s_addr == other.sin_addr.s_addr;
+}
+
+}  // namespace
+
+PeerLink::PeerLink(Loop& loop, Heard heard) : loop_(loop), heard_(std::move(heard)) {}
+
+int PeerLink::listen(const sockaddr_storage& address) {
+    close();
+    udp_ = new uv_udp_t;
+    uv_udp_init(loop_.uv(), udp_);
+    udp_->data = this;
+    int error = uv_udp_bind(udp_, reinterpret_cast<const sockaddr*>(&address), 0);
+    if (error == 0) {
+        error = uv_udp_recv_start(
+            udp_,
+            [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+                auto& self = *static_cast<PeerLink*>(handle->data);
+                *buffer = uv_buf_init(self.buffer_, sizeof(self.buffer_));
+            },
+            [](uv_udp_t* udp, ssize_t size, const uv_buf_t*, const sockaddr* from, unsigned) {
+                if (udp->data) static_cast<PeerLink*>(udp->data)->received(size, from);
+            });
+    }
+    return error;
+}
+
+int PeerLink::port() const {
+    sockaddr_storage address{};
+    int size = sizeof(address);
+    uv_udp_getsockname(udp_, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+void PeerLink::peers(std::vector<sockaddr_storage> addresses, const sockaddr_storage* all) {
+    peers_ = std::move(addresses);
+    to_ = all ? std::vector<sockaddr_storage>{*all} : peers_;
+}
+
+void PeerLink::tell(std::string_view text) {
+    if (!udp_ || text.size() > most_bytes) return;
+    for (const sockaddr_storage& to : to_) {
+        uv_buf_t bytes = uv_buf_init(const_cast<char*>(text.data()), static_cast<unsigned>(text.size()));
+        uv_udp_try_send(udp_, &bytes, 1, reinterpret_cast<const sockaddr*>(&to));
+    }
+}
+
+void PeerLink::received(ssize_t size, const sockaddr* from) {
+    // One that is longer than may be has been cut, and is no message.
+    if (size <= 0 || !from || static_cast<std::size_t>(size) > most_bytes) return;
+    const bool known =
+        std::any_of(peers_.begin(), peers_.end(), [&](const auto& peer) { return same(from, peer); });
+    if (known) heard_({buffer_, static_cast<std::size_t>(size)});
+}
+
+void PeerLink::close() {
+    if (!udp_) return;
+    udp_->data = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(udp_, nullptr)),
+             [](uv_handle_t* handle) { delete reinterpret_cast<uv_udp_t*>(handle); });
+}
+
+}  // namespace linnetlead::net
--- a/src/operators/document.cpp
+++ b/src/operators/document.cpp
@@ -27,6 +27,16 @@
       "required": ["unit", "value"],
       "properties": {"unit": {"enum": ["time"]}, "value": {"type": "number", "minimum": 0, "maximum": 31536000}}
     },
+    "rate": {
+      "type": "object", "title": "a rate, as in per_second(20)", "additionalProperties": false,
+      "required": ["unit", "value"],
+      "properties": {"unit": {"enum": ["rate"]}, "value": {"type": "number", "minimum": 0, "maximum": 1000000000}}
+    },
+    "instant": {
+      "type": "object", "title": "an instant, as in instant(\"2026-12-01T10:00:00Z\")",
+      "additionalProperties": false, "required": ["unit", "value"],
+      "properties": {"unit": {"enum": ["instant"]}, "value": {"type": "number", "minimum": 0, "maximum": 99999999999}}
+    },
     "share": {
       "type": "object", "title": "a share, as in percent(5)", "additionalProperties": false,
       "required": ["unit", "value"],
@@ -34,6 +44,55 @@
     }
   },
   "properties": {
+    "plans": {
+      "type": "array", "maxItems": 256,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["name", "rate", "burst"],
+        "properties": {
+          "name": {"$ref": "#/definitions/name"},
+          "rate": {"$ref": "#/definitions/rate"},
+          "burst": {"type": "number", "minimum": 0, "maximum": 1000000000},
+          "open": {"type": "integer", "minimum": 0, "maximum": 1000000},
+          "price": {"type": "number", "minimum": 0, "maximum": 1000},
+          "over_worth": {"type": "number", "minimum": 0, "maximum": 1000},
+          "over_cost": {"type": "number", "minimum": 0, "maximum": 1000}
+        }
+      }
+    },
+    "accounts": {
+      "type": "array", "maxItems": 10000,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["id", "plan"],
+        "properties": {
+          "id": {"type": "string"},
+          "plan": {"$ref": "#/definitions/name"},
+          "since": {"$ref": "#/definitions/instant"},
+          "until": {"$ref": "#/definitions/instant"}
+        }
+      }
+    },
+    "account_lists": {
+      "type": "array", "maxItems": 16,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["file"],
+        "properties": {"file": {"type": "string", "minLength": 1}}
+      }
+    },
+    "usages": {
+      "type": "array", "maxItems": 1,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": [],
+        "properties": {
+          "ledger": {"type": "string", "minLength": 1},
+          "period": {"$ref": "#/definitions/time"},
+          "every": {"$ref": "#/definitions/time"},
+          "keep": {"$ref": "#/definitions/time"},
+          "lease": {"type": "number", "minimum": 1, "maximum": 1000000000},
+          "receiver": {"type": "string", "minLength": 1},
+          "files": {"type": "string", "minLength": 1}
+        }
+      }
+    },
     "pools": {
       "type": "array", "maxItems": 30,
       "items": {
@@ -199,9 +258,12 @@
             name + " wants " + wanted->at("title").get<std::string>() + ", not " + described(*place.value)};
     }
     if (within) {
-        const bool share = place.value->find("unit")->text == "share";
+        const std::string unit = place.value->find("unit")->text;
         return {file, place.at,
-                name + (share ? " lies between percent(0) and percent(100)" : " lies between 0 and a year")};
+                name + (unit == "share"  ? " lies between percent(0) and percent(100)"
+                        : unit == "time" ? " lies between 0 and a year"
+                        : unit == "rate" ? " lies between 0 and a thousand million a second"
+                                         : " lies between 1970 and 5138")};
     }
     if (unknown) {
         const std::string word = in_quotes(error.description);
--- a/src/operators/script.cpp
+++ b/src/operators/script.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdio>
+#include <ctime>
 #include <functional>
 #include <limits>
 #include <map>
@@ -139,7 +141,9 @@
 };
 const std::vector<Function>& functions() {
     static const std::vector<Function> all{
-        {"pool", "pools", {"name"}}, {"move", "moves", {"name"}}, {"stage", nullptr, {"share"}}};
+        {"pool", "pools", {"name"}}, {"move", "moves", {"name"}},     {"stage", nullptr, {"share"}},
+        {"plan", "plans", {"name"}}, {"account", "accounts", {"id"}}, {"accounts", "account_lists", {"file"}},
+        {"usage", "usages", {}}};
     return all;
 }
 
@@ -274,6 +278,7 @@
         for (const Unit& unit : units) {
             if (name == unit.name) return quantity(node, unit);
         }
+        if (name == "instant") return instant(node);
         const auto known = std::find_if(functions().begin(), functions().end(),
                                         [&](const Function& one) { return name == one.name; });
         if (known == functions().end()) throw Wrong{at, "there is no function '" + name + "'"};
@@ -322,6 +327,15 @@
         return make_quantity(unit.of, value.number * unit.factor, at);
     }
 
+    Value instant(const Node& node) {
+        const Position at = position_of(node);
+        if (node.children.size() != 2) throw Wrong{at, "instant() takes one text"};
+        const Value value = evaluate(*node.children[1]);
+        const auto seconds = value.kind == Kind::text ? read_instant(value.text) : std::nullopt;
+        if (!seconds) throw Wrong{value.at, "an instant is written \"2026-12-01T10:00:00Z\""};
+        return make_quantity("instant", *seconds, at);
+    }
+
     static Value make_quantity(const std::string& of, double number, Position at) {
         Value unit, amount, made;
         unit.kind = Kind::text;
@@ -364,6 +378,11 @@
             left.items.insert(left.items.end(), right.items.begin(), right.items.end());
             return left;
         }
+        const auto unit_of = [](const Value& v) { return is_quantity(v) ? v.fields[0].value.text : ""; };
+        if ((sign == '+' || sign == '-') && unit_of(left) == "instant" && unit_of(right) == "time") {
+            const double later = sign == '+' ? amount_of(right) : -amount_of(right);
+            return make_quantity("instant", amount_of(left) + later, at);
+        }
         const bool sum = sign == '+' || sign == '-';
         const bool fit = numeric(left) && numeric(right) &&
                          (sum ? is_quantity(left) == is_quantity(right) &&
@@ -415,6 +434,39 @@
 
 }  // namespace
 
+std::optional<double> read_instant(std::string_view text) {
+    const std::string copy(text);
+    std::tm parts{};
+    int size = 0;
+    constexpr int whole_seconds = 19;
+    if (std::sscanf(copy.c_str(), "%4d-%2d-%2dT%2d:%2d:%2d%n", &parts.tm_year, &parts.tm_mon, &parts.tm_mday,
+                    &parts.tm_hour, &parts.tm_min, &parts.tm_sec, &size) != 6 ||
+        size != whole_seconds || copy.back() != 'Z') {
+        return std::nullopt;
+    }
+    const std::string rest = copy.substr(whole_seconds, copy.size() - whole_seconds - 1);
+    const bool digits = rest.size() > 1 && rest.find_first_not_of("0123456789", 1) == std::string::npos;
+    if (!rest.empty() && (rest.front() != '.' || !digits)) return std::nullopt;
+    parts.tm_year -= 1900;
+    parts.tm_mon -= 1;
+    const std::tm asked = parts;
+    const std::time_t seconds = timegm(&parts);  // carries a 31 February over: no such day
+    const bool real = parts.tm_mday == asked.tm_mday && parts.tm_mon == asked.tm_mon &&
+                      parts.tm_hour == asked.tm_hour && parts.tm_min == asked.tm_min &&
+                      parts.tm_sec == asked.tm_sec;
+    if (!real || seconds < 0) return std::nullopt;
+    return static_cast<double>(seconds) + (rest.empty() ? 0 : std::strtod(("0" + rest).c_str(), nullptr));
+}
+
+std::string write_instant(double seconds) {
+    const auto whole = static_cast<std::time_t>(std::floor(seconds));
+    std::tm parts{};
+    gmtime_r(&whole, &parts);
+    char text[40];
+    std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text;
+}
+
 std::string Problem::line() const {
     return file + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) + ": " + what;
 }
--- a/src/operators/script.h
+++ b/src/operators/script.h
@@ -49,6 +49,10 @@
     Value value;
 };
 
+// "2026-12-01T10:00:00Z", with fractions of a second if wanted, in seconds of Unix time.
+std::optional<double> read_instant(std::string_view text);
+std::string write_instant(double seconds);
+
 constexpr std::size_t most_bytes = 1024 * 1024;
 constexpr std::size_t most_depth = 64;  // of brackets
 
--- /dev/null
+++ b/src/plans/book.h
@@ -0,0 +1,58 @@
+// The plan book: which plan each account is on from which instant, as the operators' file and its list of
+// accounts have it. Read once, whole, off the loop if it is long; never changed after, so that a reload is
+// the exchange of a pointer.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "operators/document.h"
+#include "settings/settings.h"
+#include "topazcrank/policy.h"
+
+namespace linnetlead::plans {
+
+using topazcrank::Span;
+using topazcrank::Time;
+using AccountId = std::uint64_t;  // the 16 hex digits of calls
+
+constexpr Time forever = Time::max();
+
+// An account is on a plan from `since` until `until`, the next term's instant, or for good.
+struct Term {
+    AccountId account = 0;
+    std::int32_t plan = 0;  // position in PlanBook::plans
+    Time since{};           // Unix time; 0: always
+    Time until = forever;
+};
+
+struct PlanBook {
+    std::vector<topazcrank::PlanSettings> plans;  // the book's own, then what it takes from the platform
+    std::vector<Term> terms;                      // by account, then instant; none overlaps another
+
+    // The plan in force, or nothing where the book says nothing of the account then.
+    std::optional<std::int32_t> plan_at(AccountId account, Time now) const;
+    // The latest instant at or before `now` at which some account changed over.
+    std::size_t changes_between(Time from, Time to) const;
+};
+
+std::optional<AccountId> read_account(std::string_view text);
+// "2026-12-01T10:00:00Z", with fractions of a second if wanted.
+std::optional<Time> read_instant(std::string_view text);
+std::string write_instant(Time time);
+
+constexpr std::size_t most_plans = 256;
+constexpr std::size_t most_terms = 1'000'000;
+
+// `site`: the platform's plans may be named too; none: only the book's own. Reads the accounts file that the
+// document names, beside the document where its path is not absolute.
+std::variant<std::shared_ptr<const PlanBook>, operators::Problem> read_book(const operators::Value& document,
+                                                                            const std::string& file,
+                                                                            const settings::Site* site);
+
+}  // namespace linnetlead::plans
--- /dev/null
+++ b/src/plans/store.h
@@ -0,0 +1,98 @@
+// The ledger on disk: use by account, plan and period, the lease, and the export's numbered batches, in an
+// SQLite file that one gateway holds alone. Blocking; it belongs on a thread of its own. Without a path it is
+// in memory, bounded, and gone with the process.
+//
+// Every row carries a checksum of its own (XXH64), since SQLite notices torn pages but no flipped bits. A
+// transaction is one flush: with WAL and synchronous=FULL it is on disk whole or not at all.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "ledger.h"
+
+struct sqlite3;
+
+namespace linnetlead::plans {
+
+struct Batch {
+    std::int64_t number = 0;
+    std::string content;   // JSON lines, compressed with zstd; never changes once numbered
+    std::string checksum;  // XXH64 of the content, 16 hex digits
+    std::int64_t rows = 0;
+};
+
+class Store {
+public:
+    struct Settings {
+        std::string path;  // empty: in memory
+        std::string gateway;
+        std::uint64_t seed = 0;
+        std::size_t most_memory = 16 << 20;  // of one in memory
+    };
+    // Nothing, and in `problem` what is wrong, in one line: not to be opened, damaged, held by another.
+    static std::unique_ptr<Store> open(const Settings& settings, std::string& problem);
+    // One for reading alone, beside a gateway that holds it or not.
+    static std::unique_ptr<Store> open_to_read(const std::string& path, std::string& problem);
+    ~Store();
+    Store(const Store&) = delete;
+    Store& operator=(const Store&) = delete;
+
+    // One transaction. False: nothing of it was kept, and problem() says why.
+    bool keep(const std::vector<std::string>& plans, const Ledger::Changes& changes, Span period,
+              Milliunits lease, Milliunits counted);
+    // The next batch of what was not exported yet; nothing where there is nothing, or on a problem.
+    std::optional<Batch> make_batch(Time now, Time closed_before);
+    std::optional<Batch> first_unreceipted();
+    std::optional<Batch> batch(std::int64_t number);
+    std::vector<std::int64_t> batch_numbers();
+    bool receipted(std::int64_t number, Time now);
+    // Drops receipted batches and fully exported use that are older.
+    bool prune(Time before);
+    bool close_cleanly();
+
+    const std::string& problem() const { return problem_; }
+    const std::string& ledger_id() const { return ledger_id_; }
+    std::int64_t epoch() const { return epoch_; }
+    // Units that may have been sent on in epochs that ended without a word, and were not counted.
+    Milliunits uncertain() const { return uncertain_; }
+
+    struct Row {
+        AccountId account = 0;
+        std::string plan;
+        Time period{};
+        Use use;
+        Use exported;
+    };
+    std::vector<Row> rows();
+    // Recomputes every checksum, the batches' sequence and that their sums are what is noted as exported. One
+    // line for each thing that is wrong.
+    std::vector<std::string> verify();
+
+    static constexpr const char* schema = "linnetlead/usage/1";
+
+private:
+    explicit Store(sqlite3* db) : db_(db) {}
+    bool hold(const std::string& path);  // for this process alone
+    bool set_up(const Settings& settings, std::string& problem);
+    bool run(const char* sql);
+    bool failed(const char* what);
+
+    sqlite3* db_;
+    int lock_ = -1;
+    std::string gateway_;
+    std::string ledger_id_;
+    std::string problem_;
+    std::int64_t epoch_ = 0;
+    Milliunits uncertain_ = 0;
+};
+
+std::string compress(const std::string& text);
+std::optional<std::string> decompress(const std::string& bytes);
+std::string checksum_of(const std::string& bytes);
+
+}  // namespace linnetlead::plans
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -250,6 +250,7 @@
         const auto [it, fresh] = customers_.try_emplace(r.customer);
         Customer& c = it->second;
         c.set_size = std::max(1, r.set_size);
+        if (!fresh && c.plan != r.plan) change_plan(r.customer, c, r.plan, now);
         if (!fresh) return c;
         c.plan = r.plan;
         c.hash = hash_of(r.customer);
@@ -265,6 +266,29 @@
         return c;
     }
 
+    // Guards against the old and the new allowance together: the interval ends here, and of what was granted for
+    // all of it, what had not come in yet is taken back. The same at all gateways, each for its slice.
+    void change_plan(const std::string& name, Customer& c, int plan, Time now) {
+        const Span old = interval_of(c);
+        const double to_come = plan_of(c).rate * seconds(edge(c, c.index + 1) - now);
+        const bool has_store = plan_of(c).rate > 0 && c.slice > 0;
+        const double kept = has_store ? c.granted * c.left / c.slice - to_come : 0;
+        c.plan = plan;
+        c.sparse = is_sparse(plan_of(c), c.set_size);
+        const Span interval = interval_of(c);
+        const double longer = seconds(interval) / seconds(old);
+        c.last_demand *= longer;
+        c.others *= longer;
+        c.demand = c.told = c.untold = c.others_spent = 0;
+        c.index = (now + stagger(c, interval)) / interval;
+        c.usual = c.estimate = refill(c) / usual_pass_[static_cast<std::size_t>(plan)];
+        const double come = plan_of(c).rate * seconds(now - edge(c, c.index));
+        c.store = std::min(kept, plan_of(c).burst) - come;
+        open_interval(c);
+        refill_ceiling(c, now);
+        schedule(edge(c, c.index + 1), {TaskKind::edge, name});
+    }
+
     // By demand share when demand exceeds the grant; else demand, and of the spare room half by demand and
     // half evenly. Unknown others or no demand at all: evenly.
     static void cut_slice(Customer& c) {
@@ -279,6 +303,7 @@
         const auto it = customers_.find(name);
         if (it == customers_.end()) return;
         Customer& c = it->second;
+        if (now < edge(c, c.index + 1)) return;  // of a plan that is no longer in force
         // Close the interval: what the others spent is at most their demand and their part of the grant.
         const double spent = c.slice - c.left;
         const double room = std::max(0.0, c.granted - c.slice);
@@ -347,7 +372,7 @@
             if (now < counter_retry_at_) return false;
             counter_retry_at_ = now + back_off;
         }
-        const std::string count = std::to_string(c.hash) + '.' + std::to_string(c.index);
+        const std::string count = std::to_string(c.hash) + plan_of(c).tag + '.' + std::to_string(c.index);
         calls_[count].push_back({name, c.index, kind, request, now});
         out_.count(count, amount, 3 * interval_of(c));
         return true;
@@ -867,6 +892,12 @@
         return by_load;
     }
 
+    void on_plans(const std::vector<PlanSettings>& more) {
+        cfg_.plans.insert(cfg_.plans.end(), more.begin(), more.end());
+        usual_pass_.resize(cfg_.plans.size(), 1.0);
+        validate();
+    }
+
     void on_withdrawn(RequestId id) {
         const auto it = requests_.find(id);
         if (it == requests_.end()) return;
@@ -1008,6 +1039,9 @@
 void Policy::on_counted(Time now, const std::string& name, CountStatus status, double total) {
     impl_->handle(now, [&] { impl_->on_counted(name, status, total, now); });
 }
+void Policy::on_plans(Time now, const std::vector<PlanSettings>& more) {
+    impl_->handle(now, [&] { impl_->on_plans(more); });
+}
 void Policy::on_wake(Time now) {
     impl_->handle(now, [] {});
 }
--- a/src/routing/move.cpp
+++ b/src/routing/move.cpp
@@ -22,6 +22,7 @@
 constexpr double holdback = 0.05;      // stays in the old pool until the end, to compare with
 constexpr double share_reached = 0.8;  // of a stage's share, to be taken for the stage
 constexpr double forgotten = 0.98;     // a tick, of the shares wanted and given
+constexpr int copies_of_a_halt = 3;    // of a datagram: some are lost
 constexpr Span evidence_fresh = 6s;
 constexpr Span step_back_lag = 3s;  // a view this soon after a step is of the stage before
 
@@ -61,6 +62,7 @@
     : settings_(std::move(settings)),
       site_(site),
       events_(std::move(events)),
+      counting_(counting),
       judge_(site.classes, settings_.tolerance, site.seed),
       cold_(
           [&] {
@@ -135,6 +137,7 @@
 
 void Move::roll_back(Time now, const std::string& reason) {
     if (state_ == State::rolling_back || has_ended()) return;
+    halts_to_tell_ = copies_of_a_halt;
     // Nothing new goes to the new pool from here on; what is out there ends in its own time.
     enter(now, State::rolling_back, reason);
     if (outstanding_ == 0) enter(now, State::undone, reason);
@@ -308,6 +311,10 @@
     const bool moving = state_ == State::stepping || state_ == State::holding;
     tier_.tick(now, place(), moving ? stage_ : 0, judge_);
     if (tier_.take_view()) follow(now);
+    if (halts_to_tell_ > 0) {
+        --halts_to_tell_;
+        counting_.tell_peers(std::string(Tier::prefix) + settings_.id() + " halted");
+    }
     wanted_ *= forgotten;
     given_ *= forgotten;
     if (state_ == State::rolling_back && outstanding_ == 0) enter(now, State::undone, reason_);
--- a/src/routing/move.h
+++ b/src/routing/move.h
@@ -71,6 +71,8 @@
     // Every tenth of a second or so.
     void tick(Time now);
     void counted(Time now, const std::string& name, bool good, double total);
+    // Another gateway says by datagram that it has halted this move.
+    void halted_elsewhere(Time now) { roll_back(now, "another gateway has halted the move"); }
     // The workers of both pools that may be sent to.
     void workers(Time now, const std::vector<ColdBudget::Worker>& source,
                  const std::vector<ColdBudget::Worker>& target);
@@ -122,6 +124,7 @@
     MoveSettings settings_;
     Site site_;
     std::function<void(const Event&)> events_;
+    Counting& counting_;
     Judge judge_;
     ColdBudget cold_;
     Tier tier_;
@@ -142,6 +145,7 @@
     Time pooled_at_{};
     std::size_t target_workers_ = 0, source_workers_ = 0;
     int outstanding_ = 0;
+    int halts_to_tell_ = 0;
     // Calls since the last look that a stage's share was for, and those that the new pool had room for.
     double wanted_ = 0, given_ = 0;
     Time last_tick_{};
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -182,6 +182,16 @@
     return true;
 }
 
+void Router::heard(Time now, std::string_view text) {
+    if (move_ && text == std::string(Tier::prefix) + move_->settings().id() + " halted") {
+        move_->halted_elsewhere(now);
+    }
+}
+
+void Router::tell_peers(const std::string& text) {
+    if (outside_.tell_peers) outside_.tell_peers(text);
+}
+
 void Router::count(const std::string& name, double amount, Span life) {
     if (outside_.count) outside_.count(name, amount, life);
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -20,6 +20,7 @@
     struct Outside {
         std::function<void(const std::string& name, double amount, Span life)> count;
         std::function<void(const Event&)> event;
+        std::function<void(const std::string& text)> tell_peers;  // none: there is no way to them
         // Workers that are in other pools now, for Gateway::marked.
         std::function<void(std::vector<topazcrank::ServerEntry>)> marked;
     };
@@ -35,6 +36,9 @@
     void ended(std::uint32_t mark, int cls, double units, topazcrank::Outcome outcome, Span lag) override;
     bool counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) override;
 
+    // What another gateway's tell_peers() said.
+    void heard(Time now, std::string_view text);
+
     const Move* move() const { return move_.get(); }
     std::string pool_of(const core::WorkerId& worker) const;
 
@@ -49,6 +53,7 @@
     std::uint32_t mark(Meant meant) const { return generation_ << 2 | meant; }
 
     void count(const std::string& name, double amount, Span life) override;
+    void tell_peers(const std::string& text) override;
     std::size_t place(const topazcrank::ServerEntry& entry) const;
     Pools bit(std::size_t pool) const { return Pools{1} << pool; }
     std::size_t number_of(const std::string& pool) const;
--- a/src/routing/tier.h
+++ b/src/routing/tier.h
@@ -22,6 +22,8 @@
     virtual ~Counting() = default;
     // Ends in one Tier::counted() or none, where no counter is at hand.
     virtual void count(const std::string& name, double amount, Span life) = 0;
+    // A word to the other gateways, which may come late or never; where there is no way to them, nothing.
+    virtual void tell_peers(const std::string& text) = 0;
 };
 
 class Tier {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -149,6 +149,7 @@
     info.read("limits.conn_idle", site.conn_idle);
     info.read("limits.connect_timeout", site.connect_timeout);
     info.read("limits.max_open", site.max_open);
+    info.read("limits.peers", site.may_tell_peers);
     return site;
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -27,6 +27,7 @@
     topazcrank::Span conn_idle{};
     topazcrank::Span connect_timeout{};
     int max_open = 0;
+    bool may_tell_peers = false;
 };
 
 // Missing keys leave the neutral values of the module's interface.
--- a/standin/world.cpp
+++ b/standin/world.cpp
@@ -57,6 +57,7 @@
                    [this](const routing::Event& event) {
                        world_.events.push_back({self_, event});
                    },
+                   [this](const std::string& text) { world_.tell_peers(self_, text); },
                    [this](std::vector<topazcrank::ServerEntry> entries) {
                        gateway_.marked(std::move(entries));
                    }}) {
@@ -75,6 +76,7 @@
     const routing::Router& router() const { return router_; }
     std::size_t open() const { return open_.size(); }
     bool cut = false;
+    void heard(const std::string& text) { router_.heard(now(), text); }
 
     void take(const DrawnCall& drawn) {
         core::Call call;
@@ -253,6 +255,18 @@
 }
 World::~World() = default;
 
+void World::tell_peers(int from, const std::string& text) {
+    if (!settings_.peers) return;
+    std::uniform_real_distribution<double> chance, late(1.2e-3, 11e-3);
+    for (int to = 0; to < settings_.gateways; ++to) {
+        constexpr double lost = 0.07;
+        if (to == from || chance(random_) < lost) continue;
+        clock_.arm(clock_.now() + span_of(late(random_)), [this, to, text] {
+            if (auto& node = nodes_[static_cast<std::size_t>(to)]) node->heard(text);
+        });
+    }
+}
+
 void World::load(bool on) {
     clock_.disarm(next_);
     if (on) next_call();
--- a/standin/world.h
+++ b/standin/world.h
@@ -44,7 +44,8 @@
     int customers = 200;
     Mix mix;
     std::uint64_t seed = 1;
-    Span most_skew{};  // between the gateways' clocks
+    Span most_skew{};    // between the gateways' clocks
+    bool peers = false;  // they may send each other datagrams, of which 7% are lost
 };
 
 // What the clients and the rules' auditor saw.
@@ -96,6 +97,7 @@
         std::unique_ptr<WorkerModel> model;
     };
     void next_call();
+    void tell_peers(int from, const std::string& text);
 
     WorldSettings settings_;
     Clock clock_;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -124,13 +124,14 @@
 
 struct Scene {
     explicit Scene(std::uint64_t seed = 1, const WorkerFigures& fresh = {}, Time started = 0s,
-                   int gateways = 3, Span skew = 300ms)
+                   int gateways = 3, Span skew = 300ms, bool peers = false)
         : world([&] {
               standin::WorldSettings settings;
               settings.seed = seed;
               settings.gateways = gateways;
               settings.calls_per_s = 90;
               settings.most_skew = skew;
+              settings.peers = peers;
               return settings;
           }()) {
         world.target_kind = "fast";
@@ -427,6 +428,22 @@
     EXPECT_TRUE(scene.reach(State::done, 4min)) << scene.world.move(0)->verdict(scene.world.now());
 }
 
+// By the counter alone a halt takes up to three seconds; by datagrams, lost ones among them, a few ticks.
+TEST(Tier, DatagramsMakeAHaltFaster) {
+    for (const bool peers : {false, true}) {
+        Scene scene(13, {}, 0s, 3, 300ms, peers);
+        ASSERT_TRUE(scene.reach_stage(1, 1min));
+        scene.world.run_for(2s);
+        RoutingSettings aborted = tender();
+        aborted.moves[0].order = Order::abort;
+        scene.world.configure(0, aborted);
+        scene.world.run_for(330ms);
+        EXPECT_EQ(scene.world.move(1)->share(scene.world.now()) == 0, peers);
+        scene.world.run_for(2700ms);
+        EXPECT_EQ(scene.world.move(1)->share(scene.world.now()), 0);
+    }
+}
+
 // A slot's count holds how many are at each place, exactly, for any tier that fits its digits.
 TEST(Tier, CountsTellHowManyGatewaysAreAtEachPlace) {
     struct Book final : Counting {
@@ -434,6 +451,7 @@
             totals[name] += amount;
             asked.push_back(name);
         }
+        void tell_peers(const std::string&) override {}
         std::map<std::string, double> totals;
         std::vector<std::string> asked;
     };
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -14,6 +14,7 @@
 
 #include "net/acceptor.h"
 #include "net/counter_client.h"
+#include "net/peer_link.h"
 #include "net/registry_watch.h"
 #include "net/worker_pool.h"
 #include "resp/parser.h"
@@ -687,6 +688,34 @@
     EXPECT_TRUE(rig.until([&] { return line->has("TALLY"); }));
 }
 
+// ---- Other gateways -------------------------------------------------------------------------------------
+
+TEST(Peers, AreHeardFromTheTiersAddressesAloneAndNeverBeyond256Bytes) {
+    net::Loop loop;
+    std::vector<std::string> heard;
+    net::PeerLink one(loop, [](std::string_view) {}), stranger(loop, [](std::string_view) {});
+    net::PeerLink other(loop, [&](std::string_view text) { heard.emplace_back(text); });
+    sockaddr_storage any{};
+    net::read_address("127.0.0.1:0", any);
+    for (net::PeerLink* link : {&one, &stranger, &other}) ASSERT_EQ(link->listen(any), 0);
+    const auto at = [](const net::PeerLink& link) {
+        sockaddr_storage address{};
+        net::read_address("127.0.0.1:" + std::to_string(link.port()), address);
+        return address;
+    };
+    one.peers({at(other)}, nullptr);
+    stranger.peers({at(other)}, nullptr);
+    other.peers({at(one)}, nullptr);
+    stranger.tell("not from here");
+    one.tell(std::string(net::PeerLink::most_bytes + 1, 'x'));
+    one.tell(std::string(net::PeerLink::most_bytes, 'y'));
+    one.tell("halted");
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (heard.size() < 2 && std::chrono::steady_clock::now() < end) loop.turn();
+    EXPECT_EQ(heard, (std::vector<std::string>{std::string(net::PeerLink::most_bytes, 'y'), "halted"}));
+    for (net::PeerLink* link : {&one, &stranger, &other}) link->close();
+}
+
 // ---- The registry -------------------------------------------------------------------------------------
 
 std::string response(const std::string& json) {
