--- a/tests/moves_test.cpp
+++ b/tests/moves_test.cpp
@@ -91,6 +91,10 @@
     EXPECT_TRUE(rig.town.run_until([&] { return rig.logged("there is no argument 'ordr' here"); }, 5s));
     rig.town.operate(move_of("", "[stage(percent(30), hold = minutes(5)), stage(percent(50))]"));
     ASSERT_TRUE(rig.reach("holding"));
+    rig.town.registry_is_silent(true);  // what is known stands
+    rig.town.run_for(1s);
+    EXPECT_EQ(rig.state(0), "holding");
+    rig.town.registry_is_silent(false);
     rig.town.list("new0", Town::Stage::terminating);
     rig.town.run_for(1s);
     const auto drained = rig.town.calls_of("new0");
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -297,6 +297,50 @@
     EXPECT_LT(most, 4);
 }
 
+// One cold worker for the traffic of many, at a stage of most of it: more than the module's own chance for
+// cold workers can hold.
+TEST(Move, AStageFarAboveWhatAColdWorkerBearsIsBounded) {
+    standin::WorldSettings with_load;
+    with_load.seed = 21;
+    with_load.calls_per_s = 300;
+    with_load.gateways = 4;
+    World world(with_load);
+    for (int i = 0; i < 24; ++i) world.add_worker("old" + std::to_string(i), "std", {});
+    WorkerFigures figures;
+    figures.ramp = 18s;
+    figures.room = 1000;
+    world.add_worker("new0", "fast", figures, world.now() + 8s);
+    world.tell_list();
+    world.run_for(8s);
+    RoutingSettings settings = tender();
+    settings.moves[0].stages = {{0.9, 10s}};
+    settings.moves[0].step = 1s;
+    settings.moves[0].tolerance.slower = 9;  // it is to stay there
+    settings.moves[0].tolerance.shown = 10;
+    settings.moves[0].tolerance.failures = 100;
+    settings.moves[0].tolerance.gross = 1;
+    world.configure(settings);
+    world.run_for(22s);
+    EXPECT_GT(world.worker("new0").calls, 20u);
+    EXPECT_LT(world.worker("new0").most_when_cold, 4);
+    EXPECT_GT(world.move(0)->bounded(), 100u);
+}
+
+// At a late stage both pools fail seldom, and a few seconds of errors must be enough.
+TEST(Move, GrossFailureAtALateStageHaltsWithinSeconds) {
+    Scene scene(14);
+    ASSERT_TRUE(scene.reach_stage(3, 3min));
+    scene.world.run_for(9s);
+    const Time begun = scene.world.now();
+    scene.each_new([](auto& worker) { worker.figures.errors = 0.8; });
+    scene.world.run_for(10s);
+    Time first = Time::max();
+    for (const auto& noted : scene.world.events) {
+        if (noted.event.to == State::rolling_back) first = std::min(first, noted.event.at);
+    }
+    EXPECT_LE(first, begun + 2500ms);
+}
+
 TEST(Move, WorkersThatDrainOrChangePoolOrAllGoAreFollowedInMidStep) {
     Scene scene(6);
     ASSERT_TRUE(scene.reach_stage(2, 2min));
