--- a/bench/plans.cpp
+++ b/bench/plans.cpp
@@ -95,6 +95,7 @@
         world.take_book(now_book);
         if (counter_fails && i % 4 == 1) world.counter.mood = standin::CounterModel::Mood::silent;
         worst = 0;
+        store = std::max(store, 0.0);  // a window for each change: what went before is no part of it
         world.run_for(500ms + standin::span_of(gap(random)));
         world.counter.mood = standin::CounterModel::Mood::well;
         all.push_back(worst);
