--- a/standin/peer.cpp
+++ b/standin/peer.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -111,6 +112,8 @@
     words.push_back(nullptr);
     pid = fork();
     if (pid == 0) {
+        // A test that is killed or aborts must leave no gateway behind: it would hold the runner's pipe open.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(ends[1], 2);
         ::close(ends[1]);
         setenv("BALANCER_CONFIG", path_.c_str(), 1);
--- a/tests/moves_test.cpp
+++ b/tests/moves_test.cpp
@@ -7,6 +7,7 @@
 #include "standin/town.h"
 
 namespace linnetlead {
+namespace {
 
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -139,4 +140,5 @@
     unlink(path.c_str());
 }
 
+}  // namespace
 }  // namespace linnetlead
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -5,6 +5,7 @@
 #include "routing/settings.h"
 
 namespace linnetlead {
+namespace {
 
 using operators::Problem;
 using operators::Value;
@@ -150,4 +151,5 @@
     EXPECT_TRUE(std::holds_alternative<Problem>(operators::read_file("/nowhere/at/all")));
 }
 
+}  // namespace
 }  // namespace linnetlead
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -8,6 +8,7 @@
 #include "resp/command.h"
 
 namespace linnetlead {
+namespace {
 
 using resp::Parsed;
 using topazcrank::Outcome;
@@ -294,4 +295,5 @@
     wheel.disarm(never);  // a stale handle misses
 }
 
+}  // namespace
 }  // namespace linnetlead
--- a/tests/plans_test.cpp
+++ b/tests/plans_test.cpp
@@ -18,6 +18,7 @@
 #include "standin/world.h"
 
 namespace linnetlead {
+namespace {
 
 using namespace std::chrono_literals;
 using namespace plans;
@@ -518,4 +519,5 @@
     EXPECT_GT(next, 25);
 }
 
+}  // namespace
 }  // namespace linnetlead
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -8,6 +8,7 @@
 #include "standin/world.h"
 
 namespace linnetlead {
+namespace {
 
 using namespace std::chrono_literals;
 using namespace routing;
@@ -530,4 +531,5 @@
     }
 }
 
+}  // namespace
 }  // namespace linnetlead
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -21,6 +21,7 @@
 #include "standin/peer.h"
 
 namespace linnetlead {
+namespace {
 
 using namespace std::chrono_literals;
 using core::Listed;
@@ -834,4 +835,5 @@
     EXPECT_EQ(program.exit_code(), 0);
 }
 
+}  // namespace
 }  // namespace linnetlead
--- a/tests/usage_test.cpp
+++ b/tests/usage_test.cpp
@@ -13,6 +13,7 @@
 #include "standin/town.h"
 
 namespace linnetlead {
+namespace {
 
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -200,4 +201,5 @@
     unlink(operators.c_str());
 }
 
+}  // namespace
 }  // namespace linnetlead
