--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -185,6 +185,7 @@
 
 void Gateway::counted(const std::string& name, topazcrank::CountStatus status, double total) {
     if (routes_ && routes_->counted(timers_.now(), name, status, total)) return;
+    if (accounts_ && accounts_->counted(timers_.now(), name, status, total)) return;
     tell([this, name, status, total] { policy_->on_counted(timers_.now(), name, status, total); });
 }
 
@@ -235,6 +236,7 @@
     const Handle handle = Handle::unpacked(id);
     Open* call = calls_.find(handle);
     if (!call) return;
+    if (accounts_ && call->attempts == 0) accounts_->refused(timers_.now(), handle);
     const topazcrank::ClassSettings& cls = classes_[static_cast<std::size_t>(call->cls)];
     const bool harmless = !call->may_have_run || cls.repeat == Repeat::safe ||
                           (cls.repeat == Repeat::keyed && cls.key_scope == topazcrank::KeyScope::all);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -82,7 +82,7 @@
 class Accounts {
 public:
     virtual ~Accounts() = default;
-    // A call just taken: sets its plan.
+    // A call just taken: sets its plan, and the customer that the module knows it by.
     virtual void taken(Time now, Handle call, topazcrank::Request& request) = 0;
     // Its first attempt is about to go out.
     virtual void sending(Handle call, double units) = 0;
@@ -90,8 +90,12 @@
     virtual void sent_on(Time now, Handle call, double units) = 0;
     // Its first good answer told the true units.
     virtual void settled(Handle call, double difference) = 0;
+    // It is refused without having been sent anywhere.
+    virtual void refused(Time now, Handle call) = 0;
     // Nothing more comes of it.
     virtual void over(Handle call) = 0;
+    // Of a count whose name is its own; false: it is not.
+    virtual bool counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) = 0;
 };
 
 // Which pools a call may go to, and what came of it. Where there is none, every call goes to all workers.
--- a/src/gateway/commands.cpp
+++ b/src/gateway/commands.cpp
@@ -41,6 +41,16 @@
     return text;
 }
 
+std::string figures_of(const plans::Reserve& one) {
+    char text[200];
+    std::snprintf(text, sizeof(text), "%s %g units from %s until %s, %.6g units/s of the capacity%s%s",
+                  hex_of(one.account).c_str(), one.units, plans::write_instant(one.since).c_str(),
+                  plans::write_instant(one.until).c_str(), one.rate(),
+                  one.open > 0 ? (", " + std::to_string(one.open) + " open").c_str() : "",
+                  one.lend && one.pace > 0 ? ", lends" : "");
+    return text;
+}
+
 // Each account's plan in force, by name.
 std::map<plans::AccountId, std::string> in_force(const PlanBook& book, core::Time at) {
     std::map<plans::AccountId, std::string> made;
@@ -66,9 +76,10 @@
 int check_operators(const std::string& path, const std::string& config_path) {
     const auto config = config_of(config_path);
     const OperatorSettings settings = read_operators(path, config ? &config->site : nullptr);
-    std::printf("%s: good: %zu pools, %zu moves, %zu plans, %zu terms of accounts%s\n", path.c_str(),
-                settings.routing.pools.size(), settings.routing.moves.size(), settings.book->plans.size(),
-                settings.book->terms.size(), config ? "" : "; names not checked: no configuration given");
+    std::printf("%s: good: %zu pools, %zu moves, %zu plans, %zu terms of accounts, %zu reserves%s\n",
+                path.c_str(), settings.routing.pools.size(), settings.routing.moves.size(),
+                settings.book->plans.size(), settings.book->terms.size(), settings.book->reserves.size(),
+                config ? "" : "; names not checked: no configuration given");
     return 0;
 }
 
@@ -93,6 +104,10 @@
     }
     for (const auto& plan : book->plans)
         std::printf("plan %s: %s\n", plan.name.c_str(), figures_of(plan).c_str());
+    for (const plans::Reserve& one : book->reserves) {
+        std::printf("reserve %s: %s\n", one.id.c_str(), figures_of(one).c_str());
+    }
+    if (book->capacity > 0) std::printf("capacity: %g units/s\n", book->capacity);
     for (const auto& [id, name] : in_force(*book, now)) {
         std::printf("%s %s\n", hex_of(id).c_str(), name.empty() ? "(as its calls say)" : name.c_str());
     }
@@ -107,7 +122,8 @@
     const core::Time now = instant_of(at);
     const auto figures = [](const PlanBook& book) {
         std::map<std::string, std::string> made;
-        for (const auto& plan : book.plans) made[plan.name] = figures_of(plan);
+        for (const auto& plan : book.plans) made["plan " + plan.name] = figures_of(plan);
+        for (const plans::Reserve& one : book.reserves) made["reserve " + one.id] = figures_of(one);
         return made;
     };
     bool differ = false;
@@ -124,7 +140,7 @@
                         to.empty() ? "none" : to.c_str());
         }
     };
-    compare(figures(*before), figures(*after), [](const std::string& name) { return "plan " + name; });
+    compare(figures(*before), figures(*after), [](const std::string& name) { return name; });
     compare(in_force(*before, now), in_force(*after, now), hex_of);
     std::printf(differ ? "" : "no difference at %s\n", plans::write_instant(now).c_str());
     return 0;
@@ -137,14 +153,19 @@
         const double exported = plans::units_of(row.exported.guessed + row.exported.settled);
         const std::string account =
             row.account == plans::Ledger::no_account ? "(given up)" : hex_of(row.account);
+        const plans::UsedName name = plans::split_name(row.plan);
         if (as_json) {
-            const nlohmann::json line{
-                {"account", account},     {"plan", row.plan}, {"period", plans::write_instant(row.period)},
-                {"tries", row.use.tries}, {"units", units},   {"exported_units", exported}};
+            nlohmann::json line{
+                {"account", account},     {"plan", name.plan}, {"period", plans::write_instant(row.period)},
+                {"tries", row.use.tries}, {"units", units},    {"exported_units", exported}};
+            if (!name.reserve.empty()) line[name.lent ? "lent_by" : "reserve"] = name.reserve;
             std::printf("%s\n", line.dump().c_str());
         } else {
+            const std::string from =
+                name.reserve.empty() ? name.plan
+                                     : name.plan + (name.lent ? ", lent by " : ", reserve ") + name.reserve;
             std::printf("%s %-16s %s %10lld tries %14.3f units, %14.3f exported\n", account.c_str(),
-                        row.plan.c_str(), plans::write_instant(row.period).c_str(),
+                        from.c_str(), plans::write_instant(row.period).c_str(),
                         static_cast<long long>(row.use.tries), units, exported);
         }
     }
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -52,9 +52,9 @@
            [this](std::vector<topazcrank::ServerEntry> entries) { gateway_.marked(std::move(entries)); }}) {
     const OperatorSettings settings = read_operators(path_, &site_);
     router_.configure(timers_.now(), settings.routing);
-    if (settings.usage.wanted || !settings.book->terms.empty()) {
-        usage_ =
-            std::make_unique<Usage>(config.name, config.seed, site_, settings.usage, loop, gateway, log_);
+    if (settings.wants_accounts()) {
+        usage_ = std::make_unique<Usage>(config.name, config.seed, site_, settings.usage, loop, gateway,
+                                         counter, log_);
         usage_->take_book(settings.book);
     }
     if (site_.may_tell_peers && !config.peer_listen.empty()) open_peers(config);
@@ -138,7 +138,7 @@
     const core::Time now = timers_.now();
     router_.configure(now, settings.routing);
     if (usage_) usage_->take_book(settings.book);
-    const bool needs_restart = !usage_ && (settings.usage.wanted || !settings.book->terms.empty());
+    const bool needs_restart = !usage_ && settings.wants_accounts();
     nlohmann::json fields{{"file", path_}, {"taken", true}};
     if (needs_restart) fields["problem"] = "plans and use are switched on by a restart";
     log_.write(now, "operators", std::move(fields));
--- a/src/gateway/operators.h
+++ b/src/gateway/operators.h
@@ -19,6 +19,8 @@
     routing::RoutingSettings routing;
     std::shared_ptr<const plans::PlanBook> book;
     plans::UsageSettings usage;
+
+    bool wants_accounts() const { return usage.wanted || !book->terms.empty() || !book->reserves.empty(); }
 };
 // Reads and checks a file. `site`: the platform's settings that it has to fit; none: not checked. Throws
 // std::runtime_error with the one line "FILE:LINE:COLUMN: WHAT".
--- a/src/gateway/usage.cpp
+++ b/src/gateway/usage.cpp
@@ -44,12 +44,16 @@
 }
 
 Usage::Usage(const std::string& gateway, std::uint64_t seed, const settings::Site& site,
-             plans::UsageSettings settings, net::Loop& loop, core::Gateway& core, Log& log)
+             plans::UsageSettings settings, net::Loop& loop, core::Gateway& core, core::Counter& counter,
+             Log& log)
     : settings_(std::move(settings)),
       loop_(loop),
       core_(core),
       log_(log),
-      accounts_(site.settings.plans, settings_.period, {}, settings_.wanted ? settings_.lease : 0),
+      accounts_(site.settings, settings_.period, {}, settings_.wanted ? settings_.lease : 0,
+                [&counter](const std::string& name, double amount, core::Span life) {
+                    counter.add(name, amount, life);
+                }),
       gateway_(gateway) {
     if (settings_.wanted) {
         // One file serves all gateways, and each has a ledger of its own.
@@ -109,6 +113,7 @@
 
 void Usage::tick() {
     timer_ = loop_.arm(loop_.now() + tick_every, [this] { tick(); });
+    accounts_.reserves.tick(loop_.now());
     if (!keeper_) {
         accounts_.ledger.take();  // nobody wants it
         return;
@@ -241,12 +246,25 @@
     receipt_ = batch.number;  // should it not be kept, the batch goes out once more, the same
 }
 
-json Usage::state() const {
+json Usage::state() {
     const plans::Use& total = accounts_.ledger.total();
     json state{{"tries", total.tries},
                {"units", plans::units_of(total.guessed + total.settled)},
                {"rows_waiting", accounts_.ledger.rows()},
                {"terms", accounts_.book() ? accounts_.book()->terms.size() : 0}};
+    for (const plans::Purse* purse : accounts_.reserves.all()) {
+        const plans::Purse::State one = purse->state();
+        state["reserves"].push_back({{"id", purse->reserve().id},
+                                     {"in_force", purse->in_force(loop_.now())},
+                                     {"known", one.known},
+                                     {"units", purse->reserve().units},
+                                     {"claimed_by_all", one.claimed},
+                                     {"at_hand", one.at_hand},
+                                     {"paid_here", one.paid},
+                                     {"lent_here", one.lent},
+                                     {"claims_lost", one.claims_lost},
+                                     {"counter_resets", one.resets}});
+    }
     if (keeper_) {
         state["ledger"] = ledger_id_;
         state["batches_made"] = batches_;
--- a/src/gateway/usage.h
+++ b/src/gateway/usage.h
@@ -18,11 +18,12 @@
 public:
     // Throws std::runtime_error, in one line, where the ledger cannot be used.
     Usage(const std::string& gateway, std::uint64_t seed, const settings::Site& site,
-          plans::UsageSettings settings, net::Loop& loop, core::Gateway& core, Log& log);
+          plans::UsageSettings settings, net::Loop& loop, core::Gateway& core, core::Counter& counter,
+          Log& log);
     ~Usage();
 
     void take_book(std::shared_ptr<const plans::PlanBook> book);
-    nlohmann::json state() const;
+    nlohmann::json state();
     // At the program's end: everything is kept, and the epoch is closed.
     void close();
 
--- a/src/operators/document.cpp
+++ b/src/operators/document.cpp
@@ -71,6 +71,32 @@
         }
       }
     },
+    "reserves": {
+      "type": "array", "maxItems": 256,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["id", "account", "units", "since", "until"],
+        "properties": {
+          "id": {"$ref": "#/definitions/name"},
+          "account": {"type": "string"},
+          "units": {"type": "number", "minimum": 1, "maximum": 1000000},
+          "since": {"$ref": "#/definitions/instant"},
+          "until": {"$ref": "#/definitions/instant"},
+          "pace": {"$ref": "#/definitions/rate"},
+          "open": {"type": "integer", "minimum": 0, "maximum": 1000000},
+          "lend": {"type": "boolean"}
+        }
+      }
+    },
+    "capacities": {
+      "type": "array", "maxItems": 1,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["rate"],
+        "properties": {
+          "rate": {"$ref": "#/definitions/rate"},
+          "plans": {"$ref": "#/definitions/share"}
+        }
+      }
+    },
     "account_lists": {
       "type": "array", "maxItems": 16,
       "items": {
--- a/src/operators/script.cpp
+++ b/src/operators/script.cpp
@@ -143,7 +143,7 @@
     static const std::vector<Function> all{
         {"pool", "pools", {"name"}}, {"move", "moves", {"name"}},     {"stage", nullptr, {"share"}},
         {"plan", "plans", {"name"}}, {"account", "accounts", {"id"}}, {"accounts", "account_lists", {"file"}},
-        {"usage", "usages", {}}};
+        {"usage", "usages", {}},     {"reserve", "reserves", {"id"}}, {"capacity", "capacities", {"rate"}}};
     return all;
 }
 
--- a/src/plans/accounts.cpp
+++ b/src/plans/accounts.cpp
@@ -15,25 +15,44 @@
 
 }  // namespace
 
-Accounts::Accounts(const std::vector<topazcrank::PlanSettings>& known, Span period, Ledger::Limits limits,
-                   double lease_block)
-    : ledger(period, limits), lease(lease_block), positions_(known) {
+Accounts::Accounts(const topazcrank::Settings& site, Span period, Ledger::Limits limits, double lease_block,
+                   CountUnits count)
+    : ledger(period, limits),
+      lease(lease_block),
+      reserves(site.gateways, site.most_units, std::move(count)),
+      may_count_(site.may_count),
+      positions_(site.plans) {
     for (const auto& plan : positions_) name_.push_back(ledger.plan(plan.name));
 }
 
+std::int32_t Accounts::position_of(const topazcrank::PlanSettings& plan,
+                                   std::vector<topazcrank::PlanSettings>& more) {
+    const auto find = [&plan](const std::vector<topazcrank::PlanSettings>& among) {
+        std::size_t at = 0;
+        while (at < among.size() && !same(among[at], plan)) ++at;
+        return at;
+    };
+    std::size_t at = find(positions_);
+    if (at == positions_.size()) {
+        const std::size_t behind = find(more);
+        if (behind == more.size()) more.push_back(plan);
+        at += behind;
+    }
+    return static_cast<std::int32_t>(at);
+}
+
 bool Accounts::take(std::shared_ptr<const PlanBook> book, std::vector<topazcrank::PlanSettings>& more) {
     std::vector<std::int32_t> position;
+    std::unordered_map<int, std::int32_t> reserved;
     more.clear();
-    for (const auto& plan : book->plans) {
-        std::size_t at = 0;
-        while (at < positions_.size() && !same(positions_[at], plan)) ++at;
-        if (at == positions_.size()) {
-            std::size_t behind = 0;
-            while (behind < more.size() && !same(more[behind], plan)) ++behind;
-            if (behind == more.size()) more.push_back(plan);
-            at += behind;
-        }
-        position.push_back(static_cast<std::int32_t>(at));
+    for (const auto& plan : book->plans) position.push_back(position_of(plan, more));
+    // Whoever pays from a reserve has paid: the module is not to hold it against a quota once more.
+    for (const Reserve& reserve : book->reserves) {
+        topazcrank::PlanSettings plan;
+        plan.name = "reserve";
+        plan.tag = "rv" + std::to_string(reserve.open);
+        plan.max_open = reserve.open;
+        reserved[reserve.open] = position_of(plan, more);
     }
     if (positions_.size() + more.size() > most_positions) return false;
     for (const auto& plan : more) {
@@ -41,6 +60,8 @@
         name_.push_back(ledger.plan(plan.name));
     }
     position_ = std::move(position);
+    reserved_ = std::move(reserved);
+    if (may_count_) reserves.take(book->reserves);
     book_ = std::move(book);
     return true;
 }
@@ -53,14 +74,31 @@
         }
     }
     if (call.index >= open_.size()) open_.resize(call.index + 1);
-    open_[call.index] = {account.value_or(Ledger::no_account), request.plan, false, 0, {}};
+    Open& open = open_[call.index] = {account.value_or(Ledger::no_account), request.plan, false, 0, {}, {}};
     ++open_calls_;
+    const auto paid = account ? reserves.pay(now, *account, request.units) : std::nullopt;
+    if (!paid) return;
+    open.paid = *paid;
+    const int most_open = reserves.find(paid->purse)->reserve().open;
+    request.plan = reserved_.at(most_open);
+    request.customer += '+';  // beside the account itself, whose quota this call does not touch
+    if (most_open == 0) request.set_size = 1;  // nothing is shared, so nothing is to be told
+}
+
+// In the ledger a reserve's use is under the account's plan, with the reserve behind it.
+std::int32_t Accounts::reserve_name(std::int32_t plan, const Reserves::Paid& paid) {
+    const Purse* purse = reserves.find(paid.purse);
+    if (!purse) return plan;
+    return ledger.plan(
+        row_name({ledger.plans()[static_cast<std::size_t>(plan)], purse->reserve().id, paid.lent}));
 }
 
 void Accounts::sent_on(Time now, core::Handle call, double units) {
     Open& open = open_[call.index];
     open.counted = true;
-    open.key = ledger.sent(now, open.account, name_[static_cast<std::size_t>(open.plan)], units);
+    std::int32_t name = name_[static_cast<std::size_t>(open.plan)];
+    if (open.paid.purse) name = reserve_name(name, open.paid);
+    open.key = ledger.sent(now, open.account, name, units);
 }
 
 void Accounts::sending(core::Handle call, double units) {
@@ -70,13 +108,27 @@
 
 void Accounts::settled(core::Handle call, double difference) {
     const Open& open = open_[call.index];
-    if (open.counted) ledger.settled(open.key, difference);
+    if (!open.counted) return;
+    ledger.settled(open.key, difference);
+    if (open.paid.purse) reserves.settle(open.paid, difference);
+}
+
+void Accounts::refused(Time now, core::Handle call) {
+    const Open& open = open_[call.index];
+    if (!open.paid.purse && open.account != Ledger::no_account) reserves.refused(now, open.account);
+}
+
+bool Accounts::counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) {
+    return reserves.counted(now, name, status == topazcrank::CountStatus::ok, total);
 }
 
 void Accounts::over(core::Handle call) {
     --open_calls_;
     const Open& open = open_[call.index];
-    if (!open.counted && open.leased > 0) lease.sent(-open.leased);  // it never reached a worker
+    if (open.counted) return;
+    // It never reached a worker.
+    if (open.leased > 0) lease.sent(-open.leased);
+    if (open.paid.purse) reserves.take_back(open.paid);
 }
 
 }  // namespace linnetlead::plans
--- a/src/plans/accounts.h
+++ b/src/plans/accounts.h
@@ -3,19 +3,22 @@
 
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "book.h"
 #include "core/ports.h"
 #include "ledger.h"
+#include "reserves.h"
 
 namespace linnetlead::plans {
 
 class Accounts final : public core::Accounts {
 public:
-    // `known`: the plans that the decision module has from the platform's settings.
-    Accounts(const std::vector<topazcrank::PlanSettings>& known, Span period, Ledger::Limits limits,
-             double lease_block);
+    // `site`: with the plans that the decision module has from the platform's settings. `count`: for the
+    // reserves; where the settings allow no counting, there are none.
+    Accounts(const topazcrank::Settings& site, Span period, Ledger::Limits limits, double lease_block,
+             CountUnits count);
 
     // Takes a new book. `more`: the plans that the module has to learn, behind those it has. False, and
     // nothing is taken, where the module would have to hold too many over its life.
@@ -26,10 +29,13 @@
     void sending(core::Handle call, double units) override;
     void sent_on(Time now, core::Handle call, double units) override;
     void settled(core::Handle call, double difference) override;
+    void refused(Time now, core::Handle call) override;
     void over(core::Handle call) override;
+    bool counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) override;
 
     Ledger ledger;
     Lease lease;
+    Reserves reserves;
     std::size_t open_calls() const { return open_calls_; }
 
 private:
@@ -39,13 +45,20 @@
         std::int32_t plan = 0;
         bool counted = false;
         double leased = 0;  // units
+        Reserves::Paid paid;
         UseKey key;
     };
+    std::int32_t reserve_name(std::int32_t plan, const Reserves::Paid& paid);
+    std::int32_t position_of(const topazcrank::PlanSettings& plan,
+                             std::vector<topazcrank::PlanSettings>& more);
+
+    bool may_count_;
     std::shared_ptr<const PlanBook> book_;
     std::vector<std::int32_t> position_;  // in the module, of each plan of the book
     std::vector<topazcrank::PlanSettings> positions_;
-    std::vector<std::int32_t> name_;  // in the ledger, of each position
-    std::vector<Open> open_;          // by the index of the call's slot
+    std::vector<std::int32_t> name_;                  // in the ledger, of each position
+    std::unordered_map<int, std::int32_t> reserved_;  // in the module, by a reserve's limit of open attempts
+    std::vector<Open> open_;                          // by the index of the call's slot
     std::size_t open_calls_ = 0;
 };
 
--- a/src/plans/book.cpp
+++ b/src/plans/book.cpp
@@ -41,6 +41,7 @@
     Reader(const Value& document, std::string file, const settings::Site* site)
         : document_(document), file_(std::move(file)) {
         if (site) platform_ = site->settings.plans;
+        may_count_ = !site || site->settings.may_count;
     }
 
     std::shared_ptr<const PlanBook> read() {
@@ -54,6 +55,10 @@
             for (const Value& list : lists->items) read_list(list);
         }
         finish();
+        if (const Value* reserves = document_.find("reserves")) {
+            for (const Value& reserve : reserves->items) read_reserve(reserve);
+            admit(*reserves);
+        }
         return std::move(book_);
     }
 
@@ -112,6 +117,63 @@
         add(term, {0, static_cast<std::uint32_t>(from.at.line), static_cast<std::uint32_t>(from.at.column)});
     }
 
+    void read_reserve(const Value& from) {
+        Reserve one;
+        one.id = from.find("id")->text;
+        for (const Reserve& other : book_->reserves) {
+            if (other.id == one.id)
+                throw Wrong{file_, from.at, "there is a reserve '" + one.id + "' already"};
+        }
+        const Value& id = *from.find("account");
+        const auto account = read_account(id.text);
+        if (!account)
+            throw Wrong{file_, id.at, "an account is 16 hex digits below 2^33, not '" + id.text + "'"};
+        one.account = *account;
+        one.units = std::floor(from.find("units")->number);
+        one.since = time_of(*from.find("since"));
+        one.until = time_of(*from.find("until"));
+        if (one.until <= one.since)
+            throw Wrong{file_, from.find("until")->at, "'until' must lie behind 'since'"};
+        if (const Value* pace = from.find("pace")) one.pace = pace->find("value")->number;
+        if (const Value* open = from.find("open")) one.open = static_cast<int>(open->number);
+        if (const Value* lend = from.find("lend")) one.lend = lend->truth;
+        if (one.pace > 0 && one.pace * seconds(one.until - one.since) < one.units) {
+            throw Wrong{file_, from.find("pace")->at, "at this pace the units cannot be used in the time"};
+        }
+        book_->reserves.push_back(one);
+    }
+
+    static double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+
+    // The book's accounts hold their plans' rates, in the part that the capacity says; reserves come on top.
+    void admit(const Value& reserves) {
+        const Value* stated = document_.find("capacities");
+        if (!stated || stated->items.empty()) {
+            throw Wrong{file_, reserves.items.front().at,
+                        "a reserve wants the fleet's capacity stated, as in capacity(per_second(400))"};
+        }
+        if (!may_count_) {
+            throw Wrong{file_, reserves.items.front().at,
+                        "reserves want the counter service, which the platform's settings forbid here"};
+        }
+        const Value& capacity = stated->items.front();
+        book_->capacity = capacity.find("rate")->find("value")->number;
+        const Value* part = capacity.find("plans");
+        const double share = part ? part->find("value")->number : 1;
+        std::vector<Commitment> standing, wanted;
+        for (const Term& term : book_->terms) {
+            const double rate = book_->plans[static_cast<std::size_t>(term.plan)].rate * share;
+            if (rate > 0) standing.push_back({rate, term.since, term.until});
+        }
+        for (const Reserve& one : book_->reserves) wanted.push_back({one.rate(), one.since, one.until});
+        Overcommitted found;
+        if (!first_overcommitted(book_->capacity, standing, wanted, found)) return;
+        char text[160];
+        std::snprintf(text, sizeof(text), "%.6g units/s would be committed at %s, over the capacity of %.6g",
+                      found.committed, write_instant(found.at).c_str(), book_->capacity);
+        throw Wrong{file_, reserves.items[found.reserve].at, text};
+    }
+
     // Lines of ACCOUNT,PLAN[,SINCE[,UNTIL]]; '#' begins a comment.
     void read_list(const Value& from) {
         std::string path = from.find("file")->text;
@@ -192,6 +254,7 @@
     const Value& document_;
     std::string file_;
     std::vector<topazcrank::PlanSettings> platform_;
+    bool may_count_ = true;
     std::shared_ptr<PlanBook> book_ = std::make_shared<PlanBook>();
     std::vector<std::string> files_;
     std::vector<std::pair<Term, Origin>> terms_;
--- a/src/plans/book.h
+++ b/src/plans/book.h
@@ -12,15 +12,12 @@
 #include <vector>
 
 #include "operators/document.h"
+#include "reserve.h"
 #include "settings/settings.h"
 #include "topazcrank/policy.h"
 
 namespace linnetlead::plans {
 
-using topazcrank::Span;
-using topazcrank::Time;
-using AccountId = std::uint64_t;  // the 16 hex digits of calls
-
 constexpr Time forever = Time::max();
 
 // An account is on a plan from `since` until `until`, the next term's instant, or for good.
@@ -35,6 +32,9 @@
     std::vector<topazcrank::PlanSettings> plans;  // the book's own, then what it takes from the platform
     std::vector<Term> terms;                      // by account, then instant; none overlaps another
 
+    std::vector<Reserve> reserves;  // in the file's order; admitted
+    double capacity = 0;            // units a second, as stated; 0: not stated
+
     // The plan in force, or nothing where the book says nothing of the account then.
     std::optional<std::int32_t> plan_at(AccountId account, Time now) const;
 };
@@ -46,6 +46,7 @@
 
 constexpr std::size_t most_plans = 256;
 constexpr std::size_t most_terms = 1'000'000;
+constexpr std::size_t most_reserves = 256;
 
 // `site`: the platform's plans may be named too; none: only the book's own. Reads the accounts file that the
 // document names, beside the document where its path is not absolute.
--- a/src/plans/ledger.cpp
+++ b/src/plans/ledger.cpp
@@ -7,6 +7,17 @@
 
 Milliunits milliunits(double units) { return std::llround(units * 1000); }
 
+UsedName split_name(const std::string& name) {
+    const auto at = name.find_last_of("\x1e\x1f");
+    if (at == std::string::npos) return {name, {}, false};
+    return {name.substr(0, at), name.substr(at + 1), name[at] == lent_mark};
+}
+
+std::string row_name(const UsedName& name) {
+    if (name.reserve.empty()) return name.plan;
+    return name.plan + (name.lent ? lent_mark : reserve_mark) + name.reserve;
+}
+
 std::int32_t Ledger::plan(const std::string& name) {
     const auto at = std::find(names_.begin(), names_.end(), name);
     if (at != names_.end()) return static_cast<std::int32_t>(at - names_.begin());
--- a/src/plans/ledger.h
+++ b/src/plans/ledger.h
@@ -19,6 +19,17 @@
 Milliunits milliunits(double units);
 constexpr double units_of(Milliunits amount) { return static_cast<double>(amount) / 1000; }
 
+// What of a reserve is used is counted apart from the plan, in rows whose plan's name says so.
+constexpr char reserve_mark = '\x1f';
+constexpr char lent_mark = '\x1e';
+
+struct UsedName {  // of a row
+    std::string plan, reserve;
+    bool lent = false;  // by the reserve to this account, which is another's
+};
+UsedName split_name(const std::string& row_name);
+std::string row_name(const UsedName& name);
+
 struct UseKey {
     AccountId account = 0;
     std::int32_t plan = 0;    // position in the ledger's list of names
--- /dev/null
+++ b/src/plans/purse.cpp
@@ -0,0 +1,289 @@
+#include "purse.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+namespace linnetlead::plans {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Span life = 60s;                // the longest that a counter keeps a name
+constexpr Span no_claims_before = 250ms;  // an epoch's end: late ones would be missed by those who close it
+constexpr Span close_after = 350ms;       // behind an epoch's edge: all clocks have passed it
+constexpr Span learn_after = 900ms;       // when those who know have told
+constexpr Span again_after = 200ms;
+constexpr Span look_every = 1s;
+constexpr Span seldom = 5s;       // while nobody asks
+constexpr double window_s = 2;    // of demand at hand
+constexpr double top_up = 0.5;    // of what is wanted: below it a claim goes out
+constexpr double full = 0.95;     // the same before the reserve begins
+constexpr double too_much = 1.5;  // of what is wanted: beyond it the rest goes back
+constexpr double pace_store_s = 2;
+constexpr double part_of_want = 0.25;  // a claim asks for: so much a lost reply may cost
+
+double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+
+}  // namespace
+
+Purse::Purse(Reserve reserve, int gateways, double most_units, CountUnits count)
+    : reserve_(std::move(reserve)), gateways_(gateways), most_units_(most_units), count_(std::move(count)) {
+    // Names are 64 bytes at most and ids 40. One that begins at another instant is another reserve.
+    char begins[24];
+    std::snprintf(begins, sizeof(begins), ".%llx", static_cast<long long>(reserve_.since / 1s));
+    id_ = reserve_.id + begins;
+}
+
+std::string Purse::name(char what, std::int64_t epoch) const {
+    return std::string(prefix) + id_ + '.' + what + std::to_string(epoch);
+}
+
+void Purse::call(Kind kind, char what, std::int64_t epoch, double amount) {
+    const std::string count = name(what, epoch);
+    calls_[count].push_back({kind, amount, epoch});
+    count_(count, amount, life);
+}
+
+// What the owner could still draw at its pace is the owner's; the rest is for whoever wants it. It grows as
+// slowly as time passes, so nothing comes back in one piece.
+double Purse::lendable(Time now) const {
+    if (!reserve_.lend || reserve_.pace <= 0 || !in_force(now)) return 0;
+    const double still = reserve_.pace * (seconds(reserve_.until - now) + pace_store_s);
+    return std::max(0.0, remaining() - still);
+}
+
+void Purse::note_demand(Time now, double units) {
+    demand_ = demand(now) + units;
+    demand_at_ = now;
+}
+
+double Purse::demand(Time now) const { return demand_ * std::exp(-seconds(now - demand_at_) / window_s); }
+
+// Half of what is left, over all gateways, is at hand as the reserve begins; then what is asked for here.
+double Purse::wanted(Time now) const {
+    const double part = std::max(0.0, remaining() + left_) / (2 * gateways_);
+    const bool begins =
+        now < reserve_.since + std::chrono::duration_cast<Span>(std::chrono::duration<double>(window_s));
+    const double lately = demand(now);
+    if (begins) return std::max(part, lately);
+    if (lately < 0.05) return 0;
+    return std::min(lately, std::max(part, most_units_)) + most_units_;
+}
+
+void Purse::tick(Time now) {
+    if (now < reserve_.since - lead || now >= reserve_.until) return;
+    const std::int64_t epoch = now / epoch_length;
+    follow(now, epoch);
+    if (epoch_ != epoch) return;
+    const bool asked_for = demand(now) >= 0.05 || now < reserve_.since;
+    const Span pause = silent_ ? again_after : asked_for ? look_every : seldom;
+    if (!looking_ && now - looked_ >= pause) {
+        looking_ = true;
+        looked_ = now;
+        call(Kind::look_given, 'r', epoch_, 0);
+        call(Kind::look, 'c', epoch_, 0);
+    }
+    // A silent counter is asked for nothing but totals: what it may have added would be nobody's.
+    if (silent_ || epoch_length * (epoch + 1) - now < no_claims_before) return;
+    claim(now);
+    const double want = wanted(now);
+    const double back = std::floor(left_ - want);
+    if (!giving_ && back >= 1 && left_ > want * too_much + 1) {
+        giving_ = true;
+        left_ -= back;
+        call(Kind::give, 'r', epoch_, back);
+    }
+    const double free = lendable(now);
+    const double borrowed = lent_demand_ * std::exp(-seconds(now - lent_demand_at_) / window_s);
+    if (!lending_ && borrowed > 0.05 && free >= 1 && lent_left_ < borrowed) {
+        // A part for each gateway that may want some.
+        const double part = std::ceil(std::min(free / gateways_, borrowed - lent_left_ + most_units_));
+        lending_ = true;
+        call(Kind::lent_claim, 'c', epoch_, part);
+    }
+}
+
+void Purse::claim(Time now) {
+    const double want = wanted(now);
+    const double enough = want * (now < reserve_.since ? full : top_up);
+    if (claiming_ || silent_ || left_ > enough || remaining() < 1) return;
+    const double part = std::max(want * part_of_want, 2 * most_units_) + std::max(0.0, -left_);
+    const double amount = std::floor(std::min({std::ceil(want - left_), std::ceil(part), remaining()}));
+    if (amount < 1) return;
+    claiming_ = true;
+    call(Kind::claim, 'c', epoch_, amount);
+}
+
+// Goes on from epoch to epoch; one that has just started learns the sum from those that were there.
+void Purse::follow(Time now, std::int64_t epoch) {
+    if (epoch_ >= epoch || following_) return;
+    const std::int64_t first = (reserve_.since - lead) / epoch_length;
+    if (epoch <= first) {  // nobody can have claimed anything yet
+        epoch_ = epoch;
+        base_ = seen_ = seen_given_ = 0;
+        return;
+    }
+    const Span into = now - epoch_length * epoch;
+    if (epoch_ < 0 && epoch - 1 <= first) {
+        // The epoch before was the first, and its counts are still there.
+        epoch_ = first;
+        base_ = seen_ = seen_given_ = 0;
+    }
+    if (now - tried_ < again_after) return;
+    if (epoch_ >= 0) {
+        if (into < close_after) return;
+        tried_ = now;
+        following_ = true;
+        closing_.reset();
+        closing_given_.reset();
+        call(Kind::close, 'c', epoch_, 0);
+        call(Kind::close_given, 'r', epoch_, 0);
+        return;
+    }
+    if (into < learn_after) return;
+    tried_ = now;
+    following_ = true;
+    told_.reset();
+    call(Kind::ask, 's', epoch, 0);
+}
+
+// Both old counts are known, and nobody moves them any more.
+void Purse::closed() {
+    base_ = base_ + std::max(*closing_, seen_) - std::max(*closing_given_, seen_given_);
+    seen_ = seen_given_ = 0;
+    ++epoch_;
+    following_ = false;
+    tried_ = {};
+    looked_ = {};
+    // First the sum, then the teller: a reader between the two sees too much claimed, never too little.
+    call(Kind::tell, 's', epoch_, std::max(0.0, std::round(base_)));
+}
+
+// A total that falls is a counter that came back empty: what was seen before goes on as the base.
+void Purse::saw(double& seen, double total, Time) {
+    if (total < seen - 0.5) {
+        ++resets_;
+        base_ += seen_ - seen_given_;
+        seen_ = seen_given_ = 0;
+        call(Kind::tell, 's', epoch_, std::max(0.0, std::round(base_)));
+    }
+    seen = total;
+}
+
+void Purse::claimed(const Call& call_made, double total, Time now) {
+    saw(seen_, total, now);
+    const double before = claimed_by_all() - call_made.amount;
+    const double room = std::floor(reserve_.units - before + 1e-6);
+    const double granted = std::clamp(room, 0.0, call_made.amount);
+    if (const double surplus = call_made.amount - granted; surplus > 0 && epoch_ == call_made.epoch) {
+        call(Kind::give, 'r', epoch_, surplus);
+        giving_ = true;
+    }
+    // A loan that has turned out to be the owner's goes to the owner.
+    const bool lent =
+        call_made.kind == Kind::lent_claim && remaining() >= reserve_.pace * seconds(reserve_.until - now);
+    (lent ? lent_left_ : left_) += granted;
+}
+
+bool Purse::pay(Time now, double units) {
+    if (!in_force(now)) return false;
+    note_demand(now, units);
+    if (reserve_.pace > 0) {
+        const double gained =
+            pace_at_ == Time{} ? reserve_.pace * pace_store_s : reserve_.pace * seconds(now - pace_at_);
+        pace_left_ = std::min(pace_left_ + gained, reserve_.pace * pace_store_s);
+        pace_at_ = now;
+        if (pace_left_ < units) return false;
+    }
+    if (left_ < units) {
+        if (epoch_ == now / epoch_length && epoch_length * (epoch_ + 1) - now >= no_claims_before) claim(now);
+        return false;
+    }
+    left_ -= units;
+    paid_ += units;
+    pace_left_ -= units;
+    return true;
+}
+
+bool Purse::lend(Time now, double units) {
+    if (!in_force(now) || !reserve_.lend) return false;
+    lent_demand_ = lent_demand_ * std::exp(-seconds(now - lent_demand_at_) / window_s) + units;
+    lent_demand_at_ = now;
+    if (lent_left_ < units) return false;
+    lent_left_ -= units;
+    lent_ += units;
+    return true;
+}
+
+bool Purse::counted(Time now, const std::string& of, bool good, double total) {
+    const auto at = calls_.find(of);
+    if (at == calls_.end()) return false;
+    const Call made = at->second.front();
+    at->second.pop_front();
+    if (at->second.empty()) calls_.erase(at);
+    good = good && std::isfinite(total);
+    silent_ = !good;
+    const bool current = made.epoch == epoch_;
+    switch (made.kind) {
+        case Kind::claim:
+        case Kind::lent_claim:
+            (made.kind == Kind::claim ? claiming_ : lending_) = false;
+            if (!good) {
+                ++claims_lost_;
+            } else if (current) {
+                claimed(made, total, now);
+            }  // of an epoch that is over: counted there, and given up here
+            break;
+        case Kind::give:
+            giving_ = false;
+            if (good && current) saw(seen_given_, total, now);
+            break;
+        case Kind::look_given:
+            if (good && current) saw(seen_given_, total, now);
+            break;
+        case Kind::look:
+            looking_ = false;
+            if (good && current) saw(seen_, total, now);
+            break;
+        case Kind::close:
+        case Kind::close_given:
+            if (!good || !current) {
+                following_ = false;
+                break;
+            }
+            (made.kind == Kind::close ? closing_ : closing_given_) = total;
+            if (closing_ && closing_given_) closed();
+            break;
+        case Kind::tell:
+            if (good) call(Kind::told, 'n', made.epoch, 1);
+            break;
+        case Kind::told:
+            break;
+        case Kind::ask:
+            if (!good) {
+                following_ = false;
+                break;
+            }
+            told_ = total;
+            call(Kind::ask_told, 'n', made.epoch, 0);
+            break;
+        case Kind::ask_told:
+            following_ = false;
+            if (!good || total < 0.5 || !told_ || epoch_ >= 0) break;
+            epoch_ = made.epoch;
+            base_ = std::ceil(*told_ / std::round(total) - 1e-6);
+            seen_ = seen_given_ = 0;
+            looked_ = {};
+            break;
+    }
+    return true;
+}
+
+Purse::State Purse::state() const {
+    return {epoch_ >= 0, claimed_by_all(), left_, lent_left_, paid_, lent_, claims_lost_, resets_};
+}
+
+}  // namespace linnetlead::plans
--- a/src/plans/store.cpp
+++ b/src/plans/store.cpp
@@ -282,14 +282,16 @@
             const Use was{changed.number(6), changed.number(7), changed.number(8)};
             const std::int64_t begins = changed.number(2);
             const bool correction = !(was == Use{}) && std::chrono::milliseconds(begins) < closed_before;
-            const json line{{"account", hex_of(static_cast<AccountId>(changed.number(0)))},
-                            {"plan", changed.text(1)},
-                            {"period", write_instant(std::chrono::milliseconds(begins))},
-                            {"kind", correction ? "correction" : "use"},
-                            {"tries", use.tries - was.tries},
-                            {"guessed_milliunits", use.guessed - was.guessed},
-                            {"settled_milliunits", use.settled - was.settled},
-                            {"milliunits", use.guessed + use.settled - was.guessed - was.settled}};
+            const UsedName name = split_name(changed.text(1));
+            json line{{"account", hex_of(static_cast<AccountId>(changed.number(0)))},
+                      {"plan", name.plan},
+                      {"period", write_instant(std::chrono::milliseconds(begins))},
+                      {"kind", correction ? "correction" : "use"},
+                      {"tries", use.tries - was.tries},
+                      {"guessed_milliunits", use.guessed - was.guessed},
+                      {"settled_milliunits", use.settled - was.settled},
+                      {"milliunits", use.guessed + use.settled - was.guessed - was.settled}};
+            if (!name.reserve.empty()) line[name.lent ? "lent_by" : "reserve"] = name.reserve;
             lines += line.dump() + '\n';
             exported.emplace_back(changed.number(0), changed.text(1), begins, use);
         }
@@ -446,7 +448,10 @@
                     wrong.push_back(name + " is not chained to the one before");
                 continue;
             }
-            sums[{line.value("account", ""), line.value("plan", ""), line.value("period", "")}] +=
+            const bool lent = line.contains("lent_by");
+            const std::string plan =
+                row_name({line.value("plan", ""), line.value(lent ? "lent_by" : "reserve", ""), lent});
+            sums[{line.value("account", ""), plan, line.value("period", "")}] +=
                 Use{line.value("tries", std::int64_t{0}), line.value("guessed_milliunits", std::int64_t{0}),
                     line.value("settled_milliunits", std::int64_t{0})};
         }
--- a/standin/town.cpp
+++ b/standin/town.cpp
@@ -622,6 +622,25 @@
     next_ = loop_.arm(next_at_, [this] { next_call(); });
 }
 
+void Town::ask_much(plans::AccountId account, double calls_per_s) {
+    const bool known = asking_.count(account) > 0;
+    asking_[account] = {calls_per_s, now()};
+    if (!known && calls_per_s > 0) next_of(account);
+}
+
+void Town::next_of(plans::AccountId account) {
+    auto& [rate, at] = asking_[account];
+    if (rate <= 0) return void(asking_.erase(account));
+    std::exponential_distribution<double> gap(rate);
+    std::uniform_int_distribution<int> which(0, settings_.gateways - 1), units(1, 4);
+    for (; at <= now(); at += span_of(gap(random_))) {
+        const int gateway = which(random_);
+        const DrawnCall drawn{0, static_cast<double>(units(random_)), 0.002, account};
+        if (gateways_[static_cast<std::size_t>(gateway)].process) ask(gateway, drawn);
+    }
+    loop_.arm(at, [this, account] { next_of(account); });
+}
+
 void Town::ask(int number, const DrawnCall& drawn) {
     Gateway& gateway = gateways_[static_cast<std::size_t>(number)];
     Client* client = nullptr;
@@ -696,6 +715,7 @@
     true_units = call.true_units;
     if (!std::exchange(call.was_sent, true)) {
         seen[call.account] += plans::Use{1, plans::milliunits(call.units), 0};
+        if (first_sent) first_sent(now(), call.account, call.units);
     }
     constexpr int never_twice = 2;
     if (call.cls == never_twice && (call.may_have_run || call.out > 0)) ++audit.ran_again;
--- a/standin/town.h
+++ b/standin/town.h
@@ -77,6 +77,8 @@
     TownSettings& settings() { return settings_; }  // before start()
     void start();                                   // the gateways; returns once all answer PING
     void load(bool on);
+    // An account that asks for so many calls a second beside the others, of little work; 0: no more.
+    void ask_much(plans::AccountId account, double calls_per_s);
     void run_for(Span time);
     bool run_until(const std::function<bool()>& condition, Span within);
     Time now() const;
@@ -103,6 +105,7 @@
     std::string receiver_address() const;
     // What the workers have seen first sent on, and the true units that clients have had answered.
     std::map<plans::AccountId, plans::Use> seen;
+    std::function<void(Time, plans::AccountId, double units)> first_sent;
 
 private:
     class WorkerPeer;
@@ -132,6 +135,7 @@
     };
 
     void next_call();
+    void next_of(plans::AccountId account);
     void ask(int gateway, const DrawnCall& drawn);
     void answered(std::uint64_t id, const resp::Message& message);
     void arrived(std::uint64_t id, double& work, int& true_units);
@@ -153,6 +157,7 @@
     std::uint64_t next_id_ = 0;
     core::Handle next_;
     Time next_at_{};
+    std::map<plans::AccountId, std::pair<double, Time>> asking_;  // calls a second, and when the next is due
     std::vector<Logged> log_;
 };
 
--- a/standin/world.cpp
+++ b/standin/world.cpp
@@ -52,7 +52,8 @@
           self_(self),
           skew_(skew),
           gateway_(site_of(world, self), seed, {4096, 64 << 20}, *this),
-          accounts_(site_of(world, self).settings.plans, std::chrono::hours(1), {}, 0),
+          accounts_(site_of(world, self).settings, std::chrono::hours(1), {}, 0,
+                    [this](const std::string& name, double amount, Span life) { add(name, amount, life); }),
           router_(settings_of(world.settings_.mix, world.settings_.gateways, self), seed,
                   {[this](const std::string& name, double amount, Span life) { add(name, amount, life); },
                    [this](const routing::Event& event) {
@@ -78,7 +79,7 @@
         std::vector<topazcrank::PlanSettings> more;
         if (accounts_.take(std::move(book), more) && !more.empty()) gateway_.add_plans(std::move(more));
     }
-    const plans::Accounts& accounts() const { return accounts_; }
+    plans::Accounts& accounts() { return accounts_; }
     void begin() { tick(); }
     const routing::Router& router() const { return router_; }
     std::size_t open() const { return open_.size(); }
@@ -244,6 +245,7 @@
     }
     void tick() {
         router_.tick(now());
+        accounts_.reserves.tick(now());
         arm(now() + router_tick, [this] { tick(); });
     }
 
@@ -310,7 +312,7 @@
     }
 }
 
-const plans::Accounts* World::accounts(int gateway) const {
+plans::Accounts* World::accounts(int gateway) {
     const auto& node = nodes_[static_cast<std::size_t>(gateway)];
     return node ? &node->accounts() : nullptr;
 }
--- a/standin/world.h
+++ b/standin/world.h
@@ -80,7 +80,7 @@
     // And through which gateways, by weights.
     void weigh(std::vector<double> weights) { weights_ = std::move(weights); }
     std::function<void(Time, plans::AccountId, double units)> first_sent;
-    const plans::Accounts* accounts(int gateway) const;
+    plans::Accounts* accounts(int gateway);
 
     void kill(int gateway);
     void start(int gateway);  // one that was killed, from nothing
--- /dev/null
+++ b/tests/reserve_test.cpp
@@ -0,0 +1,444 @@
+// Reservations: purses of several gateways on one modelled counter with every failure of it, admission to
+// the capacity, and the whole path through the core and the module in virtual time and on sockets.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "plans/accounts.h"
+#include "plans/purse.h"
+#include "plans/store.h"
+#include "standin/town.h"
+#include "standin/world.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace plans;
+using operators::Problem;
+using standin::CounterModel;
+using standin::Town;
+using standin::World;
+
+constexpr Time start = 1'000'000s;
+
+Reserve reserve_of(double units, Span from, Span length) {
+    Reserve one;
+    one.id = "tender";
+    one.account = 7;
+    one.units = units;
+    one.since = start + from;
+    one.until = one.since + length;
+    return one;
+}
+
+// Purses on one counter, 3 ms away; a silent one is given up after 80 ms, and may have added all the same.
+struct Bank {
+    Bank(Reserve of, int gateways, std::uint64_t seed = 1) : reserve(std::move(of)), random(seed) {
+        for (int i = 0; i < gateways; ++i) nodes.emplace_back();
+        for (int i = 0; i < gateways; ++i) begin(i);
+    }
+    struct Node {
+        std::unique_ptr<Purse> purse;
+        double calls_per_s = 0;
+        int life = 0;
+        Span skew{};
+    };
+    struct Reply {
+        std::size_t node = 0;
+        int life = 0;
+        std::string name;
+        bool good = false;
+        double total = 0;
+    };
+    void begin(int i) {
+        Node& node = nodes[static_cast<std::size_t>(i)];
+        const int life = ++node.life;
+        node.purse = std::make_unique<Purse>(
+            reserve, static_cast<int>(nodes.size()), 4,
+            [this, i, life](const std::string& name, double amount, Span keep) {
+                EXPECT_LE(name.size(), 64u);
+                const bool heard = counter.mood == CounterModel::Mood::well || random() % 2 == 0;
+                const auto total = heard ? counter.tally(now, name, amount, keep) : std::nullopt;
+                replies.emplace(now + (total ? 3ms : 80ms), Reply{static_cast<std::size_t>(i), life, name,
+                                                                  total.has_value(), total.value_or(0)});
+            });
+    }
+    void kill(int i) { nodes[static_cast<std::size_t>(i)].purse.reset(); }
+    void run(Span time) {
+        for (const Time end = now + time; now < end; now += 5ms) {
+            while (!replies.empty() && replies.begin()->first <= now) {
+                const Reply reply = replies.begin()->second;
+                replies.erase(replies.begin());
+                Node& node = nodes[reply.node];
+                if (!node.purse || node.life != reply.life) continue;
+                EXPECT_TRUE(node.purse->counted(now + node.skew, reply.name, reply.good, reply.total));
+            }
+            for (Node& node : nodes) {
+                if (!node.purse) continue;
+                if (now / 5ms % 10 == 0) node.purse->tick(now + node.skew);
+                if (std::uniform_real_distribution<double>(0, 1)(random) < node.calls_per_s * 0.005) {
+                    const double units = static_cast<double>(1 + random() % 4);
+                    asked += units;
+                    if (node.purse->pay(now + node.skew, units)) paid += units;
+                }
+                if (borrowing > 0 && std::uniform_real_distribution<double>(0, 1)(random) <
+                                         borrowing / static_cast<double>(nodes.size()) * 0.005) {
+                    if (node.purse->lend(now + node.skew, 1)) lent += 1;
+                }
+            }
+        }
+    }
+    Reserve reserve;
+    std::mt19937_64 random;
+    CounterModel counter;
+    Time now = start;
+    std::vector<Node> nodes;
+    std::multimap<Time, Reply> replies;
+    double asked = 0, paid = 0, lent = 0, borrowing = 0;
+};
+
+TEST(Purse, AllOfTheReserveIsThereAtItsInstantWhereverItIsAsked) {
+    Bank bank(reserve_of(1000, 7s, 30s), 4);
+    bank.nodes[2].calls_per_s = 150;
+    bank.run(6990ms);
+    EXPECT_EQ(bank.paid, 0);
+    bank.run(1s);  // an eighth of the reserve is at hand here, and claims bring more
+    EXPECT_GE(bank.paid, 300);
+    bank.run(14s);
+    EXPECT_GE(bank.paid, 996);  // what is left is less than one call
+    EXPECT_LE(bank.paid, 1000);
+}
+
+// Slow use over ten epochs: the sum is carried from one to the next, also to a gateway that starts between.
+TEST(Purse, TheSumIsCarriedOverEpochsAndThroughKills) {
+    Bank bank(reserve_of(600, 3s, 200s), 4);
+    for (auto& node : bank.nodes) node.calls_per_s = 0.9;
+    bank.run(50s);
+    bank.kill(1);
+    bank.run(13s);
+    bank.begin(1);
+    bank.run(30s);
+    EXPECT_TRUE(bank.nodes[1].purse->state().known);
+    const double claimed = bank.nodes[0].purse->state().claimed;
+    EXPECT_NEAR(bank.nodes[1].purse->state().claimed, claimed, 12);
+    EXPECT_GT(claimed, 300);
+    for (auto& node : bank.nodes) node.calls_per_s = 20;
+    bank.run(107s);
+    EXPECT_LE(bank.paid, 600);
+    EXPECT_GE(bank.paid, 600 - 16);  // what the killed one had at hand, at most two seconds' worth, is lost
+}
+
+TEST(Purse, WithASilentCounterItPaysFromWhatIsAtHandAndNeverMore) {
+    Bank bank(reserve_of(800, 3s, 100s), 4);
+    for (auto& node : bank.nodes) node.calls_per_s = 10;
+    bank.run(2500ms);
+    bank.counter.mood = CounterModel::Mood::silent;
+    bank.run(3s);
+    EXPECT_GT(bank.paid, 200);  // the instant fell into the silence
+    bank.run(20s);              // and an epoch's edge
+    EXPECT_LE(bank.paid, 400);
+    bank.counter.mood = CounterModel::Mood::well;
+    bank.run(30s);
+    EXPECT_LE(bank.paid, 800);
+    EXPECT_GE(bank.paid, 700);  // a claim that was lost with the counter is nobody's
+}
+
+// What others claimed since the last look is not known to all: at most two seconds' worth of demand over.
+TEST(Purse, ACounterThatComesBackEmptyGrantsNothingAgain) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Bank bank(reserve_of(900, 3s, 55s), 4, seed);
+        for (auto& node : bank.nodes) node.calls_per_s = 8;
+        bank.run(8s + std::chrono::milliseconds(bank.random() % 5000));
+        bank.counter.forget();
+        bank.run(30s);
+        EXPECT_GE(bank.nodes[0].purse->state().resets, 1u);
+        EXPECT_LE(bank.paid, 900 + 80 * 2) << seed;
+    }
+}
+
+TEST(Purse, HoldsThroughRandomKillsSilencesAndClocksApart) {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        Bank bank(reserve_of(700, 3s, 90s), 3, seed);
+        for (auto& node : bank.nodes) {
+            node.calls_per_s = static_cast<double>(bank.random() % 12);
+            node.skew = std::chrono::milliseconds(bank.random() % 200);
+        }
+        for (int turn = 0; turn < 30; ++turn) {
+            const int one = static_cast<int>(bank.random() % 3);
+            switch (bank.random() % 4) {
+                case 0:
+                    bank.kill(one);
+                    bank.run(std::chrono::milliseconds(bank.random() % 2000));
+                    bank.begin(one);
+                    break;
+                case 1:
+                    bank.counter.mood = CounterModel::Mood::silent;
+                    bank.run(std::chrono::milliseconds(bank.random() % 8000));
+                    bank.counter.mood = CounterModel::Mood::well;
+                    break;
+                default:
+                    bank.nodes[static_cast<std::size_t>(one)].calls_per_s =
+                        static_cast<double>(bank.random() % 30);
+            }
+            bank.run(std::chrono::milliseconds(bank.random() % 3000));
+        }
+        EXPECT_LE(bank.paid, 700) << seed;
+    }
+}
+
+// The owner is idle, then wants all it still can have; the others get what it no longer can, bit by bit.
+TEST(Purse, WhatTheOwnerCanNoLongerUseGoesToOthersWithoutACliff) {
+    Reserve one = reserve_of(1000, 3s, 50s);
+    one.pace = 25;
+    Bank bank(one, 4);
+    bank.borrowing = 60;
+    bank.run(3s);
+    double most = 0;
+    for (int second = 0; second < 25; ++second) {
+        const double before = bank.lent;
+        bank.run(1s);
+        most = std::max(most, bank.lent - before);
+    }
+    // 1250 could be used at the pace, so the first 200 units of time passed cost the owner nothing.
+    EXPECT_GT(bank.lent, 200);
+    EXPECT_LE(bank.lent, 1000 - 25 * 25 + 50);
+    EXPECT_LE(most, 25 * 2.5);
+    bank.nodes[0].calls_per_s = 40;
+    bank.run(26s);
+    EXPECT_GE(bank.paid, 25 * 25 * 0.85);
+    EXPECT_LE(bank.paid + bank.lent, 1000);
+    one.lend = false;
+    Bank keeps(one, 4);
+    keeps.borrowing = 60;
+    keeps.run(40s);
+    EXPECT_EQ(keeps.lent, 0);
+}
+
+TEST(Purse, FiguresChangeUnderWayAndWhatWasClaimedStaysClaimed) {
+    Bank bank(reserve_of(400, 3s, 30s), 2);
+    for (auto& node : bank.nodes) node.calls_per_s = 60;
+    bank.run(12s);
+    EXPECT_GE(bank.paid, 390);
+    const auto change = [&](double units, Span length) {
+        bank.reserve = reserve_of(units, 3s, length);
+        for (auto& node : bank.nodes) node.purse->change(bank.reserve);
+    };
+    change(700, 60s);  // more, and longer
+    bank.run(10s);
+    EXPECT_GE(bank.paid, 690);
+    EXPECT_LE(bank.paid, 700);
+    change(900, 60s);
+    bank.run(1s);
+    change(900, 24s);  // released early: from here on nothing
+    bank.run(1s);
+    const double paid = bank.paid;
+    bank.run(5s);
+    EXPECT_EQ(bank.paid, paid);
+}
+
+// ---- Admission ------------------------------------------------------------------------------------------
+
+TEST(Capacity, AReserveThatDoesNotFitIsFoundAsByTryingEveryInstant) {
+    std::mt19937_64 random(3);
+    int refused = 0;
+    for (int round = 0; round < 300; ++round) {
+        std::vector<Commitment> standing, reserves;
+        const auto draw = [&] {
+            const Time since = std::chrono::seconds(random() % 40);
+            return Commitment{static_cast<double>(1 + random() % 9), since,
+                              since + std::chrono::seconds(1 + random() % 20)};
+        };
+        for (int i = 0; i < 4; ++i) standing.push_back(draw());
+        for (int i = 0; i < 5; ++i) reserves.push_back(draw());
+        Overcommitted found;
+        const bool over = first_overcommitted(30, standing, reserves, found);
+        std::optional<std::size_t> wanted;
+        for (std::size_t i = 0; i < reserves.size() && !wanted; ++i) {
+            for (Time at = reserves[i].since; at < reserves[i].until; at += 500ms) {
+                double sum = 0;
+                for (const auto& one : standing) sum += one.since <= at && at < one.until ? one.rate : 0;
+                for (std::size_t k = 0; k <= i; ++k) {
+                    sum += reserves[k].since <= at && at < reserves[k].until ? reserves[k].rate : 0;
+                }
+                if (sum > 30) wanted = i;
+            }
+        }
+        ASSERT_EQ(over, wanted.has_value()) << round;
+        if (over) {
+            EXPECT_EQ(found.reserve, *wanted) << round;
+        }
+        refused += over;
+    }
+    EXPECT_GT(refused, 30);
+    EXPECT_LT(refused, 270);
+}
+
+TEST(Capacity, EveryMistakeIsToldAtItsPlace) {
+    const std::string plan = "p = plan(\"p\", rate = per_second(10), burst = 20)\n";
+    const std::string fleet = "capacity(per_second(100))\n";
+    const std::string window =
+        "since = instant(\"2026-12-01T10:00:00Z\"), until = instant(\"2026-12-01T10:01:00Z\")";
+    const std::string good = "reserve(\"a\", account = \"0000000000000007\", units = 3000, " + window + ")\n";
+    struct Case {
+        std::string text, said;
+    };
+    const std::vector<Case> cases{
+        {good, "f:1:1: a reserve wants the fleet's capacity stated"},
+        {fleet + good + good, "f:3:1: there is a reserve 'a' already"},
+        {fleet + "reserve(\"a\", account = \"7\", units = 3000, " + window + ")\n",
+         "f:2:24: an account is 16"},
+        {fleet + "reserve(\"a\", account = \"0000000000000007\", units = per_second(3), " + window + ")\n",
+         "f:2:52: 'units' wants a number, not a rate"},
+        {fleet + "reserve(\"a\", account = \"0000000000000007\", units = 30, since = seconds(3), until = "
+                 "instant(\"2026-12-01T10:01:00Z\"))\n",
+         "'since' wants an instant"},
+        {fleet + "reserve(\"a\", account = \"0000000000000007\", units = 3000, pace = per_second(49), " +
+             window + ")\n",
+         "at this pace the units cannot be used"},
+        // 60 of 100 by a reserve of 50 and a plan of 10, then one more of 50.
+        {plan + "account(\"0000000000000007\", plan = p)\n" + fleet + good +
+             "reserve(\"b\", account = \"0000000000000008\", units = 3000, " + window + ")\n",
+         "f:5:1: 110 units/s would be committed at 2026-12-01T10:00:00Z, over the capacity of 100"}};
+    const auto read = [](const std::string& text) -> std::string {
+        const operators::Result document = operators::read_document(text, "f");
+        if (const auto* problem = std::get_if<Problem>(&document)) return problem->line();
+        const auto book = read_book(std::get<operators::Value>(document), "f", nullptr);
+        const auto* problem = std::get_if<Problem>(&book);
+        return problem ? problem->line() : "";
+    };
+    EXPECT_EQ(read(plan + "capacity(per_second(100), plans = percent(50))\n" + good), "");
+    for (const Case& one : cases)
+        EXPECT_NE(read(one.text).find(one.said), std::string::npos) << read(one.text);
+}
+
+// ---- Through core and module ----------------------------------------------------------------------------
+
+constexpr AccountId owner = 0x777;
+
+// Every other account asks for seven times its quota; the owner has its plan's and the reserve's units.
+TEST(Reserve, IsGrantedInFullWhileOthersAskForSevenTimesTheirQuota) {
+    standin::WorldSettings settings;
+    settings.gateways = 4;
+    settings.calls_per_s = 20;
+    settings.seed = 5;
+    World world(settings);
+    for (int i = 0; i < 6; ++i) world.add_worker("w" + std::to_string(i), "std", {});
+    world.tell_list();
+    auto book = std::make_shared<PlanBook>();
+    topazcrank::PlanSettings plan;
+    plan.name = plan.tag = "small";
+    plan.rate = 10;
+    plan.burst = 20;
+    book->plans = {plan};
+    for (AccountId account : {owner, AccountId{0x801}, AccountId{0x802}, AccountId{0x803}}) {
+        book->terms.push_back({account, 0, Time{0}, forever});
+    }
+    Reserve one;
+    one.id = "tender";
+    one.account = owner;
+    one.units = 1200;
+    one.since = world.now() + 30s;
+    one.until = one.since + 12s;
+    book->reserves = {one};
+    world.take_book(book);
+    std::map<AccountId, double> before, within;
+    world.first_sent = [&](Time now, AccountId account, double units) {
+        (now < one.since ? before : within)[account] += units;
+    };
+    for (AccountId account : {AccountId{0x801}, AccountId{0x802}, AccountId{0x803}}) {
+        world.ask_much(account, 28);  // 70 units a second
+    }
+    world.load(true);
+    world.run_for(30s);
+    world.ask_much(owner, 120);  // 300 units a second
+    world.run_for(12s);
+    // The store and twelve seconds of the plan come on top.
+    EXPECT_GE(within[owner], 1200);
+    EXPECT_LE(within[owner], 1200 + 20 + 12 * 10 + 40);
+    for (AccountId account : {AccountId{0x801}, AccountId{0x802}, AccountId{0x803}}) {
+        EXPECT_LE(within[account], 12 * 10 + 40) << account;  // theirs is what it was
+        EXPECT_GE(within[account], 12 * 10 * 0.7) << account;
+    }
+    // Counted apart, and no more than there was.
+    double apart = 0;
+    for (int i = 0; i < 4; ++i) {
+        Ledger& ledger = world.accounts(i)->ledger;
+        for (const auto& [key, use] : ledger.take()) {
+            const UsedName name = split_name(ledger.plans()[static_cast<std::size_t>(key.plan)]);
+            if (name.reserve == "tender") apart += units_of(use.guessed);
+        }
+    }
+    EXPECT_LE(apart, 1200);
+    EXPECT_GE(apart, 1200 - 8);
+    EXPECT_EQ(world.tally.answered_twice, 0u);
+    const double after = within[owner];
+    world.run_for(10s);  // over: its plan's quota again
+    EXPECT_LE(within[owner] - after, 10 * 10 + 40);
+}
+
+TEST(Reserve, OnRealGatewaysItIsPaidBilledApartAndSurvivesAKill) {
+    standin::TownSettings settings;
+    settings.program = LINNETLEAD_PROGRAM;
+    settings.gateways = 3;
+    settings.calls_per_s = 20;
+    settings.customers = 3;
+    settings.operators = "pool(\"none\", ids = [\"none\"])\n";
+    Town town(settings);
+    for (int i = 0; i < 4; ++i) town.add_worker("w" + std::to_string(i), "std", {}).figures.cores = 4;
+    const Time since = std::chrono::ceil<std::chrono::seconds>(town.now() + 4s);
+    const auto book = [&](int units, Span length) {
+        return "p = plan(\"p\", rate = per_second(10), burst = 10)\naccount(\"0000000000000777\", plan = p)\n"
+               "capacity(per_second(1000))\nreserve(\"tender\", account = \"0000000000000777\", units = " +
+               std::to_string(units) + ", since = instant(\"" + write_instant(since) +
+               "\"), until = instant(\"" + write_instant(since + length) +
+               "\"))\nusage(every = ms(300), receiver = \"" + town.receiver_address() + "\")\n";
+    };
+    town.settings().operators = book(300, 20s);
+    town.start();
+    town.load(true);
+    double within = 0;
+    town.first_sent = [&](Time, AccountId account, double units) {
+        if (account == owner) within += units;
+    };
+    town.run_until([&] { return town.now() >= since; }, 10s);
+    town.ask_much(owner, 100);
+    town.run_for(2s);
+    EXPECT_GE(within, 290);
+    EXPECT_LE(within, 300 + 10 + 2 * 10 + 15);
+    town.operate(book(600, 20s));  // extended
+    town.run_for(1s);
+    town.kill(1);
+    town.start_again(1);
+    town.run_for(4s);
+    EXPECT_LE(within, 600 + 10 + 8 * 10 + 15 + 4);
+    EXPECT_GE(within, 500);
+    town.operate(book(900, 5s));  // more, but over by now
+    const double paid = within;
+    town.run_for(3s);
+    EXPECT_LE(within - paid, 3 * 10 + 30);
+    town.ask_much(owner, 0);
+    town.load(false);
+    town.run_for(3s);
+    EXPECT_EQ(town.audit.broken(), "");
+    // The receiver has the reserve's use beside the plan's.
+    double apart = 0;
+    for (const auto& [key, content] : town.receipts.batches) {
+        const std::string text = plans::decompress(content).value_or("");
+        for (std::size_t at = 0; at < text.size();) {
+            const auto end = std::min(text.find('\n', at), text.size());
+            const auto line = nlohmann::json::parse(text.substr(at, end - at), nullptr, false);
+            at = end + 1;
+            if (line.is_object() && line.value("reserve", "") == "tender") {
+                EXPECT_EQ(line.value("plan", ""), "p");
+                apart += line["guessed_milliunits"].get<double>() / 1000;
+            }
+        }
+    }
+    EXPECT_LE(apart, 600);
+    EXPECT_GE(apart, 400);
+}
+
+}  // namespace
+}  // namespace linnetlead
