--- a/deploy/operators.star
+++ b/deploy/operators.star
@@ -20,3 +20,14 @@
     order = "pause",             # "run" lets it go, "abort" undoes it
     deadline = minutes(30),
 )
+
+# Allowance set aside for a tender, beside the account's plan; see docs/operators/plans.md.
+capacity(per_second(400), plans = percent(60))
+reserve(
+    "tender-88",
+    account = "00000000b4d65521",
+    units = 9000,
+    since = instant("2026-12-15T10:00:00Z"),
+    until = instant("2026-12-15T10:30:00Z"),
+    pace = per_second(15),       # what cannot be used any more at this pace goes to others
+)
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -25,6 +25,8 @@
       classes_(site.settings.classes),
       most_attempts_(site.settings.most_attempts),
       most_units_(site.settings.most_units),
+      crowd_(limits.accounts),
+      come_back_(site.settings.retry_after ? site.settings.most_retry_after : Span{0}),
       policy_(new topazcrank::Policy(site.settings, seed, timers.now(), *this)) {}
 Gateway::~Gateway() = default;
 
@@ -75,6 +77,11 @@
         front.answer(ticket, {Verdict::failed, {}, {}});
         return {};
     }
+    if (!crowd_.passes(timers_.now(), call.request.customer)) {
+        names_.erase(call.name);
+        front.answer(ticket, {Verdict::refused, {}, come_back_});
+        return {};
+    }
     const Handle handle = calls_.add();
     Open& open = *calls_.find(handle);
     open.front = &front;
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <unordered_set>
 
+#include "crowd/crowd.h"
 #include "ports.h"
 #include "settings/settings.h"
 
@@ -22,8 +23,9 @@
 class Gateway final : private topazcrank::Actions {
 public:
     struct Limits {
-        std::size_t calls = 0;  // open at once
-        std::size_t bytes = 0;  // of their payloads
+        std::size_t calls = 0;     // open at once
+        std::size_t bytes = 0;     // of their payloads
+        std::size_t accounts = 0;  // of late; 0: no bound
     };
 
     Gateway(const settings::Site& site, std::uint64_t seed, Limits limits, Timers& timers);
@@ -42,6 +44,7 @@
     Handle take(Call call, Front& front, Ticket ticket);
     void withdraw(Handle call);
     std::size_t open_calls() const { return calls_.size(); }
+    const crowd::Crowd& crowd() const { return crowd_; }
 
     // From the workers, the counter and the registry.
     void attempt_ended(Handle call, const AttemptEnd& end);
@@ -104,6 +107,8 @@
     Slots<Open> calls_;
     std::unordered_set<std::uint64_t> names_;  // of those
     std::size_t bytes_ = 0;
+    crowd::Crowd crowd_;
+    Span come_back_;  // told to whom the crowd shuts out; 0: nothing is to be told
     Handle wake_;
     Time wake_at_ = Time::max();
     bool telling_ = false;
--- /dev/null
+++ b/src/crowd/crowd.cpp
@@ -0,0 +1,83 @@
+#include "crowd.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace linnetlead::crowd {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Span guest_kept = 12s;  // after its last call: so long the module may keep a state of it
+constexpr Span guest_kept_in_crowd = 5s;
+constexpr Span established_kept = 60s;
+constexpr Span established_after = 3s;  // with as many calls at least
+constexpr std::uint32_t established_calls = 3;
+constexpr double nearly_full = 0.875;
+constexpr Span crowd_lasts = 5s;      // after the last new account that found it nearly full
+constexpr double guests_part = 0.05;  // of the established ones' calls
+constexpr double guests_a_second = 5;
+constexpr double most_tokens = 10;
+
+}  // namespace
+
+bool Crowd::passes(Time now, const std::string& account) {
+    if (most_ == 0) return true;
+    forget(now);
+    const std::uint64_t key = std::hash<std::string>()(account);
+    const auto known = accounts_.find(key);
+    if (known == accounts_.end()) {
+        if (static_cast<double>(accounts_.size()) >= nearly_full * static_cast<double>(most_)) {
+            crowded_until_ = now + crowd_lasts;
+        }
+        const bool passes = !crowded(now) || take_token(now);
+        if (passes && accounts_.size() < most_) {
+            const auto place = guests_.insert(guests_.end(), key);
+            accounts_.emplace(key, Seen{now, now, 1, place, false});
+        }
+        turned_away_ += passes ? 0 : 1;
+        return passes;
+    }
+    Seen& seen = known->second;
+    ++seen.calls;
+    seen.last = now;
+    std::list<std::uint64_t>& before = seen.established ? established_ : guests_;
+    seen.established =
+        seen.established || (seen.calls >= established_calls && now - seen.first >= established_after);
+    std::list<std::uint64_t>& list = seen.established ? established_ : guests_;
+    list.splice(list.end(), before, seen.place);
+    if (seen.established) {
+        tokens_ = std::min(most_tokens, tokens_ + guests_part);
+        return true;
+    }
+    const bool passes = !crowded(now) || take_token(now);
+    turned_away_ += passes ? 0 : 1;
+    return passes;
+}
+
+bool Crowd::take_token(Time now) {
+    const double gained = std::chrono::duration<double>(now - tokens_at_).count() * guests_a_second;
+    tokens_ = std::min(most_tokens, tokens_ + gained);
+    tokens_at_ = now;
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+}
+
+// A few a call: as many as come in at most are to go.
+void Crowd::forget(Time now) {
+    constexpr int at_once = 4;
+    const auto drop = [&](std::list<std::uint64_t>& list, Span kept) {
+        for (int i = 0; i < at_once && !list.empty(); ++i) {
+            const auto oldest = accounts_.find(list.front());
+            if (now - oldest->second.last < kept) return;
+            list.pop_front();
+            accounts_.erase(oldest);
+        }
+    };
+    drop(guests_, crowded(now) ? guest_kept_in_crowd : guest_kept);
+    drop(established_, established_kept);
+}
+
+}  // namespace linnetlead::crowd
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -48,6 +48,7 @@
         unsent = config.memory_mb * 1024 * 1024 / 4;
         workers = sockets - clients - kept;
         calls.bytes = config.memory_mb * 1024 * 1024 / 4;
+        calls.accounts = config.memory_mb * 1024 * 1024 / 4 / crowd::Crowd::bytes_each;
         calls.calls =
             std::max(1, config.site.max_open > 0 ? std::min(config.site.max_open, most_calls) : most_calls);
     }
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -145,7 +145,9 @@
 }
 
 void Operators::tell_state() {
-    nlohmann::json state{{"open_calls", gateway_.open_calls()}};
+    nlohmann::json state{{"open_calls", gateway_.open_calls()},
+                         {"accounts", gateway_.crowd().accounts()},
+                         {"turned_away_in_a_crowd", gateway_.crowd().turned_away()}};
     if (usage_) state["usage"] = usage_->state();
     if (const routing::Move* move = router_.move()) state["move"] = fields_of(*move, timers_.now());
     log_.write(timers_.now(), "state", std::move(state));
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -36,6 +36,7 @@
         busy_ = true;
         answering_ = false;
         reused_ = connected_;
+        stir();
         begun_ = loop().now();
         loop().disarm(timer_);
         if (connected_) return write();
@@ -97,10 +98,16 @@
 
     void rest() {
         rests_since_ = loop().now();
+        place_ = pool_.resting_.insert(pool_.resting_.end(), self);
+        resting_ = true;
         arm(rests_since_ + pool_.limits_.idle * 8 / 10);
         pool_.workers_.at(worker).idle.push_back(self);
     }
 
+    void stir() {
+        if (std::exchange(resting_, false)) pool_.resting_.erase(place_);
+    }
+
     void on_connected() override {
         connected_ = true;
         loop().disarm(timer_);
@@ -146,10 +153,12 @@
 
     void on_released() override {
         loop().disarm(timer_);
+        stir();
         const auto at = pool_.workers_.find(worker);
         if (at != pool_.workers_.end()) {
-            auto& idle = at->second.idle;
-            idle.erase(std::remove(idle.begin(), idle.end(), self), idle.end());
+            for (auto* all : {&at->second.idle, &at->second.open}) {
+                all->erase(std::remove(all->begin(), all->end(), self), all->end());
+            }
         }
         pool_.connections_.remove(self);
     }
@@ -161,6 +170,8 @@
     Time rests_since_{};
     Time begun_{};
     Handle timer_;
+    std::list<Handle>::iterator place_;
+    bool resting_ = false;
     bool connected_ = false;
     bool busy_ = false;
     bool answering_ = false;
@@ -218,6 +229,7 @@
     const Handle handle = connections_.add(loop_, *this, id);
     Connection* connection = connections_.find(handle);
     connection->self = handle;
+    worker.open.push_back(handle);
     if (connection->connect(worker.to) != 0) {
         connection->close();
         return nullptr;
@@ -237,66 +249,90 @@
 
 bool WorkerPool::make_room() {
     if (connections_.size() < limits_.connections) return true;
-    for (auto& [id, worker] : workers_) {
-        if (worker.idle.empty()) continue;
-        if (Connection* oldest = connections_.find(worker.idle.front())) oldest->close();
-        worker.idle.erase(worker.idle.begin());
+    for (const Handle resting : resting_) {
+        Connection* const longest = connections_.find(resting);
+        if (!longest || longest->closing()) continue;  // on its way out already
+        longest->close();
         return true;
     }
     return false;
 }
 
+// Costs as much as has changed, but for a whole list, which costs as much as the list.
 void WorkerPool::told(const std::vector<core::Listed>& entries, bool whole) {
-    for (auto& [id, worker] : workers_) worker.wanted = worker.wanted && !whole;
+    ++round_;
     for (const core::Listed& listed : entries) {
         Worker& worker = workers_[listed.entry.id];
         const bool fresh = worker.address != listed.address || worker.started != listed.entry.started;
         if (fresh) {
-            forget_connections(listed.entry.id, worker);
+            forget_connections(worker);
+            moved(listed.entry.id, worker.address, listed.address);
             worker.address = listed.address;
             worker.started = listed.entry.started;
         }
+        worker.round = round_;
         worker.wanted =
             listed.entry.state == topazcrank::ServerState::in && read_address(listed.address, worker.to);
     }
     for (const core::Listed& listed : entries) {
         if (workers_[listed.entry.id].wanted) drop_predecessors(listed);
     }
-    for (auto it = workers_.begin(); it != workers_.end();) {
-        const WorkerId id = it->first;
-        Worker& worker = (it++)->second;
-        if (worker.wanted) continue;
-        forget_connections(id, worker);  // nothing is left to forget of one that was not wanted before
-        const auto on_list = std::find_if(entries.begin(), entries.end(),
-                                          [&](const core::Listed& listed) { return listed.entry.id == id; });
-        // Guards the table against ever-new ids: gone ones leave it, by a whole list or a change alike.
-        const bool listed = on_list != entries.end();
-        if (listed ? on_list->entry.state == topazcrank::ServerState::out : whole) workers_.erase(id);
+    // Guards the table against ever-new ids: gone ones leave it, by a whole list or a change alike.
+    for (const core::Listed& listed : entries) {
+        const auto at = workers_.find(listed.entry.id);
+        if (at == workers_.end() || at->second.wanted) continue;
+        forget_connections(at->second);
+        if (listed.entry.state == topazcrank::ServerState::out) unlist(listed.entry.id);
+    }
+    if (!whole) return;
+    std::vector<WorkerId> gone;
+    for (auto& [id, worker] : workers_) {
+        if (worker.round != round_) gone.push_back(id);
+    }
+    for (const WorkerId& id : gone) unlist(id);
+}
+
+void WorkerPool::unlist(const WorkerId& id) {
+    const auto at = workers_.find(id);
+    if (at == workers_.end()) return;
+    at->second.wanted = false;
+    forget_connections(at->second);
+    moved(id, at->second.address, {});
+    workers_.erase(id);
+}
+
+void WorkerPool::moved(const WorkerId& id, const std::string& from, const std::string& to) {
+    if (const auto at = at_address_.find(from); at != at_address_.end()) {
+        auto& ids = at->second;
+        ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
+        if (ids.empty()) at_address_.erase(at);
     }
+    if (!to.empty()) at_address_[to].push_back(id);
 }
 
 // Guards a new worker against calls meant for one that is gone but still listed: what is sent to that one's
 // address reaches the new one, unaware of how cold it is.
 void WorkerPool::drop_predecessors(const core::Listed& successor) {
-    for (auto& [id, worker] : workers_) {
-        const bool older = worker.started < successor.entry.started;
-        if (id == successor.entry.id || !older || worker.address != successor.address) continue;
+    const auto at = at_address_.find(successor.address);
+    if (at == at_address_.end() || at->second.size() < 2) return;
+    for (const WorkerId& id : at->second) {
+        Worker& worker = workers_.at(id);
+        if (id == successor.entry.id || worker.started >= successor.entry.started) continue;
         worker.wanted = false;
+        forget_connections(worker);
     }
 }
 
 // Closes the idle connections, and ends what has not been sent yet: on a connection that comes up later it
 // would go out after the worker had asked for nothing more.
-void WorkerPool::forget_connections(const WorkerId& id, Worker& worker) {
+void WorkerPool::forget_connections(Worker& worker) {
     for (const Handle idle : std::exchange(worker.idle, {})) {
         if (Connection* connection = connections_.find(idle)) connection->close();
     }
-    std::vector<Handle> unsent;
-    connections_.for_each([&](Handle handle, Connection& connection) {
-        if (connection.worker == id && connection.unsent_call()) unsent.push_back(handle);
-    });
-    for (const Handle handle : unsent) {
-        if (Connection* connection = connections_.find(handle)) connection->end({});
+    const std::vector<Handle> open = worker.open;  // ends take them off it
+    for (const Handle one : open) {
+        Connection* const connection = connections_.find(one);
+        if (connection && connection->unsent_call()) connection->end({});
     }
 }
 
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -1,6 +1,7 @@
 // The workers' side: connections to each worker, one call at a time on each.
 #pragma once
 
+#include <list>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -38,12 +39,16 @@
         sockaddr_storage to{};
         core::Time started{};
         bool wanted = false;             // listed, and neither draining nor gone
+        std::uint32_t round = 0;         // of the list that named it last
         std::vector<core::Handle> idle;  // the one used last comes last
+        std::vector<core::Handle> open;  // its connections, idle or not
     };
 
     Connection* connection_to(const core::WorkerId& id);
-    void forget_connections(const core::WorkerId& id, Worker& worker);
+    void forget_connections(Worker& worker);
+    void moved(const core::WorkerId& id, const std::string& from, const std::string& to);
     void drop_predecessors(const core::Listed& successor);
+    void unlist(const core::WorkerId& id);
     bool make_room();
     void note_reuse(core::Span rested, bool good);
 
@@ -51,7 +56,11 @@
     core::Gateway& gateway_;
     Limits limits_;
     std::unordered_map<core::WorkerId, Worker> workers_;
+    // Who has been listed at an address: one, but for a while where another has taken it over.
+    std::unordered_map<std::string, std::vector<core::WorkerId>> at_address_;
     core::Slots<Connection> connections_;
+    std::list<core::Handle> resting_;  // idle connections, the one that rests longest first
+    std::uint32_t round_ = 0;
     core::Span reuse_within_;  // how long a connection may have rested to take another call
     resp::Message message_;    // of the reply being read
 };
--- /dev/null
+++ b/standin/cost.h
@@ -0,0 +1,14 @@
+// What a call costs a gateway, in instructions: a town whose gateways run under valgrind's callgrind.
+#pragma once
+
+#include <functional>
+
+#include "town.h"
+
+namespace linnetlead::standin {
+
+// The difference of a run of `length` and one of a fifth of it, so that the start is in neither.
+double instructions_per_call(const TownSettings& settings, Span length,
+                             const std::function<void(Town&)>& prepare);
+
+}  // namespace linnetlead::standin
--- a/standin/town.h
+++ b/standin/town.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -55,7 +56,11 @@
     std::uint64_t other_content = 0;  // of a number that came before
     std::uint64_t spoilt = 0;         // not fitting their checksum
     plans::Use sum(plans::AccountId account, const std::string& plan = {}) const;
+    plans::Use sum_of_reserve(const std::string& id) const;
     plans::Milliunits uncertain() const;  // the last word of each ledger
+
+private:
+    plans::Use sum_of(const std::function<bool(const nlohmann::json& line)>& wanted) const;
 };
 
 class Town {
@@ -106,6 +111,7 @@
     // What the workers have seen first sent on, and the true units that clients have had answered.
     std::map<plans::AccountId, plans::Use> seen;
     std::function<void(Time, plans::AccountId, double units)> first_sent;
+    std::map<plans::AccountId, double> asked_units;  // of calls that went out to a gateway
 
 private:
     class WorkerPeer;
