--- a/src/crowd/crowd.cpp
+++ b/src/crowd/crowd.cpp
@@ -31,6 +31,15 @@
         if (static_cast<double>(accounts_.size()) >= nearly_full * static_cast<double>(most_)) {
             crowded_until_ = now + crowd_lasts;
         }
+        // So many new ones would fill the table again: the crowd is not over.
+        ++new_ones_;
+        if (now - counted_since_ >= 1s) {
+            const double fills =
+                static_cast<double>(most_) / std::chrono::duration<double>(guest_kept).count();
+            if (crowded(now) && static_cast<double>(new_ones_) >= fills) crowded_until_ = now + crowd_lasts;
+            new_ones_ = 0;
+            counted_since_ = now;
+        }
         const bool passes = !crowded(now) || take_token(now);
         if (passes && accounts_.size() < most_) {
             const auto place = guests_.insert(guests_.end(), key);
--- a/src/crowd/crowd.h
+++ b/src/crowd/crowd.h
@@ -46,6 +46,8 @@
     std::unordered_map<std::uint64_t, Seen> accounts_;
     std::list<std::uint64_t> guests_, established_;  // by when they were seen last
     Time crowded_until_{};
+    std::uint64_t new_ones_ = 0;  // within the second
+    Time counted_since_{};
     double tokens_ = 0;
     Time tokens_at_{};
     std::uint64_t turned_away_ = 0;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -83,8 +83,14 @@
         if (!operators.empty()) {
             operators_ = std::make_unique<gateway::Operators>(operators, config, loop_, gateway_, counter_);
         }
-        if (config.known.version >= 0) gateway_.listed(topazcrank::ListKind::cached, config.known.entries);
-        if (!registry_.start()) throw std::runtime_error("discovery: no address: '" + config.discovery + "'");
+        const bool own_registry = operators_ && operators_->has_registry();
+        if (!own_registry) {
+            if (config.known.version >= 0) {
+                gateway_.listed(topazcrank::ListKind::cached, config.known.entries);
+            }
+            if (!registry_.start())
+                throw std::runtime_error("discovery: no address: '" + config.discovery + "'");
+        }
         if (const int error = acceptor_.listen(address_of("listen", config.listen)); error < 0) {
             throw std::runtime_error("cannot listen on " + config.listen + ": " + uv_strerror(error));
         }
@@ -117,7 +123,7 @@
             const bool moved = next.discovery != file_.discovery && !next.discovery.empty();
             if (moved) address_of("discovery", next.discovery);
             const sockaddr_storage counter = counter_of(next);
-            if (moved) registry_.move(next.discovery);
+            if (moved && !(operators_ && operators_->has_registry())) registry_.move(next.discovery);
             if (next.counter != file_.counter) counter_.move(counter);
             if (next.fixed != file_.fixed) {
                 std::fprintf(stderr, "linnetlead: only discovery and counter change without a restart\n");
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -1,11 +1,53 @@
 #include "operators.h"
 
+#include <algorithm>
 #include <cstdio>
+#include <fstream>
 #include <stdexcept>
 #include <utility>
 
 namespace linnetlead::gateway {
 
+namespace {
+
+net::RegistryClient::Settings read_registry(const operators::Value& document, const std::string& path) {
+    net::RegistryClient::Settings settings;
+    const operators::Value* list = document.find("registries");
+    if (!list || list->items.empty()) return settings;
+    const operators::Value& from = list->items.front();
+    const auto wrong = [&path](const operators::Value& value, const std::string& what) {
+        return std::runtime_error(operators::Problem{path, value.at, what}.line());
+    };
+    settings.kind = from.find("kind")->text;
+    for (const operators::Value& one : from.find("endpoints")->items) {
+        sockaddr_storage address{};
+        if (!net::read_address(one.text, address)) throw wrong(one, "no address: '" + one.text + "'");
+        settings.endpoints.push_back(one.text);
+    }
+    settings.source.prefix = from.find("prefix")->text;
+    for (const char c : settings.source.prefix) {
+        // It stands in a request's line.
+        if (c <= ' ' || c > '~' || c == '?' || c == '#' || c == '%') {
+            throw wrong(*from.find("prefix"), "'prefix' holds a character that keys here cannot have");
+        }
+    }
+    if (const auto* file = from.find("token_file")) {
+        std::ifstream in(file->text);
+        if (!std::getline(in, settings.token))
+            throw wrong(*file, "the file '" + file->text + "' cannot be read");
+    }
+    if (const auto* wait = from.find("wait")) {
+        settings.source.wait = std::clamp<core::Span>(operators::time_of(*wait), std::chrono::seconds(1),
+                                                      std::chrono::minutes(5));
+    }
+    if (const auto* stale = from.find("stale")) settings.source.stale = stale->truth;
+    if (const auto* hold = from.find("hold")) settings.roster.hold = operators::time_of(*hold);
+    if (const auto* gone = from.find("most_gone")) settings.roster.most_gone = operators::share_of(*gone);
+    return settings;
+}
+
+}  // namespace
+
 OperatorSettings read_operators(const std::string& path, const settings::Site* site) {
     const operators::Result document = operators::read_file(path);
     if (const auto* problem = std::get_if<operators::Problem>(&document)) {
@@ -21,7 +63,8 @@
     }
     return {std::get<routing::RoutingSettings>(std::move(routing)),
             std::get<std::shared_ptr<const plans::PlanBook>>(std::move(book)),
-            plans::read_usage(std::get<operators::Value>(document))};
+            plans::read_usage(std::get<operators::Value>(document)),
+            read_registry(std::get<operators::Value>(document), path)};
 }
 
 // A file being read on a thread of libuv's. It outlives its owner, should that go first.
@@ -57,8 +100,16 @@
                                          counter, log_);
         usage_->take_book(settings.book);
     }
+    if (!settings.registry.kind.empty()) {
+        registry_ =
+            std::make_unique<net::RegistryClient>(loop, gateway, settings.registry, config.seed,
+                                                  [this](const std::string& event, const std::string& what) {
+                                                      log_.write(timers_.now(), event, {{"what", what}});
+                                                  });
+    }
     if (site_.may_tell_peers && !config.peer_listen.empty()) open_peers(config);
     gateway_.attach(&router_);
+    if (registry_) registry_->start();
     tick();
 }
 
@@ -87,6 +138,7 @@
     gateway_.attach(static_cast<core::Routes*>(nullptr));
     if (reading_) std::exchange(reading_, nullptr)->owner = nullptr;
     if (usage_) usage_->close();
+    if (registry_) registry_->close();
     peers_.close();
 }
 
@@ -140,6 +192,10 @@
     if (usage_) usage_->take_book(settings.book);
     const bool needs_restart = !usage_ && settings.wants_accounts();
     nlohmann::json fields{{"file", path_}, {"taken", true}};
+    if (registry_ && !settings.registry.kind.empty()) registry_->change(settings.registry);
+    if (registry_.operator bool() == settings.registry.kind.empty()) {
+        fields["problem"] = "a registry is switched on and off by a restart";
+    }
     if (needs_restart) fields["problem"] = "plans and use are switched on by a restart";
     log_.write(now, "operators", std::move(fields));
 }
@@ -149,6 +205,20 @@
                          {"accounts", gateway_.crowd().accounts()},
                          {"turned_away_in_a_crowd", gateway_.crowd().turned_away()}};
     if (usage_) state["usage"] = usage_->state();
+    if (registry_) {
+        const net::RegistryClient::State one = registry_->state();
+        state["registry"] = {{"endpoint", one.endpoint},
+                             {"watching", one.watching},
+                             {"workers", one.workers},
+                             {"held", one.held},
+                             {"failures", one.failures},
+                             {"wholes", one.wholes},
+                             {"changes", one.changes},
+                             {"resets", one.resets},
+                             {"compactions", one.compactions},
+                             {"bad_values", one.bad_values},
+                             {"longest_slice_ms", one.longest_slice_ms}};
+    }
     if (const routing::Move* move = router_.move()) state["move"] = fields_of(*move, timers_.now());
     log_.write(timers_.now(), "state", std::move(state));
 }
--- a/src/gateway/operators.h
+++ b/src/gateway/operators.h
@@ -9,6 +9,7 @@
 #include "core/gateway.h"
 #include "log.h"
 #include "net/peer_link.h"
+#include "net/registry_client.h"
 #include "routing/router.h"
 #include "usage.h"
 
@@ -19,6 +20,7 @@
     routing::RoutingSettings routing;
     std::shared_ptr<const plans::PlanBook> book;
     plans::UsageSettings usage;
+    net::RegistryClient::Settings registry;
 
     bool wants_accounts() const { return usage.wanted || !book->terms.empty() || !book->reserves.empty(); }
 };
@@ -39,6 +41,8 @@
     // line, and the old one stays.
     void reload();
     void tell_state();
+    // Workers come from a registry of the operators' own, and the platform's discovery is not asked.
+    bool has_registry() const { return registry_ != nullptr; }
     void close();
 
 private:
@@ -56,7 +60,8 @@
     Log log_;
     net::PeerLink peers_;
     routing::Router router_;
-    std::unique_ptr<Usage> usage_;  // where the file says something of plans or use
+    std::unique_ptr<Usage> usage_;
+    std::unique_ptr<net::RegistryClient> registry_;  // where the file says something of plans or use
     Reading* reading_ = nullptr;
     bool read_again_ = false;
     core::Handle timer_;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -10,19 +10,45 @@
     return text;
 }
 
-ResponseReader::ResponseReader() {
+ResponseReader::ResponseReader(std::size_t most) : most_(most) {
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     http_parser_settings_init(&hooks_);
     hooks_.on_message_begin = [](http_parser* p) {
         auto& self = *static_cast<ResponseReader*>(p->data);
         self.body_.clear();
+        self.headers_.clear();
         self.whole_ = false;
+        self.status_ = 0;
+        self.in_value_ = true;
+        return 0;
+    };
+    hooks_.on_header_field = [](http_parser* p, const char* data, std::size_t size) {
+        auto& self = *static_cast<ResponseReader*>(p->data);
+        if (std::exchange(self.in_value_, false)) self.header_.clear();
+        for (const char c : std::string_view(data, size)) {
+            self.header_ += c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+        }
+        return 0;
+    };
+    hooks_.on_header_value = [](http_parser* p, const char* data, std::size_t size) {
+        auto& self = *static_cast<ResponseReader*>(p->data);
+        self.in_value_ = true;
+        if (!self.keep_headers_ || self.headers_.size() >= most_headers) return 0;
+        self.headers_[self.header_].append(data, size);
+        return 0;
+    };
+    hooks_.on_headers_complete = [](http_parser* p) {
+        static_cast<ResponseReader*>(p->data)->status_ = static_cast<int>(p->status_code);
         return 0;
     };
     hooks_.on_body = [](http_parser* p, const char* data, std::size_t size) {
         auto& self = *static_cast<ResponseReader*>(p->data);
-        if (self.body_.size() + size > most_body) return 1;
+        if (self.piece_) {
+            self.piece_({data, size});
+            return 0;
+        }
+        if (self.body_.size() + size > self.most_) return 1;
         self.body_.append(data, size);
         return 0;
     };
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -4,9 +4,12 @@
 #include <http_parser.h>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/ports.h"
@@ -20,7 +23,9 @@
 // Reads one response after another from pieces of a connection's bytes.
 class ResponseReader {
 public:
-    ResponseReader();
+    explicit ResponseReader(std::size_t most = most_body);
+    ResponseReader(const ResponseReader&) = delete;
+    ResponseReader& operator=(const ResponseReader&) = delete;
 
     enum class State { partial, whole, malformed };
     // Takes bytes up to the end of a response at most; says how many.
@@ -29,10 +34,22 @@
     int status() const { return status_; }
     bool keeps_open() const { return keeps_open_; }
     const std::string& body() const { return body_; }
+    std::string take_body() { return std::move(body_); }
+    // From now on; names in lower case.
+    void keep_headers() { keep_headers_ = true; }
+    const std::unordered_map<std::string, std::string>& headers() const { return headers_; }
+    // Pieces of a body that has no end in sight go here, and are not kept; none: they are.
+    void each_piece(std::function<void(std::string_view)> piece) { piece_ = std::move(piece); }
 
 private:
+    static constexpr std::size_t most_headers = 64;
     http_parser parser_{};
     http_parser_settings hooks_{};
+    std::size_t most_;
+    std::function<void(std::string_view)> piece_;
+    std::unordered_map<std::string, std::string> headers_;
+    std::string header_;  // the name being read
+    bool keep_headers_ = false, in_value_ = false;
     std::string body_;
     int status_ = 0;
     bool keeps_open_ = false;
--- /dev/null
+++ b/src/net/registry_client.cpp
@@ -0,0 +1,322 @@
+#include "registry_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "http/message.h"
+
+namespace linnetlead::net {
+
+using core::Handle;
+using core::Span;
+using registry::Ask;
+using registry::Response;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Span connect_time = 1s;
+constexpr Span first_pause = 100ms;
+constexpr Span longest_pause = 10s;
+constexpr Span slice_every = 2ms;
+constexpr Span look_every = 200ms;  // for what is held
+constexpr std::size_t slice = 256;
+constexpr std::size_t read_on_the_loop = 32 * 1024;  // bytes; more is read on a thread
+constexpr std::size_t most_answer = 128 * 1024 * 1024;
+
+}  // namespace
+
+bool RegistryClient::Settings::operator==(const Settings& other) const {
+    return kind == other.kind && endpoints == other.endpoints && token == other.token &&
+           source.prefix == other.source.prefix && source.wait == other.source.wait &&
+           source.stale == other.source.stale && source.page == other.source.page &&
+           roster.most_gone == other.roster.most_gone && roster.hold == other.roster.hold;
+}
+
+class RegistryClient::Connection final : public Stream {
+public:
+    Connection(Loop& loop, RegistryClient& client) : Stream(loop), client_(client), reader_(most_answer) {
+        reader_.keep_headers();
+        arm(connect_time);
+    }
+    Handle self;
+
+    void ask() {
+        ask_ = client_.desk_->source->ask();
+        const std::string& host = client_.settings_.endpoints[client_.endpoint_];
+        std::string& out = to_write();
+        out.append(ask_.method).append(" ").append(ask_.target).append(" HTTP/1.1\r\nHost: ").append(host);
+        if (!client_.settings_.token.empty()) {
+            out.append(client_.settings_.kind == "consul" ? "\r\nX-Consul-Token: " : "\r\nAuthorization: ");
+            out.append(client_.settings_.token);
+        }
+        if (!ask_.body.empty()) {
+            out.append("\r\nContent-Type: application/json\r\nContent-Length: ");
+            out.append(std::to_string(ask_.body.size()));
+        }
+        out.append("\r\n\r\n").append(ask_.body);
+        lines_.clear();
+        whole_ = false;
+        if (ask_.stream) {
+            reader_.each_piece([this](std::string_view piece) { lines_.append(piece); });
+        } else {
+            reader_.each_piece({});
+        }
+        arm(ask_.silent);
+    }
+
+    // Goes on with what has come, one message at a time, until one is to be read on a thread.
+    void go_on() {
+        if (closing() || client_.job_) return;
+        if (ask_.stream) {
+            const auto end = lines_.find('\n');
+            if (end != std::string::npos) {
+                Response message{reader_.status(), {}, lines_.substr(0, end)};
+                lines_.erase(0, end + 1);
+                return client_.take(std::move(message));
+            }
+            // An answer that is no stream of messages, or the stream's end.
+            if (lines_.size() > most_answer || whole_) return client_.failed();
+        } else if (std::exchange(whole_, false)) {
+            reusable_ = reader_.keeps_open();
+            return client_.take({reader_.status(), reader_.headers(), reader_.take_body()});
+        }
+        read_more(true);
+    }
+    bool may_ask_again() const { return !ask_.stream && reusable_; }
+    bool streams() const { return ask_.stream; }
+
+private:
+    void arm(Span time) {
+        loop().disarm(timer_);
+        timer_ = loop().arm(loop().now() + time, [this] {
+            timer_ = {};
+            // A quiet stream is begun anew where it was; any other silence is a failure.
+            ask_.stream&& reader_.status() != 0 ? client_.connect() : client_.failed();
+        });
+    }
+    void on_connected() override { ask(); }
+    std::size_t on_bytes(std::string_view bytes) override {
+        arm(ask_.silent);
+        std::size_t taken = 0;
+        const auto state = reader_.take(bytes, taken);
+        if (state == http::ResponseReader::State::malformed) {
+            client_.failed();
+            return bytes.size();
+        }
+        whole_ = whole_ || state == http::ResponseReader::State::whole;
+        // Between two events of a flood the loop has its turn.
+        if (client_.job_) {
+            read_more(false);
+        } else {
+            go_on_all();
+        }
+        return bytes.size();
+    }
+    void go_on_all() {
+        const Handle handle = self;
+        RegistryClient& client = client_;
+        while (!client.job_) {
+            Connection* const still = client.connections_.find(handle);
+            if (!still || still->closing()) return;
+            const std::size_t before = still->lines_.size();
+            const bool had = still->whole_ || still->lines_.find('\n') != std::string::npos;
+            still->go_on();
+            if (!had || (still->lines_.size() == before && !still->whole_)) return;
+        }
+    }
+    void on_end(int error) override {
+        std::size_t taken = 0;
+        const bool whole =
+            error == UV_EOF && !ask_.stream && reader_.take({}, taken) == http::ResponseReader::State::whole;
+        if (whole) return client_.take({reader_.status(), reader_.headers(), reader_.take_body()});
+        if (client_.connection_ == self && !client_.job_) client_.failed();
+        ended_ = true;
+    }
+    void on_released() override {
+        loop().disarm(timer_);
+        client_.connections_.remove(self);
+    }
+
+    RegistryClient& client_;
+    http::ResponseReader reader_;
+    Ask ask_;
+    std::string lines_;  // of a stream, not yet whole
+    Handle timer_;
+    bool whole_ = false;
+    bool reusable_ = false;
+    bool ended_ = false;
+};
+
+struct RegistryClient::Job {
+    uv_work_t work{};
+    RegistryClient* owner = nullptr;
+    std::shared_ptr<Desk> desk;
+    Response response;
+    bool good = false, ask_again = false;
+};
+
+RegistryClient::RegistryClient(Loop& loop, core::Gateway& gateway, Settings settings, std::uint64_t seed,
+                               Tell tell)
+    : loop_(loop),
+      gateway_(gateway),
+      settings_(std::move(settings)),
+      tell_(std::move(tell)),
+      random_(seed),
+      desk_(std::make_shared<Desk>(settings_.roster)) {
+    make_source();
+}
+RegistryClient::~RegistryClient() { close(); }
+
+void RegistryClient::make_source() {
+    desk_->source = settings_.kind == "consul" ? registry::make_consul(settings_.source)
+                                               : registry::make_etcd(settings_.source);
+    Desk* const desk = desk_.get();
+    desk->source->told = [desk](const registry::Source::News& news) {
+        news.whole ? desk->roster.whole(desk->now, news.entries)
+                   : desk->roster.changes(desk->now, news.entries);
+    };
+    desk->source->bad_value = [desk](const std::string& id, const std::string& what) {
+        constexpr std::size_t most_events = 100;
+        if (desk->events.size() < most_events) desk->events.emplace_back("bad_value", id + ": " + what);
+    };
+    endpoint_ = static_cast<std::size_t>(random_() % settings_.endpoints.size());
+}
+
+void RegistryClient::start() {
+    connect();
+    tick();
+}
+
+void RegistryClient::change(Settings settings) {
+    if (settings == (next_ ? *next_ : settings_)) return;
+    next_ = std::make_unique<Settings>(std::move(settings));
+    if (!job_) taken(true, true);
+}
+
+void RegistryClient::close() {
+    closed_ = true;
+    loop_.disarm(std::exchange(retry_, {}));
+    loop_.disarm(std::exchange(timer_, {}));
+    if (job_) std::exchange(job_, nullptr)->owner = nullptr;
+    connections_.for_each([](Handle, Connection& connection) { connection.close(); });
+}
+
+void RegistryClient::connect() {
+    loop_.disarm(std::exchange(retry_, {}));
+    if (Connection* const before = connections_.find(std::exchange(connection_, {}))) before->close();
+    if (closed_) return;
+    if (!job_) desk_->source->broken();
+    sockaddr_storage to{};
+    connection_ = connections_.add(loop_, *this);
+    Connection& connection = *connections_.find(connection_);
+    connection.self = connection_;
+    if (!read_address(settings_.endpoints[endpoint_], to) || connection.connect(to) != 0) failed();
+}
+
+void RegistryClient::failed() {
+    if (Connection* const before = connections_.find(std::exchange(connection_, {}))) before->close();
+    ++state_.failures;
+    if (failures_in_a_row_++ == 0) tell_("registry_lost", settings_.endpoints[endpoint_]);
+    endpoint_ = (endpoint_ + 1) % settings_.endpoints.size();
+    // All endpoints once, then pauses that double.
+    const int round = failures_in_a_row_ / static_cast<int>(settings_.endpoints.size());
+    const Span pause = std::min<Span>(longest_pause, first_pause * (1 << std::min(round, 10)));
+    const double part = std::uniform_real_distribution<double>(0.2, 1)(random_);
+    loop_.disarm(retry_);
+    retry_ = loop_.arm(loop_.now() + std::chrono::duration_cast<Span>(pause * part), [this] { connect(); });
+}
+
+void RegistryClient::take(Response response) {
+    desk_->now = loop_.now();
+    if (response.body.size() <= read_on_the_loop) {
+        bool ask_again = false;
+        const bool good = desk_->source->take(response, ask_again);
+        return taken(good, ask_again);
+    }
+    job_ = new Job;
+    job_->work.data = job_;
+    job_->owner = this;
+    job_->desk = desk_;
+    job_->response = std::move(response);
+    const auto read = [](uv_work_t* work) {
+        auto& job = *static_cast<Job*>(work->data);
+        job.good = job.desk->source->take(job.response, job.ask_again);
+        job.response = {};
+    };
+    const auto done = [](uv_work_t* work, int) {
+        const std::unique_ptr<Job> job(static_cast<Job*>(work->data));
+        RegistryClient* const owner = job->owner;
+        if (!owner) return;
+        owner->job_ = nullptr;
+        owner->taken(job->good, job->ask_again);
+        // What has come meanwhile.
+        if (Connection* const connection = owner->connections_.find(owner->connection_)) {
+            if (!owner->job_ && connection->streams()) connection->go_on();
+        }
+    };
+    uv_queue_work(loop_.uv(), &job_->work, read, done);
+}
+
+void RegistryClient::taken(bool good, bool ask_again) {
+    tell_events();
+    if (next_) {
+        settings_ = std::move(*std::exchange(next_, nullptr));
+        make_source();
+        failures_in_a_row_ = 0;
+        return connect();
+    }
+    if (!good) return failed();
+    if (std::exchange(failures_in_a_row_, 0) > 0) tell_("registry_back", settings_.endpoints[endpoint_]);
+    Connection* const connection = connections_.find(connection_);
+    if (!connection || connection->closing()) return connect();
+    if (connection->streams()) {
+        if (ask_again) connect();
+    } else if (connection->may_ask_again()) {
+        connection->ask();
+    } else {
+        connect();
+    }
+}
+
+void RegistryClient::tell_events() {
+    for (const auto& [event, what] : std::exchange(desk_->events, {})) tell_(event, what);
+}
+
+void RegistryClient::tick() {
+    Span again = look_every;
+    if (!job_) {
+        desk_->roster.tick(loop_.now());
+        const auto& counts = desk_->source->counts();
+        state_.watching = desk_->source->state() == registry::Source::State::watching;
+        state_.workers = desk_->roster.size();
+        if (desk_->roster.held() > 0 && state_.held == 0) {
+            tell_("registry_held",
+                  std::to_string(desk_->roster.held()) + " workers gone at once stay for a while");
+        }
+        state_.held = desk_->roster.held();
+        state_.wholes = counts.wholes;
+        state_.changes = counts.changes;
+        state_.resets = counts.resets;
+        state_.compactions = counts.compactions;
+        state_.bad_values = counts.bad;
+        if (desk_->roster.pending()) {
+            const core::Time begun = loop_.now();
+            gateway_.listed(topazcrank::ListKind::changes, desk_->roster.next(slice));
+            const Span took = loop_.now() - begun;
+            state_.longest_slice_ms =
+                std::max(state_.longest_slice_ms, std::chrono::duration<double, std::milli>(took).count());
+            again = slice_every;
+        }
+    }
+    // Short enough for a drain: it is told within a tick of being learned.
+    timer_ = loop_.arm(loop_.now() + std::min<Span>(again, 10ms), [this] { tick(); });
+}
+
+RegistryClient::State RegistryClient::state() const {
+    State state = state_;
+    state.endpoint = settings_.endpoints[endpoint_];
+    return state;
+}
+
+}  // namespace linnetlead::net
--- a/src/operators/document.cpp
+++ b/src/operators/document.cpp
@@ -97,6 +97,22 @@
         }
       }
     },
+    "registries": {
+      "type": "array", "maxItems": 1,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["kind", "endpoints", "prefix"],
+        "properties": {
+          "kind": {"enum": ["consul", "etcd"]},
+          "endpoints": {"$ref": "#/definitions/names"},
+          "prefix": {"type": "string", "minLength": 1},
+          "token_file": {"type": "string", "minLength": 1},
+          "wait": {"$ref": "#/definitions/time"},
+          "stale": {"type": "boolean"},
+          "hold": {"$ref": "#/definitions/time"},
+          "most_gone": {"$ref": "#/definitions/share"}
+        }
+      }
+    },
     "account_lists": {
       "type": "array", "maxItems": 16,
       "items": {
--- a/src/operators/script.cpp
+++ b/src/operators/script.cpp
@@ -140,10 +140,16 @@
     std::vector<const char*> positional;
 };
 const std::vector<Function>& functions() {
-    static const std::vector<Function> all{
-        {"pool", "pools", {"name"}}, {"move", "moves", {"name"}},     {"stage", nullptr, {"share"}},
-        {"plan", "plans", {"name"}}, {"account", "accounts", {"id"}}, {"accounts", "account_lists", {"file"}},
-        {"usage", "usages", {}},     {"reserve", "reserves", {"id"}}, {"capacity", "capacities", {"rate"}}};
+    static const std::vector<Function> all{{"pool", "pools", {"name"}},
+                                           {"move", "moves", {"name"}},
+                                           {"stage", nullptr, {"share"}},
+                                           {"plan", "plans", {"name"}},
+                                           {"account", "accounts", {"id"}},
+                                           {"accounts", "account_lists", {"file"}},
+                                           {"usage", "usages", {}},
+                                           {"reserve", "reserves", {"id"}},
+                                           {"capacity", "capacities", {"rate"}},
+                                           {"registry", "registries", {"kind"}}};
     return all;
 }
 
--- /dev/null
+++ b/standin/server.h
@@ -0,0 +1,65 @@
+// A listening stand-in in a loop.
+#pragma once
+
+#include <arpa/inet.h>
+
+#include <cstring>
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "core/slots.h"
+#include "net/stream.h"
+
+namespace linnetlead::standin {
+
+inline sockaddr_storage address_of(std::uint16_t port) {
+    sockaddr_storage address{};
+    net::read_address("127.0.0.1:" + std::to_string(port), address);
+    return address;
+}
+
+// A server in the loop: every connection is a Connection(Loop&, Owner&), in the owner's slots.
+template <typename Connection>
+class Server {
+public:
+    template <typename Owner>
+    Server(net::Loop& loop, Owner& owner) : listener_(new uv_tcp_t) {
+        uv_tcp_init(loop.uv(), listener_);
+        const sockaddr_storage any = address_of(0);
+        constexpr int backlog = 512;
+        accept_ = [this, &loop, &owner] {
+            const core::Handle handle = connections.add(loop, owner);
+            Connection& connection = *connections.find(handle);
+            connection.self = handle;
+            if (connection.accept(reinterpret_cast<uv_stream_t*>(listener_)) != 0) connection.close();
+        };
+        listener_->data = this;
+        uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&any), 0);
+        const int error = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), backlog,
+                                    [](uv_stream_t* stream, int status) {
+                                        auto* self = static_cast<Server*>(stream->data);
+                                        if (status == 0) self->accept_();
+                                    });
+        if (error != 0) throw std::runtime_error("a stand-in cannot listen");
+        sockaddr_storage at{};
+        int size = sizeof(at);
+        uv_tcp_getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
+        port = ntohs(reinterpret_cast<const sockaddr_in&>(at).sin_port);
+    }
+    void close() {
+        if (!listener_) return;
+        uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(listener_, nullptr)),
+                 [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
+        connections.for_each([](core::Handle, Connection& connection) { connection.close(); });
+    }
+    std::uint16_t port = 0;
+    core::Slots<Connection> connections;
+
+private:
+    uv_tcp_t* listener_;
+    std::function<void()> accept_;
+};
+
+}  // namespace linnetlead::standin
--- a/standin/town.cpp
+++ b/standin/town.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 
 #include "plans/store.h"
+#include "server.h"
 #include "settings/words.h"
 
 namespace linnetlead::standin {
@@ -25,54 +26,6 @@
 constexpr Span look_every = 20ms;
 constexpr Span two_out_within = 20ms;
 
-sockaddr_storage address_of(std::uint16_t port) {
-    sockaddr_storage address{};
-    net::read_address("127.0.0.1:" + std::to_string(port), address);
-    return address;
-}
-
-// A server in the loop: every connection is a Connection(Loop&, Owner&), in the owner's slots.
-template <typename Connection>
-class Server {
-public:
-    template <typename Owner>
-    Server(net::Loop& loop, Owner& owner) : listener_(new uv_tcp_t) {
-        uv_tcp_init(loop.uv(), listener_);
-        const sockaddr_storage any = address_of(0);
-        constexpr int backlog = 512;
-        accept_ = [this, &loop, &owner] {
-            const Handle handle = connections.add(loop, owner);
-            Connection& connection = *connections.find(handle);
-            connection.self = handle;
-            if (connection.accept(reinterpret_cast<uv_stream_t*>(listener_)) != 0) connection.close();
-        };
-        listener_->data = this;
-        uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&any), 0);
-        const int error = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), backlog,
-                                    [](uv_stream_t* stream, int status) {
-                                        auto* self = static_cast<Server*>(stream->data);
-                                        if (status == 0) self->accept_();
-                                    });
-        if (error != 0) throw std::runtime_error("a stand-in cannot listen");
-        sockaddr_storage at{};
-        int size = sizeof(at);
-        uv_tcp_getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
-        port = ntohs(reinterpret_cast<const sockaddr_in&>(at).sin_port);
-    }
-    void close() {
-        if (!listener_) return;
-        uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(listener_, nullptr)),
-                 [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
-        connections.for_each([](Handle, Connection& connection) { connection.close(); });
-    }
-    std::uint16_t port = 0;
-    core::Slots<Connection> connections;
-
-private:
-    uv_tcp_t* listener_;
-    std::function<void()> accept_;
-};
-
 // Takes whole commands off the bytes; the rest comes again.
 template <typename Act>
 std::size_t each_message(std::string_view bytes, resp::Message& message, Act act) {
@@ -473,6 +426,13 @@
     throw std::runtime_error("no worker " + id);
 }
 
+std::string Town::worker_address(const std::string& id) {
+    for (auto& [name, worker] : workers_) {
+        if (name == id) return "127.0.0.1:" + std::to_string(worker->port());
+    }
+    return {};
+}
+
 std::uint64_t Town::calls_of(const std::string& id) { return worker(id).calls; }
 Time Town::first_call_of(const std::string& id) {
     for (auto& [name, worker] : workers_) {
--- a/standin/town.h
+++ b/standin/town.h
@@ -74,6 +74,8 @@
     WorkerModel& add_worker(const std::string& id, const std::string& kind, WorkerFigures figures,
                             Time started = Time{0});
     WorkerModel& worker(const std::string& id);
+    std::string worker_address(const std::string& id);
+    net::Loop& loop() { return loop_; }  // for further stand-ins
     enum class Stage { in_service, terminating, terminated };
     void list(const std::string& id, Stage stage);  // told at once to whom watches
     void registry_is_silent(bool silent);
