--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -40,6 +40,8 @@
         settings.source.wait = std::clamp<core::Span>(operators::time_of(*wait), std::chrono::seconds(1),
                                                       std::chrono::minutes(5));
     }
+    if (const auto* path_of = from.find("snapshot")) settings.snapshot = path_of->text;
+    if (const auto* age = from.find("snapshot_age")) settings.snapshot_age = operators::time_of(*age);
     if (const auto* stale = from.find("stale")) settings.source.stale = stale->truth;
     if (const auto* hold = from.find("hold")) settings.roster.hold = operators::time_of(*hold);
     if (const auto* gone = from.find("most_gone")) settings.roster.most_gone = operators::share_of(*gone);
@@ -80,6 +82,7 @@
 Operators::Operators(std::string path, const Config& config, net::Loop& loop, core::Gateway& gateway,
                      core::Counter& counter)
     : path_(std::move(path)),
+      name_(config.name),
       site_(config.site),
       timers_(loop),
       gateway_(gateway),
@@ -102,7 +105,7 @@
     }
     if (!settings.registry.kind.empty()) {
         registry_ =
-            std::make_unique<net::RegistryClient>(loop, gateway, settings.registry, config.seed,
+            std::make_unique<net::RegistryClient>(loop, gateway, registry_of(settings), config.seed,
                                                   [this](const std::string& event, const std::string& what) {
                                                       log_.write(timers_.now(), event, {{"what", what}});
                                                   });
@@ -113,6 +116,16 @@
     tick();
 }
 
+// One file serves all gateways, and each has a snapshot of its own.
+net::RegistryClient::Settings Operators::registry_of(const OperatorSettings& settings) const {
+    net::RegistryClient::Settings own = settings.registry;
+    constexpr std::string_view name = "{gateway}";
+    if (const auto at = own.snapshot.find(name); at != std::string::npos) {
+        own.snapshot.replace(at, name.size(), name_);
+    }
+    return own;
+}
+
 // Without them a halt takes a second or two longer.
 void Operators::open_peers(const Config& config) {
     const auto read = [](const std::string& text) {
@@ -192,7 +205,7 @@
     if (usage_) usage_->take_book(settings.book);
     const bool needs_restart = !usage_ && settings.wants_accounts();
     nlohmann::json fields{{"file", path_}, {"taken", true}};
-    if (registry_ && !settings.registry.kind.empty()) registry_->change(settings.registry);
+    if (registry_ && !settings.registry.kind.empty()) registry_->change(registry_of(settings));
     if (registry_.operator bool() == settings.registry.kind.empty()) {
         fields["problem"] = "a registry is switched on and off by a restart";
     }
--- a/src/gateway/operators.h
+++ b/src/gateway/operators.h
@@ -53,7 +53,9 @@
     void read_beside();
     void open_peers(const Config& config);
 
-    std::string path_;
+    net::RegistryClient::Settings registry_of(const OperatorSettings& settings) const;
+
+    std::string path_, name_;
     settings::Site site_;
     net::Loop& timers_;
     core::Gateway& gateway_;
--- a/src/net/registry_client.cpp
+++ b/src/net/registry_client.cpp
@@ -1,9 +1,12 @@
 #include "registry_client.h"
 
 #include <algorithm>
+#include <fstream>
+#include <iterator>
 #include <utility>
 
 #include "http/message.h"
+#include "registry/snapshot.h"
 
 namespace linnetlead::net {
 
@@ -19,10 +22,13 @@
 constexpr Span first_pause = 100ms;
 constexpr Span longest_pause = 10s;
 constexpr Span slice_every = 2ms;
+constexpr Span keep_every = 10s;    // a snapshot, if anything has changed
 constexpr Span look_every = 200ms;  // for what is held
 constexpr std::size_t slice = 256;
 constexpr std::size_t read_on_the_loop = 32 * 1024;  // bytes; more is read on a thread
 constexpr std::size_t most_answer = 128 * 1024 * 1024;
+constexpr Span longest_answer = 60s;  // from its first byte to its last, or of one message of a stream
+constexpr Span least_between = 50ms;  // of reads that come back at once: their server does not wait
 
 }  // namespace
 
@@ -30,6 +36,7 @@
     return kind == other.kind && endpoints == other.endpoints && token == other.token &&
            source.prefix == other.source.prefix && source.wait == other.source.wait &&
            source.stale == other.source.stale && source.page == other.source.page &&
+           snapshot == other.snapshot && snapshot_age == other.snapshot_age &&
            roster.most_gone == other.roster.most_gone && roster.hold == other.roster.hold;
 }
 
@@ -56,7 +63,9 @@
         }
         out.append("\r\n\r\n").append(ask_.body);
         lines_.clear();
-        whole_ = false;
+        whole_ = answered_ = false;
+        partial_since_ = {};
+        client_.asked_at_ = loop().now();
         if (ask_.stream) {
             reader_.each_piece([this](std::string_view piece) { lines_.append(piece); });
         } else {
@@ -69,16 +78,19 @@
     void go_on() {
         if (closing() || client_.job_) return;
         if (ask_.stream) {
+            lines_.erase(0, lines_.find_first_not_of('\n'));  // empty lines say nothing
             const auto end = lines_.find('\n');
             if (end != std::string::npos) {
                 Response message{reader_.status(), {}, lines_.substr(0, end)};
                 lines_.erase(0, end + 1);
+                partial_since_ = {};
                 return client_.take(std::move(message));
             }
             // An answer that is no stream of messages, or the stream's end.
             if (lines_.size() > most_answer || whole_) return client_.failed();
         } else if (std::exchange(whole_, false)) {
             reusable_ = reader_.keeps_open();
+            answered_ = true;
             return client_.take({reader_.status(), reader_.headers(), reader_.take_body()});
         }
         read_more(true);
@@ -105,6 +117,12 @@
             return bytes.size();
         }
         whole_ = whole_ || state == http::ResponseReader::State::whole;
+        // Guards against answers that drip and never end.
+        if (partial_since_ == core::Time{}) partial_since_ = loop().now();
+        if (!client_.job_ && loop().now() - partial_since_ > longest_answer) {
+            client_.failed();
+            return bytes.size();
+        }
         // Between two events of a flood the loop has its turn.
         if (client_.job_) {
             read_more(false);
@@ -130,8 +148,7 @@
         const bool whole =
             error == UV_EOF && !ask_.stream && reader_.take({}, taken) == http::ResponseReader::State::whole;
         if (whole) return client_.take({reader_.status(), reader_.headers(), reader_.take_body()});
-        if (client_.connection_ == self && !client_.job_) client_.failed();
-        ended_ = true;
+        if (client_.connection_ == self && !client_.job_ && !answered_) client_.failed();
     }
     void on_released() override {
         loop().disarm(timer_);
@@ -145,7 +162,8 @@
     Handle timer_;
     bool whole_ = false;
     bool reusable_ = false;
-    bool ended_ = false;
+    bool answered_ = false;       // and not asked again yet
+    core::Time partial_since_{};  // something that is not whole has come
 };
 
 struct RegistryClient::Job {
@@ -183,7 +201,60 @@
     endpoint_ = static_cast<std::size_t>(random_() % settings_.endpoints.size());
 }
 
+// For a cold start with the registry down; its first whole list shows the difference.
+void RegistryClient::load_snapshot() {
+    if (settings_.snapshot.empty()) return;
+    std::ifstream file(settings_.snapshot, std::ios::binary);
+    if (!file) return;
+    const std::string bytes((std::istreambuf_iterator<char>(file)), {});
+    std::string problem;
+    const auto snapshot = registry::unpack(bytes, loop_.now(), settings_.snapshot_age, problem);
+    if (!snapshot) return tell_("snapshot", settings_.snapshot + ": not taken: " + problem);
+    desk_->roster.whole(loop_.now(), snapshot->entries);
+    // All of it before the first call.
+    while (desk_->roster.pending()) {
+        gateway_.listed(topazcrank::ListKind::changes, desk_->roster.next(slice));
+    }
+    tell_("snapshot", settings_.snapshot + ": " + std::to_string(snapshot->entries.size()) + " workers");
+}
+
+struct RegistryClient::Keeping {
+    uv_work_t work{};
+    RegistryClient* owner = nullptr;
+    std::string path;
+    registry::Snapshot snapshot;
+    bool good = false;
+};
+
+// Only what a registry has told whole, and nothing while workers are held: that list may be wrong.
+void RegistryClient::keep_snapshot() {
+    if (settings_.snapshot.empty() || keeping_ || !unkept_ || loop_.now() < keep_at_) return;
+    if (!state_.watching || desk_->roster.held() > 0 || desk_->roster.size() == 0) return;
+    keep_at_ = loop_.now() + keep_every;
+    unkept_ = false;
+    keeping_ = new Keeping;
+    keeping_->work.data = keeping_;
+    keeping_->owner = this;
+    keeping_->path = settings_.snapshot;
+    keeping_->snapshot = {loop_.now(), desk_->roster.all()};
+    const auto keep = [](uv_work_t* work) {
+        auto& self = *static_cast<Keeping*>(work->data);
+        self.good = registry::write_snapshot(self.path, registry::pack(self.snapshot));
+    };
+    const auto done = [](uv_work_t* work, int) {
+        const std::unique_ptr<Keeping> self(static_cast<Keeping*>(work->data));
+        RegistryClient* const owner = self->owner;
+        if (!owner) return;
+        owner->keeping_ = nullptr;
+        if (self->good) return;
+        owner->unkept_ = true;
+        owner->tell_("snapshot", self->path + ": cannot be written");
+    };
+    uv_queue_work(loop_.uv(), &keeping_->work, keep, done);
+}
+
 void RegistryClient::start() {
+    load_snapshot();
     connect();
     tick();
 }
@@ -199,6 +270,7 @@
     loop_.disarm(std::exchange(retry_, {}));
     loop_.disarm(std::exchange(timer_, {}));
     if (job_) std::exchange(job_, nullptr)->owner = nullptr;
+    if (keeping_) std::exchange(keeping_, nullptr)->owner = nullptr;
     connections_.for_each([](Handle, Connection& connection) { connection.close(); });
 }
 
@@ -269,10 +341,18 @@
     if (!good) return failed();
     if (std::exchange(failures_in_a_row_, 0) > 0) tell_("registry_back", settings_.endpoints[endpoint_]);
     Connection* const connection = connections_.find(connection_);
-    if (!connection || connection->closing()) return connect();
-    if (connection->streams()) {
-        if (ask_again) connect();
-    } else if (connection->may_ask_again()) {
+    const bool streams = connection && !connection->closing() && connection->streams();
+    if (streams && !ask_again) return;
+    const core::Time next = asked_at_ + least_between;
+    const bool watching = desk_->source->state() == registry::Source::State::watching;
+    if (!watching || ask_again || loop_.now() >= next) return ask();
+    loop_.disarm(retry_);
+    retry_ = loop_.arm(next, [this] { ask(); });
+}
+
+void RegistryClient::ask() {
+    Connection* const connection = connections_.find(connection_);
+    if (connection && !connection->closing() && connection->may_ask_again()) {
         connection->ask();
     } else {
         connect();
@@ -307,6 +387,9 @@
             state_.longest_slice_ms =
                 std::max(state_.longest_slice_ms, std::chrono::duration<double, std::milli>(took).count());
             again = slice_every;
+            unkept_ = true;
+        } else {
+            keep_snapshot();
         }
     }
     // Short enough for a drain: it is told within a tick of being learned.
--- a/src/net/registry_client.h
+++ b/src/net/registry_client.h
@@ -29,6 +29,8 @@
         std::string token;
         registry::SourceSettings source;
         registry::Roster::Settings roster;
+        std::string snapshot;  // path; empty: none is kept
+        core::Span snapshot_age = std::chrono::hours(24);
         bool operator==(const Settings& other) const;
     };
     using Tell = std::function<void(const std::string& event, const std::string& what)>;
@@ -64,9 +66,13 @@
         explicit Desk(registry::Roster::Settings settings) : roster(settings) {}
     };
     struct Job;
+    struct Keeping;
 
+    void load_snapshot();
+    void keep_snapshot();
     void make_source();
     void connect();
+    void ask();
     void failed();
     void take(registry::Response response);
     void taken(bool good, bool ask_again);
@@ -81,8 +87,12 @@
     std::shared_ptr<Desk> desk_;
     std::unique_ptr<Settings> next_;  // to change over to, once the job in hand is done
     Job* job_ = nullptr;
+    Keeping* keeping_ = nullptr;  // a snapshot on its way to the disk
+    core::Time keep_at_{};
+    bool unkept_ = false;  // the list has changed since it was kept
     core::Slots<Connection> connections_;
     core::Handle connection_, retry_, timer_;
+    core::Time asked_at_{};
     std::size_t endpoint_ = 0;
     int failures_in_a_row_ = 0;
     bool closed_ = false;
--- a/src/operators/document.cpp
+++ b/src/operators/document.cpp
@@ -108,6 +108,8 @@
           "token_file": {"type": "string", "minLength": 1},
           "wait": {"$ref": "#/definitions/time"},
           "stale": {"type": "boolean"},
+          "snapshot": {"type": "string", "minLength": 1},
+          "snapshot_age": {"$ref": "#/definitions/time"},
           "hold": {"$ref": "#/definitions/time"},
           "most_gone": {"$ref": "#/definitions/share"}
         }
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -1,10 +1,12 @@
 // The registry client: the list as a set with differences, both protocols' machines through every fault in
 // virtual time, and the whole client on sockets with a real gateway behind it.
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <csignal>
 
 #include "registry/roster.h"
+#include "registry/snapshot.h"
 #include "standin/kv_run.h"
 #include "standin/peer.h"
 #include "standin/town.h"
@@ -267,5 +269,45 @@
     EXPECT_EQ(here.town.gateway(0).exit_code(), 0);
 }
 
+TEST(Snapshot, IsReadBackAndADamagedOrOldOneIsNot) {
+    registry::Snapshot all{5000s, {worker("a"), worker("b", ServerState::draining, 81)}};
+    const std::string bytes = registry::pack(all);
+    std::string problem;
+    const auto back = registry::unpack(bytes, 6000s, 1h, problem);
+    ASSERT_TRUE(back) << problem;
+    EXPECT_EQ(back->made, core::Time{5000s});
+    ASSERT_EQ(back->entries.size(), 2u);
+    EXPECT_TRUE(registry::same(back->entries[1], all.entries[1]));
+    EXPECT_FALSE(registry::unpack(bytes, 9000s, 1h, problem));
+    EXPECT_EQ(problem, "it is too old");
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        std::string flipped = bytes;
+        flipped[i] = static_cast<char>(flipped[i] ^ 4);
+        EXPECT_FALSE(registry::unpack(flipped, 6000s, 1h, problem)) << i;
+        EXPECT_FALSE(registry::unpack(bytes.substr(0, i), 6000s, 1h, problem)) << i;
+    }
+}
+
+TEST(Snapshot, ServesAColdStartWithTheRegistryDown) {
+    Installation here(KvProtocol::etcd, 1);
+    const std::string path = standin::temporary_path("list");
+    std::string with = here.operators();
+    with.insert(with.rfind("endpoints"), "snapshot = \"" + path + ".{gateway}\", ");
+    here.town.settings().operators = with;
+    here.town.start();
+    EXPECT_TRUE(here.town.run_until([&] { return access((path + ".n0").c_str(), R_OK) == 0; }, 5s));
+    here.servers[0]->mood = KvServer::Mood::refusing;
+    here.servers[0]->break_all();
+    here.town.kill(0);
+    here.town.start_again(0);
+    here.town.load(true);
+    here.town.run_for(1s);
+    EXPECT_GT(here.town.audit.served, 30u);
+    here.town.load(false);
+    here.town.run_for(1s);
+    EXPECT_EQ(here.town.audit.broken(), "");
+    for (const char* end : {".n0", ".n1"}) unlink((path + end).c_str());
+}
+
 }  // namespace
 }  // namespace linnetlead
--- a/tests/reserve_test.cpp
+++ b/tests/reserve_test.cpp
@@ -5,7 +5,7 @@
 #include <map>
 
 #include "plans/accounts.h"
-#include "plans/purse.h"
+#include "plans/reserves.h"
 #include "standin/town.h"
 #include "standin/world.h"
 
@@ -236,6 +236,49 @@
     EXPECT_EQ(bank.paid, paid);
 }
 
+// Overlapping ones are used up in the order of their ends; one that is taken out ends at once, and goes on
+// where it was when it is put back.
+TEST(Reserves, OverlapAreCancelledAndComeBack) {
+    CounterModel counter;
+    Time now = start;
+    std::multimap<Time, std::pair<std::string, double>> replies;
+    Reserves reserves(1, 4, [&](const std::string& name, double amount, Span life) {
+        replies.emplace(now + 3ms, std::pair(name, *counter.tally(now, name, amount, life)));
+    });
+    const auto run = [&](Span time, int calls, AccountId account) {
+        std::map<std::string, int> paid;
+        for (const Time end = now + time; now < end; now += 5ms) {
+            while (!replies.empty() && replies.begin()->first <= now) {
+                const auto [name, total] = replies.begin()->second;
+                replies.erase(replies.begin());
+                reserves.counted(now, name, true, total);
+            }
+            if (now / 5ms % 10 == 0) reserves.tick(now);
+            if (now / 5ms % 4 != 0 || calls <= 0) continue;
+            const auto one = reserves.pay(now, account, 1);
+            if (one && --calls >= 0) ++paid[reserves.find(one->purse)->reserve().id];
+        }
+        return paid;
+    };
+    Reserve late = reserve_of(100, 3s, 60s), soon = reserve_of(50, 3s, 30s);
+    soon.id = "soon";
+    reserves.take({late, soon});
+    run(3s, 0, 7);
+    auto paid = run(1s, 30, 7);
+    EXPECT_EQ(paid["soon"], 30);
+    EXPECT_EQ(run(1s, 10, 8).size(), 0u);  // another's account
+    paid = run(4s, 60, 7);
+    EXPECT_EQ(paid["soon"], 20);
+    EXPECT_EQ(paid["tender"], 40);
+    reserves.take({});
+    EXPECT_EQ(run(1s, 50, 7).size(), 0u);
+    reserves.take({late});
+    paid = run(12s, 500, 7);
+    // What was at hand as it was taken out is gone: two seconds of demand at most.
+    EXPECT_LE(paid["tender"], 60);
+    EXPECT_GE(paid["tender"], 1);
+}
+
 // ---- Admission ------------------------------------------------------------------------------------------
 
 TEST(Capacity, AReserveThatDoesNotFitIsFoundAsByTryingEveryInstant) {
