Limits at once and rates of large sets: one decaying count an account, told with each call

Cause: a gateway of a set of 75 meets an account once in 40 s. room_at_once and look (src/policy.cpp) judged what the others have out by a demand told in intervals of 5 s, and presumed nothing where nothing was known. Ruled out: more room at workers, more frequent asking of the same count, amounts weighed by the chance of asking. Change: the count falls by e in the time that matters to the plan (forward decay), told and asked by one call; under a limit at once nothing goes out untold while the counter answers, and the client hears when to come back. proves_not_run stands once, in policy.h; customer_of and change_plan share begin.

--- a/include/topazcrank/policy.h
+++ b/include/topazcrank/policy.h
@@ -24,6 +24,10 @@
 enum class ReportSource { none, answers, probe };
 enum class ServerState { in, draining, out };
 enum class Outcome { ok, error, full, timeout, connect_failed, reset, cancelled, not_sent };
+// "Has never run" is told only of what is sure not to have: anything else may have.
+constexpr bool proves_not_run(Outcome outcome) {
+    return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
+}
 enum class CountStatus { ok, full, connect_failed, timeout };
 enum class ListKind { changes, full, cached, failed };
 
--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -51,9 +51,4 @@
     return Outcome::reset;
 }
 
-inline bool proves_not_run(topazcrank::Outcome outcome) {
-    using topazcrank::Outcome;
-    return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
-}
-
 }  // namespace linnetlead::core
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -38,15 +38,19 @@
 constexpr double store_spent_s = 0.5;  // within which a store that is full may be spent
 constexpr int idle_intervals_kept = 4;
 constexpr double least_part = 0.25;  // of an interval, to tell its demand
-constexpr int sparse_intervals = 2;  // usual ones in one of a customer whose even slice is under a request
+constexpr int sparse_lives = 16;     // in an interval of a customer whose even slice is under a request
 constexpr int few_gateways = 4;      // in a set: each sees enough of the demand to tally at the edges
-constexpr int fresh_part = 8;        // of an interval: so long a look stands
+constexpr int fresh_part = 8;        // of what a count remembers: so long a look stands
 constexpr double look_cut = 0.9;     // of the chance of a look, for each call turned away or late
-constexpr double look_growth = 0.005;
+constexpr double look_growth = 0.01;
 constexpr double least_looks = 0.02;
+constexpr double first_looks = 0.5;  // a hundred gateways that start at once would silence the counter
 constexpr int counter_failures_to_back_off = 3;
 constexpr Span back_off = 1s;
 constexpr double wanted_chance_of_room = 0.7;  // under a limit at once
+constexpr double room_gain = 0.3;              // EWMA of a customer's room, by looks
+constexpr double least_looked_for = 0.1;       // of its calls, however seldom there was room
+constexpr double out_share_of_aim = 0.2;       // a call is out for about so much of the mean aim
 // Servers and health.
 constexpr int servers_compared = 5;
 constexpr int most_draws = 40;
@@ -113,9 +117,8 @@
     double untold = 0;        // own demand that no add has carried yet
     double others_spent = 0;  // what was booked for them at the edge, until the read corrects it
     double told = 0;          // added to the count of the interval now running
-    double usual = 0;         // all gateways' demand expected of an interval: as the last look estimated
-    double estimate = 0;      // of it, by the last look
     double pass = 1;          // the chance that the last look gave
+    bool room = true;         // under its limit at once, as the last look saw
     Time looked_at{};
     int since_read = 0;
     double store = 0;    // what the global store should hold at the interval's start
@@ -146,6 +149,7 @@
     std::vector<Attempt> attempts;
     int out = 0;
     bool waits = false;  // for the counter's reply, before its first attempt
+    bool told = false;   // to the counter, on its arrival
     bool answered = false;
 };
 
@@ -201,10 +205,6 @@
     Time sent{};
 };
 
-bool proves_not_run(Outcome outcome) {
-    return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
-}
-
 void require(bool good, const std::string& setting) {
     if (!good) throw std::invalid_argument("unusable setting: " + setting);
 }
@@ -228,17 +228,15 @@
         if (plan.rate <= 0) return longest_interval;
         return std::clamp(span_of(plan.burst / plan.rate), shortest_interval, longest_interval);
     }
-    // Few units in an interval say little of a rate: sparse customers are tallied over longer ones.
     Span interval_of(const Customer& c) const {
-        return usual_interval(plan_of(c)) * (c.sparse ? sparse_intervals : 1);
+        return c.sparse ? life_of(plan_of(c)) * sparse_lives : usual_interval(plan_of(c));
     }
     bool is_sparse(const PlanSettings& plan, int set_size) const {
         if (!cfg_.may_count || set_size <= few_gateways) return false;
         if (plan.rate <= 0) return plan.max_open > 0 && plan.max_open * 2 < set_size;
         return plan.rate * seconds(usual_interval(plan)) / set_size < cfg_.most_units;
     }
-    // Staggered by the customer's hash, so that the adds of all customers do not bunch.
-    static Span stagger(const Customer& c, Span interval) {
+    static Span stagger(const Customer& c, Span interval) {  // so that the adds of all customers do not bunch
         return Span{static_cast<std::int64_t>(c.hash % static_cast<std::uint64_t>(interval.count()))};
     }
     Time edge(const Customer& c, std::int64_t index) const {
@@ -258,17 +256,20 @@
         if (!fresh) return c;
         c.plan = r.plan;
         c.hash = hash_of(r.customer);
-        const PlanSettings& plan = plan_of(c);
-        c.sparse = is_sparse(plan, c.set_size);
-        const Span interval = interval_of(c);
-        c.index = (now + stagger(c, interval)) / interval;
-        c.usual = c.estimate = refill(c) / usual_pass_[static_cast<std::size_t>(c.plan)];
-        c.store = plan.burst - plan.rate * seconds(now - edge(c, c.index));  // its refill is yet to come
-        open_interval(c);                                                    // new customers split evenly
+        c.sparse = is_sparse(plan_of(c), c.set_size);
+        begin(r.customer, c, plan_of(c).burst, now);  // new customers split evenly
         c.ceiling_at = started_;  // presumed spent at a restart: it has filled since the start only
-        schedule(edge(c, c.index + 1), {TaskKind::edge, r.customer});
         return c;
     }
+    void begin(const std::string& name, Customer& c, double store, Time now) {
+        const Span interval = interval_of(c);
+        c.index = (now + stagger(c, interval)) / interval;
+        c.pass = usual_pass_[static_cast<std::size_t>(c.plan)];
+        const double come = plan_of(c).rate * seconds(now - edge(c, c.index));  // granted with the interval
+        c.store = std::min(store, plan_of(c).burst) - come;
+        open_interval(c);
+        schedule(edge(c, c.index + 1), {TaskKind::edge, name});
+    }
 
     // Guards against the old and the new allowance together: the interval ends here, and of what was granted
     // for all of it, what had not come in yet is taken back. The same at all gateways, each for its slice.
@@ -279,19 +280,13 @@
         const double kept = has_store ? c.granted * c.left / c.slice - to_come : 0;
         c.plan = plan;
         c.sparse = is_sparse(plan_of(c), c.set_size);
-        const Span interval = interval_of(c);
-        const double longer = seconds(interval) / seconds(old);
+        const double longer = seconds(interval_of(c)) / seconds(old);
         c.last_demand *= longer;
         c.others *= longer;
         c.demand = c.told = c.untold = c.others_spent = 0;
         c.begun = now;
-        c.index = (now + stagger(c, interval)) / interval;
-        c.usual = c.estimate = refill(c) / usual_pass_[static_cast<std::size_t>(plan)];
-        const double come = plan_of(c).rate * seconds(now - edge(c, c.index));
-        c.store = std::min(kept, plan_of(c).burst) - come;
-        open_interval(c);
+        begin(name, c, kept, now);
         refill_ceiling(c, now);
-        schedule(edge(c, c.index + 1), {TaskKind::edge, name});
     }
 
     // By demand share when demand exceeds the grant; else demand, and of the spare room half by demand and
@@ -315,8 +310,8 @@
         c.others_spent = c.tallied ? std::min(c.others, room) : room;
         c.store = std::min(plan_of(c).burst, c.granted - std::max(0.0, spent) - c.others_spent);
         const double credit = std::max(0.0, -spent);  // settled back: a count of spend cannot go down
-        // Guards the shares: the demand of a short interval beside that of whole ones would make them add up
-        // to more.
+        // Guards the shares: a short interval's demand beside that of whole ones would make them add up to
+        // more.
         const double part = c.begun > Time{0} ? seconds(now - c.begun) / seconds(interval_of(c)) : 1;
         if (part >= least_part) c.last_demand = c.demand / std::min(part, 1.0);
         c.begun = {};
@@ -328,7 +323,6 @@
             customers_.erase(it);
             return;
         }
-        c.usual = c.estimate;
         open_interval(c);
         c.left += credit;
         schedule(edge(c, c.index + 1), {TaskKind::edge, name});
@@ -387,34 +381,50 @@
         return true;
     }
 
-    // A sparse customer's demand is told with its requests and the reply is the read, which the request
-    // waits for: by chance fewer of them where the counter turns calls away or answers late.
+    // A sparse customer's request tells of demand and waits for the total: by chance fewer of them where the
+    // counter turns calls away or answers late, and where there was no room of late.
     bool look(const std::string& name, Customer& c, RequestId id, Time due, Time now) {
-        const bool fresh = c.tallied && now - c.looked_at < interval_of(c) / fresh_part;
+        const bool limited = plan_of(c).max_open > 0;
+        const bool fresh = !limited && c.tallied && now - c.looked_at < life_of(plan_of(c)) / fresh_part;
         if (fresh || due - now < cfg_.count_timeout * 2 || uniform() > look_share_) return false;
-        if (!call(name, c, now, CallKind::add, c.untold, id)) return false;
-        c.told += c.untold;
+        if (limited && uniform() > std::max(c.pass, least_looked_for)) return false;
+        const double told = (limited ? 1 : c.untold) * weight_at(c, now);
+        if (!call(name, c, now, CallKind::add, told, id)) return false;
         c.untold = 0;
         return true;
     }
-    // A total late for its interval, or less than the own adds, is as good as silence.
-    static bool possible(double total, const Customer& c) {
-        return std::isfinite(total) && total >= c.told * (1 - rounding);
+    // The count of a sparse customer falls by e in this time: under a limit at once it holds attempts, each
+    // as far as it is likely to be out yet; else the demand for as long as a store lasts.
+    Span life_of(const PlanSettings& plan) const {
+        if (plan.max_open <= 0) return usual_interval(plan);
+        double aims = 0;
+        for (const ClassSettings& cls : cfg_.classes) aims += seconds(cls.aim);
+        return span_of(out_share_of_aim * aims / static_cast<double>(cfg_.classes.size()));
     }
-    // The chance is the quota's share in the demand of all gateways, the same at each of them; all pass while
-    // what has come since the edge is within the store, which was full if the interval before left it so.
+    // New amounts grow in place of old ones that fall (forward decay: Cormode et al., 2009), so that one call
+    // both tells and asks, and no edge of an interval makes all gateways forget at once.
+    double weight_at(const Customer& c, Time now) const {
+        return std::exp(seconds(now - edge(c, c.index) - interval_of(c) / 2) / seconds(life_of(plan_of(c))));
+    }
+    // What was told ahead of its decision, and then not sent on, is taken back.
+    void take_back(const Open& r, const Customer& c, Time now) {
+        if (!r.told || plan_of(c).max_open <= 0 || r.arrived < edge(c, c.index)) return;
+        call(r.customer, c, now, CallKind::add, -weight_at(c, r.arrived));
+    }
+    // The chance is the quota's share in the demand of all gateways, the same at each of them.
     void on_look(Customer& c, const Call& answered, double seen, Time now) {
-        if (answered.index != c.index || !possible(seen, c)) return;
+        if (answered.index != c.index || !std::isfinite(seen) || seen <= 0) return;
         const PlanSettings& plan = plan_of(c);
-        const double quota = refill(c);
-        const double since = std::max(0.0, seconds(now - edge(c, c.index)));
+        const double level = seen / weight_at(c, now);
         c.looked_at = now;
         c.tallied = true;
-        c.estimate = seen + c.usual * std::max(0.0, 1 - since / seconds(interval_of(c)));
-        c.others = std::max(0.0, c.estimate - c.demand);
-        const double store = std::clamp(plan.burst + quota - c.usual, 0.0, plan.burst);
-        const bool all = plan.rate <= 0 || seen <= store + plan.rate * since;
-        c.pass = all ? 1 : std::min(1.0, quota / c.estimate);
+        if (plan.max_open > 0) {
+            const double others = std::max(0.0, level - 1);
+            c.room = chance_of_room(others, plan.max_open - 1) > wanted_chance_of_room;
+            c.pass += room_gain * ((c.room ? 1 : 0) - c.pass);
+        } else {
+            c.pass = std::min(1.0, plan.rate * seconds(life_of(plan)) / level);
+        }
         double& usual = usual_pass_[static_cast<std::size_t>(c.plan)];
         usual += mean_gain * (c.pass - usual);
     }
@@ -435,7 +445,7 @@
         const auto at = customers_.find(answered.customer);
         const bool slow = status != CountStatus::ok || (now - answered.made) * 2 > cfg_.count_timeout;
         look_share_ = std::clamp(slow ? look_share_ * look_cut : look_share_ + look_growth, least_looks, 1.0);
-        if (at != customers_.end() && at->second.sparse && status == CountStatus::ok) {
+        if (at != customers_.end() && at->second.sparse && status == CountStatus::ok && answered.request) {
             on_look(at->second, answered, total, now);
         }
         const auto waiting = requests_.find(answered.request);
@@ -449,7 +459,9 @@
         counter_failures_ = 0;
         if (at == customers_.end() || answered.kind != CallKind::read || at->second.sparse) return;
         Customer& c = at->second;
-        if (answered.index != c.index || c.told <= 0 || !possible(total, c)) return;
+        // A total late for its interval, or less than the own adds, is as good as silence.
+        const bool possible = std::isfinite(total) && total >= c.told * (1 - rounding);
+        if (answered.index != c.index || c.told <= 0 || !possible) return;
         const double demanded = std::floor(total + rounding / 2);
         const double most = most_granted(c);
         c.others = std::max(0.0, demanded - std::floor(c.told)) / demand_parts * most;
@@ -467,12 +479,16 @@
 
     // ---- 2. Thinning ----------------------------------------------------------------------------------
 
-    bool thin(const Customer& c, double units, Time now) {
+    bool thin(const Customer& c, double units, bool told, Time now) {
         const PlanSettings& plan = plan_of(c);
-        if (plan.rate <= 0) return true;
+        if (plan.rate <= 0 && !c.sparse) return true;
         if (c.sparse) {
-            const double usual = usual_pass_[static_cast<std::size_t>(c.plan)];
-            return uniform() < (c.tallied ? c.pass : usual);
+            // Under a limit at once none goes out unseen while the counter answers: what is not told there
+            // would spoil what the others see. Its client is asked to come back.
+            if (plan.max_open > 0 && c.looked_at == now) return c.room;
+            const bool unseen =
+                plan.max_open > 0 && !told && counter_failures_ < counter_failures_to_back_off;
+            return !unseen && uniform() < c.pass;
         }
         const double length = seconds(interval_of(c));
         const double rest = std::max(0.0, seconds(edge(c, c.index + 1) - now));
@@ -493,13 +509,12 @@
     // What the others hold of a limit at once is expected from their demand, spread by chance (Poisson).
     bool room_at_once(const Customer& c) {
         const PlanSettings& plan = plan_of(c);
-        if (plan.max_open <= 0) return true;
         const int free_for_others = plan.max_open - 1 - c.open;
-        if (free_for_others < 0) return false;
-        if (c.set_size < 2) return true;
+        if (plan.max_open > 0 && free_for_others < 0) return false;
+        if (plan.max_open <= 0 || c.set_size < 2 || c.sparse) return true;
         const double length = seconds(interval_of(c));
         const double total = c.last_demand + c.others;
-        const double demand = c.tallied ? c.others : c.sparse ? 0 : c.demand * (c.set_size - 1);
+        const double demand = c.tallied ? c.others : c.demand * (c.set_size - 1);
         const double per_request = plan.rate > 0 ? std::max(1.0, mean_units_) : 1;
         const double let_in = plan.rate > 0 && total > 0 ? std::min(1.0, refill(c) / total) : 1;
         const double held = let_in * demand / per_request / length * hold_s_;
@@ -526,12 +541,12 @@
         c.ceiling_at = now;
     }
 
-    bool may_pass(Customer& c, double units, Time now) {
+    bool may_pass(Customer& c, double units, bool told, Time now) {
         if (plan_of(c).ceiling_rate > 0) {
             refill_ceiling(c, now);
             if (c.ceiling_left < units) return false;
         }
-        return room_at_once(c) && thin(c, units, now);
+        return room_at_once(c) && thin(c, units, told, now);
     }
 
     // ---- 4. Servers and health ------------------------------------------------------------------------
@@ -568,9 +583,8 @@
         const double own = late_of_base * base_lag_[static_cast<std::size_t>(r.cls)];
         return std::clamp(own, late_of_aim * aim, most_late_of_aim * aim);
     }
-    // Guards against congestion collapse, whatever drives it (load over capacity, slow servers, lost halls):
-    // what is out is bounded so that answers come well before their aim. A bound falls with each late answer
-    // and grows while used. The fewer are out, the more an answer counts for all servers alike.
+    // Guards against congestion collapse: what is out is bounded so that answers come well before their aim.
+    // A bound falls with each late answer and grows while used; of few out, an answer counts for all servers.
     void adapt_bound(Server& s, bool late) {
         const bool used =
             static_cast<double>(s.out.size()) >= bound_of(s) / 2 && out_mean_ + 1 >= bound() / 2;
@@ -588,9 +602,9 @@
     }
     double bound_of(const Server& s) const { return s.bound * fleet_bound_; }
     double bound() const { return sum_of_bounds_ * fleet_bound_; }
-    // The bound holds for what is out on average, by thinning: hundreds of gateways with a bound of about one
-    // would else refuse what merely comes in twos. At once no more is out than chance explains. What is worth
-    // less for its time gives way first.
+    // The bound holds on average, by thinning: hundreds of gateways with a bound of about one would else
+    // refuse what comes in twos. At once no more is out than chance explains; the least worth for its time
+    // goes first.
     bool has_room(int cls) {
         const double u = urgency(cls);
         out_mean_ += out_gain * (out_now_ - out_mean_);
@@ -629,10 +643,9 @@
         if (best && uniform() >= warm_share(*best, now)) best = best_of_few(r, pools, now, false);
         return best;
     }
-    // A gateway of hundreds meets a server too seldom to know it full of work that nobody waits for, and the
-    // trials of all keep it full. So some drawn servers are probed, and attempts go to those that answered.
-    // Should also cover servers that stall, are slow, cut off or dead before the list says so; hurts where
-    // probes are answered beside a full queue, by the price of a probe for every fourth attempt.
+    // A gateway of hundreds meets a server too seldom to know it full, slow, cut off or dead before the list
+    // says so. Some drawn servers are probed, and attempts go to those that answered. Hurts where probes are
+    // answered beside a full queue.
     void look_around(Time now) {
         if (!cfg_.may_probe || bound() >= few_attempts * count_) return;
         Server& s = draw(choice(all_pools));
@@ -750,19 +763,21 @@
         out_.send(id, s.entry.id, std::max(timeout, Span{1}));
     }
 
-    void give_answer(RequestId id, Open& r, Time now) {
+    void give_answer(RequestId id, Open& r, Time now, bool limited = false) {
         if (r.answered) return;
         if (allowed(r, nullptr, now)) {
-            out_.refuse(id, come_back_in());
+            out_.refuse(id, come_back_in(limited));
         } else {
             out_.fail(id);
         }
         r.answered = true;
     }
 
-    // With next to no room a repeat only adds to the calls; under less pressure an early one is in time.
-    Span come_back_in() {
-        if (!cfg_.retry_after || out_mean_ < hopeless * bound()) return Span{0};
+    // With next to no room a repeat only adds to the calls; under less pressure an early one is in time, or
+    // one after as long as a call is out, where those were too many.
+    Span come_back_in(bool limited) {
+        if (!cfg_.retry_after || (!limited && out_mean_ < hopeless * bound())) return Span{0};
+        if (limited) return std::min(span_of(hold_s_ * (uniform() + 1)), cfg_.most_retry_after);
         return span_of(seconds(cfg_.most_retry_after) * (1 + uniform()) / 2);
     }
 
@@ -812,6 +827,7 @@
         if (c.sparse) {
             c.untold += plan.rate > 0 ? request.units : 1;
             r.waits = look(r.customer, c, request.id, r.due, now);
+            r.told = r.waits;
         }
         Open& held = requests_[request.id] = std::move(r);
         if (!held.waits) decide(request.id, held, now);
@@ -819,9 +835,11 @@
 
     void decide(RequestId id, Open& r, Time now) {
         Customer* c = find_customer(r.customer);
-        Server* s = c && in_time(r, now) && may_pass(*c, r.units, now) ? pick(r, now) : nullptr;
+        const bool passes = c && in_time(r, now) && may_pass(*c, r.units, r.told, now);
+        Server* s = passes ? pick(r, now) : nullptr;
         if (!s) {
-            give_answer(id, r, now);
+            if (c) take_back(r, *c, now);
+            give_answer(id, r, now, c && !passes && plan_of(*c).max_open > 0);
             requests_.erase(id);
             return;
         }
@@ -845,8 +863,7 @@
         hold_s_ += mean_gain * (seconds(now - a.sent) - hold_s_);
         const auto at = servers_.find(a.server);
         if (at != servers_.end()) {
-            // A server goes on with work that timed out: forgotten by the bounds, it would fill servers that
-            // seem idle. Should also cover slow starts and bursts; hurts where servers drop such work.
+            // A server may go on with work that timed out: forgotten, it would fill servers that seem idle.
             if (judge(at->second, r, result, now) && result.outcome == Outcome::timeout) {
                 schedule(now + span_of(seconds(now - a.sent) * left_for), {TaskKind::left, a.server, a.sent});
             } else {
@@ -1008,7 +1025,7 @@
     std::vector<double> mean_lag_;
     std::vector<double> base_lag_;    // the same in quiet times: falls at once, rises slowly
     std::vector<double> usual_pass_;  // by plan: the mean chance over all looks, for customers not known
-    double look_share_ = 1;
+    double look_share_ = first_looks;
     double hold_s_ = 0.1;  // how long an attempt is out, on average
     double mean_units_ = 1;
     double retry_tokens_ = 1;
