Large sets: room is asked before the counter, and every try may look

Cause: looks were spent on calls that has_room refused afterwards (some 400 of 3,900, each with a call to take it back); the share of tries that look fell at answers of half the counter's time-out and rose too slowly from a start of a half; attempts were forgotten by e in 0.2 of the mean aim, though their mean time out is 0.37 s of 0.35 s with a long tail. Change: has_room before look; slow is three quarters of the time-out; share starts at 1; out_share_of_aim 0.25.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -44,13 +44,12 @@
 constexpr double look_cut = 0.9;     // of the chance of a look, for each call turned away or late
 constexpr double look_growth = 0.01;
 constexpr double least_looks = 0.02;
-constexpr double first_looks = 0.5;  // a hundred gateways that start at once would silence the counter
 constexpr int counter_failures_to_back_off = 3;
 constexpr Span back_off = 1s;
 constexpr double wanted_chance_of_room = 0.7;  // under a limit at once
 constexpr double room_gain = 0.3;              // EWMA of a customer's room, by looks
 constexpr double least_looked_for = 0.1;       // of its calls, however seldom there was room
-constexpr double out_share_of_aim = 0.2;       // a call is out for about so much of the mean aim
+constexpr double out_share_of_aim = 0.25;      // a call is out for about so much of the mean aim
 // Servers and health.
 constexpr int servers_compared = 5;
 constexpr int most_draws = 40;
@@ -150,6 +149,7 @@
     int out = 0;
     bool waits = false;  // for the counter's reply, before its first attempt
     bool told = false;   // to the counter, on its arrival
+    bool room = false;   // found on its arrival
     bool answered = false;
 };
 
@@ -401,8 +401,8 @@
         for (const ClassSettings& cls : cfg_.classes) aims += seconds(cls.aim);
         return span_of(out_share_of_aim * aims / static_cast<double>(cfg_.classes.size()));
     }
-    // New amounts grow in place of old ones that fall (forward decay: Cormode et al., 2009), so that one call
-    // both tells and asks, and no edge of an interval makes all gateways forget at once.
+    // New amounts grow in place of old ones that fall (forward decay: Cormode et al., 2009): one call tells
+    // and asks, and no edge of an interval makes all gateways forget at once.
     double weight_at(const Customer& c, Time now) const {
         return std::exp(seconds(now - edge(c, c.index) - interval_of(c) / 2) / seconds(life_of(plan_of(c))));
     }
@@ -443,7 +443,7 @@
         it->second.pop_front();
         if (it->second.empty()) calls_.erase(it);
         const auto at = customers_.find(answered.customer);
-        const bool slow = status != CountStatus::ok || (now - answered.made) * 2 > cfg_.count_timeout;
+        const bool slow = status != CountStatus::ok || (now - answered.made) * 4 > cfg_.count_timeout * 3;
         look_share_ = std::clamp(slow ? look_share_ * look_cut : look_share_ + look_growth, least_looks, 1.0);
         if (at != customers_.end() && at->second.sparse && status == CountStatus::ok && answered.request) {
             on_look(at->second, answered, total, now);
@@ -483,8 +483,7 @@
         const PlanSettings& plan = plan_of(c);
         if (plan.rate <= 0 && !c.sparse) return true;
         if (c.sparse) {
-            // Under a limit at once none goes out unseen while the counter answers: what is not told there
-            // would spoil what the others see. Its client is asked to come back.
+            // Untold, one under a limit at once would spoil what the others see: its client may come back.
             if (plan.max_open > 0 && c.looked_at == now) return c.room;
             const bool unseen =
                 plan.max_open > 0 && !told && counter_failures_ < counter_failures_to_back_off;
@@ -629,8 +628,8 @@
 
     static bool may_be_sent_to(const Server& s) { return s.listed && s.entry.state == ServerState::in; }
     static double size_of(const Server& s) { return std::max(s.entry.weight, 1e-6); }
-    Server* pick(const Open& r, Time now) {
-        if (!has_room(r.cls)) return nullptr;
+    Server* pick(Open& r, Time now) {
+        if (!std::exchange(r.room, false) && !has_room(r.cls)) return nullptr;
         const Pools pools = r.attempts.empty() ? r.pools : r.fallback;
         Server* s = pick_from(r, pools, now);
         return s || pools == r.fallback ? s : pick_from(r, r.fallback, now);
@@ -826,7 +825,8 @@
         r.fallback = request.fallback;
         if (c.sparse) {
             c.untold += plan.rate > 0 ? request.units : 1;
-            r.waits = look(r.customer, c, request.id, r.due, now);
+            r.room = has_room(r.cls);  // asked first: a look for what is refused all the same is lost
+            r.waits = r.room && look(r.customer, c, request.id, r.due, now);
             r.told = r.waits;
         }
         Open& held = requests_[request.id] = std::move(r);
@@ -1025,7 +1025,7 @@
     std::vector<double> mean_lag_;
     std::vector<double> base_lag_;    // the same in quiet times: falls at once, rises slowly
     std::vector<double> usual_pass_;  // by plan: the mean chance over all looks, for customers not known
-    double look_share_ = first_looks;
+    double look_share_ = 1;
     double hold_s_ = 0.1;  // how long an attempt is out, on average
     double mean_units_ = 1;
     double retry_tokens_ = 1;
