The registry's watch doubles its pauses, spread by seed, where asking fails

Cause: connect_later (src/net/registry_watch.cpp) asked a registry that breaks or refuses every 80 ms for ever, all gateways in step: harmless alone, 1,250 connections a second of a hundred. Change: the first pause stays 80 ms, since a watch goes on within 200 ms; further ones double to 1 s, each by a random part of a half to the whole. A good list starts over.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -77,7 +77,7 @@
           gateway_(config.site, config.seed, shares_.calls, loop_),
           pool_(loop_, gateway_, {shares_.workers, config.site.connect_timeout, config.site.conn_idle}),
           counter_(loop_, gateway_, counter_of(config), config.site.settings.count_timeout),
-          registry_(loop_, gateway_, config.discovery, config.known.version),
+          registry_(loop_, gateway_, config.discovery, config.known.version, config.seed),
           acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}) {
         gateway_.attach(pool_, counter_);
         if (!operators.empty()) {
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -1,5 +1,6 @@
 #include "registry_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace linnetlead::net {
@@ -14,6 +15,7 @@
 constexpr Span wait_more = 1s;  // beyond that it is silent, and asked anew
 constexpr Span connect_time = 1s;
 constexpr Span retry_after = 80ms;  // a watch goes on if the next call comes within 200 ms
+constexpr Span longest_pause = 1s;  // what is told counts as known some seconds after
 
 }  // namespace
 
@@ -75,8 +77,8 @@
 };
 
 RegistryWatch::RegistryWatch(Loop& loop, core::Gateway& gateway, std::string address,
-                             std::int64_t known_version)
-    : loop_(loop), gateway_(gateway), address_(std::move(address)), version_(known_version) {}
+                             std::int64_t known_version, std::uint64_t seed)
+    : loop_(loop), gateway_(gateway), address_(std::move(address)), version_(known_version), random_(seed) {}
 RegistryWatch::~RegistryWatch() = default;
 
 bool RegistryWatch::start() {
@@ -88,6 +90,7 @@
 bool RegistryWatch::move(std::string address) {
     address_ = std::move(address);
     version_ = -1;
+    failures_ = 0;
     hang_up();
     return start();
 }
@@ -115,7 +118,12 @@
 
 void RegistryWatch::connect_later() {
     loop_.disarm(retry_);
-    retry_ = loop_.arm(loop_.now() + retry_after, [this] { connect(); });
+    // Guards a registry that comes back, or refuses, against all gateways at once and in step: the first
+    // pause keeps the watch, further ones double and are spread.
+    const int doubled = std::min(failures_++, 4);
+    const Span pause = std::min<Span>(longest_pause, retry_after * (1 << doubled));
+    const double part = doubled == 0 ? 1 : std::uniform_real_distribution<double>(0.5, 1)(random_);
+    retry_ = loop_.arm(loop_.now() + std::chrono::duration_cast<Span>(pause * part), [this] { connect(); });
 }
 
 std::string RegistryWatch::request() const {
@@ -136,6 +144,7 @@
         return false;
     }
     version_ = list->version;
+    failures_ = 0;
     if (list->full) {
         gateway_.listed(topazcrank::ListKind::full, list->entries);
     } else if (!list->entries.empty()) {
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <random>
 #include <string>
 
 #include "core/gateway.h"
@@ -13,7 +14,9 @@
 class RegistryWatch {
 public:
     // Goes on from the version that is known; below 0: from none.
-    RegistryWatch(Loop& loop, core::Gateway& gateway, std::string address, std::int64_t known_version);
+    // The seed spreads what is asked after breaks, so that many gateways do not ask in step.
+    RegistryWatch(Loop& loop, core::Gateway& gateway, std::string address, std::int64_t known_version,
+                  std::uint64_t seed);
     ~RegistryWatch();
     // Returns false where the address is none.
     bool start();
@@ -37,6 +40,8 @@
     std::int64_t version_;
     core::Slots<Connection> connections_;
     core::Handle retry_;
+    int failures_ = 0;  // in a row
+    std::mt19937_64 random_;
     bool closed_ = false;
 };
 
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -726,7 +726,7 @@
 TEST(Registry, IsWatchedAgainAtOnceAndAfterABreakOrNonsense) {
     Rig rig;
     Listener discovery, worker;
-    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41);
+    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41, 7);
     ASSERT_TRUE(watch.start());
     auto first = rig.accepted(discovery);
     ASSERT_TRUE(rig.until([&] { return first->has("GET /api/targets?index=41&wait=20000 HTTP/1.1\r\n"); }));
@@ -747,6 +747,29 @@
     rig.loop.turn();
 }
 
+TEST(Registry, ThatBreaksAgainAndAgainIsAskedLessAndLessOften) {
+    Rig rig;
+    Listener discovery;
+    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41, 7);
+    ASSERT_TRUE(watch.start());
+    const auto begun = std::chrono::steady_clock::now();
+    for (int i = 0; i < 6; ++i) rig.accepted(discovery)->close();
+    const auto took = std::chrono::steady_clock::now() - begun;
+    EXPECT_GT(took, std::chrono::milliseconds(800)) << "five pauses of 80 ms would be 0.4 s";
+    EXPECT_LT(took, std::chrono::seconds(5)) << "each is a second at most";
+    auto good = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return good->has("index=41&"); }));
+    good->write(response(R"({"version":42,"full":false,"servers":[]})"));
+    ASSERT_TRUE(rig.until([&] { return good->has("index=42&"); }));
+    const auto broke = std::chrono::steady_clock::now();
+    good->close();
+    rig.accepted(discovery);
+    EXPECT_LT(std::chrono::steady_clock::now() - broke, std::chrono::milliseconds(200))
+        << "the watch goes on";
+    watch.close();
+    rig.loop.turn();
+}
+
 // ---- The program --------------------------------------------------------------------------------------
 
 struct Program : standin::Process {
