Only what the counter has counted is taken back from it

Cause: take_back (src/policy.cpp) took the weight of a refused call off the count also where its look had been turned away or had failed: nothing was added, so the count hid what others have out. Found by reading the change again. Change: taken back only at the moment of a counted look.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -406,9 +406,9 @@
     double weight_at(const Customer& c, Time now) const {
         return std::exp(seconds(now - edge(c, c.index) - interval_of(c) / 2) / seconds(life_of(plan_of(c))));
     }
-    // What was told ahead of its decision, and then not sent on, is taken back.
+    // What was counted ahead of its decision, and then not sent on, is taken back.
     void take_back(const Open& r, const Customer& c, Time now) {
-        if (!r.told || plan_of(c).max_open <= 0 || r.arrived < edge(c, c.index)) return;
+        if (!r.told || plan_of(c).max_open <= 0 || c.looked_at != now) return;
         call(r.customer, c, now, CallKind::add, -weight_at(c, r.arrived));
     }
     // The chance is the quota's share in the demand of all gateways, the same at each of them.
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -505,6 +505,29 @@
     EXPECT_EQ(unadvised, 0) << "what waits for room is told when to come back";
 }
 
+TEST(Fleet, WhatTheCounterTurnedAwayIsNotTakenBack) {
+    Settings s = make_settings();
+    s.gateways = 100;
+    s.plans[0].max_open = 2;
+    s.plans[0].rate = 0;
+    Gateway g(s, many_servers(60));
+    // First the count says that there is no room, so that some calls are refused; then it turns calls away.
+    for (int i = 0; i < 300; ++i) {
+        g.run_to(g.now + 20ms);
+        g.out.counted.clear();
+        const auto id = g.submit(1, "u", 100);
+        if (g.out.counted.empty()) continue;
+        const std::string name = g.out.counted[0].name;
+        const bool away = i >= 20 && i % 2 == 0;
+        g.policy.on_counted(g.now, name, away ? CountStatus::full : CountStatus::ok, 1e6);
+        // Told, and where it was counted and not sent on, taken back; less than was added would hide what is
+        // out.
+        EXPECT_EQ(g.out.counted.size(), away ? 1U : 2U);
+        if (g.out.counted.size() == 2) g.policy.on_counted(g.now, name, CountStatus::ok, 1e6);
+        if (g.sends(id) == 1) g.resolve(id, Outcome::ok, 1ms);
+    }
+}
+
 TEST(Fleet, SilentCounterHoldsNothingBack) {
     Settings s = make_settings();
     s.gateways = 100;
