--- a/include/topazcrank/policy.h
+++ b/include/topazcrank/policy.h
@@ -162,6 +162,8 @@
     void on_probed(Time now, const ServerId& server, Outcome outcome, const LoadReport& report);
     void on_counted(Time now, const std::string& name, CountStatus status, double total);
     void on_wake(Time now);
+    // Servers that are listed and in, and left out for now all the same.
+    std::size_t left_out(Time now) const;
     // Further plans, behind those that there are; positions never change. A customer whose next request names
     // another plan goes over to it then: what it has left goes with it, within the new store, and nothing of
     // the old plan's refill still to come.
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -27,7 +27,9 @@
       most_units_(site.settings.most_units),
       crowd_(limits.accounts),
       come_back_(site.settings.retry_after ? site.settings.most_retry_after : Span{0}),
-      policy_(new topazcrank::Policy(site.settings, seed, timers.now(), *this)) {}
+      policy_(new topazcrank::Policy(site.settings, seed, timers.now(), *this)) {
+    counts_.classes.resize(classes_.size());
+}
 Gateway::~Gateway() = default;
 
 void Gateway::attach(Workers& workers, Counter& counter) {
@@ -68,17 +70,21 @@
 
 Handle Gateway::take(Call call, Front& front, Ticket ticket) {
     const std::size_t size = call.payload.bytes.size();
+    const int cls = call.request.cls;
     if (calls_.size() >= limits_.calls || bytes_ + size > limits_.bytes) {
+        count_end(cls, Verdict::refused);
         front.answer(ticket, {Verdict::refused, {}, {}});
         return {};
     }
     // Guards the open call: workers would take the two for one.
     if (!names_.insert(call.name).second) {
+        count_end(cls, Verdict::failed);
         front.answer(ticket, {Verdict::failed, {}, {}});
         return {};
     }
     if (!crowd_.passes(timers_.now(), call.request.customer)) {
         names_.erase(call.name);
+        count_end(cls, Verdict::refused);
         front.answer(ticket, {Verdict::refused, {}, come_back_});
         return {};
     }
@@ -95,6 +101,7 @@
     if (routes_) open.mark = routes_->route(timers_.now(), call.request);
     open.deadline = timers_.arm(open.due + overdue_after, [this, handle] { overdue(handle); });
     bytes_ += size;
+    ++counts_.in_progress;
     // The handle serves as the module's id: a client's may come again once its call is over.
     call.request.id = handle.packed();
     tell([this, request = std::move(call.request)] { policy_->on_request(timers_.now(), request); });
@@ -120,13 +127,22 @@
     if (call.answered) return;
     Front* const front = call.front;
     const Ticket ticket = call.ticket;
+    count_end(call.cls, answer.verdict);
     settle(handle, call);
     front->answer(ticket, answer);
 }
 
+void Gateway::count_end(int cls, Verdict verdict) {
+    Counts::OfClass& of = counts_.classes[static_cast<std::size_t>(cls)];
+    ++(verdict == Verdict::served ? of.served : verdict == Verdict::refused ? of.refused : of.failed);
+}
+
+std::size_t Gateway::left_out() const { return policy_->left_out(timers_.now()); }
+
 // Nothing more is owed to the client.
 void Gateway::settle(Handle handle, Open& call) {
     call.answered = true;
+    --counts_.in_progress;
     timers_.disarm(std::exchange(call.deadline, {}));
     drop_if_done(handle);
 }
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -20,7 +20,16 @@
     Payload payload;
 };
 
-class Gateway final : private topazcrank::Actions {
+// Since the start.
+struct Counts {
+    struct OfClass {
+        std::uint64_t served = 0, refused = 0, failed = 0;
+    };
+    std::vector<OfClass> classes;
+    std::size_t in_progress = 0;  // calls taken and not ended
+};
+
+class Gateway final : public Lists, private topazcrank::Actions {
 public:
     struct Limits {
         std::size_t calls = 0;     // open at once
@@ -45,12 +54,15 @@
     void withdraw(Handle call);
     std::size_t open_calls() const { return calls_.size(); }
     const crowd::Crowd& crowd() const { return crowd_; }
+    const Counts& counts() const { return counts_; }
+    // Listed workers that the module leaves out for now by its own choice.
+    std::size_t left_out() const;
 
     // From the workers, the counter and the registry.
     void attempt_ended(Handle call, const AttemptEnd& end);
     void probed(const WorkerId& worker, topazcrank::Outcome outcome, const topazcrank::LoadReport& report);
     void counted(const std::string& name, topazcrank::CountStatus status, double total);
-    void listed(topazcrank::ListKind kind, const std::vector<Listed>& entries);
+    void listed(topazcrank::ListKind kind, const std::vector<Listed>& entries) override;
     // Entries whose pools are others now, though nothing else of them has changed.
     void marked(std::vector<topazcrank::ServerEntry> entries);
 
@@ -94,6 +106,7 @@
     void conclude(Handle handle, Open& call, const Answer& answer);
     void overdue(Handle handle);
     void drop_if_done(Handle handle);
+    void count_end(int cls, Verdict verdict);
 
     Timers& timers_;
     Workers* workers_ = nullptr;
@@ -107,6 +120,7 @@
     Slots<Open> calls_;
     std::unordered_set<std::uint64_t> names_;  // of those
     std::size_t bytes_ = 0;
+    Counts counts_;
     crowd::Crowd crowd_;
     Span come_back_;  // told to whom the crowd shuts out; 0: nothing is to be told
     Handle wake_;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -59,6 +59,13 @@
     virtual void disarm(Handle timer) = 0;
 };
 
+// Where the registry's news goes.
+class Lists {
+public:
+    virtual ~Lists() = default;
+    virtual void listed(topazcrank::ListKind kind, const std::vector<Listed>& entries) = 0;
+};
+
 class Workers {
 public:
     virtual ~Workers() = default;
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -55,6 +55,7 @@
         config.name = root.value("name", std::string());
         config.listen = root.value("listen", std::string());
         config.discovery = root.value("discovery", std::string());
+        config.mgmt = root.value("mgmt", std::string());
         config.counter = root.value("counter", std::string());
         config.peer_listen = root.value("peer_listen", std::string());
         config.peers_all = root.value("peers_all", std::string());
@@ -106,6 +107,7 @@
     override_by("BALANCER_NAME", config.name);
     override_by("BALANCER_LISTEN", config.listen);
     override_by("BALANCER_DISCOVERY", config.discovery);
+    override_by("BALANCER_MGMT", config.mgmt);
 }
 
 }  // namespace linnetlead::gateway
--- a/src/gateway/config.h
+++ b/src/gateway/config.h
@@ -14,6 +14,7 @@
     std::string name;
     std::string listen;
     std::string discovery;
+    std::string mgmt;                    // the second address; empty: there is none
     std::string counter;                 // empty: there is none
     std::string peer_listen, peers_all;  // empty: there is none
     std::vector<std::string> peers;
--- /dev/null
+++ b/src/gateway/desk.cpp
@@ -0,0 +1,44 @@
+#include "desk.h"
+
+#include "mgmt/figures.h"
+
+namespace linnetlead::gateway {
+
+using mgmt::Reply;
+using mgmt::Verb;
+
+Reply Desk::carry(const mgmt::Command& command) {
+    switch (command.verb) {
+        case Verb::readyz:
+            if (!up_) return {503, "not ready: still starting\n", {}};
+            if (!parts_.suspensions.has_list()) return {503, "not ready: no list of quoters yet\n", {}};
+            return {200, "ready\n", {}};
+        case Verb::metrics:
+            return {200, figures(), {}};
+        case Verb::suspend:
+            if (parts_.suspensions.suspend(command.worker)) return {200, "suspended\n", {}};
+            break;
+        case Verb::resume:
+            if (parts_.suspensions.resume(command.worker)) return {200, "resumed\n", {}};
+            break;
+        case Verb::drain:
+            parts_.drain.drain();
+            return {200, "draining\n", {}};
+        case Verb::activate:
+            if (parts_.drain.activate()) return {200, "serving\n", {}};
+            return {409, "this gateway is about to end\n", {}};
+    }
+    return {404, "no such quoter was ever listed\n", {}};
+}
+
+std::string Desk::figures() const {
+    mgmt::Figures figures;
+    figures.classes = parts_.classes;
+    figures.counts = parts_.gateway.counts();
+    figures.tries = parts_.pool.tries();
+    figures.known = parts_.suspensions.known();
+    figures.skipped = parts_.suspensions.skipped() + parts_.gateway.left_out();
+    return mgmt::write_figures(figures);
+}
+
+}  // namespace linnetlead::gateway
--- /dev/null
+++ b/src/gateway/drain.cpp
@@ -0,0 +1,57 @@
+#include "drain.h"
+
+#include <utility>
+
+namespace linnetlead::gateway {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// The front hears of a drain by its next PING (0.1 s), and lets new connections come for 0.2 s more; after
+// SIGTERM they come for up to 0.4 s.
+constexpr core::Span drain_heard_within = 350ms;
+constexpr core::Span leave_heard_within = 500ms;
+constexpr core::Span look_again = 20ms;
+
+}  // namespace
+
+Drain::Drain(core::Timers& timers, net::Acceptor& acceptor, core::Span longest, std::function<void()> gone)
+    : timers_(timers), acceptor_(acceptor), longest_(longest), gone_(std::move(gone)) {}
+
+bool Drain::drain() {
+    if (state_ != State::serving) return true;
+    state_ = State::draining;
+    acceptor_.answer_pings(false);
+    timer_ = timers_.arm(timers_.now() + drain_heard_within, [this] { acceptor_.retire(true); });
+    return true;
+}
+
+bool Drain::activate() {
+    if (state_ == State::leaving) return false;
+    state_ = State::serving;
+    timers_.disarm(std::exchange(timer_, {}));
+    acceptor_.answer_pings(true);
+    acceptor_.retire(false);
+    return true;
+}
+
+// A gateway that was draining still says no: nobody new is to come for its last moments.
+void Drain::leave() {
+    if (state_ == State::leaving) return;
+    state_ = State::leaving;
+    timers_.disarm(std::exchange(timer_, {}));
+    leaves_at_ = timers_.now() + leave_heard_within;
+    timer_ = timers_.arm(leaves_at_, [this] {
+        acceptor_.stop_listening();
+        acceptor_.retire(true);
+        wait_for_answers();
+    });
+}
+
+void Drain::wait_for_answers() {
+    if (acceptor_.empty() || timers_.now() > leaves_at_ + longest_) return gone_();
+    timer_ = timers_.arm(timers_.now() + look_again, [this] { wait_for_answers(); });
+}
+
+}  // namespace linnetlead::gateway
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -12,8 +12,11 @@
 
 #include "commands.h"
 #include "config.h"
+#include "desk.h"
+#include "drain.h"
 #include "net/acceptor.h"
 #include "net/counter_client.h"
+#include "net/mgmt_server.h"
 #include "net/registry_watch.h"
 #include "net/worker_pool.h"
 #include "operators.h"
@@ -23,27 +26,37 @@
 using namespace linnetlead;
 using namespace std::chrono_literals;
 
-constexpr core::Span still_accepting = 500ms;  // after SIGTERM, while clients still come
-constexpr core::Span look_again = 20ms;
-
 sockaddr_storage address_of(const std::string& what, const std::string& text) {
     sockaddr_storage address{};
     if (!net::read_address(text, address)) throw std::runtime_error(what + ": no address: '" + text + "'");
     return address;
 }
 
+core::Span longest_deadline(const gateway::Config& config) {
+    core::Span longest{};
+    for (const auto& cls : config.site.settings.classes) longest = std::max(longest, cls.deadline);
+    return longest;
+}
+
+std::vector<std::string> class_names(const gateway::Config& config) {
+    std::vector<std::string> names;
+    for (const auto& cls : config.site.settings.classes) names.push_back(cls.name);
+    return names;
+}
+
 sockaddr_storage counter_of(const gateway::Config& config) {
     return config.counter.empty() ? sockaddr_storage{} : address_of("counter", config.counter);
 }
 
 // Usual clients hold a third of the sockets at most. Beside them there is room for some that never ask, for
-// the workers, and for everything else (listener, registry, counter, the loop's own).
+// the workers, and for everything else (listeners, the second address's callers, registry, counter, the
+// loop's own), which does not shrink with the limit.
 struct Shares {
     explicit Shares(const gateway::Config& config) {
         rlimit files{};
         getrlimit(RLIMIT_NOFILE, &files);
         const auto sockets = std::max(std::min<std::size_t>(config.sockets, files.rlim_cur), least_sockets);
-        const std::size_t kept = sockets / 8;
+        const std::size_t kept = std::max(sockets / 8, net::MgmtServer::most_callers + for_the_rest);
         clients = sockets / 3 + sockets / 8;
         unsent = config.memory_mb * 1024 * 1024 / 4;
         workers = sockets - clients - kept;
@@ -52,7 +65,8 @@
         calls.calls =
             std::max(1, config.site.max_open > 0 ? std::min(config.site.max_open, most_calls) : most_calls);
     }
-    static constexpr std::size_t least_sockets = 192;
+    static constexpr std::size_t least_sockets = 120;
+    static constexpr std::size_t for_the_rest = 24;
     static constexpr int most_calls = 4096;
     std::size_t clients = 0;
     std::size_t workers = 0;
@@ -77,16 +91,37 @@
           gateway_(config.site, config.seed, shares_.calls, loop_),
           pool_(loop_, gateway_, {shares_.workers, config.site.connect_timeout, config.site.conn_idle}),
           counter_(loop_, gateway_, counter_of(config), config.site.settings.count_timeout),
-          registry_(loop_, gateway_, config.discovery, config.known.version, config.seed),
-          acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}) {
+          suspensions_(gateway_),
+          registry_(loop_, suspensions_, config.discovery, config.known.version, config.seed),
+          acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}),
+          drain_(loop_, acceptor_, longest_deadline(config), [this] { loop_.stop(); }),
+          desk_({gateway_, pool_, suspensions_, drain_, class_names(config)}),
+          mgmt_(loop_, [this](const mgmt::Command& command) { return desk_.carry(command); }) {
         gateway_.attach(pool_, counter_);
+        try {
+            start(config, operators);
+        } catch (...) {
+            close();  // nothing may be destroyed while the loop still holds it
+            throw;
+        }
+    }
+
+    void run() {
+        std::fprintf(stderr, "linnetlead: listening on port %d\n", acceptor_.port());
+        loop_.run();
+        close();
+    }
+
+private:
+    void start(const gateway::Config& config, const std::string& operators) {
         if (!operators.empty()) {
-            operators_ = std::make_unique<gateway::Operators>(operators, config, loop_, gateway_, counter_);
+            operators_ = std::make_unique<gateway::Operators>(operators, config, loop_, gateway_,
+                                                              suspensions_, counter_);
         }
         const bool own_registry = operators_ && operators_->has_registry();
         if (!own_registry) {
             if (config.known.version >= 0) {
-                gateway_.listed(topazcrank::ListKind::cached, config.known.entries);
+                suspensions_.listed(topazcrank::ListKind::cached, config.known.entries);
             }
             if (!registry_.start())
                 throw std::runtime_error("discovery: no address: '" + config.discovery + "'");
@@ -94,7 +129,11 @@
         if (const int error = acceptor_.listen(address_of("listen", config.listen)); error < 0) {
             throw std::runtime_error("cannot listen on " + config.listen + ": " + uv_strerror(error));
         }
-        for (const auto& cls : config.site.settings.classes) longest_ = std::max(longest_, cls.deadline);
+        if (!config.mgmt.empty()) {
+            if (const int error = mgmt_.listen(address_of("mgmt", config.mgmt)); error < 0) {
+                throw std::runtime_error("mgmt: cannot listen on " + config.mgmt + ": " + uv_strerror(error));
+            }
+        }
         for (std::size_t i = 0; i < signals_.size(); ++i) {
             uv_signal_init(loop_.uv(), &signals_[i]);
             signals_[i].data = this;
@@ -102,20 +141,17 @@
                 &signals_[i],
                 [](uv_signal_t* signal, int number) {
                     auto& self = *static_cast<Program*>(signal->data);
-                    number == SIGHUP ? self.reload() : number == SIGUSR1 ? self.tell_state() : self.stop();
+                    number == SIGHUP    ? self.reload()
+                    : number == SIGUSR1 ? self.tell_state()
+                                        : self.drain_.leave();
                 },
                 handled[i]);
         }
+        has_signals_ = true;
+        desk_.set_up();
         hold_back_hangups(false);
     }
 
-    void run() {
-        std::fprintf(stderr, "linnetlead: listening on port %d\n", acceptor_.port());
-        loop_.run();
-        close();
-    }
-
-private:
     // The file read again, and checked whole before anything changes. Calls in hand go on.
     void reload() {
         try {
@@ -138,27 +174,17 @@
         if (operators_) return operators_->tell_state();
         std::fprintf(stderr, "linnetlead: %zu calls open; no operators' file\n", gateway_.open_calls());
     }
-    void stop() {
-        if (stop_at_ != core::Time{}) return;
-        stop_at_ = loop_.now() + still_accepting;
-        loop_.arm(stop_at_, [this] {
-            acceptor_.stop_listening();
-            acceptor_.retire();
-            wait_for_answers();
-        });
-    }
-    void wait_for_answers() {
-        if (acceptor_.empty() || loop_.now() > stop_at_ + longest_) return loop_.stop();
-        loop_.arm(loop_.now() + look_again, [this] { wait_for_answers(); });
-    }
     void close() {
+        mgmt_.close();
         acceptor_.close();
         pool_.close();
         counter_.close();
         registry_.close();
         if (operators_) operators_->close();  // behind the last answers, which count
         hold_back_hangups(true);
-        for (uv_signal_t& signal : signals_) uv_close(reinterpret_cast<uv_handle_t*>(&signal), nullptr);
+        for (uv_signal_t& signal : signals_) {
+            if (has_signals_) uv_close(reinterpret_cast<uv_handle_t*>(&signal), nullptr);
+        }
         loop_.drain();
     }
 
@@ -170,12 +196,15 @@
     core::Gateway gateway_;
     net::WorkerPool pool_;
     net::CounterClient counter_;
+    mgmt::Suspensions suspensions_;
     net::RegistryWatch registry_;
     net::Acceptor acceptor_;
+    gateway::Drain drain_;
+    gateway::Desk desk_;
+    net::MgmtServer mgmt_;
     std::unique_ptr<gateway::Operators> operators_;
     std::array<uv_signal_t, handled.size()> signals_{};
-    core::Span longest_{};
-    core::Time stop_at_{};
+    bool has_signals_ = false;
 };
 
 constexpr const char* version = LINNETLEAD_VERSION;
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -80,7 +80,7 @@
 };
 
 Operators::Operators(std::string path, const Config& config, net::Loop& loop, core::Gateway& gateway,
-                     core::Counter& counter)
+                     core::Lists& lists, core::Counter& counter)
     : path_(std::move(path)),
       name_(config.name),
       site_(config.site),
@@ -105,7 +105,7 @@
     }
     if (!settings.registry.kind.empty()) {
         registry_ =
-            std::make_unique<net::RegistryClient>(loop, gateway, registry_of(settings), config.seed,
+            std::make_unique<net::RegistryClient>(loop, lists, registry_of(settings), config.seed,
                                                   [this](const std::string& event, const std::string& what) {
                                                       log_.write(timers_.now(), event, {{"what", what}});
                                                   });
--- a/src/gateway/operators.h
+++ b/src/gateway/operators.h
@@ -32,7 +32,7 @@
 public:
     // Reads the file; throws as read_operators() does. Attach the router before the first list is told.
     Operators(std::string path, const Config& config, net::Loop& loop, core::Gateway& gateway,
-              core::Counter& counter);
+              core::Lists& lists, core::Counter& counter);
     ~Operators();
     Operators(const Operators&) = delete;
     Operators& operator=(const Operators&) = delete;
--- /dev/null
+++ b/src/mgmt/figures.cpp
@@ -0,0 +1,23 @@
+#include "figures.h"
+
+namespace linnetlead::mgmt {
+
+std::string write_figures(const Figures& figures) {
+    std::string out;
+    const auto line = [&out](const std::string& name, std::uint64_t value) {
+        out += "edge_balancer." + name + '=' + std::to_string(value) + '\n';
+    };
+    for (std::size_t i = 0; i < figures.classes.size(); ++i) {
+        const core::Counts::OfClass& of = figures.counts.classes[i];
+        line("passed." + figures.classes[i], of.served);
+        line("dropped." + figures.classes[i], of.refused);
+        line("bad_gateway." + figures.classes[i], of.failed);
+    }
+    line("upstream_tries", figures.tries);
+    line("in_progress", figures.counts.in_progress);
+    line("known_quoters", figures.known);
+    line("skipped_quoters", figures.skipped);
+    return out;
+}
+
+}  // namespace linnetlead::mgmt
--- /dev/null
+++ b/src/mgmt/figures.h
@@ -0,0 +1,21 @@
+// The gateway's figures as text: a line each, in the operators' names, which stay as they are.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/gateway.h"
+
+namespace linnetlead::mgmt {
+
+struct Figures {
+    std::vector<std::string> classes;  // by number
+    core::Counts counts;
+    std::uint64_t tries = 0;  // attempts written whole to workers
+    std::size_t known = 0;    // workers in the list
+    std::size_t skipped = 0;  // of them, those that get nothing by hand or by the module's choice
+};
+
+std::string write_figures(const Figures& figures);
+
+}  // namespace linnetlead::mgmt
--- /dev/null
+++ b/src/mgmt/suspensions.cpp
@@ -0,0 +1,86 @@
+#include "suspensions.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace linnetlead::mgmt {
+
+using core::Listed;
+using core::WorkerId;
+using topazcrank::ListKind;
+using topazcrank::ServerState;
+
+void Suspensions::listed(ListKind kind, const std::vector<Listed>& entries) {
+    if (kind != ListKind::failed) has_list_ = true;
+    if (kind == ListKind::full || kind == ListKind::cached) {
+        std::unordered_set<WorkerId> named;
+        for (const Listed& one : entries) named.insert(one.entry.id);
+        for (auto at = told_.begin(); at != told_.end();) {
+            const bool stays = named.count(at->first) > 0;
+            if (!stays) forget(at->first);
+            at = stays ? std::next(at) : told_.erase(at);
+        }
+    }
+    std::vector<Listed> as_seen;
+    as_seen.reserve(entries.size());
+    for (const Listed& one : entries) {
+        if (one.entry.state == ServerState::out) {
+            if (told_.erase(one.entry.id) > 0) forget(one.entry.id);
+        } else {
+            told_[one.entry.id] = one;
+        }
+        as_seen.push_back(seen(one));
+    }
+    beyond_.listed(kind, as_seen);
+}
+
+Listed Suspensions::seen(Listed listed) const {
+    const bool banned = listed.entry.state == ServerState::in && banned_.count(listed.entry.id) > 0;
+    if (banned) listed.entry.state = ServerState::draining;
+    return listed;
+}
+
+void Suspensions::forget(const WorkerId& id) {
+    const std::size_t hash = std::hash<WorkerId>{}(id);
+    if (!gone_.insert(hash).second) return;
+    gone_order_.push_back(hash);
+    if (gone_order_.size() <= most_gone) return;
+    gone_.erase(gone_order_.front());
+    gone_order_.pop_front();
+}
+
+bool Suspensions::was_listed(const WorkerId& id) const {
+    return told_.count(id) > 0 || banned_.count(id) > 0 || gone_.count(std::hash<WorkerId>{}(id)) > 0;
+}
+
+void Suspensions::tell(const WorkerId& id) {
+    const auto at = told_.find(id);
+    if (at != told_.end()) beyond_.listed(ListKind::changes, {seen(at->second)});
+}
+
+bool Suspensions::suspend(const WorkerId& id) {
+    if (!was_listed(id)) return false;
+    if (banned_.insert(id).second) tell(id);
+    return true;
+}
+
+bool Suspensions::resume(const WorkerId& id) {
+    if (!was_listed(id)) return false;
+    if (banned_.erase(id) > 0) tell(id);
+    // Still known as one that was listed, though a ban was all that named it.
+    if (told_.count(id) == 0) forget(id);
+    return true;
+}
+
+void Suspensions::adopt(const std::vector<WorkerId>& ids) {
+    for (const WorkerId& id : ids) {
+        if (banned_.insert(id).second) tell(id);
+    }
+}
+
+std::size_t Suspensions::skipped() const {
+    return static_cast<std::size_t>(std::count_if(
+        banned_.begin(), banned_.end(), [this](const WorkerId& id) { return told_.count(id) > 0; }));
+}
+
+}  // namespace linnetlead::mgmt
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -13,13 +13,14 @@
 
 namespace {
 
-constexpr int backlog = 512;
 constexpr std::size_t most_pipelined = 64;        // commands of one client without an answer
 constexpr std::size_t much_unsent = 64 * 1024;    // to one client: no more is read from it
 constexpr std::size_t most_unsent = 1024 * 1024;  // it does not read: it is given up
 constexpr core::Span farewell = std::chrono::seconds(1);
 constexpr core::Span look_over_every = std::chrono::milliseconds(200);
-constexpr core::Span patience = std::chrono::milliseconds(1900);  // with one that does not ask
+constexpr core::Span patience = std::chrono::milliseconds(2100);  // with one that does not ask
+// With one whose command is not whole: slow ones take 2 s, and others are told within 3 s of connecting.
+constexpr core::Span patience_half = std::chrono::milliseconds(2600);
 
 void write_answer(std::string& out, const Answer& answer) {
     switch (answer.verdict) {
@@ -75,13 +76,20 @@
         });
     }
     bool waits() const { return !entries_.empty() || unsent() > 0; }
+    // Guards against a close that crosses a call: a command that has begun to come is waited for.
+    void leave_if_idle() {
+        if (!closing() && !waits() && half_since_ == Time{} && is_quiet()) leave();
+    }
     // Guards against clients that never ask, stop amid a command, or ask once and stay for good: where
     // connections run short, they hold what others need.
     void look_over(Time now, bool crowded) {
         if (closing() || finishing() || waits()) return;
-        if (half_since_ != Time{} && now - half_since_ > patience) {
+        if (half_since_ != Time{}) {
+            if (now - half_since_ <= patience_half) return;
             reply("-ERR command is not whole\r\n");
             leave();
+        } else if (acceptor_.retiring_) {
+            leave_if_idle();
         } else if (now - used > patience && (!asked_ || crowded)) {
             close();
         }
@@ -142,7 +150,7 @@
         }
         const std::string_view verb = message.items.front().text;
         if (verb == "Q.ASK" || verb == "Q.DO") return on_call(message);
-        if (verb == "PING") return reply("+PONG\r\n");
+        if (verb == "PING") return reply(acceptor_.says_yes_ ? "+PONG\r\n" : "-ERR draining\r\n");
         if (verb == "CLIENT" || verb == "SELECT") return reply("+OK\r\n");
         reply("-ERR unknown command\r\n");
     }
@@ -189,7 +197,7 @@
             read_more(true);
             take_rest();
         }
-        if (acceptor_.retiring_ && !waits()) leave();
+        if (acceptor_.retiring_) leave_if_idle();
     }
     // The client has gone away: nobody waits for its calls.
     void on_end(int) override { withdraw_all(); }
@@ -212,39 +220,24 @@
       gateway_(gateway),
       names_(settings),
       most_clients_(limits.clients),
-      most_unsent_(limits.unsent) {}
+      most_unsent_(limits.unsent),
+      listener_(loop) {}
 Acceptor::~Acceptor() = default;
 
 int Acceptor::listen(const sockaddr_storage& address) {
-    listener_ = std::make_unique<uv_tcp_t>();
-    uv_tcp_init(loop_.uv(), listener_.get());
-    listener_->data = this;
-    int error = uv_tcp_bind(listener_.get(), reinterpret_cast<const sockaddr*>(&address), 0);
-    if (error == 0) {
-        error = uv_listen(reinterpret_cast<uv_stream_t*>(listener_.get()), backlog,
-                          [](uv_stream_t* listener, int status) {
-                              static_cast<Acceptor*>(listener->data)->on_connection(status);
-                          });
-    }
+    const int error = listener_.open(
+        address, true, [this](uv_stream_t* listener, int status) { on_connection(listener, status); });
     if (error == 0) look_over();
     return error;
 }
 
-int Acceptor::port() const {
-    sockaddr_storage address{};
-    int size = sizeof(address);
-    uv_tcp_getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address), &size);
-    return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
-}
-
-void Acceptor::on_connection(int status) {
+void Acceptor::on_connection(uv_stream_t* listener, int status) {
     if (status < 0) return;  // out of descriptors: libuv has refused it
     const bool room = make_room();
     const Handle handle = clients_.add(loop_, *this);
     Client& client = *clients_.find(handle);
     client.self = handle;
     client.used = loop_.now();
-    auto* const listener = reinterpret_cast<uv_stream_t*>(listener_.get());
     if (client.accept(listener) != 0 || !room) client.close();
 }
 
@@ -272,17 +265,12 @@
     if (client && !client->closing()) client->answer(ticket.number, answer);
 }
 
-void Acceptor::stop_listening() {
-    if (!listener_) return;
-    uv_close(reinterpret_cast<uv_handle_t*>(listener_.release()),
-             [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
-}
+void Acceptor::stop_listening() { listener_.close(); }
 
-void Acceptor::retire() {
-    retiring_ = true;
-    clients_.for_each([](Handle, Client& client) {
-        if (!client.waits()) client.leave();
-    });
+void Acceptor::retire(bool on) {
+    retiring_ = on;
+    if (!on) return;
+    clients_.for_each([](Handle, Client& client) { client.leave_if_idle(); });
 }
 
 void Acceptor::close() {
--- a/src/net/acceptor.h
+++ b/src/net/acceptor.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "core/gateway.h"
+#include "listener.h"
 #include "resp/command.h"
 #include "stream.h"
 
@@ -22,10 +23,12 @@
 
     // Returns libuv's error, or 0.
     int listen(const sockaddr_storage& address);
-    int port() const;
+    int port() const { return listener_.port(); }
     void stop_listening();
-    // Closes the connections that wait for no answer now, and the others once they have theirs.
-    void retire();
+    // Closes the connections that wait for no answer, and the others once they have theirs; false: no more.
+    void retire(bool on);
+    // What PING hears.
+    void answer_pings(bool with_yes) { says_yes_ = with_yes; }
     void close();
     bool empty() const { return clients_.size() == 0; }
 
@@ -34,7 +37,7 @@
 private:
     class Client;
 
-    void on_connection(int status);
+    void on_connection(uv_stream_t* listener, int status);
     bool make_room();
     void look_over();
 
@@ -44,11 +47,12 @@
     std::size_t most_clients_;
     std::size_t most_unsent_;
     std::size_t unsent_ = 0;
-    std::unique_ptr<uv_tcp_t> listener_;
+    Listener listener_;
     core::Handle look_over_;
     core::Slots<Client> clients_;
     resp::Message message_;  // of the command being read
     bool retiring_ = false;
+    bool says_yes_ = true;
 };
 
 }  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,47 @@
+#include "listener.h"
+
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace linnetlead::net {
+
+int Listener::open(const sockaddr_storage& address, bool shared, Come come) {
+    close();
+    come_ = std::move(come);
+    tcp_ = new uv_tcp_t;
+    int error = uv_tcp_init_ex(loop_.uv(), tcp_, address.ss_family);
+    uv_os_fd_t fd = -1;
+    const int on = 1;
+    if (error == 0 && shared && uv_fileno(reinterpret_cast<uv_handle_t*>(tcp_), &fd) == 0) {
+        // Where it cannot be shared, it is ours alone.
+        setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
+    }
+    if (error == 0) error = uv_tcp_bind(tcp_, reinterpret_cast<const sockaddr*>(&address), 0);
+    if (error == 0) error = listen();
+    if (error < 0) close();
+    return error;
+}
+
+int Listener::listen() {
+    tcp_->data = this;
+    return uv_listen(reinterpret_cast<uv_stream_t*>(tcp_), backlog, [](uv_stream_t* stream, int status) {
+        auto& self = *static_cast<Listener*>(stream->data);
+        self.come_(stream, status);
+    });
+}
+
+void Listener::close() {
+    if (!tcp_) return;
+    uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(tcp_, nullptr)),
+             [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
+}
+
+int Listener::port() const {
+    sockaddr_storage address{};
+    int size = sizeof(address);
+    uv_tcp_getsockname(tcp_, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/listener.h
@@ -0,0 +1,35 @@
+// A listening socket.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "loop.h"
+
+namespace linnetlead::net {
+
+class Listener {
+public:
+    // Called with what is to be accepted from; also where libuv tells an error, as below 0.
+    using Come = std::function<void(uv_stream_t* listener, int status)>;
+    explicit Listener(Loop& loop) : loop_(loop) {}
+    ~Listener() { close(); }
+    Listener(const Listener&) = delete;
+    Listener& operator=(const Listener&) = delete;
+
+    // `shared`: other processes may listen at the address too, if they say the same. Returns libuv's error.
+    int open(const sockaddr_storage& address, bool shared, Come come);
+    void close();
+    bool is_open() const { return tcp_ != nullptr; }
+    int port() const;
+
+private:
+    static constexpr int backlog = 4096;  // crowds come at once; the system cuts it down
+    int listen();
+
+    Loop& loop_;
+    uv_tcp_t* tcp_ = nullptr;  // the loop's until it has closed it
+    Come come_;
+};
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/mgmt_server.cpp
@@ -0,0 +1,79 @@
+#include "mgmt_server.h"
+
+#include <utility>
+
+#include "stream.h"
+
+namespace linnetlead::net {
+
+using core::Handle;
+using core::Time;
+
+namespace {
+
+// Guards the descriptors against callers that never finish a call, and against those that never hang up.
+constexpr core::Span patience = std::chrono::seconds(3);
+
+}  // namespace
+
+class MgmtServer::Caller final : public Stream {
+public:
+    Caller(Loop& loop, MgmtServer& server) : Stream(loop), came(loop.now()), server_(server) {
+        timer_ = loop.arm(came + patience, [this] { close(); });
+    }
+
+    const Time came;
+    Handle self;
+
+private:
+    std::size_t on_bytes(std::string_view bytes) override {
+        if (answered_) return bytes.size();
+        const auto state = reader_.take(bytes);
+        if (state == mgmt::CallReader::State::partial) return bytes.size();
+        answered_ = true;
+        const bool whole = state == mgmt::CallReader::State::whole;
+        to_write() = mgmt::write_reply(whole ? server_.carry_(reader_.command()) : reader_.refusal());
+        finish();
+        return bytes.size();
+    }
+    void on_end(int) override {}
+    void on_released() override {
+        loop().disarm(timer_);
+        server_.callers_.remove(self);
+    }
+
+    MgmtServer& server_;
+    mgmt::CallReader reader_;
+    Handle timer_;
+    bool answered_ = false;
+};
+
+MgmtServer::MgmtServer(Loop& loop, Carry carry) : loop_(loop), carry_(std::move(carry)), listener_(loop) {}
+MgmtServer::~MgmtServer() = default;
+
+int MgmtServer::listen(const sockaddr_storage& address) {
+    return listener_.open(address, false, [this](uv_stream_t* l, int status) { on_connection(l, status); });
+}
+
+void MgmtServer::on_connection(uv_stream_t* listener, int status) {
+    if (status < 0) return;
+    Caller* oldest = nullptr;
+    std::size_t open = 0;
+    callers_.for_each([&](Handle, Caller& caller) {
+        if (caller.closing()) return;
+        ++open;
+        if (!oldest || caller.came < oldest->came) oldest = &caller;
+    });
+    if (open >= most_callers) oldest->close();
+    const Handle handle = callers_.add(loop_, *this);
+    Caller& caller = *callers_.find(handle);
+    caller.self = handle;
+    if (caller.accept(listener) != 0) caller.close();
+}
+
+void MgmtServer::close() {
+    listener_.close();
+    callers_.for_each([](Handle, Caller& caller) { caller.close(); });
+}
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/mgmt_server.h
@@ -0,0 +1,36 @@
+// The second address: one HTTP/1.1 call to a connection, for the operators' staff.
+#pragma once
+
+#include <functional>
+
+#include "core/slots.h"
+#include "listener.h"
+#include "mgmt/command.h"
+
+namespace linnetlead::net {
+
+class MgmtServer {
+public:
+    using Carry = std::function<mgmt::Reply(const mgmt::Command&)>;
+    // Connections at once; where a further one comes, the oldest gives way.
+    static constexpr std::size_t most_callers = 16;
+
+    MgmtServer(Loop& loop, Carry carry);
+    ~MgmtServer();
+    // Returns libuv's error, or 0.
+    int listen(const sockaddr_storage& address);
+    int port() const { return listener_.port(); }
+    std::size_t callers() const { return callers_.size(); }
+    void close();
+
+private:
+    class Caller;
+    void on_connection(uv_stream_t* listener, int status);
+
+    Loop& loop_;
+    Carry carry_;
+    Listener listener_;
+    core::Slots<Caller> callers_;
+};
+
+}  // namespace linnetlead::net
--- a/src/net/registry_client.cpp
+++ b/src/net/registry_client.cpp
@@ -174,10 +174,10 @@
     bool good = false, ask_again = false;
 };
 
-RegistryClient::RegistryClient(Loop& loop, core::Gateway& gateway, Settings settings, std::uint64_t seed,
+RegistryClient::RegistryClient(Loop& loop, core::Lists& lists, Settings settings, std::uint64_t seed,
                                Tell tell)
     : loop_(loop),
-      gateway_(gateway),
+      lists_(lists),
       settings_(std::move(settings)),
       tell_(std::move(tell)),
       random_(seed),
@@ -213,7 +213,7 @@
     desk_->roster.whole(loop_.now(), snapshot->entries);
     // All of it before the first call.
     while (desk_->roster.pending()) {
-        gateway_.listed(topazcrank::ListKind::changes, desk_->roster.next(slice));
+        lists_.listed(topazcrank::ListKind::changes, desk_->roster.next(slice));
     }
     tell_("snapshot", settings_.snapshot + ": " + std::to_string(snapshot->entries.size()) + " workers");
 }
@@ -382,7 +382,7 @@
         state_.bad_values = counts.bad;
         if (desk_->roster.pending()) {
             const core::Time begun = loop_.now();
-            gateway_.listed(topazcrank::ListKind::changes, desk_->roster.next(slice));
+            lists_.listed(topazcrank::ListKind::changes, desk_->roster.next(slice));
             const Span took = loop_.now() - begun;
             state_.longest_slice_ms =
                 std::max(state_.longest_slice_ms, std::chrono::duration<double, std::milli>(took).count());
--- a/src/net/registry_client.h
+++ b/src/net/registry_client.h
@@ -35,7 +35,7 @@
     };
     using Tell = std::function<void(const std::string& event, const std::string& what)>;
 
-    RegistryClient(Loop& loop, core::Gateway& gateway, Settings settings, std::uint64_t seed, Tell tell);
+    RegistryClient(Loop& loop, core::Lists& lists, Settings settings, std::uint64_t seed, Tell tell);
     ~RegistryClient();
     RegistryClient(const RegistryClient&) = delete;
     RegistryClient& operator=(const RegistryClient&) = delete;
@@ -80,7 +80,7 @@
     void tick();
 
     Loop& loop_;
-    core::Gateway& gateway_;
+    core::Lists& lists_;
     Settings settings_;
     Tell tell_;
     std::mt19937_64 random_;
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -76,9 +76,9 @@
     Handle timer_;
 };
 
-RegistryWatch::RegistryWatch(Loop& loop, core::Gateway& gateway, std::string address,
-                             std::int64_t known_version, std::uint64_t seed)
-    : loop_(loop), gateway_(gateway), address_(std::move(address)), version_(known_version), random_(seed) {}
+RegistryWatch::RegistryWatch(Loop& loop, core::Lists& lists, std::string address, std::int64_t known_version,
+                             std::uint64_t seed)
+    : loop_(loop), lists_(lists), address_(std::move(address)), version_(known_version), random_(seed) {}
 RegistryWatch::~RegistryWatch() = default;
 
 bool RegistryWatch::start() {
@@ -146,9 +146,9 @@
     version_ = list->version;
     failures_ = 0;
     if (list->full) {
-        gateway_.listed(topazcrank::ListKind::full, list->entries);
+        lists_.listed(topazcrank::ListKind::full, list->entries);
     } else if (!list->entries.empty()) {
-        gateway_.listed(topazcrank::ListKind::changes, list->entries);
+        lists_.listed(topazcrank::ListKind::changes, list->entries);
     }
     return true;
 }
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -15,7 +15,7 @@
 public:
     // Goes on from the version that is known; below 0: from none.
     // The seed spreads what is asked after breaks, so that many gateways do not ask in step.
-    RegistryWatch(Loop& loop, core::Gateway& gateway, std::string address, std::int64_t known_version,
+    RegistryWatch(Loop& loop, core::Lists& lists, std::string address, std::int64_t known_version,
                   std::uint64_t seed);
     ~RegistryWatch();
     // Returns false where the address is none.
@@ -34,7 +34,7 @@
     std::string request() const;
 
     Loop& loop_;
-    core::Gateway& gateway_;
+    core::Lists& lists_;
     std::string address_;
     sockaddr_storage to_{};
     std::int64_t version_;
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -34,7 +34,7 @@
         payload_ = payload;
         until_ = until;
         busy_ = true;
-        answering_ = false;
+        answering_ = counted_ = false;
         reused_ = connected_;
         stir();
         begun_ = loop().now();
@@ -114,6 +114,10 @@
         write();
     }
 
+    void on_written() override {
+        if (busy_ && payload_ && connected_ && !std::exchange(counted_, true)) ++pool_.tries_;
+    }
+
     std::size_t on_bytes(std::string_view bytes) override {
         if (!busy_) {  // an answer to nothing
             close();
@@ -175,6 +179,7 @@
     bool connected_ = false;
     bool busy_ = false;
     bool answering_ = false;
+    bool counted_ = false;  // as written whole
     bool reused_ = false;
 };
 
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -31,6 +31,8 @@
 
     std::size_t workers() const { return workers_.size(); }
     std::size_t connections() const { return connections_.size(); }
+    // Attempts written whole, since the start.
+    std::uint64_t tries() const { return tries_; }
 
 private:
     class Connection;
@@ -61,6 +63,7 @@
     core::Slots<Connection> connections_;
     std::list<core::Handle> resting_;  // idle connections, the one that rests longest first
     std::uint32_t round_ = 0;
+    std::uint64_t tries_ = 0;
     core::Span reuse_within_;  // how long a connection may have rested to take another call
     resp::Message message_;    // of the reply being read
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -725,10 +725,8 @@
         for (const Attempt& a : r.attempts) {
             if (!a.may_have_run || cls.repeat == Repeat::safe) continue;
             if (cls.repeat == Repeat::unsafe) return false;
-            if (!target) {
-                if (cls.key_scope != KeyScope::all) return false;
-                continue;
-            }
+            if (!target && cls.key_scope != KeyScope::all) return false;
+            if (!target) continue;
             // The repeat arrives later than it is sent: a tick and a tenth of margin.
             if (now + cfg_.tick - a.sent >= cls.key_window * 9 / 10) return false;
             const auto first = servers_.find(a.server);
@@ -781,14 +779,10 @@
     }
 
     void try_again(RequestId id, Open& r, Time now, bool free) {
-        if (in_time(r, now) && (free || retry_tokens_ >= 1)) {
-            if (Server* s = pick(r, now)) {
-                if (!free) retry_tokens_ -= 1;
-                send(id, r, *s, now);
-                return;
-            }
-        }
-        give_answer(id, r, now);
+        Server* const s = in_time(r, now) && (free || retry_tokens_ >= 1) ? pick(r, now) : nullptr;
+        if (!s) return give_answer(id, r, now);
+        if (!free) retry_tokens_ -= 1;
+        send(id, r, *s, now);
     }
 
     // ---- 6. Drain and cold start ----------------------------------------------------------------------
@@ -897,8 +891,7 @@
         const double mean = mean_lag_[static_cast<std::size_t>(r.cls)];
         const bool late = seconds(result.lag) > late_after(r);
         if (result.outcome == Outcome::cancelled || result.outcome == Outcome::not_sent) return false;
-        if (result.outcome == Outcome::timeout && !late)
-            return true;  // cut short, it says nothing of the server
+        if (result.outcome == Outcome::timeout && !late) return true;  // cut short: nothing of the server
         note(s, r.cls, result.outcome != Outcome::ok, now);
         if (result.outcome == Outcome::ok) learn(static_cast<std::size_t>(r.cls), result.lag);
         // Over so many mean lags it is silence (a class failed, answers lost): refusing more would not help.
@@ -964,6 +957,13 @@
         }
     }
 
+    std::size_t left_out(Time now) const {
+        const auto shut = [now](const auto& s) {
+            return may_be_sent_to(s.second) && now < s.second.shut_until;
+        };
+        return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), shut));
+    }
+
     // What is due comes before the event; then the next wake-up is asked for.
     template <typename Event>
     void handle(Time now, Event event) {
@@ -1068,6 +1068,7 @@
 void Policy::on_plans(Time now, const std::vector<PlanSettings>& more) {
     impl_->handle(now, [&] { impl_->on_plans(more); });
 }
+std::size_t Policy::left_out(Time now) const { return impl_->left_out(now); }
 void Policy::on_wake(Time now) {
     impl_->handle(now, [] {});
 }
--- /dev/null
+++ b/tests/operation_test.cpp
@@ -0,0 +1,387 @@
+// Day-to-day operation: the second address, the figures, suspension and drain.
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+#include "gateway/desk.h"
+#include "gateway/drain.h"
+#include "mgmt/figures.h"
+#include "net/mgmt_server.h"
+#include "rig.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace tests;
+using mgmt::CallReader;
+using mgmt::Verb;
+using topazcrank::ServerState;
+
+// ---- Calls at the second address ------------------------------------------------------------------------
+
+std::string http(const std::string& method, const std::string& target, const std::string& more = {}) {
+    return method + ' ' + target + " HTTP/1.1\r\nHost: x\r\n" + more + "\r\n";
+}
+
+TEST(MgmtCall, NamesEachCommandInPiecesOfAnySize) {
+    struct Case {
+        std::string text;
+        Verb verb;
+        const char* worker;
+    };
+    const Case cases[] = {
+        {http("GET", "/v1/readyz"), Verb::readyz, ""},
+        {http("GET", "/v1/metrics?since=ever"), Verb::metrics, ""},
+        {http("PUT", "/v1/quoters/s-5be2a07c/suspend"), Verb::suspend, "s-5be2a07c"},
+        {http("PUT", "/v1/quoters/a%2Fb%20c/resume"), Verb::resume, "a/b c"},
+        {http("PUT", "/v1/quoters/suspend/suspend"), Verb::suspend, "suspend"},
+        {http("PUT", "http://host:1/v1/gateway/drain"), Verb::drain, ""},
+        {http("PUT", "/v1/gateway/activate", "Content-Length: 2\r\n") + "{}", Verb::activate, ""},
+        {http("PUT", "/v1/gateway/drain", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n0\r\n\r\n",
+         Verb::drain, ""},
+    };
+    for (const Case& one : cases) {
+        for (const std::size_t piece : {one.text.size(), std::size_t{1}, std::size_t{7}}) {
+            CallReader reader;
+            auto state = CallReader::State::partial;
+            for (std::size_t at = 0; at < one.text.size(); at += piece) {
+                ASSERT_EQ(state, CallReader::State::partial) << one.text;
+                state = reader.take(std::string_view(one.text).substr(at, piece));
+            }
+            ASSERT_EQ(state, CallReader::State::whole) << one.text;
+            EXPECT_EQ(reader.command().verb, one.verb) << one.text;
+            EXPECT_EQ(reader.command().worker, one.worker) << one.text;
+        }
+    }
+}
+
+TEST(MgmtCall, TellsEachMistakeByItsStatus) {
+    struct Case {
+        std::string text;
+        int status;
+    };
+    const Case cases[] = {
+        {http("GET", "/"), 404},
+        {http("GET", "/v1/readyz/"), 404},
+        {http("PUT", "/v1/quoters//suspend"), 404},
+        {http("PUT", "/v1/quoters/a/b/suspend"), 404},
+        {http("PUT", "/v1/quoters/a/stop"), 404},
+        {http("PUT", "/v1/readyz"), 405},
+        {http("GET", "/v1/gateway/drain"), 405},
+        {http("POST", "/v1/quoters/a/suspend"), 405},
+        {http("PUT", "/v1/quoters/a%2/suspend"), 400},
+        {http("PUT", "/v1/quoters/a%zz/suspend"), 400},
+        {"PING\r\n", 400},
+        {"*1\r\n$4\r\nPING\r\n", 400},
+        {http("GET", "/v1/readyz", "Content-Length: many\r\n"), 400},
+        {http("PUT", "/v1/gateway/drain", "Content-Length: 99999999\r\n"), 413},
+        {http("PUT", "/v1/gateway/drain", "Transfer-Encoding: chunked\r\n") + "5000\r\n" +
+             std::string(0x5000, 'x'),
+         413},
+        {http("GET", "/" + std::string(mgmt::most_target, 'x')), 431},
+        {http("GET", "/v1/readyz", "X: " + std::string(mgmt::most_headers, 'x') + "\r\n"), 431},
+        {"GET /v1/readyz HTTP/1.1\r\nX: " + std::string(200'000, 'x'), 431},
+    };
+    for (const Case& one : cases) {
+        CallReader reader;
+        ASSERT_EQ(reader.take(one.text), CallReader::State::refused) << one.text.substr(0, 80);
+        EXPECT_EQ(reader.refusal().status, one.status) << one.text.substr(0, 80);
+        EXPECT_EQ(reader.refusal().allow.empty(), one.status != 405);
+        const std::string written = mgmt::write_reply(reader.refusal());
+        EXPECT_EQ(written.find("HTTP/1.1 " + std::to_string(one.status)), 0u);
+    }
+}
+
+// ---- Suspension -----------------------------------------------------------------------------------------
+
+struct Heard : core::Lists {
+    void listed(ListKind, const std::vector<Listed>& entries) override {
+        for (const Listed& one : entries) states[one.entry.id] = one.entry.state;
+        ++times;
+    }
+    std::unordered_map<std::string, ServerState> states;
+    int times = 0;
+};
+
+TEST(Suspensions, HoldWhateverTheRegistrySaysAndAResumeTellsWhatItSaysNow) {
+    Heard heard;
+    mgmt::Suspensions list(heard);
+    EXPECT_FALSE(list.suspend("a")) << "never listed";
+    EXPECT_FALSE(list.resume("a"));
+    list.listed(ListKind::full, {listed("a", "x:1"), listed("b", "x:2")});
+    EXPECT_TRUE(list.suspend("a") && list.suspend("a"));
+    EXPECT_EQ(heard.states["a"], ServerState::draining);
+    EXPECT_EQ(list.skipped(), 1u);
+    // Listed again, restarted elsewhere, drained, gone and back: nothing of it ends the ban.
+    Listed restarted = listed("a", "x:3");
+    restarted.entry.started = 5s;
+    const std::vector<std::vector<Listed>> news{{listed("a", "x:1")},
+                                                {restarted},
+                                                {listed("a", "x:3", ServerState::draining)},
+                                                {listed("a", "x:3", ServerState::out)},
+                                                {restarted}};
+    for (const auto& one : news) {
+        list.listed(ListKind::changes, one);
+        EXPECT_NE(heard.states["a"], ServerState::in);
+    }
+    list.listed(ListKind::full, {restarted, listed("b", "x:2")});
+    EXPECT_EQ(heard.states["a"], ServerState::draining);
+    EXPECT_TRUE(list.resume("a"));
+    EXPECT_EQ(heard.states["a"], ServerState::in);
+    EXPECT_EQ(list.skipped(), 0u);
+    // What drains by the registry's word drains after a resume too.
+    list.suspend("b");
+    list.listed(ListKind::changes, {listed("b", "x:2", ServerState::draining)});
+    list.resume("b");
+    EXPECT_EQ(heard.states["b"], ServerState::draining);
+    // Gone and not back: still known, and nothing is told of it.
+    list.listed(ListKind::full, {restarted});
+    const int times = heard.times;
+    EXPECT_TRUE(list.suspend("b") && list.resume("b"));
+    EXPECT_EQ(heard.times, times);
+    EXPECT_EQ(list.known(), 1u);
+}
+
+TEST(Suspensions, RememberTheLatestOfThoseThatAreGoneAndNoMore) {
+    Heard heard;
+    mgmt::Suspensions list(heard);
+    for (std::size_t i = 0; i <= mgmt::Suspensions::most_gone; ++i) {
+        list.listed(ListKind::full, {listed("w" + std::to_string(i), "x:1")});
+    }
+    list.listed(ListKind::full, {});
+    EXPECT_FALSE(list.suspend("w0"));
+    EXPECT_TRUE(list.suspend("w1"));
+    EXPECT_TRUE(list.suspend("w" + std::to_string(mgmt::Suspensions::most_gone)));
+}
+
+// ---- On sockets -----------------------------------------------------------------------------------------
+
+struct Office : Rig {
+    explicit Office(settings::Site with = site())
+        : Rig(with),
+          suspensions(gateway),
+          drain(loop, acceptor, 3s, [] {}),
+          desk({gateway, pool, suspensions, drain, {"read", "create", "hold"}}),
+          server(loop, [this](const mgmt::Command& command) { return desk.carry(command); }) {
+        sockaddr_storage any{};
+        net::read_address("127.0.0.1:0", any);
+        EXPECT_EQ(server.listen(any), 0);
+        desk.set_up();
+    }
+    ~Office() {
+        server.close();
+        acceptor.close();
+        pool.close();
+        counter.close();
+        loop.drain();
+    }
+    Peer caller() { return connect_to(static_cast<std::uint16_t>(server.port())); }
+    std::string ask(const std::string& method, const std::string& target) {
+        Peer peer = caller();
+        peer.write(http(method, target));
+        EXPECT_TRUE(until([&] { return peer.is_over(); }));
+        return peer.got;
+    }
+    bool says_yes(const std::string& method, const std::string& target) {
+        return ask(method, target).find("HTTP/1.1 200 ") == 0;
+    }
+    bool figure(const std::string& name, int value) {
+        return ask("GET", "/v1/metrics")
+                   .find("\nedge_balancer." + name + "=" + std::to_string(value) + "\n") != std::string::npos;
+    }
+    std::string ping(Peer& client) {
+        client.got.clear();
+        client.write("*1\r\n$4\r\nPING\r\n");
+        EXPECT_TRUE(until([&] { return client.has("\r\n"); }));
+        return client.got;
+    }
+    mgmt::Suspensions suspensions;
+    gateway::Drain drain;
+    gateway::Desk desk;
+    net::MgmtServer server;
+};
+
+TEST(SecondAddress, IsReadyOnceAListIsKnownAndTellsWhatWentWrong) {
+    Office office;
+    EXPECT_EQ(office.ask("GET", "/v1/readyz").find("HTTP/1.1 503 "), 0u);
+    office.suspensions.listed(ListKind::full, {});
+    EXPECT_TRUE(office.says_yes("GET", "/v1/readyz"));
+    EXPECT_EQ(office.ask("GET", "/v2/readyz").find("HTTP/1.1 404 "), 0u);
+    EXPECT_EQ(office.ask("PUT", "/v1/quoters/w/suspend").find("HTTP/1.1 404 "), 0u);
+}
+
+TEST(SecondAddress, CallersThatNeverFinishHinderNobodyAndAreSentAway) {
+    Office office;
+    office.suspensions.listed(ListKind::full, {});
+    std::vector<Peer> slow;
+    for (std::size_t i = 0; i < 3 * net::MgmtServer::most_callers; ++i) {
+        slow.push_back(office.caller());
+        slow.back().write("GET /v1/rea");
+    }
+    const auto begun = std::chrono::steady_clock::now();
+    EXPECT_TRUE(office.says_yes("GET", "/v1/readyz"));
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 1s);
+    EXPECT_LE(office.server.callers(), net::MgmtServer::most_callers + 1);
+    EXPECT_TRUE(office.until([&] {
+        for (Peer& one : slow) {
+            if (!one.is_over()) return false;
+        }
+        return true;
+    })) << "after three seconds at the latest";
+}
+
+TEST(Figures, CountEachEndOnceWhereItHappens) {
+    Office office;
+    Listener worker;
+    office.suspensions.listed(ListKind::full, {listed("w", worker.address())});
+    EXPECT_TRUE(office.figure("passed.read", 0) && office.figure("bad_gateway.hold", 0));
+    Peer client = office.client();
+    client.write(call("read") + call("hold"));
+    auto first = office.accepted(worker), second = office.accepted(worker);
+    ASSERT_TRUE(office.until([&] { return first->has("c=") && second->has("c="); }));
+    EXPECT_TRUE(office.figure("in_progress", 2) && office.figure("upstream_tries", 2));
+    const bool read_first = first->has("c=read");
+    (read_first ? first : second)->write(served("v"));
+    (read_first ? second : first)->write("-ERR failed\r\n");
+    ASSERT_TRUE(office.until([&] { return client.has("-ERR failed"); }));
+    EXPECT_TRUE(office.figure("passed.read", 1) && office.figure("bad_gateway.hold", 1));
+    EXPECT_TRUE(office.figure("in_progress", 0) && office.figure("known_quoters", 1));
+    EXPECT_TRUE(office.says_yes("PUT", "/v1/quoters/w/suspend"));
+    EXPECT_TRUE(office.figure("skipped_quoters", 1));
+    client.write(call("create"));  // no k: it has no place in the figures
+    client.write(call("hold"));
+    ASSERT_TRUE(office.until([&] { return client.has("-BUSY"); }));
+    EXPECT_TRUE(office.figure("dropped.hold", 1) && office.figure("dropped.create", 0));
+    EXPECT_TRUE(office.figure("upstream_tries", 2));
+}
+
+// The module leaves out a worker that turns all away; the figures say so.
+TEST(Figures, CountWorkersThatTheModuleLeavesOut) {
+    Office office;
+    Listener worker;
+    office.suspensions.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = office.client();
+    for (int i = 0; i < 2; ++i) {
+        client.write(call("hold"));
+        auto peer = office.accepted(worker);
+        ASSERT_TRUE(office.until([&] { return peer->has("c=hold"); }));
+        client.got.clear();
+        peer->write("-BUSY\r\n");
+        ASSERT_TRUE(office.until([&] { return client.has("-BUSY"); }));
+        peer->close();
+    }
+    EXPECT_TRUE(office.figure("skipped_quoters", 1));
+}
+
+TEST(Suspension, NothingNewGoesToTheWorkerAndWhatRunsFinishes) {
+    Office office;
+    Listener worker;
+    office.suspensions.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = office.client(), other = office.client();
+    client.write(call("hold"));
+    auto busy = office.accepted(worker);
+    ASSERT_TRUE(office.until([&] { return busy->has("c=hold"); }));
+    other.write(call("hold"));
+    auto idle = office.accepted(worker);
+    office.answer_hold(*idle, served("v"));
+    ASSERT_TRUE(office.until([&] { return other.has("\r\nv\r\n"); }));
+    EXPECT_TRUE(office.says_yes("PUT", "/v1/quoters/w/suspend"));
+    EXPECT_TRUE(office.until([&] { return idle->is_over(); })) << "idle connections are closed";
+    other.got.clear();
+    other.write(call("hold"));
+    ASSERT_TRUE(office.until([&] { return other.has("-BUSY"); })) << "answered at once, all being suspended";
+    // The registry lists it again, at another address.
+    Listener moved;
+    office.suspensions.listed(ListKind::changes, {listed("w", moved.address())});
+    other.got.clear();
+    other.write(call("hold"));
+    ASSERT_TRUE(office.until([&] { return other.has("-BUSY"); }));
+    busy->write(served("late"));
+    EXPECT_TRUE(office.until([&] { return client.has("\r\nlate\r\n"); }));
+    EXPECT_FALSE(worker.accept() || moved.accept());
+    EXPECT_TRUE(office.says_yes("PUT", "/v1/quoters/w/resume"));
+    other.write(call("hold"));
+    auto again = office.accepted(moved);
+    EXPECT_TRUE(office.until([&] { return again->has("c=hold"); }));
+}
+
+// ---- Drain ----------------------------------------------------------------------------------------------
+
+TEST(Drain, SaysNoAtOnceEmptiesInTimeAndCanBeTakenBack) {
+    Office office;
+    Listener worker;
+    office.suspensions.listed(ListKind::full, {listed("w", worker.address())});
+    Peer idle = office.client(), busy = office.client();
+    EXPECT_EQ(office.ping(idle), "+PONG\r\n");
+    busy.write(call("hold"));
+    auto peer = office.accepted(worker);
+    ASSERT_TRUE(office.until([&] { return peer->has("c=hold"); }));
+    Peer slow = office.client();
+    const std::string slow_call = call("read");
+    slow.write(slow_call.substr(0, 20));
+    const auto begun = std::chrono::steady_clock::now();
+    EXPECT_TRUE(office.says_yes("PUT", "/v1/gateway/drain") && office.says_yes("PUT", "/v1/gateway/drain"));
+    EXPECT_EQ(office.ping(idle), "-ERR draining\r\n");
+    Peer late = office.client();  // the front has not noticed yet
+    late.write(call("read"));
+    auto second = office.accepted(worker);
+    ASSERT_TRUE(office.until([&] { return second->has("c=read"); }));
+    second->write(served("v"));
+    ASSERT_TRUE(office.until([&] { return late.has("\r\nv\r\n") && late.is_over() && idle.is_over(); }));
+    // A call that has begun to come is not crossed by the close.
+    EXPECT_FALSE(slow.is_over());
+    second->got.clear();  // its connection rests and takes the next one
+    slow.write(slow_call.substr(20));
+    ASSERT_TRUE(office.until([&] { return second->has("c=read"); }));
+    second->write(served("w"));
+    EXPECT_TRUE(office.until([&] { return slow.has("\r\nw\r\n") && slow.is_over(); }));
+    EXPECT_FALSE(busy.is_over());
+    peer->write(served("x"));
+    EXPECT_TRUE(office.until([&] { return busy.has("\r\nx\r\n") && busy.is_over(); }));
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 4s);
+    EXPECT_TRUE(office.until([&] { return office.acceptor.empty(); }));
+    EXPECT_TRUE(office.says_yes("PUT", "/v1/gateway/activate"));
+    Peer back = office.client();
+    EXPECT_EQ(office.ping(back), "+PONG\r\n");
+    usleep(400'000);
+    EXPECT_EQ(office.ping(back), "+PONG\r\n") << "nothing of the drain is left";
+}
+
+TEST(Drain, EachOrderOfItsStepsHasItsOutcome) {
+    using State = gateway::Drain::State;
+    Office office;
+    EXPECT_TRUE(office.drain.activate());
+    EXPECT_EQ(office.drain.state(), State::serving);
+    EXPECT_TRUE(office.drain.drain() && office.drain.drain());
+    EXPECT_EQ(office.drain.state(), State::draining);
+    EXPECT_TRUE(office.drain.activate());
+    EXPECT_EQ(office.drain.state(), State::serving);
+    office.drain.drain();
+    office.drain.leave();
+    EXPECT_EQ(office.drain.state(), State::leaving);
+    EXPECT_TRUE(office.drain.drain());
+    EXPECT_FALSE(office.drain.activate());
+    EXPECT_EQ(office.ask("PUT", "/v1/gateway/activate").find("HTTP/1.1 409 "), 0u);
+    EXPECT_EQ(office.drain.state(), State::leaving);
+}
+
+// ---- The program ----------------------------------------------------------------------------------------
+
+std::string with_mgmt(std::string config, const std::string& mgmt) {
+    return config.insert(1, "\"mgmt\":\"" + mgmt + "\",");
+}
+
+TEST(SecondAddress, ThatIsNoneOrTakenEndsTheStartInOneLine) {
+    Listener taken, discovery;
+    const std::string config = config_of(discovery, discovery, taken.address());
+    for (const std::string& bad : {std::string("nowhere"), taken.address()}) {
+        Program program(with_mgmt(config, bad));
+        EXPECT_EQ(program.exit_code(), 1);
+        const std::string line = program.line();
+        EXPECT_EQ(line.find("linnetlead: mgmt"), 0u) << line;
+        EXPECT_EQ(line.find('\n'), line.size() - 1) << line;
+    }
+}
+
+}  // namespace
+}  // namespace linnetlead
--- /dev/null
+++ b/tests/rig.h
@@ -0,0 +1,156 @@
+// What tests on real sockets share: the parts of a gateway in the test's own thread, and the program.
+#pragma once
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/acceptor.h"
+#include "net/counter_client.h"
+#include "net/worker_pool.h"
+#include "resp/parser.h"
+#include "standin/peer.h"
+
+namespace linnetlead::tests {
+
+using namespace std::chrono_literals;
+using core::Listed;
+using standin::connect_to;
+using standin::Listener;
+using standin::Peer;
+using topazcrank::ListKind;
+
+constexpr auto patience = 10s;  // how long a test waits for what must come
+
+inline settings::Site site() {
+    settings::Site site;
+    site.conn_idle = 30s;
+    site.connect_timeout = 250ms;
+    topazcrank::Settings& s = site.settings;
+    s.classes.resize(3);
+    const char* names[] = {"read", "create", "hold"};
+    for (std::size_t i = 0; i < 3; ++i) {
+        s.classes[i].name = names[i];
+        s.classes[i].repeat = static_cast<topazcrank::Repeat>(i);
+        s.classes[i].aim = 1s;
+        s.classes[i].deadline = 3s;
+        s.classes[i].key_window = 2s;
+        s.classes[i].late_worth = 0.2;
+    }
+    s.plans.resize(1);
+    s.plans[0].name = "team";
+    s.plans[0].rate = 1000;
+    s.plans[0].burst = 2000;
+    s.count_timeout = 50ms;
+    s.most_units = 4;
+    s.most_attempts = 4;
+    s.may_probe = s.may_cancel = true;
+    return site;
+}
+
+inline Listed listed(const std::string& id, const std::string& address,
+                     topazcrank::ServerState state = topazcrank::ServerState::in) {
+    Listed one;
+    one.entry.id = id;
+    one.entry.state = state;
+    one.address = address;
+    return one;
+}
+
+inline std::string call(const std::string& cls, int d_ms = 3000, const std::string& body = {}) {
+    static unsigned long long next_id = 0;
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016llx", ++next_id);
+    std::string out;
+    resp::write_array(out, body.empty() ? 4 : 5);
+    resp::write_bulk(out, cls == "read" ? "Q.ASK" : "Q.DO");
+    resp::write_bulk(out, "00000000b4d65521");
+    resp::write_bulk(out, id);
+    resp::write_bulk(out, "c=" + cls + ",t=team,d=" + std::to_string(d_ms) + ",units=1,spread=1,first=0");
+    if (!body.empty()) resp::write_bulk(out, body);
+    return out;
+}
+
+inline std::string served(const std::string& value) {
+    std::string out = "*3\r\n";
+    resp::write_bulk(out, value);
+    return out + "$-1\r\n$-1\r\n";
+}
+
+struct Rig {
+    explicit Rig(settings::Site with = site(), std::size_t most_clients = 64)
+        : gateway(with, 7, {256, 1 << 22}, loop),
+          pool(loop, gateway, {64, with.connect_timeout, with.conn_idle}),
+          counter(loop, gateway, counting.at, with.settings.count_timeout),
+          acceptor(loop, gateway, with.settings, {most_clients, 1 << 22}) {
+        gateway.attach(pool, counter);
+        sockaddr_storage any{};
+        net::read_address("127.0.0.1:0", any);
+        EXPECT_EQ(acceptor.listen(any), 0);
+    }
+    ~Rig() {
+        acceptor.close();
+        pool.close();
+        counter.close();
+        loop.drain();
+    }
+    Peer client() { return connect_to(static_cast<std::uint16_t>(acceptor.port())); }
+    template <typename Condition>
+    bool until(Condition condition) {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!condition()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            loop.turn();
+            usleep(200);
+        }
+        return true;
+    }
+    void answer_hold(Peer& worker, const std::string& answer) {
+        ASSERT_TRUE(until([&] { return worker.has("c=hold"); }));
+        worker.got.clear();
+        worker.write(answer);
+    }
+    std::unique_ptr<Peer> accepted(Listener& listener) {
+        std::unique_ptr<Peer> peer;
+        EXPECT_TRUE(until([&] { return (peer = listener.accept()) != nullptr; }));
+        return peer;
+    }
+
+    Listener counting;
+    net::Loop loop;
+    core::Gateway gateway;
+    net::WorkerPool pool;
+    net::CounterClient counter;
+    net::Acceptor acceptor;
+};
+
+struct Program : standin::Process {
+    explicit Program(const std::string& config, std::vector<std::string> arguments = {})
+        : Process(LINNETLEAD_PROGRAM, config, std::move(arguments)) {}
+    Peer client() { return connect_to(listening()); }
+};
+
+inline std::string config_of(const Listener& discovery, const Listener& counter, const std::string& worker) {
+    return R"({"listen":"127.0.0.1:0","discovery":")" + discovery.address() + R"(","counter":")" +
+           counter.address() + R"(","known":{"version":1,"full":true,"servers":[{"id":"w","addr":")" +
+           worker +
+           R"("}]},"settings":{"classes":[{"name":"read","idempotency":"retryable","aim":8000000000,
+           "deadline":8000000000}],"tariffs":[{"name":"team","units_per_s":100,"most_at_once":100}],
+           "limits":{"connect_timeout":250000000,"conn_idle":30000000000,"max_attempts":3}}})";
+}
+
+template <typename Condition>
+bool wait_for(Condition condition) {
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!condition() && std::chrono::steady_clock::now() < end) usleep(2000);
+    return condition();
+}
+
+}  // namespace linnetlead::tests
