Upgrade: the new process is handed the listener, bans, drain state and idle connections

Change: net::ProcessLink and ProcessDoor (Unix socket in $TMPDIR, SCM_RIGHTS, same user only), upgrade::Message (JSON lines of a version, bounded), gateway::Upgrade. The listening socket, bans and drain state go over; then bans and drains pass both ways while both live. Where the successor dies the old process accepts again. A taken address is tried for 10 s. Bounds on bytes and workers' connections are halved while two processes live. The test's stand-ins no longer leak their sockets into the programs that they start.

--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -52,6 +52,7 @@
     // call under an open one's name fails.
     Handle take(Call call, Front& front, Ticket ticket);
     void withdraw(Handle call);
+    void limit(Limits limits) { limits_ = limits; }
     std::size_t open_calls() const { return calls_.size(); }
     const crowd::Crowd& crowd() const { return crowd_; }
     const Counts& counts() const { return counts_; }
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -41,13 +41,13 @@
     }
 }
 
+}  // namespace
+
 std::string variable(const char* name) {
     const char* value = std::getenv(name);
     return value ? value : "";
 }
 
-}  // namespace
-
 Config read_config(const std::string& text) {
     Config config;
     try {
--- a/src/gateway/config.h
+++ b/src/gateway/config.h
@@ -30,6 +30,8 @@
 Config read_config(const std::string& json);
 Config load_file();  // the one that the environment names
 Config load_file(const std::string& path);
+// Of the environment; empty: not set.
+std::string variable(const char* name);
 // For the start. Read again later, the file is the newer of the two, and what changes in it stands.
 void override_by_environment(Config& config);
 
--- a/src/gateway/desk.cpp
+++ b/src/gateway/desk.cpp
@@ -8,6 +8,13 @@
 using mgmt::Verb;
 
 Reply Desk::carry(const mgmt::Command& command) {
+    Reply reply = carried(command);
+    const bool changes = command.verb != Verb::readyz && command.verb != Verb::metrics;
+    if (changes && reply.status == 200) parts_.done(command);
+    return reply;
+}
+
+Reply Desk::carried(const mgmt::Command& command) {
     switch (command.verb) {
         case Verb::readyz:
             if (!up_) return {503, "not ready: still starting\n", {}};
--- a/src/gateway/desk.h
+++ b/src/gateway/desk.h
@@ -1,6 +1,11 @@
 // Carries out what the operators' staff ask at the second address.
 #pragma once
 
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "core/gateway.h"
 #include "drain.h"
 #include "mgmt/command.h"
@@ -16,7 +21,8 @@
         const net::WorkerPool& pool;
         mgmt::Suspensions& suspensions;
         Drain& drain;
-        std::vector<std::string> classes;  // their names, by number
+        std::vector<std::string> classes;                // their names, by number
+        std::function<void(const mgmt::Command&)> done;  // a command that has changed something
     };
     explicit Desk(Parts parts) : parts_(std::move(parts)) {}
 
@@ -25,6 +31,7 @@
     void set_up() { up_ = true; }
 
 private:
+    mgmt::Reply carried(const mgmt::Command& command);
     std::string figures() const;
 
     Parts parts_;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -20,12 +20,16 @@
 #include "net/registry_watch.h"
 #include "net/worker_pool.h"
 #include "operators.h"
+#include "upgrade.h"
 
 namespace {
 
 using namespace linnetlead;
 using namespace std::chrono_literals;
 
+constexpr core::Span address_free_within = 10s;
+constexpr core::Span address_tried_every = 50ms;
+
 sockaddr_storage address_of(const std::string& what, const std::string& text) {
     sockaddr_storage address{};
     if (!net::read_address(text, address)) throw std::runtime_error(what + ": no address: '" + text + "'");
@@ -95,7 +99,10 @@
           registry_(loop_, suspensions_, config.discovery, config.known.version, config.seed),
           acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}),
           drain_(loop_, acceptor_, longest_deadline(config), [this] { loop_.stop(); }),
-          desk_({gateway_, pool_, suspensions_, drain_, class_names(config)}),
+          desk_({gateway_, pool_, suspensions_, drain_, class_names(config),
+                 [this](const mgmt::Command& done) { upgrade_.tell(done); }}),
+          upgrade_({loop_, acceptor_, pool_, suspensions_, drain_, [this](bool on) { share(on); }},
+                   gateway::meeting_place(gateway::variable("TMPDIR"), config.listen), config.listen),
           mgmt_(loop_, [this](const mgmt::Command& command) { return desk_.carry(command); }) {
         gateway_.attach(pool_, counter_);
         try {
@@ -126,14 +133,15 @@
             if (!registry_.start())
                 throw std::runtime_error("discovery: no address: '" + config.discovery + "'");
         }
-        if (const int error = acceptor_.listen(address_of("listen", config.listen)); error < 0) {
-            throw std::runtime_error("cannot listen on " + config.listen + ": " + uv_strerror(error));
-        }
         if (!config.mgmt.empty()) {
             if (const int error = mgmt_.listen(address_of("mgmt", config.mgmt)); error < 0) {
                 throw std::runtime_error("mgmt: cannot listen on " + config.mgmt + ": " + uv_strerror(error));
             }
         }
+        const sockaddr_storage address = address_of("listen", config.listen);
+        if (const int error = upgrade_.take_over() ? acceptor_.start() : listen(address); error < 0) {
+            throw std::runtime_error("cannot listen on " + config.listen + ": " + uv_strerror(error));
+        }
         for (std::size_t i = 0; i < signals_.size(); ++i) {
             uv_signal_init(loop_.uv(), &signals_[i]);
             signals_[i].data = this;
@@ -148,10 +156,32 @@
                 handled[i]);
         }
         has_signals_ = true;
+        upgrade_.ready();
         desk_.set_up();
         hold_back_hangups(false);
     }
 
+    // Guards an upgrade from a program that neither hands its socket over nor shares its address: it is given
+    // the time to end.
+    int listen(const sockaddr_storage& address) {
+        int error = acceptor_.listen(address);
+        const core::Time until = loop_.now() + address_free_within;
+        while (error == UV_EADDRINUSE && loop_.now() < until) {
+            loop_.turn_until([] { return false; }, address_tried_every);
+            error = acceptor_.listen(address);
+        }
+        return error;
+    }
+    // While two processes live, each takes half of what both may have together. Clients are passed on, so
+    // that their number is one for both.
+    void share(bool on) {
+        const std::size_t part = on ? 2 : 1;
+        core::Gateway::Limits calls = shares_.calls;
+        calls.bytes /= part;
+        gateway_.limit(calls);
+        acceptor_.limit_unsent(shares_.unsent / part);
+        pool_.limit(shares_.workers / part);
+    }
     // The file read again, and checked whole before anything changes. Calls in hand go on.
     void reload() {
         try {
@@ -175,6 +205,7 @@
         std::fprintf(stderr, "linnetlead: %zu calls open; no operators' file\n", gateway_.open_calls());
     }
     void close() {
+        upgrade_.close();
         mgmt_.close();
         acceptor_.close();
         pool_.close();
@@ -201,6 +232,7 @@
     net::Acceptor acceptor_;
     gateway::Drain drain_;
     gateway::Desk desk_;
+    gateway::Upgrade upgrade_;
     net::MgmtServer mgmt_;
     std::unique_ptr<gateway::Operators> operators_;
     std::array<uv_signal_t, handled.size()> signals_{};
--- /dev/null
+++ b/src/gateway/upgrade.cpp
@@ -0,0 +1,169 @@
+#include "upgrade.h"
+
+#include <sys/stat.h>
+
+#include <utility>
+
+namespace linnetlead::gateway {
+
+using upgrade::Kind;
+using upgrade::Message;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::Span state_within = 1s;  // else the new process starts alone
+constexpr std::size_t most_path = 90;    // of a Unix socket's, with room for what is put behind it
+
+}  // namespace
+
+std::string meeting_place(const std::string& folder, const std::string& listen) {
+    const bool any_port = listen.size() < 2 || listen.substr(listen.size() - 2) == ":0";
+    if (folder.empty() || any_port) return {};
+    std::string name = "/linnetlead-" + listen;
+    for (char& c : name) {
+        if (c == ':' || c == '[' || c == ']') c = '_';
+    }
+    name[0] = '/';
+    const std::string place = folder + name;
+    return place.size() > most_path ? std::string() : place;
+}
+
+Upgrade::Upgrade(Parts parts, std::string place, std::string listen)
+    : parts_(std::move(parts)), place_(std::move(place)), listen_(std::move(listen)), door_(parts_.loop) {}
+
+// ---- The new process ------------------------------------------------------------------------------------
+
+void Upgrade::begin(Other other) {
+    link_to(other) = std::make_unique<net::ProcessLink>(
+        parts_.loop, net::ProcessLink::Heard{[this, other](std::string_view line, uv_stream_t* from) {
+                                                 return heard(other, line, from);
+                                             },
+                                             [this, other] { over(other); }});
+}
+
+bool Upgrade::take_over() {
+    struct stat at {};
+    if (place_.empty() || stat(place_.c_str(), &at) != 0) return false;
+    begin(Other::older);
+    older_->connect(place_);
+    send(Other::older, {Kind::hello, listen_, false, false});
+    parts_.loop.turn_until([this] { return taken_ || !older_->is_open(); }, state_within);
+    if (!taken_) older_->close();  // what comes late would find this one listening by itself
+    share();
+    return adopted_;
+}
+
+void Upgrade::ready() {
+    send(Other::older, {Kind::ready, {}, false, false});
+    open_door();
+}
+
+void Upgrade::open_door() {
+    if (!place_.empty()) door_.open(place_, [this](uv_stream_t* listener) { hand_over(listener); });
+}
+
+bool Upgrade::heard_of_older(const Message& message, uv_stream_t* from) {
+    switch (message.kind) {
+        case Kind::state:
+            if (message.with) adopted_ = parts_.acceptor.adopt(from) == 0;
+            if (message.on) parts_.drain.drain();
+            return true;
+        case Kind::end:
+            taken_ = true;
+            return true;
+        case Kind::client:
+            if (message.with) parts_.acceptor.take_in(from, message.on);
+            return message.with;
+        default:
+            return false;
+    }
+}
+
+// ---- The old process ------------------------------------------------------------------------------------
+
+// One at a time, the latest: an earlier one that lives has taken the place.
+void Upgrade::hand_over(uv_stream_t* listener) {
+    if (newer_ && newer_->is_open()) {
+        newer_->close();
+        over(Other::newer);
+    }
+    begin(Other::newer);
+    newer_->accept(listener);
+}
+
+bool Upgrade::heard_of_newer(const Message& message) {
+    if (message.kind == Kind::hello) {
+        if (message.text != listen_) return false;
+        share();
+        uv_stream_t* const listening = parts_.acceptor.listening();
+        const bool draining = parts_.drain.state() == Drain::State::draining;
+        newer_->send(upgrade::write({Kind::state, {}, draining, listening != nullptr}), listening);
+        for (const core::WorkerId& id : parts_.suspensions.all()) {
+            send(Other::newer, {Kind::ban, id, true, false});
+        }
+        send(Other::newer, {Kind::end, {}, false, false});
+        return true;
+    }
+    if (message.kind != Kind::ready) return false;
+    passed_ = true;
+    parts_.pool.retire(true);
+    parts_.acceptor.pass_on([this](uv_stream_t* client, bool asked, std::function<void(bool)> sent) {
+        newer_->send(upgrade::write({Kind::client, {}, asked, true}), client, std::move(sent));
+    });
+    return true;
+}
+
+// ---- Both -----------------------------------------------------------------------------------------------
+
+void Upgrade::send(Other other, const Message& message) {
+    const auto& link = link_to(other);
+    if (link && link->is_open()) link->send(upgrade::write(message));
+}
+
+bool Upgrade::heard(Other other, std::string_view line, uv_stream_t* from) {
+    const auto message = upgrade::read(line);
+    if (!message || (message->with && !from)) return false;
+    const Other beyond = other == Other::older ? Other::newer : Other::older;
+    if (message->kind == Kind::ban) {
+        message->on ? parts_.suspensions.adopt(message->text) : parts_.suspensions.release(message->text);
+        send(beyond, *message);
+        return true;
+    }
+    if (message->kind == Kind::drain) {
+        message->on ? void(parts_.drain.drain()) : void(parts_.drain.activate());
+        send(beyond, *message);
+        return true;
+    }
+    return other == Other::newer ? heard_of_newer(*message) : heard_of_older(*message, from);
+}
+
+void Upgrade::tell(const mgmt::Command& done) {
+    using mgmt::Verb;
+    for (const Other other : {Other::older, Other::newer}) {
+        const bool ban = done.verb == Verb::suspend || done.verb == Verb::resume;
+        if (ban) send(other, {Kind::ban, done.worker, done.verb == Verb::suspend, false});
+        const bool drain = done.verb == Verb::drain || done.verb == Verb::activate;
+        if (drain) send(other, {Kind::drain, {}, done.verb == Verb::drain, false});
+    }
+}
+
+// An old process whose successor has died goes on as before.
+void Upgrade::over(Other other) {
+    share();
+    if (other == Other::older || !std::exchange(passed_, false)) return;
+    parts_.acceptor.pass_on(nullptr);
+    parts_.pool.retire(false);
+    open_door();
+}
+
+void Upgrade::share() { parts_.share((older_ && older_->is_open()) || (newer_ && newer_->is_open())); }
+
+void Upgrade::close() {
+    door_.close();
+    for (auto* link : {&older_, &newer_}) {
+        if (*link) (*link)->close();
+    }
+}
+
+}  // namespace linnetlead::gateway
--- /dev/null
+++ b/src/gateway/upgrade.h
@@ -0,0 +1,73 @@
+// Two processes of one gateway while one takes over from the other. The new one meets the old one over a Unix
+// socket, is handed the listening socket and told what it must know, and says when it is ready. From then on
+// the old one accepts nothing, and passes its clients' connections on as each waits for nothing. Bans and
+// drains pass between them as long as both live. Whatever fails, each goes on alone.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "drain.h"
+#include "mgmt/command.h"
+#include "mgmt/suspensions.h"
+#include "net/acceptor.h"
+#include "net/process_link.h"
+#include "net/worker_pool.h"
+#include "upgrade/message.h"
+
+namespace linnetlead::gateway {
+
+// Where two processes meet that listen at this address; empty: nowhere (no folder of their own, or a port
+// that each is given anew). `folder`: $TMPDIR.
+std::string meeting_place(const std::string& folder, const std::string& listen);
+
+class Upgrade {
+public:
+    struct Parts {
+        net::Loop& loop;
+        net::Acceptor& acceptor;
+        net::WorkerPool& pool;
+        mgmt::Suspensions& suspensions;
+        Drain& drain;
+        // Another process lives beside this one, or no longer: memory and sockets are for both.
+        std::function<void(bool)> share;
+    };
+    // `place`: of meeting_place().
+    Upgrade(Parts parts, std::string place, std::string listen);
+
+    // At the start: takes over from a process that is there, turning the loop for a second at most. True: the
+    // acceptor has its listening socket.
+    bool take_over();
+    // This process accepts. It waits for a successor from now on.
+    void ready();
+    // What was done at this process's second address.
+    void tell(const mgmt::Command& done);
+    void close();
+
+private:
+    enum class Other { older, newer };
+    std::unique_ptr<net::ProcessLink>& link_to(Other other) {
+        return other == Other::older ? older_ : newer_;
+    }
+    void begin(Other other);
+    void hand_over(uv_stream_t* listener);
+    bool heard(Other other, std::string_view line, uv_stream_t* from);
+    bool heard_of_newer(const upgrade::Message& message);
+    bool heard_of_older(const upgrade::Message& message, uv_stream_t* from);
+    void over(Other other);
+    void open_door();
+    void share();
+    void send(Other other, const upgrade::Message& message);
+
+    Parts parts_;
+    std::string place_, listen_;
+    net::ProcessDoor door_;
+    // To the process that this one took over from, and to the one that takes over from this one.
+    std::unique_ptr<net::ProcessLink> older_, newer_;
+    bool taken_ = false;    // from the older one: all of the state
+    bool adopted_ = false;  // from the older one: the listening socket
+    bool passed_ = false;   // the newer one accepts
+};
+
+}  // namespace linnetlead::gateway
--- a/src/mgmt/suspensions.cpp
+++ b/src/mgmt/suspensions.cpp
@@ -60,22 +60,24 @@
 
 bool Suspensions::suspend(const WorkerId& id) {
     if (!was_listed(id)) return false;
-    if (banned_.insert(id).second) tell(id);
+    adopt(id);
     return true;
 }
 
 bool Suspensions::resume(const WorkerId& id) {
     if (!was_listed(id)) return false;
-    if (banned_.erase(id) > 0) tell(id);
-    // Still known as one that was listed, though a ban was all that named it.
-    if (told_.count(id) == 0) forget(id);
+    release(id);
     return true;
 }
 
-void Suspensions::adopt(const std::vector<WorkerId>& ids) {
-    for (const WorkerId& id : ids) {
-        if (banned_.insert(id).second) tell(id);
-    }
+void Suspensions::adopt(const WorkerId& id) {
+    if (banned_.insert(id).second) tell(id);
+}
+
+void Suspensions::release(const WorkerId& id) {
+    if (banned_.erase(id) > 0) tell(id);
+    // Still known as one that was listed, though a ban was all that named it.
+    if (told_.count(id) == 0) forget(id);
 }
 
 std::size_t Suspensions::skipped() const {
--- a/src/mgmt/suspensions.h
+++ b/src/mgmt/suspensions.h
@@ -21,8 +21,9 @@
     // False where the id was never listed: nothing is kept of it then. Twice is once.
     bool suspend(const core::WorkerId& id);
     bool resume(const core::WorkerId& id);
-    // The bans of another process, which knew what was listed.
-    void adopt(const std::vector<core::WorkerId>& ids);
+    // The word of another process, which knew what was listed.
+    void adopt(const core::WorkerId& id);
+    void release(const core::WorkerId& id);
     std::vector<core::WorkerId> all() const { return {banned_.begin(), banned_.end()}; }
 
     bool has_list() const { return has_list_; }
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -77,35 +77,41 @@
     }
     bool waits() const { return !entries_.empty() || unsent() > 0; }
     // Guards against a close that crosses a call: a command that has begun to come is waited for.
-    void leave_if_idle() {
-        if (!closing() && !waits() && half_since_ == Time{} && is_quiet()) leave();
+    void go_if_idle() {
+        if (closing() || finishing() || passing_ || waits() || half_since_ != Time{}) return;
+        if (acceptor_.pass_) return pass();
+        if (acceptor_.retiring_ && is_quiet()) leave();
+    }
+    void stay() {
+        if (std::exchange(passing_, false)) read_more(true);
     }
     // Guards against clients that never ask, stop amid a command, or ask once and stay for good: where
     // connections run short, they hold what others need.
     void look_over(Time now, bool crowded) {
-        if (closing() || finishing() || waits()) return;
+        if (closing() || finishing() || passing_ || waits()) return;
         if (half_since_ != Time{}) {
             if (now - half_since_ <= patience_half) return;
             reply("-ERR command is not whole\r\n");
             leave();
-        } else if (acceptor_.retiring_) {
-            leave_if_idle();
-        } else if (now - used > patience && (!asked_ || crowded)) {
+        } else if (acceptor_.retiring_ || acceptor_.pass_) {
+            go_if_idle();
+        } else if (now - used > patience && (!asked || crowded)) {
             close();
         }
     }
     // Who gives way first where there is no room: lowest.
     std::tuple<bool, bool, Time> claim() const {
-        return {asked_ && half_since_ == Time{} && !finishing(), unsent() > 0, used};
+        return {asked && half_since_ == Time{} && !finishing(), unsent() > 0, used};
     }
-    bool may_give_way() const { return !closing() && entries_.empty(); }
+    bool may_give_way() const { return !closing() && !passing_ && entries_.empty(); }
 
     void withdraw_all() {
         for (const Entry& entry : std::exchange(entries_, {})) acceptor_.gateway_.withdraw(entry.call);
     }
 
     Handle self;
-    Time used{};  // when it came, or when its last call did
+    Time used{};         // when it came, or when its last call did
+    bool asked = false;  // for a call, ever
 
 private:
     struct Entry {
@@ -160,7 +166,7 @@
         if (const char* error = resp::read_call(message, acceptor_.names_, loop().now(), call)) {
             return reply("-ERR " + std::string(error) + "\r\n");
         }
-        asked_ = true;
+        asked = true;
         used = loop().now();
         const std::uint64_t number = first_ + entries_.size();
         entries_.emplace_back();
@@ -187,6 +193,16 @@
         finish_if_last();
     }
 
+    // What lies unread in the socket goes with it: no close crosses a call.
+    void pass() {
+        passing_ = true;
+        read_more(false);
+        acceptor_.pass_(handle(), asked, [&clients = acceptor_.clients_, me = self](bool sent) {
+            Client* const client = clients.find(me);
+            if (client) sent ? client->close() : client->stay();
+        });
+    }
+
     void finish_if_last() {
         if (last_ && entries_.empty()) leave();
     }
@@ -197,7 +213,7 @@
             read_more(true);
             take_rest();
         }
-        if (acceptor_.retiring_) leave_if_idle();
+        go_if_idle();
     }
     // The client has gone away: nobody waits for its calls.
     void on_end(int) override { withdraw_all(); }
@@ -210,9 +226,9 @@
     std::deque<Entry> entries_;  // commands without an answer, in their order
     std::uint64_t first_ = 0;    // number of the first of them
     std::size_t noted_unsent_ = 0;
-    Time half_since_{};  // when the command that is not whole yet began
-    bool asked_ = false;
-    bool last_ = false;  // no command is read any more
+    Time half_since_{};     // when the command that is not whole yet began
+    bool passing_ = false;  // to another process
+    bool last_ = false;     // no command is read any more
 };
 
 Acceptor::Acceptor(Loop& loop, core::Gateway& gateway, const topazcrank::Settings& settings, Limits limits)
@@ -231,13 +247,34 @@
     return error;
 }
 
-void Acceptor::on_connection(uv_stream_t* listener, int status) {
+int Acceptor::start() {
+    const int error =
+        listener_.start([this](uv_stream_t* listener, int status) { on_connection(listener, status); });
+    if (error == 0) look_over();
+    return error;
+}
+
+void Acceptor::pass_on(Pass pass) {
+    pass_ = std::move(pass);
+    if (pass_) {
+        listener_.pause();
+        clients_.for_each([](Handle, Client& client) { client.go_if_idle(); });
+    } else {
+        listener_.resume();
+        clients_.for_each([](Handle, Client& client) { client.stay(); });
+    }
+}
+
+void Acceptor::take_in(uv_stream_t* from, bool asked) { on_connection(from, 0, asked); }
+
+void Acceptor::on_connection(uv_stream_t* listener, int status, bool asked) {
     if (status < 0) return;  // out of descriptors: libuv has refused it
     const bool room = make_room();
     const Handle handle = clients_.add(loop_, *this);
     Client& client = *clients_.find(handle);
     client.self = handle;
     client.used = loop_.now();
+    client.asked = asked;
     if (client.accept(listener) != 0 || !room) client.close();
 }
 
@@ -270,7 +307,7 @@
 void Acceptor::retire(bool on) {
     retiring_ = on;
     if (!on) return;
-    clients_.for_each([](Handle, Client& client) { client.leave_if_idle(); });
+    clients_.for_each([](Handle, Client& client) { client.go_if_idle(); });
 }
 
 void Acceptor::close() {
--- a/src/net/acceptor.h
+++ b/src/net/acceptor.h
@@ -27,6 +27,18 @@
     void stop_listening();
     // Closes the connections that wait for no answer, and the others once they have theirs; false: no more.
     void retire(bool on);
+    // To hand over to another process; null: does not listen.
+    uv_stream_t* listening() const { return listener_.stream(); }
+    // The listening socket of another process, which accepts until start().
+    int adopt(uv_stream_t* from) { return listener_.adopt(from); }
+    int start();
+    // Another process accepts from now on: connections that wait for nothing are passed on by this, as they
+    // come to that; null: no longer, and this one accepts again.
+    using Pass = std::function<void(uv_stream_t* client, bool asked, std::function<void(bool)> sent)>;
+    void pass_on(Pass pass);
+    // A connection that another process has passed on.
+    void take_in(uv_stream_t* from, bool asked);
+    void limit_unsent(std::size_t bytes) { most_unsent_ = bytes; }
     // What PING hears.
     void answer_pings(bool with_yes) { says_yes_ = with_yes; }
     void close();
@@ -37,7 +49,7 @@
 private:
     class Client;
 
-    void on_connection(uv_stream_t* listener, int status);
+    void on_connection(uv_stream_t* listener, int status, bool asked = false);
     bool make_room();
     void look_over();
 
@@ -51,6 +63,7 @@
     core::Handle look_over_;
     core::Slots<Client> clients_;
     resp::Message message_;  // of the command being read
+    Pass pass_;
     bool retiring_ = false;
     bool says_yes_ = true;
 };
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,6 +1,8 @@
 #include "listener.h"
 
+#include <fcntl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <utility>
 
@@ -31,7 +33,43 @@
     });
 }
 
+int Listener::adopt(uv_stream_t* from) {
+    close();
+    tcp_ = new uv_tcp_t;
+    uv_tcp_init(loop_.uv(), tcp_);
+    const int error = uv_accept(from, stream());
+    if (error < 0) close();
+    return error;
+}
+
+int Listener::start(Come come) {
+    come_ = std::move(come);
+    return listen();
+}
+
+void Listener::pause() {
+    uv_os_fd_t fd = -1;
+    if (!tcp_ || uv_fileno(reinterpret_cast<uv_handle_t*>(tcp_), &fd) != 0) return;
+    const int kept = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+    close();
+    paused_ = kept;
+}
+
+int Listener::resume() {
+    if (paused_ < 0) return 0;
+    tcp_ = new uv_tcp_t;
+    uv_tcp_init(loop_.uv(), tcp_);
+    int error = uv_tcp_open(tcp_, paused_);
+    if (error == 0) {
+        paused_ = -1;
+        error = listen();
+    }
+    if (error < 0) close();
+    return error;
+}
+
 void Listener::close() {
+    if (paused_ >= 0) ::close(std::exchange(paused_, -1));
     if (!tcp_) return;
     uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(tcp_, nullptr)),
              [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -19,8 +19,15 @@
 
     // `shared`: other processes may listen at the address too, if they say the same. Returns libuv's error.
     int open(const sockaddr_storage& address, bool shared, Come come);
+    // One that another process listens on and has handed over. Accepts from start() on.
+    int adopt(uv_stream_t* from);
+    int start(Come come);
+    // Accepts nothing more, but what comes waits as long as this or another process has the socket.
+    void pause();
+    int resume();
+    // To be handed over; null: closed or paused.
+    uv_stream_t* stream() const { return reinterpret_cast<uv_stream_t*>(tcp_); }
     void close();
-    bool is_open() const { return tcp_ != nullptr; }
     int port() const;
 
 private:
@@ -29,6 +36,7 @@
 
     Loop& loop_;
     uv_tcp_t* tcp_ = nullptr;  // the loop's until it has closed it
+    int paused_ = -1;          // the socket, kept
     Come come_;
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -43,6 +43,13 @@
 
 void Loop::run() { uv_run(&loop_, UV_RUN_DEFAULT); }
 
+void Loop::turn_until(const std::function<bool()>& done, Span within) {
+    bool late = false;
+    const core::Handle limit = arm(now() + within, [&late] { late = true; });
+    while (!late && !done()) uv_run(&loop_, UV_RUN_ONCE);
+    disarm(limit);
+}
+
 Time Loop::now() const {
     return unix_at_start_ + Span{static_cast<std::int64_t>(uv_hrtime() - clock_at_start_)};
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -25,6 +25,8 @@
     void run();
     // What is ready now, without a wait.
     void turn() { uv_run(&loop_, UV_RUN_NOWAIT); }
+    // Turns until it is done, or the time has passed. Not from within a turn.
+    void turn_until(const std::function<bool()>& done, core::Span within);
     void stop() { uv_stop(&loop_); }
     // At the end, once every stream is being closed: waits until libuv has let go of them.
     void drain();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -20,6 +20,8 @@
     // Errors are libuv's: 0 or below. A connect that fails later ends in on_end().
     int connect(const sockaddr_storage& to);
     int accept(uv_stream_t* listener);
+    // To be handed to another process while nothing is read or written.
+    uv_stream_t* handle() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
 
     // What is appended goes out at the end of the loop's turn.
     std::string& to_write();
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -49,7 +49,7 @@
         end.stage = stage();
         busy_ = false;
         loop().disarm(std::exchange(timer_, {}));
-        if (reusable) {
+        if (reusable && !pool_.retiring_) {
             rest();
         } else {
             close();
@@ -191,6 +191,27 @@
     connections_.for_each([](Handle, Connection& connection) { connection.close(); });
 }
 
+void WorkerPool::retire(bool on) {
+    retiring_ = on;
+    if (on) limit_resting(0);
+}
+
+void WorkerPool::limit(std::size_t connections) {
+    limits_.connections = connections;
+    limit_resting(connections);
+}
+
+// Closes what rests longest, until there are so many connections or none rests.
+void WorkerPool::limit_resting(std::size_t most) {
+    std::size_t surplus = connections_.size() > most ? connections_.size() - most : 0;
+    for (auto at = resting_.begin(); at != resting_.end() && surplus > 0; ++at) {
+        Connection* const longest = connections_.find(*at);
+        if (!longest || longest->closing()) continue;
+        longest->close();
+        --surplus;
+    }
+}
+
 Handle WorkerPool::start(Handle call, const WorkerId& worker, const core::Payload& payload, Time until) {
     Connection* connection = connection_to(worker);
     if (!connection) {
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -29,6 +29,10 @@
     void probe(const core::WorkerId& worker) override;
     void told(const std::vector<core::Listed>& entries, bool whole) override;
 
+    // No connection rests any more: another process takes over. False: as usual.
+    void retire(bool on);
+    void limit(std::size_t connections);
+
     std::size_t workers() const { return workers_.size(); }
     std::size_t connections() const { return connections_.size(); }
     // Attempts written whole, since the start.
@@ -52,6 +56,7 @@
     void drop_predecessors(const core::Listed& successor);
     void unlist(const core::WorkerId& id);
     bool make_room();
+    void limit_resting(std::size_t most);
     void note_reuse(core::Span rested, bool good);
 
     Loop& loop_;
@@ -64,6 +69,7 @@
     std::list<core::Handle> resting_;  // idle connections, the one that rests longest first
     std::uint32_t round_ = 0;
     std::uint64_t tries_ = 0;
+    bool retiring_ = false;
     core::Span reuse_within_;  // how long a connection may have rested to take another call
     resp::Message message_;    // of the reply being read
 };
--- /dev/null
+++ b/src/upgrade/message.cpp
@@ -0,0 +1,51 @@
+#include "message.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "settings/words.h"
+
+namespace linnetlead::upgrade {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<settings::Word<Kind>, 8> kinds{{{"hello", Kind::hello},
+                                                     {"state", Kind::state},
+                                                     {"ban", Kind::ban},
+                                                     {"accounts", Kind::accounts},
+                                                     {"end", Kind::end},
+                                                     {"ready", Kind::ready},
+                                                     {"drain", Kind::drain},
+                                                     {"client", Kind::client}}};
+
+}  // namespace
+
+std::string write(const Message& message) {
+    json out{{"v", version}};
+    for (const auto& word : kinds) {
+        if (word.value == message.kind) out["t"] = word.text;
+    }
+    if (!message.text.empty()) out["text"] = message.text;
+    if (message.on) out["on"] = true;
+    if (message.with) out["with"] = true;
+    // A worker's id is what the registry makes it: what is no UTF-8 of it is replaced, never thrown at.
+    return out.dump(-1, ' ', false, json::error_handler_t::replace) + '\n';
+}
+
+std::optional<Message> read(std::string_view line) {
+    const json in = json::parse(line, nullptr, false);
+    if (!in.is_object()) return std::nullopt;
+    try {
+        if (in.at("v").get<int>() != version) return std::nullopt;
+        const auto kind = settings::look_up(kinds, in.at("t").get<std::string>());
+        if (!kind) return std::nullopt;
+        return Message{*kind, in.value("text", std::string()), in.value("on", false),
+                       in.value("with", false)};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+}  // namespace linnetlead::upgrade
--- a/standin/peer.cpp
+++ b/standin/peer.cpp
@@ -60,7 +60,8 @@
     return got;
 }
 
-Listener::Listener(int backlog) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+// Not for the programs that a test starts: an address would stay taken.
+Listener::Listener(int backlog) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     const sockaddr_in any = loopback(0);
     must(bind(fd_, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) == 0, "bind");
     must(listen(fd_, backlog) == 0, "listen");
@@ -74,7 +75,7 @@
 }
 
 std::unique_ptr<Peer> Listener::accept() {
-    const int fd = ::accept(fd_, nullptr, nullptr);
+    const int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
     return fd < 0 ? nullptr : std::make_unique<Peer>(fd);
 }
 
@@ -82,7 +83,7 @@
 
 Peer connect_to(std::uint16_t port) {
     const sockaddr_in to = loopback(port);
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     fcntl(fd, F_SETFL, O_NONBLOCK);
     ::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
     return Peer(fd);
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,316 @@
+// Upgrades: a second process takes over from the first, whatever becomes of either.
+#include "gateway/upgrade.h"
+
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+
+#include "net/process_link.h"
+#include "rig.h"
+#include "upgrade/message.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace tests;
+using upgrade::Kind;
+using upgrade::Message;
+
+TEST(UpgradeMessage, ComesBackAsItWasAndNothingElseIsTaken) {
+    for (const Message& one :
+         {Message{Kind::hello, "10.0.0.4:6379", false, false}, Message{Kind::state, {}, true, true},
+          Message{Kind::ban, "a\"b\nc", true, false}, Message{Kind::client, {}, true, true}}) {
+        const std::string line = upgrade::write(one);
+        ASSERT_EQ(line.find('\n'), line.size() - 1);
+        const auto read = upgrade::read(line);
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read->kind, one.kind);
+        EXPECT_EQ(read->text, one.text);
+        EXPECT_EQ(read->on, one.on);
+        EXPECT_EQ(read->with, one.with);
+    }
+    for (const char* bad :
+         {"", "{", "[]", R"({"v":2,"t":"hello"})", R"({"v":1})", R"({"v":1,"t":"bye"})", R"({"t":"hello"})",
+          R"({"v":1,"t":"ban","text":7})", R"({"v":1,"t":"ban","on":"x"})"}) {
+        EXPECT_FALSE(upgrade::read(bad)) << bad;
+    }
+}
+
+TEST(UpgradePlace, IsOneForEachAddressAndNoneWhereItCannotBe) {
+    EXPECT_EQ(gateway::meeting_place("/t", "10.0.0.4:6379"), "/t/linnetlead-10.0.0.4_6379");
+    EXPECT_NE(gateway::meeting_place("/t", "10.0.0.4:6379"), gateway::meeting_place("/t", "10.0.0.5:6379"));
+    EXPECT_EQ(gateway::meeting_place("", "10.0.0.4:6379"), "");
+    EXPECT_EQ(gateway::meeting_place("/t", "127.0.0.1:0"), "");
+    EXPECT_EQ(gateway::meeting_place("/" + std::string(200, 't'), "10.0.0.4:6379"), "");
+}
+
+// A folder for the processes of one test.
+struct Folder {
+    Folder() : path(standin::temporary_path("upgrade")) {
+        std::filesystem::create_directory(path);
+        const char* old = std::getenv("TMPDIR");
+        before = old ? old : "";
+        setenv("TMPDIR", path.c_str(), 1);
+    }
+    ~Folder() {
+        before.empty() ? unsetenv("TMPDIR") : setenv("TMPDIR", before.c_str(), 1);
+        std::error_code ignored;
+        std::filesystem::remove_all(path, ignored);
+    }
+    std::string path, before;
+};
+
+TEST(ProcessLink, CarriesLinesAndSocketsAndEndsOnWhatItCannotUse) {
+    Folder folder;
+    net::Loop loop;
+    const std::string place = folder.path + "/door";
+    std::vector<std::string> lines;
+    std::unique_ptr<net::ProcessLink> inner;
+    bool inner_over = false, outer_over = false;
+    std::unique_ptr<net::Listener> adopted;
+    net::ProcessDoor door(loop);
+    ASSERT_TRUE(door.open(place, [&](uv_stream_t* listener) {
+        inner = std::make_unique<net::ProcessLink>(
+            loop, net::ProcessLink::Heard{[&](std::string_view line, uv_stream_t* from) {
+                                              lines.emplace_back(line);
+                                              if (line == "socket") {
+                                                  adopted = std::make_unique<net::Listener>(loop);
+                                                  EXPECT_EQ(adopted->adopt(from), 0);
+                                              }
+                                              return line != "bad";
+                                          },
+                                          [&] { inner_over = true; }});
+        EXPECT_EQ(inner->accept(listener), 0);
+    }));
+    struct stat at {};
+    ASSERT_EQ(stat(place.c_str(), &at), 0);
+    EXPECT_EQ(at.st_mode & 0777, 0600u) << "for this user alone";
+    net::ProcessLink outer(loop,
+                           {[](std::string_view, uv_stream_t*) { return true; }, [&] { outer_over = true; }});
+    net::Listener listener(loop);
+    sockaddr_storage any{};
+    net::read_address("127.0.0.1:0", any);
+    ASSERT_EQ(listener.open(any, true, [](uv_stream_t*, int) {}), 0);
+    outer.connect(place);
+    outer.send("one\ntw");
+    outer.send("o\n");
+    outer.send("socket\n", listener.stream());
+    const auto until = [&](const std::function<bool()>& done) {
+        loop.turn_until(done, patience);
+        return done();
+    };
+    ASSERT_TRUE(until([&] { return lines.size() == 3; }));
+    EXPECT_EQ(lines, (std::vector<std::string>{"one", "two", "socket"}));
+    EXPECT_EQ(adopted->port(), listener.port());
+    outer.send("bad\n");
+    EXPECT_TRUE(until([&] { return inner_over && outer_over; }));
+    // A line without an end is given up.
+    inner_over = outer_over = false;
+    outer.connect(place);
+    outer.send(std::string(upgrade::most_line + 1, 'x'));
+    EXPECT_TRUE(until([&] { return inner_over; }));
+    // Another door takes the place; the first leaves it alone when it closes.
+    net::ProcessDoor other(loop);
+    ASSERT_TRUE(other.open(place, [](uv_stream_t*) {}));
+    door.close();
+    EXPECT_EQ(stat(place.c_str(), &at), 0);
+    other.close();
+    EXPECT_NE(stat(place.c_str(), &at), 0);
+    EXPECT_FALSE(other.open("/nowhere/at/all", [](uv_stream_t*) {})) << "no error, but nobody comes";
+    outer.close();
+    inner->close();
+    listener.close();
+    adopted->close();
+    loop.drain();
+}
+
+// ---- Two real processes ---------------------------------------------------------------------------------
+
+std::uint16_t free_port() { return Listener().port(); }
+
+std::string at_port(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+struct Pair {
+    Pair() : listen(free_port()) {}
+    std::string config(std::uint16_t mgmt) {
+        std::string made = config_of(discovery, counter, worker.address());
+        made.replace(made.find("127.0.0.1:0"), 11, at_port(listen));
+        return made.insert(1, "\"mgmt\":\"" + at_port(mgmt) + "\",");
+    }
+    // Waits until it says that it is ready.
+    std::unique_ptr<Program> start(std::uint16_t mgmt) {
+        auto made = std::make_unique<Program>(config(mgmt));
+        made->listening();
+        EXPECT_TRUE(wait_for([&] { return says_yes(mgmt, "GET", "/v1/readyz"); }));
+        return made;
+    }
+    static std::string ask(std::uint16_t mgmt, const std::string& method, const std::string& target) {
+        Peer peer = connect_to(mgmt);
+        peer.write(method + ' ' + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        // Not longer: where nobody listens yet, it is asked again.
+        const auto end = std::chrono::steady_clock::now() + 1s;
+        while (!peer.is_over() && std::chrono::steady_clock::now() < end) usleep(1000);
+        return peer.got;
+    }
+    static bool says_yes(std::uint16_t mgmt, const std::string& method, const std::string& target) {
+        return ask(mgmt, method, target).find("HTTP/1.1 200 ") == 0;
+    }
+    static bool skips(std::uint16_t mgmt, int workers) {
+        return wait_for([&] {
+            return ask(mgmt, "GET", "/v1/metrics")
+                       .find("skipped_quoters=" + std::to_string(workers) + "\n") != std::string::npos;
+        });
+    }
+    std::string ping(Peer& client) {
+        client.got.clear();
+        client.write("*1\r\n$4\r\nPING\r\n");
+        wait_for([&] { return client.has("\r\n"); });
+        return client.got;
+    }
+    std::unique_ptr<Peer> accepted() {
+        std::unique_ptr<Peer> peer;
+        EXPECT_TRUE(wait_for([&] { return peer || (peer = worker.accept()); }));
+        return peer;
+    }
+
+    Folder folder;
+    Listener worker, discovery, counter;
+    std::uint16_t listen;
+};
+
+// A kept connection goes over, with what lies unread in it; a call in hand is answered by the old process.
+TEST(Upgrade, ClientsStayConnectedAndEveryCallIsAnswered) {
+    Pair pair;
+    const std::uint16_t first = free_port(), second = free_port();
+    auto old = pair.start(first);
+    Peer idle = connect_to(pair.listen), busy = connect_to(pair.listen);
+    EXPECT_EQ(pair.ping(idle), "+PONG\r\n");
+    busy.write(call("read", 8000));
+    auto held = pair.accepted();
+    ASSERT_TRUE(wait_for([&] { return held->has("c=read"); }));
+    auto next = pair.start(second);
+    Peer fresh = connect_to(pair.listen);
+    EXPECT_EQ(pair.ping(fresh), "+PONG\r\n");
+    EXPECT_EQ(pair.ping(idle), "+PONG\r\n");
+    old->signal(SIGTERM);
+    held->write(served("v"));
+    EXPECT_TRUE(wait_for([&] { return busy.has("\r\nv\r\n"); }));
+    EXPECT_EQ(old->exit_code(), 0);
+    for (Peer* one : {&idle, &busy, &fresh}) EXPECT_EQ(pair.ping(*one), "+PONG\r\n");
+    busy.got.clear();
+    busy.write(call("read", 8000));
+    auto again = pair.accepted();
+    ASSERT_TRUE(wait_for([&] { return again->has("c=read"); }));
+    again->write(served("w"));
+    EXPECT_TRUE(wait_for([&] { return busy.has("\r\nw\r\n"); }));
+}
+
+TEST(Upgrade, BansAndDrainsHoldInBothProcessesWhereverTheyAreTold) {
+    Pair pair;
+    const std::uint16_t first = free_port(), second = free_port(), third = free_port();
+    auto old = pair.start(first);
+    EXPECT_TRUE(pair.says_yes(first, "PUT", "/v1/quoters/w/suspend"));
+    EXPECT_TRUE(pair.says_yes(first, "PUT", "/v1/gateway/drain"));
+    auto next = pair.start(second);
+    EXPECT_TRUE(pair.skips(second, 1));
+    Peer client = connect_to(pair.listen);
+    EXPECT_EQ(pair.ping(client), "-ERR draining\r\n");
+    EXPECT_TRUE(pair.says_yes(second, "PUT", "/v1/gateway/activate"));
+    Peer back = connect_to(pair.listen);
+    EXPECT_EQ(pair.ping(back), "+PONG\r\n");
+    EXPECT_TRUE(pair.says_yes(first, "PUT", "/v1/quoters/w/resume"));
+    EXPECT_TRUE(pair.skips(second, 0));
+    EXPECT_TRUE(pair.says_yes(second, "PUT", "/v1/quoters/w/suspend"));
+    EXPECT_TRUE(pair.skips(first, 1));
+    // A third takes over while the first still lives.
+    auto last = pair.start(third);
+    EXPECT_TRUE(pair.skips(third, 1));
+    EXPECT_TRUE(pair.says_yes(first, "PUT", "/v1/quoters/w/resume"));
+    EXPECT_TRUE(pair.skips(third, 0) && pair.skips(second, 0));
+}
+
+TEST(Upgrade, WhatADeadProcessLeftHindersNothing) {
+    Pair pair;
+    const std::uint16_t mgmt = free_port();
+    auto old = pair.start(mgmt);
+    old->signal(SIGKILL);
+    EXPECT_EQ(old->exit_code(), -1);
+    const auto begun = std::chrono::steady_clock::now();
+    auto next = pair.start(mgmt);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 1s);
+    Peer client = connect_to(pair.listen);
+    EXPECT_EQ(pair.ping(client), "+PONG\r\n");
+}
+
+TEST(Upgrade, WhereEitherProcessDiesTheOtherServes) {
+    Pair pair;
+    const std::uint16_t first = free_port(), second = free_port(), third = free_port();
+    auto old = pair.start(first);
+    Peer kept = connect_to(pair.listen);
+    EXPECT_EQ(pair.ping(kept), "+PONG\r\n");
+    auto next = pair.start(second);
+    next->signal(SIGKILL);
+    EXPECT_EQ(next->exit_code(), -1);
+    Peer again = connect_to(pair.listen);
+    EXPECT_EQ(pair.ping(again), "+PONG\r\n") << "the old one accepts again";
+    // It can be met once more, and dies before it is told to leave.
+    auto other = pair.start(third);
+    EXPECT_EQ(pair.ping(again), "+PONG\r\n");
+    old->signal(SIGKILL);
+    EXPECT_EQ(old->exit_code(), -1);
+    EXPECT_EQ(pair.ping(again), "+PONG\r\n");
+    Peer fresh = connect_to(pair.listen);
+    EXPECT_EQ(pair.ping(fresh), "+PONG\r\n");
+}
+
+// Somebody is there and says nothing, or what is not understood: the new process starts alone.
+TEST(Upgrade, FromOneThatIsSilentOrOfAnotherVersionItStartsAlone) {
+    for (const std::string& word : {std::string(), std::string("{\"v\":99,\"t\":\"state\"}\n")}) {
+        Pair pair;
+        const std::string place = gateway::meeting_place(pair.folder.path, at_port(pair.listen));
+        sockaddr_un at{};
+        at.sun_family = AF_UNIX;
+        std::copy(place.begin(), place.end(), at.sun_path);
+        const int door = socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        ASSERT_EQ(bind(door, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+        ASSERT_EQ(::listen(door, 4), 0);
+        const std::uint16_t mgmt = free_port();
+        Program next(pair.config(mgmt));
+        int met = -1;
+        ASSERT_TRUE(wait_for([&] { return met >= 0 || (met = accept(door, nullptr, nullptr)) >= 0; }));
+        ASSERT_EQ(write(met, word.data(), word.size()), static_cast<ssize_t>(word.size()));
+        next.listening();
+        Peer client = connect_to(pair.listen);
+        EXPECT_EQ(pair.ping(client), "+PONG\r\n");
+        EXPECT_TRUE(pair.says_yes(mgmt, "GET", "/v1/readyz"));
+        ::close(met);
+        ::close(door);
+    }
+}
+
+// One that neither hands its socket over nor shares its address is waited for.
+TEST(Upgrade, FromAProgramThatKeepsTheAddressItWaitsForItsEnd) {
+    Pair pair;
+    auto old = std::make_unique<Listener>();
+    pair.listen = old->port();
+    const std::uint16_t mgmt = free_port();
+    Program next(pair.config(mgmt));
+    ASSERT_TRUE(wait_for([&] {
+        try {
+            return pair.ask(mgmt, "GET", "/v1/readyz").find("HTTP/1.1 503 ") == 0;
+        } catch (const std::exception&) {
+            return false;  // not yet
+        }
+    }));
+    EXPECT_FALSE(next.has_ended());
+    old->close();
+    next.listening();
+    EXPECT_TRUE(wait_for([&] { return pair.says_yes(mgmt, "GET", "/v1/readyz"); }));
+}
+
+}  // namespace
+}  // namespace linnetlead
