--- a/include/topazcrank/policy.h
+++ b/include/topazcrank/policy.h
@@ -130,6 +130,32 @@
     Pools pools = all_pools;  // those it belongs to
 };
 
+// What is known of a customer's quota, for another process of the same gateway to go on from.
+struct Account {
+    std::string customer;
+    int plan = 0;  // position in Settings::plans
+    int set_size = 1;
+    std::int64_t index = 0;   // the interval now running
+    double demand = 0;        // offered here in it, refused included
+    double last_demand = 0;   // and in the one before: what is expected again
+    double others = 0;        // the other gateways' demand at the last tally
+    bool tallied = false;     // others is known
+    double untold = 0;        // own demand that no add has carried yet
+    double others_spent = 0;  // what was booked for them at the edge, until the read corrects it
+    double told = 0;          // added to the count of the interval now running
+    double pass = 1;          // the chance that the last look gave
+    bool room = true;         // under its limit at once, as the last look saw
+    Time looked_at{};
+    int since_read = 0;
+    double store = 0;    // what the global store should hold at the interval's start
+    double granted = 0;  // what all gateways may pass on in this interval
+    double slice = 0;
+    double left = 0;  // of the slice
+    int idle = 0;     // intervals
+    double ceiling_left = 0;
+    Time ceiling_at{};
+};
+
 // What the gateway carries out. Calls are made while an event is being handled.
 class Actions {
 public:
@@ -155,6 +181,7 @@
     Policy& operator=(const Policy&) = delete;
 
     void on_request(Time now, const Request& request);
+    // First bytes of an attempt's answer are on their way to the client; its result follows when all are.
     void on_stream_started(Time now, RequestId id, int attempt);
     void on_result(Time now, const AttemptResult& result);
     void on_withdrawn(Time now, RequestId id);
@@ -162,6 +189,11 @@
     void on_probed(Time now, const ServerId& server, Outcome outcome, const LoadReport& report);
     void on_counted(Time now, const std::string& name, CountStatus status, double total);
     void on_wake(Time now);
+    // A process that takes over is told of each customer; the one that hands over is told when it is done,
+    // and knows none from then on.
+    std::vector<Account> accounts() const;
+    void on_account(Time now, const Account& told);
+    void on_handed_over();
     // Servers that are listed and in, and left out for now all the same.
     std::size_t left_out(Time now) const;
     // Further plans, behind those that there are; positions never change. A customer whose next request names
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -73,19 +73,19 @@
     const int cls = call.request.cls;
     if (calls_.size() >= limits_.calls || bytes_ + size > limits_.bytes) {
         count_end(cls, Verdict::refused);
-        front.answer(ticket, {Verdict::refused, {}, {}});
+        front.answer(ticket, {Verdict::refused, {}, {}, false});
         return {};
     }
     // Guards the open call: workers would take the two for one.
     if (!names_.insert(call.name).second) {
         count_end(cls, Verdict::failed);
-        front.answer(ticket, {Verdict::failed, {}, {}});
+        front.answer(ticket, {Verdict::failed, {}, {}, false});
         return {};
     }
     if (!crowd_.passes(timers_.now(), call.request.customer)) {
         names_.erase(call.name);
         count_end(cls, Verdict::refused);
-        front.answer(ticket, {Verdict::refused, {}, come_back_});
+        front.answer(ticket, {Verdict::refused, {}, come_back_, false});
         return {};
     }
     const Handle handle = calls_.add();
@@ -111,7 +111,9 @@
 void Gateway::withdraw(Handle handle) {
     Open* call = calls_.find(handle);
     if (!call || call->answered) return;
+    const Handle attempt = call->passing ? call->attempt : Handle{};
     settle(handle, *call);
+    if (attempt) workers_->give_up(attempt);  // the rest of its value has nowhere to go
     tell([this, handle] { policy_->on_withdrawn(timers_.now(), handle.packed()); });
 }
 
@@ -119,7 +121,7 @@
 void Gateway::overdue(Handle handle) {
     Open* call = calls_.find(handle);
     if (!call || call->answered) return;
-    conclude(handle, *call, {Verdict::failed, {}, {}});
+    conclude(handle, *call, {Verdict::failed, {}, {}, false});
     tell([this, handle] { policy_->on_withdrawn(timers_.now(), handle.packed()); });
 }
 
@@ -173,6 +175,46 @@
 
 // ---- From workers, counter and registry -----------------------------------------------------------------
 
+bool Gateway::reserve(std::size_t bytes) {
+    if (calls_.size() >= limits_.calls || bytes_ + bytes > limits_.bytes) return false;
+    bytes_ += bytes;
+    return true;
+}
+
+void Gateway::take_over(const topazcrank::Account& told) {
+    tell([this, told] { policy_->on_account(timers_.now(), told); });
+}
+
+void Gateway::go_on(Handle handle) {
+    const Open* call = calls_.find(handle);
+    if (call && call->out && call->passing) workers_->go_on(call->attempt);
+}
+
+// First bytes in time are an answer in time: the deadline has nothing more to say.
+Gateway::Wanted Gateway::value_begins(Handle handle, std::size_t size) {
+    Open* call = calls_.find(handle);
+    if (!call || call->answered) return Wanted::nothing;
+    call->passing = true;
+    call->first_bytes = timers_.now();
+    timers_.disarm(std::exchange(call->deadline, {}));
+    call->front->begin_value(call->ticket, size);
+    tell([this, handle, attempt = call->attempts - 1] {
+        policy_->on_stream_started(timers_.now(), handle.packed(), attempt);
+    });
+    return Wanted::more;
+}
+
+Gateway::Wanted Gateway::value_piece(Handle handle, std::string_view piece) {
+    Open* call = calls_.find(handle);
+    if (!call || call->answered) return Wanted::nothing;
+    return call->front->pass_value(call->ticket, piece) ? Wanted::more : Wanted::pause;
+}
+
+void Gateway::value_ends(Handle handle) {
+    Open* call = calls_.find(handle);
+    if (call) conclude(handle, *call, {Verdict::served, {}, {}, true});
+}
+
 void Gateway::attempt_ended(Handle handle, const AttemptEnd& end) {
     Open* call = calls_.find(handle);
     if (!call || !call->out) return;
@@ -182,7 +224,7 @@
     result.attempt = call->attempts - 1;
     result.server = call->worker;
     result.outcome = outcome_of(end);
-    result.lag = now - call->sent;
+    result.lag = (call->passing ? call->first_bytes : now) - call->sent;
     // Guards the quotas against a cost that cannot be.
     result.true_units = end.true_units <= most_units_ ? end.true_units : 0;
     result.report = end.report;
@@ -193,9 +235,13 @@
     if (accounts_) note_use(handle, *call, end, result);
     call->attempt = {};
     call->may_have_run = call->may_have_run || !proves_not_run(result.outcome);
-    result.concluded = call->answered || end.ending == Ending::served;
-    if (end.ending == Ending::served && !call->answered) {
-        conclude(handle, *call, {Verdict::served, end.value, {}});
+    // Of a value that was cut short, its client has had a part: no other answer, and no other attempt.
+    const bool cut = call->passing && !call->answered;
+    result.concluded = call->answered || cut || end.ending == Ending::served;
+    if (cut) {
+        conclude(handle, *call, {Verdict::failed, {}, {}, true});
+    } else if (end.ending == Ending::served && !call->answered) {
+        conclude(handle, *call, {Verdict::served, end.value, {}, false});
     } else {
         drop_if_done(handle);
     }
@@ -263,17 +309,18 @@
     const topazcrank::ClassSettings& cls = classes_[static_cast<std::size_t>(call->cls)];
     const bool harmless = !call->may_have_run || cls.repeat == Repeat::safe ||
                           (cls.repeat == Repeat::keyed && cls.key_scope == topazcrank::KeyScope::all);
-    conclude(handle, *call, {harmless ? Verdict::refused : Verdict::failed, {}, retry_after});
+    conclude(handle, *call, {harmless ? Verdict::refused : Verdict::failed, {}, retry_after, false});
 }
 
 void Gateway::fail(RequestId id) {
     const Handle handle = Handle::unpacked(id);
-    if (Open* call = calls_.find(handle)) conclude(handle, *call, {Verdict::failed, {}, {}});
+    if (Open* call = calls_.find(handle)) conclude(handle, *call, {Verdict::failed, {}, {}, false});
 }
 
 void Gateway::cancel(RequestId id, int attempt) {
     const Open* call = calls_.find(Handle::unpacked(id));
-    if (call && call->out && attempt == call->attempts - 1) workers_->give_up(call->attempt);
+    if (call && call->out && !call->passing && attempt == call->attempts - 1)
+        workers_->give_up(call->attempt);
 }
 
 void Gateway::probe(const WorkerId& worker) { workers_->probe(worker); }
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -53,14 +53,31 @@
     Handle take(Call call, Front& front, Ticket ticket);
     void withdraw(Handle call);
     void limit(Limits limits) { limits_ = limits; }
+    // Room for a body that is still to come, by its length: to be given back, before take() at the latest.
+    bool reserve(std::size_t bytes);
+    void give_back(std::size_t bytes) { bytes_ -= bytes; }
+    // A call whose body found no room: refused by the front itself.
+    void turned_away(int cls) { count_end(cls, Verdict::refused); }
+    // The front takes more of a long value.
+    void go_on(Handle call);
     std::size_t open_calls() const { return calls_.size(); }
     const crowd::Crowd& crowd() const { return crowd_; }
+    // What quotas need in another process of this gateway; once it is told, this one knows it no more.
+    std::vector<topazcrank::Account> accounts() const { return policy_->accounts(); }
+    void take_over(const topazcrank::Account& told);
+    void handed_over() { policy_->on_handed_over(); }
     const Counts& counts() const { return counts_; }
     // Listed workers that the module leaves out for now by its own choice.
     std::size_t left_out() const;
 
     // From the workers, the counter and the registry.
     void attempt_ended(Handle call, const AttemptEnd& end);
+    // An attempt's long value: its first bytes are here; pieces of it; its last byte is here. Of the first
+    // two, what the front wants: more, a pause until Workers::go_on(), or nothing, since nobody waits for it.
+    enum class Wanted { more, pause, nothing };
+    Wanted value_begins(Handle call, std::size_t size);
+    Wanted value_piece(Handle call, std::string_view piece);
+    void value_ends(Handle call);
     void probed(const WorkerId& worker, topazcrank::Outcome outcome, const topazcrank::LoadReport& report);
     void counted(const std::string& name, topazcrank::CountStatus status, double total);
     void listed(topazcrank::ListKind kind, const std::vector<Listed>& entries) override;
@@ -82,7 +99,9 @@
         bool out = false;
         bool may_have_run = false;
         bool answered = false;
+        bool passing = false;  // first bytes of a long value have gone to the front
         Time sent{};
+        Time first_bytes{};  // of a long value
         WorkerId worker;
         Handle attempt;
         Handle deadline;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -41,6 +41,7 @@
     Verdict verdict = Verdict::failed;
     std::string_view value;  // of a served call; valid only while it is handed over
     Span retry_after{};      // of a refused one; 0: no advice
+    bool passed = false;     // its long value was passed on in pieces: all of it if served, else cut short
 };
 
 // A front hands calls to the core and gets exactly one answer for each that it has not withdrawn.
@@ -48,6 +49,10 @@
 public:
     virtual ~Front() = default;
     virtual void answer(const Ticket& ticket, const Answer& answer) = 0;
+    // A long value begins, and comes in pieces; answer() follows. False: no more of it, until
+    // Gateway::go_on().
+    virtual void begin_value(const Ticket& ticket, std::size_t size) = 0;
+    virtual bool pass_value(const Ticket& ticket, std::string_view piece) = 0;
 };
 
 // The gateway's time is Unix time read once, carried on by the monotonic clock.
@@ -72,6 +77,8 @@
     // Ends in exactly one Gateway::attempt_ended, also when given up. Returns the attempt's handle.
     virtual Handle start(Handle call, const WorkerId& worker, const Payload& payload, Time until) = 0;
     virtual void give_up(Handle attempt) = 0;
+    // The front takes more of the attempt's long value.
+    virtual void go_on(Handle attempt) = 0;
     virtual void probe(const WorkerId& worker) = 0;
     // The list as it is now. What is not on it, or drains, is sent nothing more.
     virtual void told(const std::vector<Listed>& entries, bool whole) = 0;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -48,6 +48,12 @@
     return names;
 }
 
+std::vector<std::string> plan_names(const gateway::Config& config) {
+    std::vector<std::string> names;
+    for (const auto& plan : config.site.settings.plans) names.push_back(plan.name);
+    return names;
+}
+
 sockaddr_storage counter_of(const gateway::Config& config) {
     return config.counter.empty() ? sockaddr_storage{} : address_of("counter", config.counter);
 }
@@ -62,9 +68,9 @@
         const auto sockets = std::max(std::min<std::size_t>(config.sockets, files.rlim_cur), least_sockets);
         const std::size_t kept = std::max(sockets / 8, net::MgmtServer::most_callers + for_the_rest);
         clients = sockets / 3 + sockets / 8;
-        unsent = config.memory_mb * 1024 * 1024 / 4;
+        unsent = config.memory_mb * 1024 * 1024 / 8;
         workers = sockets - clients - kept;
-        calls.bytes = config.memory_mb * 1024 * 1024 / 4;
+        calls.bytes = config.memory_mb * 1024 * 1024 / 3;
         calls.accounts = config.memory_mb * 1024 * 1024 / 4 / crowd::Crowd::bytes_each;
         calls.calls =
             std::max(1, config.site.max_open > 0 ? std::min(config.site.max_open, most_calls) : most_calls);
@@ -101,7 +107,8 @@
           drain_(loop_, acceptor_, longest_deadline(config), [this] { loop_.stop(); }),
           desk_({gateway_, pool_, suspensions_, drain_, class_names(config),
                  [this](const mgmt::Command& done) { upgrade_.tell(done); }}),
-          upgrade_({loop_, acceptor_, pool_, suspensions_, drain_, [this](bool on) { share(on); }},
+          upgrade_({loop_, gateway_, acceptor_, pool_, suspensions_, drain_, [this](bool on) { share(on); },
+                    plan_names(config)},
                    gateway::meeting_place(gateway::variable("TMPDIR"), config.listen), config.listen),
           mgmt_(loop_, [this](const mgmt::Command& command) { return desk_.carry(command); }) {
         gateway_.attach(pool_, counter_);
--- a/src/gateway/upgrade.cpp
+++ b/src/gateway/upgrade.cpp
@@ -2,8 +2,11 @@
 
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <utility>
 
+#include "upgrade/accounts.h"
+
 namespace linnetlead::gateway {
 
 using upgrade::Kind;
@@ -12,8 +15,9 @@
 
 namespace {
 
-constexpr core::Span state_within = 1s;  // else the new process starts alone
-constexpr std::size_t most_path = 90;    // of a Unix socket's, with room for what is put behind it
+constexpr core::Span state_within = 1s;       // else the new process starts alone
+constexpr std::size_t most_accounts = 20000;  // go over; further ones begin anew
+constexpr std::size_t most_path = 90;         // of a Unix socket's, with room for what is put behind it
 
 }  // namespace
 
@@ -69,6 +73,11 @@
             if (message.with) adopted_ = parts_.acceptor.adopt(from) == 0;
             if (message.on) parts_.drain.drain();
             return true;
+        case Kind::accounts:
+            for (const auto& told : upgrade::read_accounts(message.text, parts_.plans)) {
+                parts_.gateway.take_over(told);
+            }
+            return true;
         case Kind::end:
             taken_ = true;
             return true;
@@ -102,11 +111,18 @@
         for (const core::WorkerId& id : parts_.suspensions.all()) {
             send(Other::newer, {Kind::ban, id, true, false});
         }
+        const auto accounts = parts_.gateway.accounts();
+        const std::size_t count = std::min(accounts.size(), most_accounts);
+        for (std::size_t from = 0; from < count; from += upgrade::accounts_in_a_message) {
+            const std::string text = upgrade::write_accounts(accounts, from, parts_.plans);
+            send(Other::newer, {Kind::accounts, text, false, false});
+        }
         send(Other::newer, {Kind::end, {}, false, false});
         return true;
     }
     if (message.kind != Kind::ready) return false;
     passed_ = true;
+    parts_.gateway.handed_over();  // else both would tally the same demand
     parts_.pool.retire(true);
     parts_.acceptor.pass_on([this](uv_stream_t* client, bool asked, std::function<void(bool)> sent) {
         newer_->send(upgrade::write({Kind::client, {}, asked, true}), client, std::move(sent));
--- a/src/gateway/upgrade.h
+++ b/src/gateway/upgrade.h
@@ -26,12 +26,14 @@
 public:
     struct Parts {
         net::Loop& loop;
+        core::Gateway& gateway;
         net::Acceptor& acceptor;
         net::WorkerPool& pool;
         mgmt::Suspensions& suspensions;
         Drain& drain;
         // Another process lives beside this one, or no longer: memory and sockets are for both.
         std::function<void(bool)> share;
+        std::vector<std::string> plans;  // their names, by number
     };
     // `place`: of meeting_place().
     Upgrade(Parts parts, std::string place, std::string listen);
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// A body over this is read into room of its own, taken by its length; less may lie in every read buffer.
+constexpr std::size_t most_small = 8 * 1024;
+constexpr std::string_view line_end = "\r\n";
 constexpr std::size_t most_pipelined = 64;        // commands of one client without an answer
 constexpr std::size_t much_unsent = 64 * 1024;    // to one client: no more is read from it
 constexpr std::size_t most_unsent = 1024 * 1024;  // it does not read: it is given up
@@ -25,6 +28,7 @@
 void write_answer(std::string& out, const Answer& answer) {
     switch (answer.verdict) {
         case Verdict::served:
+            if (answer.passed) return void(out.append(line_end));
             resp::write_bulk(out, answer.value);
             return;
         case Verdict::refused: {
@@ -49,6 +53,11 @@
         Entry& entry = entries_[static_cast<std::size_t>(number - first_)];
         entry.call = {};
         entry.done = true;
+        // Cut short: the client can tell by the end of its connection alone.
+        if (answer.passed && answer.verdict != Verdict::served) {
+            withdraw_all();
+            return close();
+        }
         if (number == first_) {
             write_answer(to_write(), answer);
             drop_first();
@@ -63,6 +72,21 @@
             close();
         }
     }
+    void begin_value(std::uint64_t number, std::size_t size) {
+        if (Entry* entry = find(number)) {
+            entry->passing = true;
+            out_of(*entry, number).append(1, '$').append(std::to_string(size)).append(line_end);
+        }
+    }
+    // One whose turn has not come is read no further: one buffer of it waits here.
+    bool pass_value(std::uint64_t number, std::string_view piece) {
+        Entry* const entry = find(number);
+        if (!entry) return false;
+        out_of(*entry, number).append(piece);
+        note_unsent();
+        const bool crowded = acceptor_.unsent_ > acceptor_.most_unsent_;
+        return number == first_ && unsent() <= (crowded ? 0 : much_unsent);
+    }
     void note_unsent() {
         acceptor_.unsent_ -= std::exchange(noted_unsent_, closing() ? 0 : unsent());
         acceptor_.unsent_ += noted_unsent_;
@@ -91,6 +115,7 @@
         if (closing() || finishing() || passing_ || waits()) return;
         if (half_since_ != Time{}) {
             if (now - half_since_ <= patience_half) return;
+            drop_body();
             reply("-ERR command is not whole\r\n");
             leave();
         } else if (acceptor_.retiring_ || acceptor_.pass_) {
@@ -106,6 +131,7 @@
     bool may_give_way() const { return !closing() && !passing_ && entries_.empty(); }
 
     void withdraw_all() {
+        drop_body();
         for (const Entry& entry : std::exchange(entries_, {})) acceptor_.gateway_.withdraw(entry.call);
     }
 
@@ -118,19 +144,47 @@
         Handle call;
         std::string reply;  // held back until those before it are answered
         bool done = false;
+        bool passing = false;  // a long value, in pieces
+    };
+    // A command whose long body is still to come.
+    struct Body {
+        core::Call call;
+        const char* problem = nullptr;  // told once the body is skipped
+        bool has_room = false;          // the body is kept
+        std::size_t room = 0;           // reserved in the core
+        std::size_t left = 0;           // bytes to come, its end of line with them
+        Time begun{};
     };
 
+    Entry* find(std::uint64_t number) {
+        const bool here = number >= first_ && number - first_ < entries_.size();
+        return here ? &entries_[static_cast<std::size_t>(number - first_)] : nullptr;
+    }
+    std::string& out_of(Entry& entry, std::uint64_t number) {
+        return number == first_ ? to_write() : entry.reply;
+    }
+
     std::size_t on_bytes(std::string_view bytes) override {
         if (last_) return bytes.size();
         std::size_t taken = 0;
         const Time now = loop().now();
         while (taken < bytes.size() && !closing() && !finishing()) {
+            if (body_.left > 0) {
+                half_since_ = now;  // slow ones are waited for as long as something comes
+                taken += take_body(bytes.substr(taken));
+                continue;
+            }
             if (entries_.size() >= most_pipelined || unsent() > much_unsent) {
                 read_more(false);  // goes on in on_written()
                 break;
             }
             resp::Message& message = acceptor_.message_;
-            const resp::Parsed parsed = resp::parse(bytes.substr(taken), message);
+            const resp::Parsed parsed = resp::parse(bytes.substr(taken), message, most_small);
+            if (parsed == resp::Parsed::long_bulk && begin_body(message)) {
+                half_since_ = now;
+                taken += message.size;
+                continue;
+            }
             if (parsed == resp::Parsed::partial) {
                 if (taken > 0 || half_since_ == Time{}) half_since_ = now;
                 return taken;
@@ -161,11 +215,73 @@
         reply("-ERR unknown command\r\n");
     }
 
+    // False: no command has a long one there.
+    bool begin_body(const resp::Message& message) {
+        constexpr std::size_t before = 4;
+        if (!message.array || message.count != before + 1 || message.items.size() != before) return false;
+        const std::string_view verb = message.items.front().text;
+        if (verb != "Q.DO" && verb != "Q.ASK") return false;
+        for (const resp::Item& item : message.items) {
+            if (item.type != resp::Type::bulk) return false;
+        }
+        body_ = {};
+        body_.begun = loop().now();
+        body_.left = message.left + line_end.size();
+        resp::Message head = message;
+        core::Gateway& gateway = acceptor_.gateway_;
+        // Room first: reading the head makes the body's.
+        const std::size_t room = message.left + most_small;
+        body_.has_room = gateway.reserve(room);
+        body_.room = body_.has_room ? room : 0;
+        if (!body_.has_room) head.left = 0;
+        body_.problem = resp::read_call(head, acceptor_.names_, body_.begun, body_.call);
+        return true;
+    }
+
+    std::size_t take_body(std::string_view bytes) {
+        const std::size_t size = std::min(bytes.size(), body_.left);
+        body_.left -= size;
+        // The end of line is kept as it came, and looked at when it is whole.
+        std::string& kept = body_.call.payload.bytes;
+        if (body_.has_room && !body_.problem) kept.append(bytes.substr(0, size));
+        if (body_.left > 0) return size;
+        half_since_ = {};
+        Body body = std::exchange(body_, {});
+        acceptor_.gateway_.give_back(body.room);
+        if (body.problem) {
+            reply("-ERR " + std::string(body.problem) + "\r\n");
+        } else if (!body.has_room) {
+            asked = true;
+            used = loop().now();
+            acceptor_.gateway_.turned_away(body.call.request.cls);
+            reply("-BUSY\r\n");
+        } else if (kept_end(body.call.payload.bytes) != line_end) {
+            reply("-ERR protocol error\r\n");
+            last_ = true;
+            finish_if_last();
+        } else {
+            body.call.request.due += loop().now() - body.begun;  // its time counts from its last byte
+            take(std::move(body.call));
+        }
+        return size;
+    }
+    static std::string_view kept_end(std::string_view bytes) {
+        return bytes.substr(bytes.size() - std::min(bytes.size(), line_end.size()));
+    }
+    void drop_body() {
+        acceptor_.gateway_.give_back(body_.room);
+        body_ = {};
+    }
+
     void on_call(const resp::Message& message) {
         core::Call call;
         if (const char* error = resp::read_call(message, acceptor_.names_, loop().now(), call)) {
             return reply("-ERR " + std::string(error) + "\r\n");
         }
+        take(std::move(call));
+    }
+
+    void take(core::Call call) {
         asked = true;
         used = loop().now();
         const std::uint64_t number = first_ + entries_.size();
@@ -179,7 +295,7 @@
         if (entries_.empty()) {
             to_write().append(text);
         } else {
-            entries_.push_back({{}, std::move(text), true});
+            entries_.push_back({{}, std::move(text), true, false});
         }
     }
 
@@ -187,9 +303,10 @@
         do {
             entries_.pop_front();
             ++first_;
-            if (entries_.empty() || !entries_.front().done) break;
-            to_write().append(entries_.front().reply);
-        } while (true);
+            if (entries_.empty()) break;
+            to_write().append(std::exchange(entries_.front().reply, {}));
+        } while (entries_.front().done);
+        // A long value whose turn has come goes on when what of it waited here is written.
         finish_if_last();
     }
 
@@ -209,6 +326,7 @@
 
     void on_written() override {
         note_unsent();
+        if (!entries_.empty() && entries_.front().passing) acceptor_.gateway_.go_on(entries_.front().call);
         if (entries_.size() < most_pipelined) {
             read_more(true);
             take_rest();
@@ -218,11 +336,13 @@
     // The client has gone away: nobody waits for its calls.
     void on_end(int) override { withdraw_all(); }
     void on_released() override {
+        drop_body();
         note_unsent();
         acceptor_.clients_.remove(self);
     }
 
     Acceptor& acceptor_;
+    Body body_;
     std::deque<Entry> entries_;  // commands without an answer, in their order
     std::uint64_t first_ = 0;    // number of the first of them
     std::size_t noted_unsent_ = 0;
@@ -302,6 +422,16 @@
     if (client && !client->closing()) client->answer(ticket.number, answer);
 }
 
+void Acceptor::begin_value(const Ticket& ticket, std::size_t size) {
+    Client* client = clients_.find(Handle::unpacked(ticket.place));
+    if (client && !client->closing()) client->begin_value(ticket.number, size);
+}
+
+bool Acceptor::pass_value(const Ticket& ticket, std::string_view piece) {
+    Client* client = clients_.find(Handle::unpacked(ticket.place));
+    return client && !client->closing() && client->pass_value(ticket.number, piece);
+}
+
 void Acceptor::stop_listening() { listener_.close(); }
 
 void Acceptor::retire(bool on) {
--- a/src/net/acceptor.h
+++ b/src/net/acceptor.h
@@ -45,6 +45,8 @@
     bool empty() const { return clients_.size() == 0; }
 
     void answer(const core::Ticket& ticket, const core::Answer& answer) override;
+    void begin_value(const core::Ticket& ticket, std::size_t size) override;
+    bool pass_value(const core::Ticket& ticket, std::string_view piece) override;
 
 private:
     class Client;
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -113,7 +113,7 @@
         while (taken < bytes.size() && !closing()) {
             const resp::Parsed parsed = resp::parse(bytes.substr(taken), message_);
             if (parsed == resp::Parsed::partial) break;
-            if (parsed == resp::Parsed::malformed || message_.array || calls_.empty()) {
+            if (parsed != resp::Parsed::whole || message_.array || calls_.empty()) {
                 give_up();
                 return bytes.size();
             }
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr Span probe_timeout = std::chrono::milliseconds(250);
+// Of a long value, or of what comes behind it: peers take seconds, but not so many.
+constexpr Span stalls_for = std::chrono::seconds(15);
+constexpr Span tail_within = std::chrono::seconds(1);
 constexpr Span time_to_rest = std::chrono::milliseconds(5);  // before a connection takes its next call
 
 }  // namespace
@@ -36,6 +39,8 @@
         busy_ = true;
         answering_ = counted_ = false;
         reused_ = connected_;
+        body_left_ = {};
+        part_ = Part::head;
         stir();
         begun_ = loop().now();
         loop().disarm(timer_);
@@ -63,7 +68,12 @@
 
     bool busy() const { return busy_; }
     Time rests_since() const { return rests_since_; }
-    bool unsent_call() const { return busy_ && !connected_; }
+    bool unsent_call() const { return busy_ && stage() < Stage::written; }
+    void go_on() {
+        if (part_ != Part::value) return;
+        arm(loop().now() + stalls_for);
+        read_more(true);
+    }
 
     const WorkerId worker;
     Handle self;
@@ -71,7 +81,7 @@
 private:
     Stage stage() const {
         if (!connected_) return Stage::unconnected;
-        if (unsent() > 0) return Stage::partly_written;
+        if (unsent() > 0 || !body_left_.empty()) return Stage::partly_written;
         return answering_ ? Stage::answering : Stage::written;
     }
 
@@ -79,16 +89,19 @@
         arm(until_);
         std::string& out = to_write();
         if (payload_) {
-            resp::write_call(out, *payload_, until_ - loop().now());
+            body_left_ = resp::write_call(out, *payload_, until_ - loop().now());
         } else {
             out.append("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n");
         }
     }
 
     void arm(Time at) {
+        loop().disarm(timer_);
         timer_ = loop().arm(at, [this] {
             timer_ = {};
-            if (busy_) {
+            if (busy_ && part_ == Part::tail) {
+                end(tail_);
+            } else if (busy_) {
                 end({Stage::unconnected, Ending::timed_out, {}, 0, {}});
             } else {
                 close();  // idle for so long that the worker is about to close it
@@ -115,6 +128,12 @@
     }
 
     void on_written() override {
+        if (busy_ && !body_left_.empty()) {
+            // A long body goes out piece by piece, and is not copied whole.
+            to_write().append(body_left_.substr(0, resp::most_bulk));
+            body_left_.remove_prefix(std::min(body_left_.size(), resp::most_bulk));
+            return;
+        }
         if (busy_ && payload_ && connected_ && !std::exchange(counted_, true)) ++pool_.tries_;
     }
 
@@ -124,8 +143,17 @@
             return bytes.size();
         }
         answering_ = true;
+        if (part_ == Part::value) return pass_value(bytes);
+        if (part_ == Part::tail) return read_tail(bytes);
         resp::Message& message = pool_.message_;
         const resp::Parsed parsed = resp::parse(bytes, message);
+        const bool long_value = parsed == resp::Parsed::long_bulk && payload_ && message.items.empty() &&
+                                resp::may_become_reply(message);
+        if (long_value) return begin_value(bytes, message);
+        if (parsed == resp::Parsed::long_bulk) {
+            end({});
+            return bytes.size();
+        }
         // Guards against spoilt answers: the call may have run, and its client hears so at once.
         if (parsed == resp::Parsed::malformed || (payload_ && !resp::may_become_reply(message))) {
             end({});
@@ -149,10 +177,74 @@
         return bytes.size();
     }
 
+    // Nothing goes to the client before the first byte of the value is here: until then another attempt may
+    // follow.
+    std::size_t begin_value(std::string_view bytes, const resp::Message& message) {
+        if (bytes.size() == message.size) return 0;
+        value_left_ = message.left;
+        const std::size_t head = message.size;
+        part_ = Part::value;
+        loop().disarm(std::exchange(timer_, {}));
+        if (pool_.gateway_.value_begins(call_, value_left_) == core::Gateway::Wanted::nothing) {
+            end({Stage::answering, Ending::given_up, {}, 0, {}});
+            return bytes.size();
+        }
+        return head + pass_value(bytes.substr(head));
+    }
+
+    std::size_t pass_value(std::string_view bytes) {
+        using Wanted = core::Gateway::Wanted;
+        const std::size_t size = std::min(value_left_, bytes.size());
+        arm(loop().now() + stalls_for);
+        if (size > 0) {
+            value_left_ -= size;
+            const Wanted wanted = pool_.gateway_.value_piece(call_, bytes.substr(0, size));
+            if (closing()) return bytes.size();  // its client went away within
+            if (wanted == Wanted::nothing) {
+                end({Stage::answering, Ending::given_up, {}, 0, {}});
+                return bytes.size();
+            }
+            if (wanted == Wanted::pause) read_more(false);
+        }
+        if (value_left_ > 0 || bytes.size() - size < line_end.size()) return size;
+        if (bytes.substr(size, line_end.size()) != line_end) {
+            end({});
+            return bytes.size();
+        }
+        part_ = Part::tail;
+        tail_ = {};
+        tail_.ending = Ending::served;
+        tail_items_ = 0;
+        read_more(true);
+        arm(loop().now() + tail_within);
+        pool_.gateway_.value_ends(call_);
+        pool_.note_reuse({}, true);
+        return size + line_end.size() + read_tail(bytes.substr(size + line_end.size()));
+    }
+
+    // Figures and report behind a long value: its client has had it, whatever they are.
+    std::size_t read_tail(std::string_view bytes) {
+        std::size_t taken = 0;
+        resp::Message& message = pool_.message_;
+        while (tail_items_ < 2) {
+            const resp::Parsed parsed = resp::parse(bytes.substr(taken), message);
+            if (parsed == resp::Parsed::partial) return taken;
+            if (parsed != resp::Parsed::whole || message.array) {
+                end(tail_);
+                return bytes.size();
+            }
+            taken += message.size;
+            resp::read_behind(message.items.front().text, tail_items_++, tail_);
+        }
+        const auto at = pool_.workers_.find(worker);
+        end(tail_, taken == bytes.size() && at != pool_.workers_.end() && at->second.wanted);
+        return bytes.size();
+    }
+
     void on_end(int) override {
         const bool at_once = loop().now() - begun_ < pool_.limits_.connect_timeout / 10;
         if (busy_ && reused_ && !answering_ && at_once) pool_.note_reuse(begun_ - rests_since_, false);
-        if (busy_) end({});
+        if (busy_) end(part_ == Part::tail ? tail_ : AttemptEnd{});
     }
 
     void on_released() override {
@@ -167,9 +259,17 @@
         pool_.connections_.remove(self);
     }
 
+    enum class Part { head, value, tail };
+    static constexpr std::string_view line_end = "\r\n";
+
     WorkerPool& pool_;
     Handle call_;
     const core::Payload* payload_ = nullptr;  // the core keeps it while the attempt is out
+    std::string_view body_left_;              // of the payload, still to be written
+    Part part_ = Part::head;                  // of the answer
+    std::size_t value_left_ = 0;              // bytes of a long one
+    AttemptEnd tail_;                         // of a long value: what has been read behind it
+    int tail_items_ = 0;
     Time until_{};
     Time rests_since_{};
     Time begun_{};
@@ -227,6 +327,11 @@
     if (connection && connection->busy()) connection->end({Stage::unconnected, Ending::given_up, {}, 0, {}});
 }
 
+void WorkerPool::go_on(Handle attempt) {
+    Connection* connection = connections_.find(attempt);
+    if (connection && connection->busy()) connection->go_on();
+}
+
 void WorkerPool::probe(const WorkerId& worker) {
     if (Connection* connection = connection_to(worker)) {
         connection->begin({}, nullptr, loop_.now() + probe_timeout);
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -26,6 +26,7 @@
     core::Handle start(core::Handle call, const core::WorkerId& worker, const core::Payload& payload,
                        core::Time until) override;
     void give_up(core::Handle attempt) override;
+    void go_on(core::Handle attempt) override;
     void probe(const core::WorkerId& worker) override;
     void told(const std::vector<core::Listed>& entries, bool whole) override;
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -102,32 +102,11 @@
     return hash;
 }
 
-struct Customer {
-    int plan = 0;
-    int set_size = 1;
+struct Customer : Account {
     std::uint64_t hash = 0;
-    std::int64_t index = 0;   // the interval now running
-    double demand = 0;        // offered here in it, refused included
-    Time begun{};             // where a change of plan has cut it short: when it began
-    double last_demand = 0;   // and in the one before: what is expected again
-    double others = 0;        // the other gateways' demand at the last tally
-    bool tallied = false;     // others is known
-    bool sparse = false;      // an even slice is under one request: demand is told with each request
-    double untold = 0;        // own demand that no add has carried yet
-    double others_spent = 0;  // what was booked for them at the edge, until the read corrects it
-    double told = 0;          // added to the count of the interval now running
-    double pass = 1;          // the chance that the last look gave
-    bool room = true;         // under its limit at once, as the last look saw
-    Time looked_at{};
-    int since_read = 0;
-    double store = 0;    // what the global store should hold at the interval's start
-    double granted = 0;  // what all gateways may pass on in this interval
-    double slice = 0;
-    double left = 0;  // of the slice
-    int open = 0;     // own attempts out
-    int idle = 0;
-    double ceiling_left = 0;
-    Time ceiling_at{};
+    Time begun{};         // where a change of plan has cut its interval short: when that began
+    bool sparse = false;  // an even slice is under one request: demand is told with each request
+    int open = 0;         // own attempts out
 };
 
 struct Attempt {
@@ -327,11 +306,8 @@
         c.left += credit;
         schedule(edge(c, c.index + 1), {TaskKind::edge, name});
         if (c.sparse) return;
-        if (c.set_size < 2) {  // a customer with one gateway needs no counter
-            c.tallied = true;
-            return;
-        }
-        tally(name, c, std::max(0.0, spent), now);
+        c.tallied = c.tallied || c.set_size < 2;  // a customer with one gateway needs no counter
+        if (c.set_size > 1) tally(name, c, std::max(0.0, spent), now);
     }
 
     void open_interval(Customer& c) {
@@ -348,14 +324,12 @@
         const double most = most_granted(c);
         const double demand = std::max(1.0, std::round(c.last_demand / most * demand_parts));
         const double told = demand + std::round(std::min(1.0, spent / most) * spend_parts) / thousandths;
-        if (call(name, c, now, CallKind::add, told)) {
-            c.told = told;
-            ++c.since_read;
-            const bool binding = c.last_demand + c.others > read_floor * quota;
-            if (!c.tallied || binding || c.since_read >= read_at_least_every) {
-                schedule(now + cfg_.count_timeout, {TaskKind::read, name});
-            }
-        }
+        if (!call(name, c, now, CallKind::add, told)) return;
+        c.told = told;
+        ++c.since_read;
+        const bool binding = c.last_demand + c.others > read_floor * quota;
+        const bool wanted = !c.tallied || binding || c.since_read >= read_at_least_every;
+        if (wanted) schedule(now + cfg_.count_timeout, {TaskKind::read, name});
     }
     // Plans without a rate are tallied in requests, against what their limit lets through.
     double tally_quota(const Customer& c) const {
@@ -801,10 +775,8 @@
     // ---- Events ---------------------------------------------------------------------------------------
 
     void on_request(Time now, const Request& request) {
-        if (request.cls < 0 || request.cls >= static_cast<int>(cfg_.classes.size()) || request.plan < 0 ||
-            request.plan >= static_cast<int>(cfg_.plans.size()) || requests_.count(request.id) > 0) {
-            return;
-        }
+        const bool has_class = request.cls >= 0 && request.cls < static_cast<int>(cfg_.classes.size());
+        if (!has_class || !has_plan(request.plan) || requests_.count(request.id) > 0) return;
         Customer& c = customer_of(request, now);
         const PlanSettings& plan = plan_of(c);
         c.demand += plan.rate > 0 ? request.units : 1;
@@ -856,14 +828,12 @@
         if (c) --c->open;
         hold_s_ += mean_gain * (seconds(now - a.sent) - hold_s_);
         const auto at = servers_.find(a.server);
-        if (at != servers_.end()) {
-            // A server may go on with work that timed out: forgotten, it would fill servers that seem idle.
-            if (judge(at->second, r, result, now) && result.outcome == Outcome::timeout) {
-                schedule(now + span_of(seconds(now - a.sent) * left_for), {TaskKind::left, a.server, a.sent});
-            } else {
-                on_left(a.server, a.sent);
-            }
-        }
+        const bool by_load = at != servers_.end() && judge(at->second, r, result, now);
+        // A server may go on with work that timed out: forgotten, it would fill servers that seem idle.
+        const bool goes_on = by_load && result.outcome == Outcome::timeout;
+        const Span longer = span_of(seconds(now - a.sent) * left_for);
+        if (goes_on) schedule(now + longer, {TaskKind::left, a.server, a.sent});
+        if (!goes_on) on_left(a.server, a.sent);
         if (result.outcome == Outcome::ok && c && result.true_units > 0) {
             c->left -= result.true_units - r.units;
             if (c->sparse && plan_of(*c).rate > 0) c->untold += result.true_units - r.units;
@@ -875,6 +845,30 @@
         if (r.answered && r.out == 0) requests_.erase(result.id);
     }
 
+    // The answer is on its way: the server has done its work, however long a client takes to read it.
+    void on_stream_started(RequestId id, int attempt) {
+        const auto it = requests_.find(id);
+        if (it == requests_.end() || attempt < 0) return;
+        const std::vector<Attempt>& all = it->second.attempts;
+        if (attempt < static_cast<int>(all.size())) on_left(all[attempt].server, all[attempt].sent);
+    }
+
+    // Another process of this gateway hands over: what it was granted is not granted again.
+    void on_account(const Account& told) {
+        if (!has_plan(told.plan)) return;
+        Customer& c = customers_[told.customer];
+        static_cast<Account&>(c) = told;
+        c.hash = hash_of(told.customer);
+        c.sparse = is_sparse(plan_of(c), c.set_size);
+        schedule(edge(c, c.index + 1), {TaskKind::edge, told.customer});
+    }
+    std::vector<Account> accounts() const {
+        std::vector<Account> all;
+        for (const auto& [name, c] : customers_) (all.emplace_back(c)).customer = name;
+        return all;
+    }
+    void on_handed_over() { customers_.clear(); }
+
     void on_left(const ServerId& id, Time sent) {
         const auto at = servers_.find(id);
         if (at == servers_.end()) return;
@@ -1002,6 +996,7 @@
             require(p.ceiling_burst >= 0, "plans.ceiling_burst");
         }
     }
+    bool has_plan(int plan) const { return plan >= 0 && plan < static_cast<int>(cfg_.plans.size()); }
     const ClassSettings& cls_of(const Open& r) const { return cfg_.classes[static_cast<std::size_t>(r.cls)]; }
     double uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
     void schedule(Time at, Task task) { agenda_.emplace(at, std::move(task)); }
@@ -1014,7 +1009,7 @@
     Actions& out_;
     std::mt19937_64 random_;
     Time started_;
-    std::unordered_map<std::string, Customer> customers_;  // never iterated: order plays no part
+    std::unordered_map<std::string, Customer> customers_;  // in no order: iterated to hand over
     std::unordered_map<RequestId, Open> requests_;
     std::unordered_map<std::string, std::deque<Call>> calls_;
     std::map<ServerId, Server> servers_;
@@ -1049,7 +1044,14 @@
 void Policy::on_request(Time now, const Request& request) {
     impl_->handle(now, [&] { impl_->on_request(now, request); });
 }
-void Policy::on_stream_started(Time, RequestId, int) {}
+void Policy::on_stream_started(Time now, RequestId id, int attempt) {
+    impl_->handle(now, [&] { impl_->on_stream_started(id, attempt); });
+}
+void Policy::on_account(Time now, const Account& told) {
+    impl_->handle(now, [&] { impl_->on_account(told); });
+}
+void Policy::on_handed_over() { impl_->on_handed_over(); }
+std::vector<Account> Policy::accounts() const { return impl_->accounts(); }
 void Policy::on_result(Time now, const AttemptResult& result) {
     impl_->handle(now, [&] { impl_->on_result(now, result); });
 }
--- a/src/resp/command.cpp
+++ b/src/resp/command.cpp
@@ -61,7 +61,7 @@
 
 const char* read_call(const Message& message, const Names& names, core::Time now, core::Call& call) {
     // verb, customer, id, pairs and perhaps a body
-    if (message.items.size() < 4 || message.items.size() > 5) return "wrong number of arguments";
+    if (message.items.size() < 4 || message.count > 5) return "wrong number of arguments";
     const std::string_view verb = message.items[0].text;
     const std::string_view customer = message.items[1].text;
     const std::string_view pairs = message.items[3].text;
@@ -114,7 +114,7 @@
     // Kept ready to be sent on: all but the wait is passed on unchanged.
     core::Payload& payload = call.payload;
     payload.bytes.clear();
-    write_array(payload.bytes, message.items.size());
+    write_array(payload.bytes, message.count);
     for (int i = 0; i < 3; ++i) write_bulk(payload.bytes, message.items[static_cast<std::size_t>(i)].text);
     const auto mark = [&](std::size_t i) {
         payload.marks[i] = static_cast<std::uint32_t>(payload.bytes.size());
@@ -125,10 +125,16 @@
     payload.bytes.append(wait_text.data() + wait_text.size(), pairs.data() + pairs.size());
     mark(2);
     if (message.items.size() > 4) write_bulk(payload.bytes, message.items[4].text);
+    if (message.left > 0) {
+        constexpr std::size_t line_end = 2;
+        const std::string length = '$' + std::to_string(message.left) + "\r\n";
+        payload.bytes.reserve(payload.bytes.size() + length.size() + message.left + line_end);
+        payload.bytes.append(length);
+    }
     return nullptr;
 }
 
-void write_call(std::string& out, const core::Payload& payload, core::Span wait) {
+std::string_view write_call(std::string& out, const core::Payload& payload, core::Span wait) {
     const auto ms = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(wait).count());
     const std::string text = std::to_string(ms);
     const std::string_view bytes = payload.bytes;
@@ -136,7 +142,8 @@
     out.append(bytes.substr(0, pairs));
     out.append(1, '$').append(std::to_string(body - pairs + text.size())).append("\r\n");
     out.append(bytes.substr(pairs, rest - pairs)).append(text).append(bytes.substr(rest, body - rest));
-    out.append("\r\n").append(bytes.substr(body));
+    out.append("\r\n").append(bytes.substr(body, most_bulk));
+    return bytes.size() - body > most_bulk ? bytes.substr(body + most_bulk) : std::string_view();
 }
 
 topazcrank::LoadReport read_report(std::string_view text) {
@@ -167,12 +174,20 @@
     }
     end.ending = core::Ending::served;
     end.value = first;
-    each_pair(message.items[1].text, [&](std::string_view name, std::string_view value) {
+    read_behind(message.items[1].text, 0, end);
+    read_behind(message.items[2].text, 1, end);
+    return end;
+}
+
+void read_behind(std::string_view text, int place, core::AttemptEnd& end) {
+    if (place == 1) {
+        end.report = read_report(text);
+        return;
+    }
+    each_pair(text, [&](std::string_view name, std::string_view value) {
         const auto number = parse<double>(value);
         if (name == "cost" && number && *number > 0) end.true_units = *number;
     });
-    end.report = read_report(message.items[2].text);
-    return end;
 }
 
 }  // namespace linnetlead::resp
--- a/src/resp/command.h
+++ b/src/resp/command.h
@@ -37,15 +37,19 @@
 };
 
 // Reads Q.ASK or Q.DO into a call whose deadline counts from `now`. Returns the error reply's text, or
-// nullptr when it was read.
+// nullptr when it was read. Of a message with a long body, all but the body.
 const char* read_call(const Message& message, const Names& names, core::Time now, core::Call& call);
 
-// The same command for a worker, saying how long the gateway will wait.
-void write_call(std::string& out, const core::Payload& payload, core::Span wait);
+// The same command for a worker, saying how long the gateway will wait. Returns what of it is still to be
+// written: a long body's rest, a slice of the payload.
+std::string_view write_call(std::string& out, const core::Payload& payload, core::Span wait);
 
 // A worker's whole reply. What cannot be read in its figures or its report spoils neither.
 core::AttemptEnd read_reply(const Message& message);
 
+// What stands behind the value of a reply: 0, the figures on use; 1, the report.
+void read_behind(std::string_view text, int place, core::AttemptEnd& end);
+
 // False where what has come so far can become no reply of a worker's: known before it is whole.
 bool may_become_reply(const Message& message);
 
--- a/src/resp/parser.cpp
+++ b/src/resp/parser.cpp
@@ -8,9 +8,10 @@
 
 class Reader {
 public:
-    explicit Reader(std::string_view buffer) : buffer_(buffer) {}
+    Reader(std::string_view buffer, std::size_t most) : buffer_(buffer), most_(most) {}
 
     std::size_t taken() const { return at_; }
+    std::size_t left() const { return left_; }
 
     // A type byte and the rest of its line.
     Parsed line(char& type, std::string_view& rest) {
@@ -57,7 +58,11 @@
                     return Parsed::whole;
                 }
                 std::size_t size = 0;
-                if (!length(rest, most_bulk, size)) return Parsed::malformed;
+                if (!length(rest, most_long, size)) return Parsed::malformed;
+                if (size > most_) {
+                    left_ = size;
+                    return Parsed::long_bulk;
+                }
                 item.type = Type::bulk;
                 return bulk(size, item.text);
             }
@@ -73,17 +78,19 @@
 
 private:
     std::string_view buffer_;
+    std::size_t most_;
     std::size_t at_ = 0;
+    std::size_t left_ = 0;
 };
 
 }  // namespace
 
-Parsed parse(std::string_view buffer, Message& message) {
+Parsed parse(std::string_view buffer, Message& message, std::size_t most) {
     message.items.clear();
     message.array = false;
     message.count = 0;
-    message.size = 0;
-    Reader reader(buffer);
+    message.size = message.left = 0;
+    Reader reader(buffer, most);
     char type = 0;
     std::string_view rest;
     if (const Parsed got = reader.line(type, rest); got != Parsed::whole) return got;
@@ -95,7 +102,11 @@
             if (const Parsed got = reader.line(type, rest); got != Parsed::whole) return got;
         }
         Item item;
-        if (const Parsed got = reader.item(type, rest, item); got != Parsed::whole) return got;
+        if (const Parsed got = reader.item(type, rest, item); got != Parsed::whole) {
+            message.size = reader.taken();
+            message.left = reader.left();
+            return got;
+        }
         message.items.push_back(item);
     }
     message.size = reader.taken();
--- a/src/resp/parser.h
+++ b/src/resp/parser.h
@@ -8,7 +8,8 @@
 
 namespace linnetlead::resp {
 
-constexpr std::size_t most_bulk = 64 * 1024;                // a value's most bytes
+constexpr std::size_t most_bulk = 64 * 1024;                // a value's most bytes that is read whole
+constexpr std::size_t most_long = 4 * 1024 * 1024;          // and in pieces
 constexpr std::size_t most_message = most_bulk + 8 * 1024;  // no buffer has to hold more
 constexpr std::size_t most_items = 64;                      // of an array
 constexpr std::size_t most_line = 1024;
@@ -25,13 +26,16 @@
     std::vector<Item> items;  // one unless it is an array
     std::size_t count = 0;    // of items, as announced: known before all of them are there
     std::size_t size = 0;     // bytes of the buffer that it takes
+    std::size_t left = 0;     // of a long one: bytes of the bulk that follow these, without its end of line
 };
 
-enum class Parsed { whole, partial, malformed };
+// Long: a bulk over the bound begins behind `size` bytes; the items before it are there.
+enum class Parsed { whole, partial, malformed, long_bulk };
 
 // Reads the message at the start of the buffer. A partial one is read again from its start once more bytes
 // are there: bulks are stepped over, so that this costs little. Arrays inside arrays are malformed here.
-Parsed parse(std::string_view buffer, Message& message);
+// `most`: bytes of a bulk that is not long, most_bulk at most.
+Parsed parse(std::string_view buffer, Message& message, std::size_t most = most_bulk);
 
 void write_bulk(std::string& out, std::string_view text);
 void write_array(std::string& out, std::size_t items);
--- /dev/null
+++ b/src/upgrade/accounts.cpp
@@ -0,0 +1,83 @@
+#include "accounts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace linnetlead::upgrade {
+
+namespace {
+
+using nlohmann::json;
+using topazcrank::Account;
+
+// The one list of what goes over, for both ways.
+template <typename One, typename Visit>
+void each_field(One& account, Visit visit) {
+    visit("set", account.set_size);
+    visit("index", account.index);
+    visit("demand", account.demand);
+    visit("last", account.last_demand);
+    visit("others", account.others);
+    visit("tallied", account.tallied);
+    visit("untold", account.untold);
+    visit("others_spent", account.others_spent);
+    visit("told", account.told);
+    visit("pass", account.pass);
+    visit("room", account.room);
+    visit("since_read", account.since_read);
+    visit("store", account.store);
+    visit("granted", account.granted);
+    visit("slice", account.slice);
+    visit("left", account.left);
+    visit("idle", account.idle);
+    visit("ceiling", account.ceiling_left);
+}
+
+}  // namespace
+
+std::string write_accounts(const std::vector<Account>& accounts, std::size_t from,
+                           const std::vector<std::string>& plans) {
+    json all = json::array();
+    const std::size_t to = std::min(accounts.size(), from + accounts_in_a_message);
+    for (std::size_t i = from; i < to; ++i) {
+        const Account& account = accounts[i];
+        if (static_cast<std::size_t>(account.plan) >= plans.size()) continue;
+        json one{{"account", account.customer}, {"plan", plans[static_cast<std::size_t>(account.plan)]}};
+        each_field(account, [&one](const char* name, const auto& value) { one[name] = value; });
+        one["looked_at"] = account.looked_at.count();
+        one["ceiling_at"] = account.ceiling_at.count();
+        all.push_back(std::move(one));
+    }
+    return all.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::vector<Account> read_accounts(std::string_view text, const std::vector<std::string>& plans) {
+    std::vector<Account> made;
+    const json all = json::parse(text, nullptr, false);
+    if (!all.is_array()) return made;
+    for (const json& one : all) {
+        try {
+            Account account;
+            const auto plan = std::find(plans.begin(), plans.end(), one.at("plan").get<std::string>());
+            if (plan == plans.end()) continue;
+            account.plan = static_cast<int>(plan - plans.begin());
+            account.customer = one.at("account").get<std::string>();
+            bool good = !account.customer.empty();
+            each_field(account, [&](const char* name, auto& value) {
+                one.at(name).get_to(value);
+                if constexpr (std::is_floating_point_v<std::decay_t<decltype(value)>>) {
+                    good = good && std::isfinite(value);
+                }
+            });
+            account.looked_at = topazcrank::Time{one.at("looked_at").get<std::int64_t>()};
+            account.ceiling_at = topazcrank::Time{one.at("ceiling_at").get<std::int64_t>()};
+            if (good && account.set_size >= 1) made.push_back(std::move(account));
+        } catch (const json::exception&) {
+            // of another kind: it starts anew here
+        }
+    }
+    return made;
+}
+
+}  // namespace linnetlead::upgrade
--- a/standin/world.cpp
+++ b/standin/world.cpp
@@ -153,6 +153,7 @@
         return attempt;
     }
     void give_up(Handle attempt) override { end(attempt, Ending::given_up); }
+    void go_on(Handle) override {}  // values are short here
     void probe(const WorkerId& id) override {
         arm(now() + 2 * way, [this, id] { gateway_.probed(id, topazcrank::Outcome::ok, {}); });
     }
@@ -176,6 +177,8 @@
     }
 
     // The clients.
+    void begin_value(const core::Ticket&, std::size_t) override {}
+    bool pass_value(const core::Ticket&, std::string_view) override { return true; }
     void answer(const core::Ticket& ticket, const core::Answer& answer) override {
         const auto at = open_.find(ticket.number);
         if (at == open_.end()) {
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -5,12 +5,14 @@
 #include <sys/stat.h>
 #include <sys/un.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 
 #include "net/process_link.h"
 #include "rig.h"
+#include "upgrade/accounts.h"
 #include "upgrade/message.h"
 
 namespace linnetlead {
@@ -40,6 +42,70 @@
     }
 }
 
+TEST(UpgradeAccounts, GoOverByThePlansNamesAndBadOnesAreLeftOut) {
+    std::vector<topazcrank::Account> accounts(upgrade::accounts_in_a_message + 1);
+    for (std::size_t i = 0; i < accounts.size(); ++i) {
+        accounts[i].customer = std::to_string(i);
+        accounts[i].plan = static_cast<int>(i % 2);
+        accounts[i].left = 0.1 * static_cast<double>(i);
+        accounts[i].looked_at = topazcrank::Time{1'764'000'000'000'000'001};
+    }
+    const std::vector<std::string> here{"a", "b"}, there{"b", "c"};
+    const auto read = upgrade::read_accounts(upgrade::write_accounts(accounts, 0, here), there);
+    ASSERT_EQ(read.size(), upgrade::accounts_in_a_message / 2) << "plan a is not known there";
+    EXPECT_EQ(read[1].customer, "3");
+    EXPECT_EQ(read[1].plan, 0);
+    EXPECT_DOUBLE_EQ(read[1].left, 0.3);
+    EXPECT_EQ(read[1].looked_at, accounts[3].looked_at);
+    const std::string rest = upgrade::write_accounts(accounts, upgrade::accounts_in_a_message, here);
+    EXPECT_EQ(upgrade::read_accounts(rest, here).size(), 1u);
+    const auto with = [&rest](const std::string& from, const std::string& to) {
+        std::string made = rest;
+        return made.replace(made.find(from), from.size(), to);
+    };
+    for (const std::string& bad : {std::string("7"), std::string("[7]"),
+                                   with("\"left\":20.0", "\"left\":\"x\""), with("\"set\":1", "\"set\":0"),
+                                   with("\"left\":20.0", "\"left\":1e999"), with("\"pass\"", "\"past\"")}) {
+        EXPECT_TRUE(upgrade::read_accounts(bad, here).empty()) << bad;
+    }
+}
+
+// What one process has granted an account, the next does not grant again.
+TEST(UpgradeAccounts, AQuotaSpentInTheOldProcessIsSpentInTheNewOne) {
+    settings::Site small = site();
+    small.settings.plans[0].rate = 0.001;
+    small.settings.plans[0].burst = 3;
+    Rig old(small), next(small);
+    Listener worker;
+    for (Rig* rig : {&old, &next}) rig->gateway.listed(ListKind::full, {listed("w", worker.address())});
+    const auto served_of = [&](Rig& rig, int calls) {
+        Peer client = rig.client();
+        std::vector<std::unique_ptr<Peer>> taken;
+        for (int i = 0; i < calls; ++i) client.write(call("hold"));
+        rig.until([&] {
+            if (auto peer = worker.accept()) taken.push_back(std::move(peer));
+            for (auto& peer : taken) {
+                if (peer->has("c=hold")) peer->got.clear(), peer->write(served("v"));
+            }
+            client.read();
+            return std::count(client.got.begin(), client.got.end(), '$') +
+                       std::count(client.got.begin(), client.got.end(), '-') >=
+                   calls;
+        });
+        return std::count(client.got.begin(), client.got.end(), '$');
+    };
+    EXPECT_EQ(served_of(old, 5), 3);
+    const auto accounts = old.gateway.accounts();
+    ASSERT_EQ(accounts.size(), 1u);
+    const std::vector<std::string> plans{"team"};
+    for (const auto& told : upgrade::read_accounts(upgrade::write_accounts(accounts, 0, plans), plans)) {
+        next.gateway.take_over(told);
+    }
+    old.gateway.handed_over();
+    EXPECT_TRUE(old.gateway.accounts().empty());
+    EXPECT_EQ(served_of(next, 5), 0);
+}
+
 TEST(UpgradePlace, IsOneForEachAddressAndNoneWhereItCannotBe) {
     EXPECT_EQ(gateway::meeting_place("/t", "10.0.0.4:6379"), "/t/linnetlead-10.0.0.4_6379");
     EXPECT_NE(gateway::meeting_place("/t", "10.0.0.4:6379"), gateway::meeting_place("/t", "10.0.0.5:6379"));
