Cold workers are compared as warm ones, so that one put back is used at once

A probe of bans, lists and sends showed the list in order (in, started 1 s before the resume) and the ban gone; what kept it out was the module: expected_wait divided an idle server's wait by its warm share (0.23: over four times an idle warm one's), and pick_from then thinned it by that share once more. Ruled out: doubt (forgotten after 2 s), the overlay, the registry's delay.

Change: only what is out counts for more at a cold server; the chance alone gives it its warm share of what it would get as a warm one, as the rule on cold starts says. A begun answer frees its server once, also where two were sent at one instant (found by the new test).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -114,6 +114,7 @@
     Time sent{};
     bool out = true;
     bool may_have_run = true;
+    bool burdens = true;  // its server; not once its answer has begun
 };
 
 struct Open {
@@ -596,7 +597,7 @@
     double expected_wait(const Server& s, int cls, Time now) const {
         // The draw goes by size: preferred here too, the biggest would get all of hundreds of gateways.
         const double of_mean = size_of(s) / mean_weight_;
-        const double held = (static_cast<double>(s.out.size()) / of_mean + 1) / warm_share(s, now);
+        const double held = static_cast<double>(s.out.size()) / of_mean / warm_share(s, now) + 1;
         return held / served(s, cls, now) * (s.entry.zone == cfg_.zone ? 1 : far_zone);
     }
 
@@ -736,11 +737,7 @@
 
     void give_answer(RequestId id, Open& r, Time now, bool limited = false) {
         if (r.answered) return;
-        if (allowed(r, nullptr, now)) {
-            out_.refuse(id, come_back_in(limited));
-        } else {
-            out_.fail(id);
-        }
+        allowed(r, nullptr, now) ? out_.refuse(id, come_back_in(limited)) : out_.fail(id);
         r.answered = true;
     }
 
@@ -830,10 +827,10 @@
         const auto at = servers_.find(a.server);
         const bool by_load = at != servers_.end() && judge(at->second, r, result, now);
         // A server may go on with work that timed out: forgotten, it would fill servers that seem idle.
-        const bool goes_on = by_load && result.outcome == Outcome::timeout;
+        const bool goes_on = by_load && result.outcome == Outcome::timeout && a.burdens;
         const Span longer = span_of(seconds(now - a.sent) * left_for);
         if (goes_on) schedule(now + longer, {TaskKind::left, a.server, a.sent});
-        if (!goes_on) on_left(a.server, a.sent);
+        if (!goes_on && a.burdens) on_left(a.server, a.sent);
         if (result.outcome == Outcome::ok && c && result.true_units > 0) {
             c->left -= result.true_units - r.units;
             if (c->sparse && plan_of(*c).rate > 0) c->untold += result.true_units - r.units;
@@ -849,8 +846,9 @@
     void on_stream_started(RequestId id, int attempt) {
         const auto it = requests_.find(id);
         if (it == requests_.end() || attempt < 0) return;
-        const std::vector<Attempt>& all = it->second.attempts;
-        if (attempt < static_cast<int>(all.size())) on_left(all[attempt].server, all[attempt].sent);
+        std::vector<Attempt>& all = it->second.attempts;
+        Attempt* const a = attempt < static_cast<int>(all.size()) ? &all[attempt] : nullptr;
+        if (a && std::exchange(a->burdens, false)) on_left(a->server, a->sent);
     }
 
     // Another process of this gateway hands over: what it was granted is not granted again.
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -277,6 +277,49 @@
     EXPECT_LE(sent["cold"], sent["a"] / 2);
 }
 
+// Of a worker that came back cold nothing was asked for 5 s where the others were hardly busy: its wait was
+// taken for four times theirs, and the chance thinned it once more.
+TEST(ColdStart, AColdServerIsUsedAmongIdleOnesToo) {
+    Gateway g(make_settings(),
+              {make_server("a"), make_server("b"), make_server("c"), make_server("cold", "z1", 0, 100s)});
+    std::map<ServerId, int> sent;
+    for (int i = 0; i < 400; ++i) {
+        const auto id = g.submit();
+        ++sent[g.out.sent.back().server];
+        g.resolve(id, Outcome::ok, 5ms);
+    }
+    EXPECT_GE(sent["cold"], 10);
+    EXPECT_LE(sent["cold"], 400 / 4 / 2) << "its warm share, from a quarter up, of what a warm one gets";
+}
+
+// Answers that clients take long to read kept their servers full in the module's eyes.
+TEST(Servers, AnAnswerThatHasBegunNoLongerBurdensItsServer) {
+    Gateway g(make_settings(), {make_server("a")});
+    const auto fill = [&g] {
+        std::vector<RequestId> ids;
+        for (;;) {
+            const RequestId id = g.submit();
+            if (g.sends(id) == 0) break;
+            ids.push_back(id);
+        }
+        return ids;
+    };
+    const auto first = fill();
+    ASSERT_FALSE(first.empty());
+    EXPECT_TRUE(fill().empty());
+    for (const RequestId id : first) g.policy.on_stream_started(g.now, id, 0);
+    g.policy.on_stream_started(g.now, first[0], 7);
+    g.policy.on_stream_started(g.now, 999, 0);
+    const auto second = fill();
+    EXPECT_FALSE(second.empty());
+    // Withdrawn ends say nothing of load; those that had begun free nothing twice.
+    for (const RequestId id : first) {
+        g.policy.on_withdrawn(g.now, id);
+        g.resolve_now(id, Outcome::cancelled, 10ms);
+    }
+    EXPECT_TRUE(fill().empty());
+}
+
 TEST(Ceiling, EvenPartsHoldOverAllGatewaysAndRestarts) {
     Settings s = make_settings();
     s.plans[0].ceiling_rate = 20;
