--- a/standin/town.cpp
+++ b/standin/town.cpp
@@ -521,6 +521,7 @@
           {"stop_sending_within", 500000000}}}};
     return json{{"name", "n" + std::to_string(number)},
                 {"listen", gateways_[static_cast<std::size_t>(number)].address},
+                {"mgmt", gateways_[static_cast<std::size_t>(number)].mgmt},
                 {"discovery", "127.0.0.1:" + std::to_string(registry_->server.port)},
                 {"counter", "127.0.0.1:" + std::to_string(counter_->server.port)},
                 {"seed", std::to_string(settings_.seed + static_cast<std::uint64_t>(number))},
@@ -532,7 +533,10 @@
 
 void Town::start() {
     for (int i = 0; i < settings_.gateways; ++i) {
-        gateways_[static_cast<std::size_t>(i)].address = "127.0.0.1:0";
+        const auto free_address = [] { return Listener().address(); };
+        Gateway& gateway = gateways_[static_cast<std::size_t>(i)];
+        gateway.address = settings_.second_address ? free_address() : "127.0.0.1:0";
+        if (settings_.second_address) gateway.mgmt = free_address();
         start_again(i);
     }
 }
@@ -552,6 +556,25 @@
     gateway.address = "127.0.0.1:" + std::to_string(gateway.process->listening());
 }
 
+std::uint16_t Town::second_address(int number) const {
+    sockaddr_storage address{};
+    net::read_address(gateways_[static_cast<std::size_t>(number)].mgmt, address);
+    return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+bool Town::upgrade(int number) {
+    Gateway& gateway = gateways_[static_cast<std::size_t>(number)];
+    std::unique_ptr<Process> old = std::move(gateway.process);
+    gateway.mgmt = Listener().address();
+    start_again(number);
+    Peer caller = connect_to(second_address(number));
+    caller.write("GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+    const bool ready =
+        run_until([&] { return caller.is_over(); }, 6s) && caller.got.find("HTTP/1.1 200") == 0;
+    old->signal(SIGTERM);
+    return run_until([&] { return old->has_ended(); }, 5s) && ready && old->exit_code() == 0;
+}
+
 void Town::kill(int number) {
     Gateway& gateway = gateways_[static_cast<std::size_t>(number)];
     gateway.process.reset();
--- a/standin/town.h
+++ b/standin/town.h
@@ -29,6 +29,9 @@
     std::uint64_t seed = 1;
     int memory_mb = 192;
     std::string operators;  // the operators' file's text; empty: none
+    // Each gateway has a second address, and an address of its own from the start, so that another process
+    // can take over.
+    bool second_address = false;
 };
 
 // What the auditor counted. Rules are broken where a figure of the second row is not 0.
@@ -96,6 +99,10 @@
     Process& gateway(int number);
     void kill(int gateway);
     void start_again(int gateway);
+    // A process beside the one that runs takes over from it, which ends. False: one of the steps did not come
+    // about in its time.
+    bool upgrade(int gateway);
+    std::uint16_t second_address(int gateway) const;
 
     // Lines of the gateways' logs, as JSON text, that came since the start.
     struct Logged {
@@ -137,7 +144,7 @@
     struct Gateway {
         std::unique_ptr<Process> process;
         std::string operators_path;
-        std::string address;
+        std::string address, mgmt;
         std::string errors;  // not yet whole lines
         std::vector<core::Handle> idle;
         std::size_t connections = 0;
