--- a/src/gateway/upgrade.cpp
+++ b/src/gateway/upgrade.cpp
@@ -43,7 +43,11 @@
         parts_.loop, net::ProcessLink::Heard{[this, other](std::string_view line, uv_stream_t* from) {
                                                  return heard(other, line, from);
                                              },
-                                             [this, other] { over(other); }});
+                                             [this, other] {
+                                                 const bool left_the_place = passed_;
+                                                 over(other);
+                                                 if (other == Other::newer && left_the_place) open_door();
+                                             }});
 }
 
 bool Upgrade::take_over() {
@@ -170,7 +174,6 @@
     if (other == Other::older || !std::exchange(passed_, false)) return;
     parts_.acceptor.pass_on(nullptr);
     parts_.pool.retire(false);
-    open_door();
 }
 
 void Upgrade::share() { parts_.share((older_ && older_->is_open()) || (newer_ && newer_->is_open())); }
