A body that comes a byte now and then does not keep its room

Cause: found on reading again: a long body that trickles renewed its patience with each byte (acceptor.cpp, on_bytes), so that three such clients could hold all room for bodies. It has 20 s in all now, then an error line.

--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -114,7 +114,9 @@
     void look_over(Time now, bool crowded) {
         if (closing() || finishing() || passing_ || waits()) return;
         if (half_since_ != Time{}) {
-            if (now - half_since_ <= patience_half) return;
+            // Guards the room for bodies against one that gives a byte now and then.
+            const bool body_late = body_.left > 0 && now - body_.begun > acceptor_.body_within_;
+            if (now - half_since_ <= patience_half && !body_late) return;
             drop_body();
             reply("-ERR command is not whole\r\n");
             leave();
@@ -366,6 +368,7 @@
       names_(settings),
       most_clients_(limits.clients),
       most_unsent_(limits.unsent),
+      body_within_(limits.body),
       listener_(loop) {}
 Acceptor::~Acceptor() = default;
 
--- a/src/net/acceptor.h
+++ b/src/net/acceptor.h
@@ -15,8 +15,9 @@
 class Acceptor final : public core::Front {
 public:
     struct Limits {
-        std::size_t clients = 512;              // connections
-        std::size_t unsent = 32 * 1024 * 1024;  // bytes, to all clients
+        std::size_t clients = 512;                   // connections
+        std::size_t unsent = 32 * 1024 * 1024;       // bytes, to all clients
+        core::Span body = std::chrono::seconds(20);  // for a long body to come whole
     };
     Acceptor(Loop& loop, core::Gateway& gateway, const topazcrank::Settings& settings, Limits limits);
     ~Acceptor() override;
@@ -60,6 +61,7 @@
     resp::Names names_;
     std::size_t most_clients_;
     std::size_t most_unsent_;
+    core::Span body_within_;
     std::size_t unsent_ = 0;
     Listener listener_;
     core::Handle look_over_;
--- a/tests/long_values_test.cpp
+++ b/tests/long_values_test.cpp
@@ -229,6 +229,26 @@
     EXPECT_EQ(rig.gateway.open_calls(), 1u);
 }
 
+TEST(LongBody, ThatComesAByteNowAndThenDoesNotKeepItsRoom) {
+    LongRig rig;
+    net::Acceptor acceptor(rig.loop, rig.gateway, site().settings, {8, 1 << 20, 500ms});
+    sockaddr_storage any{};
+    net::read_address("127.0.0.1:0", any);
+    ASSERT_EQ(acceptor.listen(any), 0);
+    Peer drip = connect_to(static_cast<std::uint16_t>(acceptor.port()));
+    const std::string text = call("hold", 3000, pattern(3 << 20));
+    std::size_t given = 0;
+    EXPECT_TRUE(rig.until([&] {
+        given += drip.write_some(text.substr(given, given < 100 ? 100 : 1));
+        usleep(10'000);
+        return drip.has("-ERR command is not whole\r\n");
+    }));
+    EXPECT_TRUE(rig.gateway.reserve(3 << 20));
+    rig.gateway.give_back(3 << 20);
+    acceptor.close();
+    EXPECT_TRUE(rig.until([&] { return acceptor.empty(); }));
+}
+
 TEST(LongBody, OfACommandThatCannotBeReadIsSkippedBeforeItIsToldSo) {
     LongRig rig;
     std::string text = call("hold", 3000, pattern(100'000));
