What the old process has out counts against limits at once in the new one

Cause: Account told everything of a quota but the attempts out, so that for the length of a call an account under a limit at once had it twice during an upgrade (policy.cpp, on_account). Change: they go over and are taken as back after twice the mean time that an attempt is out. The way not taken: telling the end of each over the link, which would need the account of every call in the core, for some 0.1 s of error.

--- a/include/topazcrank/policy.h
+++ b/include/topazcrank/policy.h
@@ -151,6 +151,7 @@
     double granted = 0;  // what all gateways may pass on in this interval
     double slice = 0;
     double left = 0;  // of the slice
+    int open = 0;     // own attempts out
     int idle = 0;     // intervals
     double ceiling_left = 0;
     Time ceiling_at{};
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -106,7 +106,6 @@
     std::uint64_t hash = 0;
     Time begun{};         // where a change of plan has cut its interval short: when that began
     bool sparse = false;  // an even slice is under one request: demand is told with each request
-    int open = 0;         // own attempts out
 };
 
 struct Attempt {
@@ -178,7 +177,7 @@
     Time made{};
 };
 
-enum class TaskKind { edge, read, list, left };
+enum class TaskKind { edge, read, list, left, returned };
 struct Task {
     TaskKind kind;
     std::string name;  // of a customer or a server
@@ -852,13 +851,15 @@
     }
 
     // Another process of this gateway hands over: what it was granted is not granted again.
-    void on_account(const Account& told) {
+    void on_account(const Account& told, Time now) {
         if (!has_plan(told.plan)) return;
         Customer& c = customers_[told.customer];
         static_cast<Account&>(c) = told;
         c.hash = hash_of(told.customer);
         c.sparse = is_sparse(plan_of(c), c.set_size);
         schedule(edge(c, c.index + 1), {TaskKind::edge, told.customer});
+        const Time returned = now + span_of(2 * hold_s_);  // what is out there is not told of again
+        for (int i = 0; i < c.open; ++i) schedule(returned, {TaskKind::returned, told.customer});
     }
     std::vector<Account> accounts() const {
         std::vector<Account> all;
@@ -965,6 +966,8 @@
             if (task.kind == TaskKind::edge) on_edge(task.name, now);
             if (task.kind == TaskKind::read) on_read(task.name, now);
             if (task.kind == TaskKind::list) out_.subscribe_list();
+            Customer* const c = task.kind == TaskKind::returned ? find_customer(task.name) : nullptr;
+            if (c && c->open > 0) --c->open;
             if (task.kind == TaskKind::left) on_left(task.name, task.sent);
         }
         event();
@@ -1046,7 +1049,7 @@
     impl_->handle(now, [&] { impl_->on_stream_started(id, attempt); });
 }
 void Policy::on_account(Time now, const Account& told) {
-    impl_->handle(now, [&] { impl_->on_account(told); });
+    impl_->handle(now, [&] { impl_->on_account(told, now); });
 }
 void Policy::on_handed_over() { impl_->on_handed_over(); }
 std::vector<Account> Policy::accounts() const { return impl_->accounts(); }
--- a/src/upgrade/accounts.cpp
+++ b/src/upgrade/accounts.cpp
@@ -11,6 +11,8 @@
 using nlohmann::json;
 using topazcrank::Account;
 
+constexpr int most_open = 4096;  // calls of a gateway
+
 // The one list of what goes over, for both ways.
 template <typename One, typename Visit>
 void each_field(One& account, Visit visit) {
@@ -30,6 +32,7 @@
     visit("granted", account.granted);
     visit("slice", account.slice);
     visit("left", account.left);
+    visit("open", account.open);
     visit("idle", account.idle);
     visit("ceiling", account.ceiling_left);
 }
@@ -72,7 +75,8 @@
             });
             account.looked_at = topazcrank::Time{one.at("looked_at").get<std::int64_t>()};
             account.ceiling_at = topazcrank::Time{one.at("ceiling_at").get<std::int64_t>()};
-            if (good && account.set_size >= 1) made.push_back(std::move(account));
+            if (good && account.set_size >= 1 && account.open >= 0 && account.open <= most_open)
+                made.push_back(std::move(account));
         } catch (const json::exception&) {
             // of another kind: it starts anew here
         }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -292,6 +292,25 @@
     EXPECT_LE(sent["cold"], 400 / 4 / 2) << "its warm share, from a quarter up, of what a warm one gets";
 }
 
+// What an older process of the gateway has out counts against the limit here until it is likely back.
+TEST(LimitAtOnce, HoldsOverAHandOver) {
+    Settings s = make_settings();
+    s.plans[0].rate = 0;
+    s.plans[0].max_open = 2;
+    Gateway old(s), next(s);
+    old.submit();
+    old.submit();
+    const auto accounts = old.policy.accounts();
+    ASSERT_EQ(accounts.size(), 1U);
+    EXPECT_EQ(accounts[0].open, 2);
+    next.policy.on_account(next.now, accounts[0]);
+    EXPECT_EQ(next.sends(next.submit()), 0) << "both places are taken";
+    next.run_to(next.now + 1s);
+    EXPECT_EQ(next.sends(next.submit()), 1);
+    EXPECT_EQ(next.sends(next.submit()), 1);
+    EXPECT_EQ(next.sends(next.submit()), 0);
+}
+
 // Answers that clients take long to read kept their servers full in the module's eyes.
 TEST(Servers, AnAnswerThatHasBegunNoLongerBurdensItsServer) {
     Gateway g(make_settings(), {make_server("a")});
