The last half of a store is claimed call by call on the counter

Lines at fault in src/policy.cpp: thin() refuses by the own slice alone, though the others' slices lapse; on_edge() booked the others' spend as their demand and corrected it only if the one read of the interval came back and was `wanted`; granted = store + refill let a full store keep a refill that had lapsed; tally() told an interval's spend only after it; and counter_failures_ >= 3 stopped all calls for a second where spoilt answers came in threes.

Change: the count of an interval is told of spend as it happens, in the same calls as demand; the first teller adds what the store lacked at the interval's start, so that every total tells the store itself. A slice is passed on unasked while over half of the store is left; after that, and where the slice turns it away, a call waits some milliseconds for its claim. A silent counter leaves the last slice; a pressed one gets fewer claims. Counts are named anew (':'), so that no older gateway reads them; accounts that an older process hands over start anew.

--- a/include/topazcrank/policy.h
+++ b/include/topazcrank/policy.h
@@ -85,6 +85,9 @@
     double cross_zone_price = 0;
 };
 
+// Throws std::invalid_argument, which names the setting, where the module cannot be made of these.
+void check(const Settings& settings);
+
 struct Request {
     RequestId id = 0;
     int cls = 0;   // position in Settings::classes
@@ -130,29 +133,37 @@
     Pools pools = all_pools;  // those it belongs to
 };
 
+// One interval of a customer's count, as one gateway knows it; in units, but for told.
+struct Tally {
+    double told = 0;        // of it, by this gateway
+    double spent = 0;       // here; may be below nought, since units are settled
+    double told_spent = 0;  // of that
+    double seen = 0;        // spent by the others, as last told
+    double base = -1;       // what the store lacked at the interval's start, if told by this gateway; else -1
+};
+
 // What is known of a customer's quota, for another process of the same gateway to go on from.
 struct Account {
     std::string customer;
     int plan = 0;  // position in Settings::plans
     int set_size = 1;
-    std::int64_t index = 0;   // the interval now running
-    double demand = 0;        // offered here in it, refused included
-    double last_demand = 0;   // and in the one before: what is expected again
-    double others = 0;        // the other gateways' demand at the last tally
-    bool tallied = false;     // others is known
-    double untold = 0;        // own demand that no add has carried yet
-    double others_spent = 0;  // what was booked for them at the edge, until the read corrects it
-    double told = 0;          // added to the count of the interval now running
-    double pass = 1;          // the chance that the last look gave
-    bool room = true;         // under its limit at once, as the last look saw
+    std::int64_t index = 0;  // the interval now running
+    double demand = 0;       // offered here in it, refused included
+    double last_demand = 0;  // and in the one before: what is expected again
+    double others = 0;       // the other gateways' demand at the last tally
+    bool tallied = false;    // others is known
+    double untold = 0;       // own demand that no add has carried yet
+    Tally now;               // the interval now running
+    Tally before;            // and the one before
+    double pass = 1;         // the chance that the last look gave
+    bool room = true;        // under its limit at once, as the last look saw
     Time looked_at{};
-    int since_read = 0;
-    double store = 0;    // what the global store should hold at the interval's start
+    double level = 0;  // of the store of all gateways at level_at; over its burst until the others are heard
+    Time level_at{};
     double granted = 0;  // what all gateways may pass on in this interval
     double slice = 0;
-    double left = 0;  // of the slice
-    int open = 0;     // own attempts out
-    int idle = 0;     // intervals
+    int open = 0;  // own attempts out
+    int idle = 0;  // intervals
     double ceiling_left = 0;
     Time ceiling_at{};
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,23 +1,21 @@
 // topazcrank: the decision module. Its types, events and actions are in include/topazcrank/policy.h.
-//
 // One Policy is one gateway. Per customer it tallies demand on the shared counter, takes its slice of the
-// quota and thins what arrives to that slice; then it picks a server and minds the attempts. Order below:
-// tuned values, state, tally, thinning, ceiling, servers and health, attempts, cold start, events.
+// quota and thins what arrives to that slice; then it picks a server and minds the attempts.
 #include "topazcrank/policy.h"
 
 #include <algorithm>
 #include <array>
 #include <cmath>
 #include <deque>
-#include <limits>
 #include <map>
 #include <random>
 #include <set>
-#include <stdexcept>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
 
+#include "count.h"
+
 namespace topazcrank {
 
 namespace {
@@ -27,15 +25,10 @@
 // Tally: an interval lasts as long as the plan's store, within these bounds.
 constexpr Span shortest_interval = 1s;
 constexpr Span longest_interval = 2500ms;
-constexpr double add_floor = 0.1;       // of the even slice: less demand than this is not worth a call
-constexpr double read_floor = 0.5;      // of the quota: below it the slice cannot bind, and the read is saved
-constexpr int read_at_least_every = 4;  // intervals
-// A count carries demand before the point, spend in thousandths, in parts of the most an interval can grant.
-constexpr double demand_parts = 100;
-constexpr double spend_parts = 500;
-constexpr double thousandths = 1000;
-constexpr double rounding = 1e-3;      // of a total: counts have seven digits
-constexpr double store_spent_s = 0.5;  // within which a store that is full may be spent
+constexpr double add_floor = 0.1;     // of the even slice: less demand than this is not worth a call
+constexpr double read_floor = 0.5;    // of the quota: below it the slice cannot bind, and the read is saved
+constexpr double claimed_part = 0.5;  // of the store: what is left of it then is claimed call by call
+constexpr double limit_parts = 100;   // a plan without a rate is counted in such parts of its limit
 constexpr int idle_intervals_kept = 4;
 constexpr double least_part = 0.25;  // of an interval, to tell its demand
 constexpr int sparse_lives = 16;     // in an interval of a customer whose even slice is under a request
@@ -44,7 +37,7 @@
 constexpr double look_cut = 0.9;     // of the chance of a look, for each call turned away or late
 constexpr double look_growth = 0.01;
 constexpr double least_looks = 0.02;
-constexpr int counter_failures_to_back_off = 3;
+constexpr int failures_to_back_off = 3;
 constexpr Span back_off = 1s;
 constexpr double wanted_chance_of_room = 0.7;  // under a limit at once
 constexpr double room_gain = 0.3;              // EWMA of a customer's room, by looks
@@ -54,7 +47,6 @@
 constexpr int servers_compared = 5;
 constexpr int most_draws = 40;
 constexpr double mean_gain = 0.02;  // EWMA of a class's lag over all servers
-constexpr double base_gain = 0.0005;
 constexpr double doubt_gain = 0.5;  // EWMA of a server's failures
 constexpr double doubt_forgotten_s = 2;
 constexpr double doubt_power = 2;
@@ -69,15 +61,12 @@
 constexpr double least_bound = 2;  // from all gateways: so few are late by their own work, not by load
 constexpr double most_bound = 64;
 constexpr double late_of_aim = 0.45;  // an answer slower than this share of its aim is late for the limit
-constexpr double most_late_of_aim = 0.7;
-constexpr double late_of_base = 3.5;  // but no less than this multiple of its class's lag in quiet times
 constexpr double late_wanted = 0.06;  // which settles where this share of the answers is late
 constexpr double bound_gain = 0.1;
 constexpr double out_gain = 0.1;        // EWMA of what is out, by arrivals
 constexpr double spread_of_chance = 2;  // in standard deviations
 constexpr double thinning_power = 4;
 constexpr double most_urgency = 5;
-constexpr double unsettled_growth = 10;      // as fast until the first late answer
 constexpr double few_attempts = 0.125;       // for each server: the own ones tell too little of it
 constexpr double probes_per_attempt = 0.25;  // where they are so few
 constexpr int attempts_per_probe = 8;        // an answered one is good for so many
@@ -90,7 +79,6 @@
 constexpr double retry_share = 0.1;       // further attempts for each first one
 constexpr double retry_store = 20;        // over all gateways: ten at each would be thousands at size
 constexpr double try_share_of_aim = 0.5;  // a first attempt's share of the aim where another may follow
-constexpr double left_for = 1;            // times as long as it was waited for, timed-out work still burdens
 constexpr double tail_of_mean = 6;        // and never less than so many mean lags
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
@@ -104,8 +92,10 @@
 
 struct Customer : Account {
     std::uint64_t hash = 0;
-    Time begun{};         // where a change of plan has cut its interval short: when that began
-    bool sparse = false;  // an even slice is under one request: demand is told with each request
+    std::int64_t asked = -1;  // the last interval whose total was asked for after its end
+    std::int64_t read = -1;   // and told
+    Time begun{};             // where a change of plan has cut its interval short: when that began
+    bool sparse = false;      // an even slice is under one request: demand is told with each request
 };
 
 struct Attempt {
@@ -116,14 +106,11 @@
     bool burdens = true;  // its server; not once its answer has begun
 };
 
-struct Open {
-    int cls = 0;
-    std::string customer;
+enum class Verdict { open, refused, passes };  // of the quota
+struct Open : Request {
     Time arrived{};
-    Time due{};
-    double units = 0;
-    Pools pools = all_pools;
-    Pools fallback = all_pools;
+    Verdict verdict = Verdict::open;
+    bool paid = false;  // its units are spent already: they are claimed
     std::vector<Attempt> attempts;
     int out = 0;
     bool waits = false;  // for the counter's reply, before its first attempt
@@ -168,12 +155,15 @@
     int attempts_left = attempts_per_probe;
 };
 
-enum class CallKind { add, read };
+enum class CallKind { add, claim, read };
 struct Call {
     std::string customer;
     std::int64_t index = 0;
     CallKind kind = CallKind::add;
     RequestId request = 0;  // that waits for the reply
+    double amount = 0;
+    double told = 0;   // of that count by then, with this one
+    double spent = 0;  // in units
     Time made{};
 };
 
@@ -184,20 +174,14 @@
     Time sent{};
 };
 
-void require(bool good, const std::string& setting) {
-    if (!good) throw std::invalid_argument("unusable setting: " + setting);
-}
-
 }  // namespace
 
 class Policy::Impl {
 public:
     Impl(Settings settings, std::uint64_t seed, Time now, Actions& actions)
         : cfg_(std::move(settings)), out_(actions), random_(seed), started_(now) {
-        validate();
+        check(cfg_);
         mean_lag_.resize(cfg_.classes.size(), 0.0);
-        base_lag_.resize(cfg_.classes.size(), 0.0);
-        usual_pass_.resize(cfg_.plans.size(), 1.0);
         if (cfg_.list_on_request) out_.subscribe_list();
     }
 
@@ -237,39 +221,38 @@
         c.hash = hash_of(r.customer);
         c.sparse = is_sparse(plan_of(c), c.set_size);
         begin(r.customer, c, plan_of(c).burst, now);  // new customers split evenly
+        // Until it is told of the interval before, its refill stands against what may have been spent in it.
+        c.level += plan_of(c).rate * seconds(now - edge(c, c.index - 1));
         c.ceiling_at = started_;  // presumed spent at a restart: it has filled since the start only
         return c;
     }
     void begin(const std::string& name, Customer& c, double store, Time now) {
         const Span interval = interval_of(c);
         c.index = (now + stagger(c, interval)) / interval;
-        c.pass = usual_pass_[static_cast<std::size_t>(c.plan)];
-        const double come = plan_of(c).rate * seconds(now - edge(c, c.index));  // granted with the interval
-        c.store = std::min(store, plan_of(c).burst) - come;
-        open_interval(c);
+        c.level = std::min(store, plan_of(c).burst);
+        c.level_at = now;
+        open_interval(c, now);
         schedule(edge(c, c.index + 1), {TaskKind::edge, name});
     }
 
-    // Guards against the old and the new allowance together: the interval ends here, and of what was granted
-    // for all of it, what had not come in yet is taken back. The same at all gateways, each for its slice.
+    // Guards against the old and the new allowance together: only what is left in the store goes over.
     void change_plan(const std::string& name, Customer& c, int plan, Time now) {
+        const double kept = at_hand(c, now);
         const Span old = interval_of(c);
-        const double to_come = plan_of(c).rate * seconds(edge(c, c.index + 1) - now);
-        const bool has_store = plan_of(c).rate > 0 && c.slice > 0;
-        const double kept = has_store ? c.granted * c.left / c.slice - to_come : 0;
         c.plan = plan;
         c.sparse = is_sparse(plan_of(c), c.set_size);
         const double longer = seconds(interval_of(c)) / seconds(old);
         c.last_demand *= longer;
         c.others *= longer;
-        c.demand = c.told = c.untold = c.others_spent = 0;
+        c.demand = c.untold = 0;
+        c.now = c.before = {};
         c.begun = now;
         begin(name, c, kept, now);
+        c.asked = c.read = c.index - 1;  // the new plan's count of it would say nought
         refill_ceiling(c, now);
     }
 
-    // By demand share when demand exceeds the grant; else demand, and of the spare room half by demand and
-    // half evenly. Unknown others or no demand at all: evenly.
+    // By demand share; spare room half so and half evenly. Unknown others or no demand at all: evenly.
     static void cut_slice(Customer& c) {
         const double total = c.tallied ? c.last_demand + c.others : 0;
         const double spare = std::max(0.0, c.granted - total);
@@ -283,18 +266,21 @@
         if (it == customers_.end()) return;
         Customer& c = it->second;
         if (now < edge(c, c.index + 1)) return;  // of a plan that is no longer in force
-        // Close the interval: what the others spent is at most their demand and their part of the grant.
-        const double spent = c.slice - c.left;
-        const double room = std::max(0.0, c.granted - c.slice);
-        c.others_spent = c.tallied ? std::min(c.others, room) : room;
-        c.store = std::min(plan_of(c).burst, c.granted - std::max(0.0, spent) - c.others_spent);
-        const double credit = std::max(0.0, -spent);  // settled back: a count of spend cannot go down
+        settle(c, now);
+        c.level = std::min(c.level, plan_of(c).burst + refill(c));
         // Guards the shares: a short interval's demand beside that of whole ones would make them add up to
         // more.
         const double part = c.begun > Time{0} ? seconds(now - c.begun) / seconds(interval_of(c)) : 1;
         if (part >= least_part) c.last_demand = c.demand / std::min(part, 1.0);
+        c.demand = c.last_demand;  // so it is told
         c.begun = {};
-        c.demand = c.told = 0;
+        if (!c.sparse && c.set_size > 1) tally(name, c, now);
+        c.before = std::exchange(c.now, {});
+        // Untold, the others are taken to have spent what they ask for, and no more than their part.
+        const double room = std::max(0.0, c.granted - c.slice);
+        const double booked = std::max(c.before.seen, c.tallied ? std::min(c.others, room) : room);
+        if (!cfg_.may_count || silent(now)) c.level -= booked - std::exchange(c.before.seen, booked);
+        c.demand = 0;
         ++c.index;
         c.idle = c.last_demand > 0 || c.open > 0 ? 0 : c.idle + 1;
         refill_ceiling(c, now);
@@ -302,35 +288,84 @@
             customers_.erase(it);
             return;
         }
-        open_interval(c);
-        c.left += credit;
-        schedule(edge(c, c.index + 1), {TaskKind::edge, name});
-        if (c.sparse) return;
         c.tallied = c.tallied || c.set_size < 2;  // a customer with one gateway needs no counter
-        if (c.set_size > 1) tally(name, c, std::max(0.0, spent), now);
+        open_interval(c, now);
+        schedule(edge(c, c.index + 1), {TaskKind::edge, name});
     }
 
-    void open_interval(Customer& c) {
-        c.granted = c.store + refill(c);
+    void open_interval(Customer& c, Time now) const {  // also amid it, when more is known
+        const double to_come = plan_of(c).rate * seconds(edge(c, c.index + 1) - now);
+        c.granted = std::max(0.0, at_hand(c, now)) + to_come + std::max(0.0, c.now.spent);
         cut_slice(c);
-        c.left = c.slice;
     }
 
-    // Adds last interval's demand; the read follows one call's time-out later, when every other add has
-    // arrived or been given up. Calls that could not change anything are saved.
-    void tally(const std::string& name, Customer& c, double spent, Time now) {
+    // The read follows one call's time-out later, when every other add has arrived or been given up.
+    void tally(const std::string& name, Customer& c, Time now) {
         const double quota = tally_quota(c);
-        if (!cfg_.may_count || c.last_demand <= add_floor * quota / c.set_size) return;
-        const double most = most_granted(c);
-        const double demand = std::max(1.0, std::round(c.last_demand / most * demand_parts));
-        const double told = demand + std::round(std::min(1.0, spent / most) * spend_parts) / thousandths;
-        if (!call(name, c, now, CallKind::add, told)) return;
-        c.told = told;
-        ++c.since_read;
-        const bool binding = c.last_demand + c.others > read_floor * quota;
-        const bool wanted = !c.tallied || binding || c.since_read >= read_at_least_every;
+        const bool told = c.now.told > 0;
+        if (!cfg_.may_count || (!told && c.demand <= add_floor * quota / c.set_size)) return;
+        if (!tell(name, c, now)) return;
+        const bool wanted = told || !c.tallied || c.demand + c.others > read_floor * quota;
         if (wanted) schedule(now + cfg_.count_timeout, {TaskKind::read, name});
     }
+    // Adds to the interval's count what it has not been told yet; the total tells what all have spent.
+    bool tell(const std::string& name, Customer& c, Time now, RequestId request = 0) {
+        const double told = count_of(c).own(c.demand, c.now.spent, c.now.base);
+        const double before = std::exchange(c.now.told, told);
+        c.now.told_spent = c.now.spent;
+        const CallKind kind = request ? CallKind::claim : CallKind::add;
+        const bool called = call(name, c, now, kind, told - before, request);
+        if (!called) c.now.told = before;
+        return called;
+    }
+
+    // The store of all gateways, as far as is known here: it fills as if the others spent nothing, until they
+    // tell. What is passed on beyond the quota takes nothing from it: it stays near nought.
+    void settle(Customer& c, Time now) const {
+        c.level = std::max(c.level, -cfg_.most_units) + plan_of(c).rate * seconds(now - c.level_at);
+        c.level_at = now;
+    }
+    double at_hand(const Customer& c, Time now) const {
+        return std::min(c.level + plan_of(c).rate * seconds(now - c.level_at), plan_of(c).burst);
+    }
+    void spend(Customer& c, double units, Time now) const {
+        settle(c, now);
+        if (c.read >= c.index - 1) c.level = std::min(c.level, plan_of(c).burst);
+        c.level -= units;
+        c.now.spent += units;
+    }
+    bool shared(const Customer& c) const {
+        return cfg_.may_count && !c.sparse && c.set_size > 1 && plan_of(c).rate > 0;
+    }
+    // A slice is passed on without asking while much of the store is left. Near its end, and where the slice
+    // turns it away, a call is claimed on the counter: what lapses in one slice is not refused in another.
+    bool claim(Customer& c, Open& r, RequestId id, Time now) {
+        if (!shared(c) || silent(now) || r.due - now < cfg_.count_timeout * 2) return false;
+        if (uniform() > look_share_) return false;
+        const double left = at_hand(c, now) - r.units;
+        const double kept = claimed_part * plan_of(c).burst;
+        const bool plenty = left >= kept && c.now.spent - c.now.told_spent + r.units <= kept / c.set_size;
+        r.room = left >= 0 && under_ceiling(c, r.units, now) && has_room(r.cls);
+        if (!r.room) r.verdict = Verdict::refused;
+        if (r.room && plenty && thin(c, r.units, false, now)) r.verdict = Verdict::passes;
+        if (r.verdict != Verdict::open) return false;
+        if (c.read < c.index - 1 && now - edge(c, c.index) > cfg_.count_timeout) on_read(r.customer, now);
+        spend(c, r.units, now);
+        r.paid = true;
+        if (tell(r.customer, c, now, id)) return true;
+        give_back(c, r, now);
+        return false;
+    }
+    void on_claimed(Customer& c, Open& r, CountStatus status, Time now) {
+        const bool fits = at_hand(c, now) >= 0 && (status == CountStatus::ok || c.now.spent <= c.slice);
+        r.verdict = !fits ? Verdict::refused : silent(now) ? Verdict::open : Verdict::passes;
+        if (r.verdict != Verdict::passes) give_back(c, r, now);
+        if (!fits) tell(r.customer, c, now);
+    }
+    void give_back(Customer& c, Open& r, Time now) const {
+        if (std::exchange(r.paid, false)) spend(c, -r.units, now);
+    }
+
     // Plans without a rate are tallied in requests, against what their limit lets through.
     double tally_quota(const Customer& c) const {
         const PlanSettings& plan = plan_of(c);
@@ -338,25 +373,31 @@
         return plan.max_open * seconds(interval_of(c)) / std::max(hold_s_, seconds(cfg_.tick) + 1e-3);
     }
 
-    double most_granted(const Customer& c) const {
-        return plan_of(c).rate > 0 ? plan_of(c).burst + refill(c) : demand_parts * plan_of(c).max_open;
+    Count count_of(const Customer& c) const {
+        const PlanSettings& plan = plan_of(c);
+        return Count{plan.rate > 0 ? plan.burst + refill(c) : limit_parts * plan.max_open};
     }
 
+    bool silent(Time now) const {  // not where only some answers fail
+        return counter_failures_ >= failures_to_back_off && now - heard_at_ > 2 * cfg_.count_timeout;
+    }
     bool call(const std::string& name, const Customer& c, Time now, CallKind kind, double amount,
               RequestId request = 0) {
         // A silent counter is not piled on: after some failures in a row one trial call at a time.
-        if (counter_failures_ >= counter_failures_to_back_off) {
+        if (silent(now)) {
             if (now < counter_retry_at_) return false;
             counter_retry_at_ = now + back_off;
         }
-        const std::string count = std::to_string(c.hash) + plan_of(c).tag + '.' + std::to_string(c.index);
-        calls_[count].push_back({name, c.index, kind, request, now});
+        const std::int64_t index = c.index - (kind == CallKind::read ? 1 : 0);
+        const Tally& t = kind == CallKind::read ? c.before : c.now;
+        const std::string count = std::to_string(c.hash) + plan_of(c).tag + ':' + std::to_string(index);
+        calls_[count].push_back({name, index, kind, request, amount, t.told, t.told_spent, now});
         out_.count(count, amount, 3 * interval_of(c));
         return true;
     }
 
-    // A sparse customer's request tells of demand and waits for the total: by chance fewer of them where the
-    // counter turns calls away or answers late, and where there was no room of late.
+    // A sparse customer's request tells of demand and waits for the total: fewer where the counter is
+    // pressed.
     bool look(const std::string& name, Customer& c, RequestId id, Time due, Time now) {
         const bool limited = plan_of(c).max_open > 0;
         const bool fresh = !limited && c.tallied && now - c.looked_at < life_of(plan_of(c)) / fresh_part;
@@ -367,20 +408,17 @@
         c.untold = 0;
         return true;
     }
-    // The count of a sparse customer falls by e in this time: under a limit at once it holds attempts, each
-    // as far as it is likely to be out yet; else the demand for as long as a store lasts.
+    // A sparse customer's count falls by e in this time: in which an attempt is out, or a store lasts.
     Span life_of(const PlanSettings& plan) const {
         if (plan.max_open <= 0) return usual_interval(plan);
         double aims = 0;
         for (const ClassSettings& cls : cfg_.classes) aims += seconds(cls.aim);
         return span_of(out_share_of_aim * aims / static_cast<double>(cfg_.classes.size()));
     }
-    // New amounts grow in place of old ones that fall (forward decay: Cormode et al., 2009): one call tells
-    // and asks, and no edge of an interval makes all gateways forget at once.
+    // New amounts grow in place of old ones that fall (forward decay: Cormode et al., 2009).
     double weight_at(const Customer& c, Time now) const {
         return std::exp(seconds(now - edge(c, c.index) - interval_of(c) / 2) / seconds(life_of(plan_of(c))));
     }
-    // What was counted ahead of its decision, and then not sent on, is taken back.
     void take_back(const Open& r, const Customer& c, Time now) {
         if (!r.told || plan_of(c).max_open <= 0 || c.looked_at != now) return;
         call(r.customer, c, now, CallKind::add, -weight_at(c, r.arrived));
@@ -399,15 +437,11 @@
         } else {
             c.pass = std::min(1.0, plan.rate * seconds(life_of(plan)) / level);
         }
-        double& usual = usual_pass_[static_cast<std::size_t>(c.plan)];
-        usual += mean_gain * (c.pass - usual);
     }
 
     void on_read(const std::string& name, Time now) {
-        // Guards a change of plan: the new one's count, which nobody has told yet, would say that one is
-        // alone.
-        const Customer* c = find_customer(name);
-        if (c && c->told > 0) call(name, *c, now, CallKind::read, 0);
+        Customer* c = find_customer(name);
+        if (c && c->asked < c->index - 1 && call(name, *c, now, CallKind::read, 0)) c->asked = c->index - 1;
     }
 
     void on_counted(const std::string& count, CountStatus status, double total, Time now) {
@@ -422,33 +456,50 @@
         if (at != customers_.end() && at->second.sparse && status == CountStatus::ok && answered.request) {
             on_look(at->second, answered, total, now);
         }
+        counter_failures_ = status == CountStatus::ok ? 0 : counter_failures_ + 1;
+        if (status == CountStatus::ok) heard_at_ = now;
+        if (at != customers_.end()) on_total(at->second, answered, status, total, now);
         const auto waiting = requests_.find(answered.request);
-        if (waiting != requests_.end() && std::exchange(waiting->second.waits, false)) {
-            decide(answered.request, waiting->second, now);
+        if (waiting == requests_.end() || !std::exchange(waiting->second.waits, false)) return;
+        if (at != customers_.end() && waiting->second.paid)
+            on_claimed(at->second, waiting->second, status, now);
+        decide(answered.request, waiting->second, now);
+    }
+
+    void on_total(Customer& c, const Call& answered, CountStatus status, double total, Time now) {
+        const bool ended = answered.index == c.index - 1;
+        if (c.sparse || (answered.index != c.index && !ended)) return;
+        Tally& t = ended ? c.before : c.now;
+        const bool read = answered.kind == CallKind::read;
+        if (status != CountStatus::ok && status != CountStatus::timeout) t.told -= answered.amount;
+        if (status != CountStatus::ok && read) c.asked = -1;
+        if (status != CountStatus::ok || !std::isfinite(total)) return;
+        if (read) c.read = answered.index;
+        if (total <= 0) return;
+        const double lost = Count::same(answered.told, total) ? 0 : answered.told - total;
+        t.told -= lost;  // told again with the next call
+        if (lost > 0) return;
+        const Count form = count_of(c);
+        const double come = plan_of(c).burst + plan_of(c).rate * seconds(now - edge(c, c.index));
+        settle(c, now);
+        if (Count::tells_store(total)) {  // the same for all gateways
+            const double since = ended ? c.now.spent + c.now.seen - refill(c) : 0;
+            c.level = come - form.lacks(total) - (t.spent - answered.spent) - since;
+        } else {
+            const double seen = form.others_spent(total, answered.told);
+            c.level -= seen - std::exchange(t.seen, seen);
         }
-        if (status != CountStatus::ok) {
-            ++counter_failures_;
-            return;
+        c.level = std::min(c.level, plan_of(c).burst);
+        // The first to tell, if it knows how the interval before ended, adds where this one began.
+        const bool first = !ended && t.base < 0 && Count::same(total, answered.told);
+        if (first && shared(c) && c.read >= c.index - 1) {
+            t.base = std::max(0.0, come - c.level - t.spent);
+            tell(answered.customer, c, now);
         }
-        counter_failures_ = 0;
-        if (at == customers_.end() || answered.kind != CallKind::read || at->second.sparse) return;
-        Customer& c = at->second;
-        // A total late for its interval, or less than the own adds, is as good as silence.
-        const bool possible = std::isfinite(total) && total >= c.told * (1 - rounding);
-        if (answered.index != c.index || c.told <= 0 || !possible) return;
-        const double demanded = std::floor(total + rounding / 2);
-        const double most = most_granted(c);
-        c.others = std::max(0.0, demanded - std::floor(c.told)) / demand_parts * most;
-        // What was really spent replaces what was booked: tokens that lapsed elsewhere are in the store.
-        const double own = c.told - std::floor(c.told);
-        const double booked = std::max(0.0, total - demanded - own) * thousandths / spend_parts * most;
-        c.store = std::min(plan_of(c).burst, c.store + c.others_spent - booked);
-        c.others_spent = booked;
+        if (!read) return;
+        c.others = form.others_demand(total, answered.told);
         c.tallied = true;
-        c.since_read = 0;
-        const double spent = c.slice - c.left;
-        open_interval(c);
-        c.left -= spent;
+        open_interval(c, now);
     }
 
     // ---- 2. Thinning ----------------------------------------------------------------------------------
@@ -459,24 +510,14 @@
         if (c.sparse) {
             // Untold, one under a limit at once would spoil what the others see: its client may come back.
             if (plan.max_open > 0 && c.looked_at == now) return c.room;
-            const bool unseen =
-                plan.max_open > 0 && !told && counter_failures_ < counter_failures_to_back_off;
+            const bool unseen = plan.max_open > 0 && !told && !silent(now);
             return !unseen && uniform() < c.pass;
         }
-        const double length = seconds(interval_of(c));
-        const double rest = std::max(0.0, seconds(edge(c, c.index + 1) - now));
-        // Demand already past the whole interval's expectation: expect what this interval shows.
-        double rate = c.last_demand / length;
-        if (c.demand > c.last_demand) rate = std::max(rate, c.demand / std::max(length - rest, length / 4));
-        if (c.last_demand <= 0) rate = 0;
-        const double expected = rate * rest;
-        double chance = c.left <= 0 ? 0 : expected > 0 ? std::min(1.0, c.left / expected) : 1;
-        // The store at hand is spent while wanted, only the refill to come is spread: spikes end early.
-        const double to_come = c.granted > 0 ? c.slice / c.granted * plan.rate * rest : 0;
-        if (expected > 0)
-            chance = std::max(chance, std::min(1.0, (c.left - to_come) / (rate * store_spent_s)));
-        if (c.left < units) chance *= std::max(0.0, c.left / units);  // the last units, fairly rounded
-        return chance >= 1 || uniform() < chance;
+        const double left = c.slice - c.now.spent;
+        const double rest = seconds(edge(c, c.index + 1) - now) / seconds(interval_of(c));
+        const double expected = c.last_demand * rest;
+        const double whole = std::clamp(left / units, 0.0, 1.0);  // the last units, fairly rounded
+        return uniform() < (expected > 0 ? std::min(whole, left / expected) : whole);
     }
 
     // What the others hold of a limit at once is expected from their demand, spread by chance (Poisson).
@@ -485,12 +526,11 @@
         const int free_for_others = plan.max_open - 1 - c.open;
         if (plan.max_open > 0 && free_for_others < 0) return false;
         if (plan.max_open <= 0 || c.set_size < 2 || c.sparse) return true;
-        const double length = seconds(interval_of(c));
         const double total = c.last_demand + c.others;
         const double demand = c.tallied ? c.others : c.demand * (c.set_size - 1);
         const double per_request = plan.rate > 0 ? std::max(1.0, mean_units_) : 1;
         const double let_in = plan.rate > 0 && total > 0 ? std::min(1.0, refill(c) / total) : 1;
-        const double held = let_in * demand / per_request / length * hold_s_;
+        const double held = let_in * demand / per_request / seconds(interval_of(c)) * hold_s_;
         // Thinned till there is room: every gateway does the same, so all their attempts get fewer.
         double thinned = held;
         while (chance_of_room(thinned, free_for_others) <= wanted_chance_of_room) thinned *= 0.9;
@@ -513,19 +553,20 @@
         c.ceiling_left = std::min(ceiling_depth(c), c.ceiling_left + gained);
         c.ceiling_at = now;
     }
+    bool under_ceiling(Customer& c, double units, Time now) const {
+        if (plan_of(c).ceiling_rate <= 0) return true;
+        refill_ceiling(c, now);
+        return c.ceiling_left >= units;
+    }
 
-    bool may_pass(Customer& c, double units, bool told, Time now) {
-        if (plan_of(c).ceiling_rate > 0) {
-            refill_ceiling(c, now);
-            if (c.ceiling_left < units) return false;
-        }
-        return room_at_once(c) && thin(c, units, told, now);
+    bool may_pass(Customer& c, const Open& r, Time now) {
+        if (!under_ceiling(c, r.units, now) || !room_at_once(c)) return false;
+        return r.verdict == Verdict::open ? thin(c, r.units, r.told, now) : r.verdict != Verdict::refused;
     }
 
     // ---- 4. Servers and health ------------------------------------------------------------------------
 
-    // What fails together (a hall cut off, a kind that leaves a class unanswered) is told by all its servers:
-    // a gateway of hundreds meets each of them too seldom to learn it one by one.
+    // What fails together (a hall cut off, a kind that leaves a class unanswered) is told by all its servers.
     double served(const Server& s, int cls, Time now) const {
         double failing = 0;
         for (const auto* group : s.groups) {
@@ -547,23 +588,16 @@
         double& mean = mean_lag_[cls];
         const double took = seconds(lag);
         mean = mean <= 0 ? took : mean + mean_gain * (took - mean);
-        double& base = base_lag_[cls];
-        base = base <= 0 ? mean : std::min(mean, base + base_gain * (mean - base));
     }
 
-    double late_after(const Open& r) const {
-        const double aim = seconds(cls_of(r).aim);
-        const double own = late_of_base * base_lag_[static_cast<std::size_t>(r.cls)];
-        return std::clamp(own, late_of_aim * aim, most_late_of_aim * aim);
-    }
-    // Guards against congestion collapse: what is out is bounded so that answers come well before their aim.
-    // A bound falls with each late answer and grows while used; of few out, an answer counts for all servers.
+    double late_after(const Open& r) const { return late_of_aim * seconds(cls_of(r).aim); }
+    // Guards against congestion collapse: a bound on what is out falls with each late answer and grows while
+    // used; of few out, an answer counts for all servers.
     void adapt_bound(Server& s, bool late) {
         const bool used =
             static_cast<double>(s.out.size()) >= bound_of(s) / 2 && out_mean_ + 1 >= bound() / 2;
         if (!may_be_sent_to(s) || (!late && !used)) return;
-        settled_ = settled_ || late;  // until a first late answer the bounds grow much faster
-        const double growth = bound_gain * late_wanted * (settled_ ? 1 : unsettled_growth);
+        const double growth = bound_gain * late_wanted;
         const double factor = late ? 1 - bound_gain * (1 - late_wanted) : 1 + growth;
         const double least = least_bound / cfg_.gateways;
         sum_of_bounds_ -= s.bound;
@@ -575,17 +609,15 @@
     }
     double bound_of(const Server& s) const { return s.bound * fleet_bound_; }
     double bound() const { return sum_of_bounds_ * fleet_bound_; }
-    // The bound holds on average, by thinning: hundreds of gateways with a bound of about one would else
-    // refuse what comes in twos. At once no more is out than chance explains; the least worth for its time
-    // goes first.
+    // The bound holds on average, by thinning: with a bound of about one, what comes in twos would be
+    // refused. At once no more is out than chance explains; the least worth for its time goes first.
     bool has_room(int cls) {
         const double u = urgency(cls);
         out_mean_ += out_gain * (out_now_ - out_mean_);
         if (out_now_ >= bound() + spread_of_chance * u * std::sqrt(bound())) return false;
         return out_mean_ <= bound() || uniform() < std::pow(bound() / out_mean_, thinning_power / u / u);
     }
-    // Worth for the time it holds a server, against the mean of what is asked: under pressure of any cause
-    // the same room serves more. Hurts where the worst-served class counts most.
+    // Worth for the time it holds a server, against the mean of what is asked. Hurts the worst-served class.
     double urgency(int cls) {
         const auto at = static_cast<std::size_t>(cls);
         if (mean_lag_[at] <= 0) return 1;
@@ -616,9 +648,8 @@
         if (best && uniform() >= warm_share(*best, now)) best = best_of_few(r, pools, now, false);
         return best;
     }
-    // A gateway of hundreds meets a server too seldom to know it full, slow, cut off or dead before the list
-    // says so. Some drawn servers are probed, and attempts go to those that answered. Hurts where probes are
-    // answered beside a full queue.
+    // A gateway of hundreds meets a server too seldom to know it full, slow or dead before the list says so:
+    // some drawn ones are probed. Hurts where probes are answered beside a full queue.
     void look_around(Time now) {
         if (!cfg_.may_probe || bound() >= few_attempts * count_) return;
         Server& s = draw(choice(all_pools));
@@ -740,8 +771,7 @@
         r.answered = true;
     }
 
-    // With next to no room a repeat only adds to the calls; under less pressure an early one is in time, or
-    // one after as long as a call is out, where those were too many.
+    // With next to no room a repeat only adds to the calls; under less pressure an early one is in time.
     Span come_back_in(bool limited) {
         if (!cfg_.retry_after || (!limited && out_mean_ < hopeless * bound())) return Span{0};
         if (limited) return std::min(span_of(hold_s_ * (uniform() + 1)), cfg_.most_retry_after);
@@ -778,18 +808,15 @@
         c.demand += plan.rate > 0 ? request.units : 1;
         mean_units_ += mean_gain * (request.units - mean_units_);
         Open r;
-        r.cls = request.cls;
-        r.customer = request.customer;
+        static_cast<Request&>(r) = request;
         r.arrived = now;
-        r.due = request.due;
-        r.units = request.units;
-        r.pools = request.pools;
-        r.fallback = request.fallback;
         if (c.sparse) {
             c.untold += plan.rate > 0 ? request.units : 1;
             r.room = has_room(r.cls);  // asked first: a look for what is refused all the same is lost
             r.waits = r.room && look(r.customer, c, request.id, r.due, now);
             r.told = r.waits;
+        } else {
+            r.waits = claim(c, r, request.id, now);
         }
         Open& held = requests_[request.id] = std::move(r);
         if (!held.waits) decide(request.id, held, now);
@@ -797,15 +824,16 @@
 
     void decide(RequestId id, Open& r, Time now) {
         Customer* c = find_customer(r.customer);
-        const bool passes = c && in_time(r, now) && may_pass(*c, r.units, r.told, now);
+        const bool passes = c && in_time(r, now) && may_pass(*c, r, now);
         Server* s = passes ? pick(r, now) : nullptr;
         if (!s) {
             if (c) take_back(r, *c, now);
+            if (c) give_back(*c, r, now);
             give_answer(id, r, now, c && !passes && plan_of(*c).max_open > 0);
             requests_.erase(id);
             return;
         }
-        c->left -= r.units;
+        if (!r.paid) spend(*c, r.units, now);
         c->ceiling_left -= r.units;
         send(id, r, *s, now);
     }
@@ -827,11 +855,10 @@
         const bool by_load = at != servers_.end() && judge(at->second, r, result, now);
         // A server may go on with work that timed out: forgotten, it would fill servers that seem idle.
         const bool goes_on = by_load && result.outcome == Outcome::timeout && a.burdens;
-        const Span longer = span_of(seconds(now - a.sent) * left_for);
-        if (goes_on) schedule(now + longer, {TaskKind::left, a.server, a.sent});
+        if (goes_on) schedule(now + (now - a.sent), {TaskKind::left, a.server, a.sent});
         if (!goes_on && a.burdens) on_left(a.server, a.sent);
         if (result.outcome == Outcome::ok && c && result.true_units > 0) {
-            c->left -= result.true_units - r.units;
+            spend(*c, result.true_units - r.units, now);
             if (c->sparse && plan_of(*c).rate > 0) c->untold += result.true_units - r.units;
         }
         if (result.concluded) r.answered = true;
@@ -889,8 +916,7 @@
         if (result.outcome == Outcome::ok) learn(static_cast<std::size_t>(r.cls), result.lag);
         // Over so many mean lags it is silence (a class failed, answers lost): refusing more would not help.
         const bool silent = mean > 0 && seconds(result.lag) >= tail_of_mean * mean;
-        // Guards against servers that drain before the list says so: they turn all away at once, seem idle
-        // and so draw more, and their answers say nothing of load. A full one still serves between.
+        // Guards against servers that drain before the list says so: they seem idle. A full one still serves.
         if (result.outcome == Outcome::ok) s.turned_away = 0;
         if (result.outcome == Outcome::full && ++s.turned_away >= shut_after) {
             s.shut_until = now + shut_for * std::min(s.turned_away - shut_after + 1, most_shut);
@@ -904,8 +930,7 @@
 
     void on_plans(const std::vector<PlanSettings>& more) {
         cfg_.plans.insert(cfg_.plans.end(), more.begin(), more.end());
-        usual_pass_.resize(cfg_.plans.size(), 1.0);
-        validate();
+        check(cfg_);
     }
 
     void on_withdrawn(RequestId id) {
@@ -951,10 +976,9 @@
     }
 
     std::size_t left_out(Time now) const {
-        const auto shut = [now](const auto& s) {
-            return may_be_sent_to(s.second) && now < s.second.shut_until;
-        };
-        return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), shut));
+        std::size_t shut = 0;
+        for (const auto& [id, s] : servers_) shut += may_be_sent_to(s) && now < s.shut_until ? 1 : 0;
+        return shut;
     }
 
     // What is due comes before the event; then the next wake-up is asked for.
@@ -978,25 +1002,6 @@
     }
 
 private:
-    void validate() const {
-        require(!cfg_.classes.empty() && !cfg_.plans.empty(), "classes, plans");
-        require(cfg_.self >= 0 && cfg_.self < cfg_.gateways, "self, gateways");
-        require(cfg_.most_attempts >= 1, "most_attempts");
-        require(cfg_.cold_from > 0 && cfg_.cold_from <= 1, "cold_from");
-        require(cfg_.count_timeout >= Span{0}, "count_timeout");
-        for (const ClassSettings& c : cfg_.classes) {
-            require(c.aim > Span{0}, "classes.aim");
-            require(c.deadline >= c.aim, "classes.deadline");
-            require(c.key_window >= Span{0}, "classes.key_window");
-        }
-        for (const PlanSettings& p : cfg_.plans) {
-            require(p.rate >= 0 && std::isfinite(p.rate), "plans.rate");
-            require(p.burst >= 0 && std::isfinite(p.burst), "plans.burst");
-            require(p.max_open >= 0, "plans.max_open");
-            require(p.ceiling_rate >= 0 && std::isfinite(p.ceiling_rate), "plans.ceiling_rate");
-            require(p.ceiling_burst >= 0, "plans.ceiling_burst");
-        }
-    }
     bool has_plan(int plan) const { return plan >= 0 && plan < static_cast<int>(cfg_.plans.size()); }
     const ClassSettings& cls_of(const Open& r) const { return cfg_.classes[static_cast<std::size_t>(r.cls)]; }
     double uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
@@ -1018,16 +1023,14 @@
     Time next_wake_ = Time::max();
     int counter_failures_ = 0;
     Time counter_retry_at_{};
+    Time heard_at_{};  // when the counter answered last
     std::vector<double> mean_lag_;
-    std::vector<double> base_lag_;    // the same in quiet times: falls at once, rises slowly
-    std::vector<double> usual_pass_;  // by plan: the mean chance over all looks, for customers not known
     double look_share_ = 1;
     double hold_s_ = 0.1;  // how long an attempt is out, on average
     double mean_units_ = 1;
     double retry_tokens_ = 1;
     double out_now_ = 0;  // attempts out from here
     double out_mean_ = 0;
-    bool settled_ = false;
     double fleet_bound_ = 1;  // what all servers' bounds are multiplied by
     double sum_of_bounds_ = 0;
     std::map<std::string, std::vector<Doubt>> doubts_;  // by zone or kind, then class
--- a/src/upgrade/accounts.cpp
+++ b/src/upgrade/accounts.cpp
@@ -23,18 +23,24 @@
     visit("others", account.others);
     visit("tallied", account.tallied);
     visit("untold", account.untold);
-    visit("others_spent", account.others_spent);
-    visit("told", account.told);
     visit("pass", account.pass);
     visit("room", account.room);
-    visit("since_read", account.since_read);
-    visit("store", account.store);
+    visit("level", account.level);
     visit("granted", account.granted);
     visit("slice", account.slice);
-    visit("left", account.left);
     visit("open", account.open);
     visit("idle", account.idle);
     visit("ceiling", account.ceiling_left);
+    visit("told", account.now.told);
+    visit("spent", account.now.spent);
+    visit("told_spent", account.now.told_spent);
+    visit("seen", account.now.seen);
+    visit("base", account.now.base);
+    visit("told_before", account.before.told);
+    visit("spent_before", account.before.spent);
+    visit("told_spent_before", account.before.told_spent);
+    visit("seen_before", account.before.seen);
+    visit("base_before", account.before.base);
 }
 
 }  // namespace
@@ -49,6 +55,7 @@
         json one{{"account", account.customer}, {"plan", plans[static_cast<std::size_t>(account.plan)]}};
         each_field(account, [&one](const char* name, const auto& value) { one[name] = value; });
         one["looked_at"] = account.looked_at.count();
+        one["level_at"] = account.level_at.count();
         one["ceiling_at"] = account.ceiling_at.count();
         all.push_back(std::move(one));
     }
@@ -73,6 +80,7 @@
                     good = good && std::isfinite(value);
                 }
             });
+            account.level_at = topazcrank::Time{one.at("level_at").get<std::int64_t>()};
             account.looked_at = topazcrank::Time{one.at("looked_at").get<std::int64_t>()};
             account.ceiling_at = topazcrank::Time{one.at("ceiling_at").get<std::int64_t>()};
             if (good && account.set_size >= 1 && account.open >= 0 && account.open <= most_open)
