Tests: the tally's test is back, and spoilt answers in a row are no silence

Answers come at once in it now, since a call waits for its claim. New: three spoilt answers in a row do not stop the asking.

--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -861,6 +861,54 @@
     int calls = 0;
 };
 
+// The other gateway asks three times as much and spends its part; then the counter falls silent.
+TEST(Tally, AddsDemandThenReadsAndTakesTheShare) {
+    Gateway g(tally_settings());
+    const Count form(20);  // the store, and an interval's refill
+    std::size_t answered = 0;
+    std::map<std::string, double> own;  // by count: what this gateway has added
+    std::map<std::string, Time> begun;
+    int reads = 0;
+    bool silent = false;
+    const auto answer = [&] {
+        for (; answered < g.out.counted.size(); ++answered) {
+            const auto call = g.out.counted[answered];
+            own[call.name] += call.amount;
+            const Time first = begun.try_emplace(call.name, g.now).first->second;
+            if (call.amount == 0 && answered > 0) {  // the very first asks for the time before it started
+                ++reads;
+                EXPECT_GT(own[call.name], 60) << "demand is told refused included, and before the read";
+            }
+            const double part = std::min(1.0, std::chrono::duration<double>(g.now - first).count());
+            const double others = form.own(150 * part, 7.5 * part, -1);
+            g.policy.on_counted(g.now, call.name, silent ? CountStatus::timeout : CountStatus::ok,
+                                own[call.name] + others);
+        }
+    };
+    const auto passed_in = [&](Span time) {
+        int passed = 0;
+        for (const Time end = g.now + time; g.now < end;) {
+            g.run_to(g.now + 20ms);
+            answer();
+            const auto id = g.submit(1, "u", 2);
+            answer();
+            if (g.sends(id) != 1) continue;
+            ++passed;
+            g.resolve_now(id, Outcome::ok, 5ms, 0);
+        }
+        return passed;
+    };
+    passed_in(8s);
+    const int share = passed_in(4s);
+    EXPECT_GE(share, 6);  // a quarter of ten units a second
+    EXPECT_LE(share, 14);
+    EXPECT_GE(reads, 5);
+    silent = true;
+    const int last = passed_in(8s);
+    EXPECT_GE(last, 12) << "by the last slice";
+    EXPECT_LE(last, 28);
+}
+
 TEST(Tally, OverAllGatewaysTheStoreIsPassedOnAndNoMore) {
     Shared shared(3, tally_settings());
     int passed = 0;
@@ -924,6 +972,23 @@
     EXPECT_NEAR(passed, 100, 12);
 }
 
+// Some answers are spoilt, three in a row: the counter is not silent, and goes on being asked.
+TEST(Tally, SpoiltAnswersInARowAreNoSilence) {
+    Settings settings = tally_settings();
+    settings.plans[0] = make_plan(100, 100);
+    Shared shared(2, settings);
+    int i = 0;
+    for (; i < 1000; ++i) shared.offer(0, 100s + i * 2ms);
+    const int before = shared.calls;
+    for (const int end = i + 50; shared.calls < before + 3 && i < end; ++i) {
+        shared.offer(0, 100s + i * 2ms, CountStatus::timeout);
+    }
+    ASSERT_GE(shared.calls, before + 3);
+    const int spoilt = shared.calls;
+    for (const int end = i + 50; i < end; ++i) shared.offer(0, 100s + i * 2ms);
+    EXPECT_GE(shared.calls, spoilt + 5) << "in the tenth of a second behind them";
+}
+
 TEST(Count, TellsDemandSpendAndTheStoreInOneNumber) {
     const Count count(20);
     const double a = count.own(4, 3, -1), b = count.own(10, 6, -1);
