--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -972,6 +972,41 @@
     EXPECT_NEAR(passed, 100, 12);
 }
 
+// Of a full store, the gateway with a tenth of the demand passes on no more than its slice unanswered.
+TEST(Tally, AClaimWithoutAnAnswerPassesOnlyWithinTheSlice) {
+    Shared shared(2, tally_settings());
+    int i = 0;
+    for (; i < 1000; ++i) shared.offer(i % 10 == 0 ? 1 : 0, 100s + i * 10ms);
+    for (i += 90; i < 1100; ++i) shared.offer(0, 100s + i * 10ms);
+    const Time now = 100s + (i + 90) * 10ms;
+    shared.offer(1, now);
+    int passed = 0;
+    for (int n = 0; n < 30; ++n) passed += shared.offer(1, now + n * 2ms, CountStatus::timeout);
+    EXPECT_LE(passed, 4);
+}
+
+// The counter is pressed (it answers late): fewer calls are claimed, and the slices do the rest.
+TEST(Tally, AsksAPressedCounterLess) {
+    Settings settings = tally_settings();
+    settings.plans[0] = make_plan(100, 100);
+    const auto calls_in = [&](CountStatus status) {
+        Shared shared(2, settings);
+        int i = 0;
+        for (; i < 1000; ++i) shared.offer(static_cast<std::size_t>(i % 2), 100s + i * 2ms);
+        for (const int end = i + 200; i < end; ++i) {  // every second answer: no silence
+            shared.offer(static_cast<std::size_t>(i % 2), 100s + i * 2ms,
+                         i % 4 < 2 ? CountStatus::ok : status);
+        }
+        const int before = shared.calls;
+        for (const int end = i + 200; i < end; ++i) {
+            shared.offer(static_cast<std::size_t>(i % 2), 100s + i * 2ms,
+                         i % 4 < 2 ? CountStatus::ok : status);
+        }
+        return shared.calls - before;
+    };
+    EXPECT_LE(calls_in(CountStatus::full) * 2, calls_in(CountStatus::ok));
+}
+
 // Some answers are spoilt, three in a row: the counter is not silent, and goes on being asked.
 TEST(Tally, SpoiltAnswersInARowAreNoSilence) {
     Settings settings = tally_settings();
