One clock for the list: a silent watch is begun anew, pushed lists are heard at once

Cause: RegistryWatch (src/net/registry_watch.cpp, `wait` 20 s and `wait_more` 1 s) held a silent watch to be good for up to 21 s, and began the next one from the version it had, so that a second silence cost 21 s more. Where lists are pushed, what the agent holds counts as told at once, also after an outage and from a process's first moment; the operators' clock gives 6 s after a silence began (2 s after the wait). A process started with `known` asked for changes only, within a watch that could be silent as well.

Change: a pace for pushed lists (wait 1 s, answers within 250 ms, then a new connection at once) and one for lists that are asked for (20 s and 1 s as before, since each call costs the registry there). After a silence, and at a start where lists are pushed, the whole list is asked for without a wait, until it is here. A long list that is coming is no silence; one that drips is, after 2 s.

Ruled out: a shorter wait where lists are asked for. 2 s after the wait's end is the clock there, and the watch is begun anew 1 s after it.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -102,7 +102,9 @@
           pool_(loop_, gateway_, {shares_.workers, config.site.connect_timeout, config.site.conn_idle}),
           counter_(loop_, gateway_, counter_of(config), config.site.settings.count_timeout),
           suspensions_(gateway_),
-          registry_(loop_, suspensions_, config.discovery, config.known.version, config.seed),
+          registry_(
+              loop_, suspensions_, config.discovery, config.known.version, config.seed,
+              config.site.settings.list_on_request ? net::RegistryWatch::asked : net::RegistryWatch::pushed),
           acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}),
           drain_(loop_, acceptor_, longest_deadline(config), [this] { loop_.stop(); }),
           desk_({gateway_, pool_, suspensions_, drain_, class_names(config),
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -11,39 +11,49 @@
 
 namespace {
 
-constexpr Span wait = 20s;      // asked of discovery
-constexpr Span wait_more = 1s;  // beyond that it is silent, and asked anew
-constexpr Span connect_time = 1s;
-constexpr Span retry_after = 80ms;  // a watch goes on if the next call comes within 200 ms
-constexpr Span longest_pause = 1s;  // what is told counts as known some seconds after
+constexpr Span longest_answer = 2s;  // from its first byte to its last
+constexpr Span retry_after = 80ms;   // a watch goes on if the next call comes within 200 ms
 
 }  // namespace
 
 class RegistryWatch::Connection final : public Stream {
 public:
-    Connection(Loop& loop, RegistryWatch& watch) : Stream(loop), watch_(watch) { arm(connect_time); }
+    Connection(Loop& loop, RegistryWatch& watch) : Stream(loop), watch_(watch) { arm(watch_.pace_.answer); }
 
     Handle self;
 
 private:
     void arm(Span time) {
         loop().disarm(timer_);
-        timer_ = loop().arm(loop().now() + time, [this] { give_up(); });
+        timer_ = loop().arm(loop().now() + time, [this] { fall_silent(); });
     }
     void ask() {
         to_write().append(watch_.request());
-        arm(wait + wait_more);
+        const Span within = watch_.pace_.answer + (watch_.wants_whole() ? Span{0} : watch_.pace_.wait);
+        whole_by_ = loop().now() + within + longest_answer;
+        arm(within);
     }
     void give_up() {
         close();
         watch_.connect_later();
     }
+    // News may have been missed, and may still be missed by a watch that goes on from here.
+    void fall_silent() {
+        watch_.doubtful_ = true;
+        close();
+        if (watch_.pace_.after_silence > Span{0}) return watch_.connect_later();
+        watch_.connect();
+    }
 
     void on_connected() override { ask(); }
     std::size_t on_bytes(std::string_view bytes) override {
         std::size_t taken = 0;
         const auto state = reader_.take(bytes, taken);
-        if (state == http::ResponseReader::State::partial) return bytes.size();
+        if (state == http::ResponseReader::State::partial) {
+            // A long list takes its time, and is no silence while it comes; one that drips is.
+            arm(std::min(watch_.pace_.answer, whole_by_ - loop().now()));
+            return bytes.size();
+        }
         take_response(state, taken == bytes.size());
         return bytes.size();
     }
@@ -74,11 +84,18 @@
     RegistryWatch& watch_;
     http::ResponseReader reader_;
     Handle timer_;
+    core::Time whole_by_{};
 };
 
 RegistryWatch::RegistryWatch(Loop& loop, core::Lists& lists, std::string address, std::int64_t known_version,
-                             std::uint64_t seed)
-    : loop_(loop), lists_(lists), address_(std::move(address)), version_(known_version), random_(seed) {}
+                             std::uint64_t seed, const Pace& pace)
+    : loop_(loop),
+      lists_(lists),
+      address_(std::move(address)),
+      version_(known_version),
+      pace_(pace),
+      doubtful_(pace.wait == pushed.wait),  // what the agent holds is told from the first moment on
+      random_(seed) {}
 RegistryWatch::~RegistryWatch() = default;
 
 bool RegistryWatch::start() {
@@ -121,15 +138,15 @@
     // Guards a registry that comes back, or refuses, against all gateways at once and in step: the first
     // pause keeps the watch, further ones double and are spread.
     const int doubled = std::min(failures_++, 4);
-    const Span pause = std::min<Span>(longest_pause, retry_after * (1 << doubled));
+    const Span pause = std::min<Span>(pace_.longest_pause, retry_after * (1 << doubled));
     const double part = doubled == 0 ? 1 : std::uniform_real_distribution<double>(0.5, 1)(random_);
     retry_ = loop_.arm(loop_.now() + std::chrono::duration_cast<Span>(pause * part), [this] { connect(); });
 }
 
 std::string RegistryWatch::request() const {
     std::string target = "/api/targets";
-    if (version_ >= 0) {
-        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    if (!wants_whole()) {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(pace_.wait).count();
         target += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(ms);
     }
     return http::write_get(target, address_);
@@ -144,6 +161,7 @@
         return false;
     }
     version_ = list->version;
+    doubtful_ = false;
     failures_ = 0;
     if (list->full) {
         lists_.listed(topazcrank::ListKind::full, list->entries);
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -1,4 +1,6 @@
-// Watches the registry: one HTTP connection to discovery, always with a call that waits for news.
+// Watches the registry: one HTTP connection to discovery, always with a call that waits for news. One that is
+// silent is a broken one: what it should have told is asked for anew, whole and without a wait, until it is
+// here.
 #pragma once
 
 #include <cstdint>
@@ -13,10 +15,23 @@
 
 class RegistryWatch {
 public:
+    struct Pace {
+        core::Span wait;           // of a call, for news
+        core::Span answer;         // any answer may take, beyond that
+        core::Span after_silence;  // until the next call
+        core::Span longest_pause;  // between calls that fail again and again
+    };
+    // Where the list is pushed to an agent beside the gateway, asking costs nothing, and what the agent holds
+    // counts as told however the watch stands; else every call costs the registry.
+    static constexpr Pace pushed{std::chrono::seconds(1), std::chrono::milliseconds(250), core::Span{0},
+                                 std::chrono::milliseconds(160)};
+    static constexpr Pace asked{std::chrono::seconds(20), std::chrono::seconds(1),
+                                std::chrono::milliseconds(80), std::chrono::seconds(1)};
+
     // Goes on from the version that is known; below 0: from none.
     // The seed spreads what is asked after breaks, so that many gateways do not ask in step.
     RegistryWatch(Loop& loop, core::Lists& lists, std::string address, std::int64_t known_version,
-                  std::uint64_t seed);
+                  std::uint64_t seed, const Pace& pace);
     ~RegistryWatch();
     // Returns false where the address is none.
     bool start();
@@ -32,6 +47,8 @@
     void connect_later();
     bool apply(int status, const std::string& body);
     std::string request() const;
+    // A whole list is wanted, which is answered at once: nothing is known, or news may have been missed.
+    bool wants_whole() const { return version_ < 0 || doubtful_; }
 
     Loop& loop_;
     core::Lists& lists_;
@@ -40,6 +57,8 @@
     std::int64_t version_;
     core::Slots<Connection> connections_;
     core::Handle retry_;
+    Pace pace_;
+    bool doubtful_;     // since the start, a silence
     int failures_ = 0;  // in a row
     std::mt19937_64 random_;
     bool closed_ = false;
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -608,7 +608,7 @@
 TEST(Registry, IsWatchedAgainAtOnceAndAfterABreakOrNonsense) {
     Rig rig;
     Listener discovery, worker;
-    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41, 7);
+    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41, 7, net::RegistryWatch::asked);
     ASSERT_TRUE(watch.start());
     auto first = rig.accepted(discovery);
     ASSERT_TRUE(rig.until([&] { return first->has("GET /api/targets?index=41&wait=20000 HTTP/1.1\r\n"); }));
@@ -632,7 +632,7 @@
 TEST(Registry, ThatBreaksAgainAndAgainIsAskedLessAndLessOften) {
     Rig rig;
     Listener discovery;
-    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41, 7);
+    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41, 7, net::RegistryWatch::asked);
     ASSERT_TRUE(watch.start());
     const auto begun = std::chrono::steady_clock::now();
     for (int i = 0; i < 6; ++i) rig.accepted(discovery)->close();
@@ -652,6 +652,67 @@
     rig.loop.turn();
 }
 
+// The clock of a pushed list: what the agent holds is told at once, also to a new process and after an
+// outage.
+TEST(Registry, WhatAPushedListsAgentHoldsIsHeardAtOnceAtTheStartAndAfterASilence) {
+    Rig rig;
+    Listener discovery, worker;
+    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41, 7, net::RegistryWatch::pushed);
+    ASSERT_TRUE(watch.start());
+    auto first = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return first->has("GET /api/targets HTTP/1.1\r\n"); }))
+        << "what is known from before may be out of date";
+    first->write(
+        response("{\n  \"version\": 42,\n  \"full\": true,\n  \"servers\": [\n    {\n      \"id\": \"w\",\n"
+                 "      \"addr\": \"" +
+                 worker.address() + "\"\n    }\n  ]\n}\n"));
+    ASSERT_TRUE(rig.until([&] { return first->has("index=42&wait=1000"); })) << "an indented list is one too";
+    // The watch falls silent, and the agent with it.
+    const auto silent = std::chrono::steady_clock::now();
+    auto second = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return second->has("GET /api/targets HTTP/1.1\r\n"); }));
+    EXPECT_LT(std::chrono::steady_clock::now() - silent, 2s)
+        << "6 s after the silence began all counts as told";
+    EXPECT_TRUE(rig.until([&] { return first->is_over(); }));
+    // The outage goes on; the agent is back between two calls, and is heard by the next.
+    auto third = rig.accepted(discovery);
+    const auto back = std::chrono::steady_clock::now();
+    auto fourth = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return fourth->has("GET /api/targets HTTP/1.1\r\n"); }));
+    fourth->write(
+        response(R"({"version":43,"full":true,"servers":[{"id":"w","state":"terminating","addr":")" +
+                 worker.address() + "\"}]}"));
+    ASSERT_TRUE(rig.until([&] { return fourth->has("index=43&"); }));
+    EXPECT_LT(std::chrono::steady_clock::now() - back, 450ms)
+        << "the drain binds 500 ms after the agent has it";
+    Peer client = rig.client();
+    client.write(call("read", 600));
+    ASSERT_TRUE(rig.until([&] { return client.has("\r\n"); }));
+    EXPECT_EQ(worker.accept(), nullptr) << "it drains";
+    watch.close();
+    rig.loop.turn();
+}
+
+TEST(Registry, ASilentCallIsFollowedByOneForTheWholeListThatNeedNotWait) {
+    Rig rig;
+    Listener discovery;
+    constexpr net::RegistryWatch::Pace pace{200ms, 150ms, 80ms, 1s};
+    net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41, 7, pace);
+    ASSERT_TRUE(watch.start());
+    auto first = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return first->has("index=41&wait=200 "); }));
+    auto second = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return second->has("GET /api/targets HTTP/1.1\r\n"); }))
+        << "a watch from 41 on could miss what the silent one had taken";
+    second->write("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{");  // and a list that stops coming
+    auto third = rig.accepted(discovery);
+    ASSERT_TRUE(rig.until([&] { return third->has("GET /api/targets HTTP/1.1\r\n"); }));
+    third->write(response(R"({"version":44,"full":true,"servers":[]})"));
+    ASSERT_TRUE(rig.until([&] { return third->has("index=44&wait=200 "); }));
+    watch.close();
+    rig.loop.turn();
+}
+
 // ---- The program --------------------------------------------------------------------------------------
 
 TEST(Program, SaysInOneLineWhatIsWrongWithItsConfiguration) {
