--- /dev/null
+++ b/src/accord/accord.cpp
@@ -0,0 +1,746 @@
+#include "accord.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace linnetlead::accord {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t most_topic = 16;
+constexpr std::uint64_t most_number = 9'999'999'999;
+constexpr std::size_t most_rumours = 4;
+constexpr std::size_t most_helped = 64;
+constexpr std::uint32_t helping = 0x80000000U;  // marks pings made for others
+
+// "topic#number#digest" of a proposal, "topic.at" of the instant settled.
+struct Named {
+    std::string topic;
+    Version version;
+};
+std::optional<Named> read_proposal_key(const std::string& key) {
+    const auto first = key.find('#'), second = key.rfind('#');
+    if (first == std::string::npos || second == first) return std::nullopt;
+    Named named;
+    named.topic = key.substr(0, first);
+    char* end = nullptr;
+    named.version.number = std::strtoull(key.c_str() + first + 1, &end, 10);
+    if (end != key.c_str() + second || named.version.number == 0) return std::nullopt;
+    named.version.digest = std::strtoull(key.c_str() + second + 1, &end, 16);
+    if (*end != '\0' || key.size() - second != 17) return std::nullopt;
+    return named;
+}
+std::optional<std::string> read_settled_key(const std::string& key) {
+    constexpr std::string_view suffix = ".at";
+    if (key.size() <= suffix.size() || key.compare(key.size() - suffix.size(), suffix.size(), suffix) != 0) {
+        return std::nullopt;
+    }
+    return key.substr(0, key.size() - suffix.size());
+}
+
+std::string text_of(Version version) {
+    char text[48];
+    std::snprintf(text, sizeof(text), "%llu (%016llx)", static_cast<unsigned long long>(version.number),
+                  static_cast<unsigned long long>(version.digest));
+    return text;
+}
+
+std::vector<std::uint8_t> bytes_of(const std::string& text) { return {text.begin(), text.end()}; }
+
+Members::Settings members_of(const Accord::Settings& settings) {
+    Members::Settings of;
+    of.gateways = settings.gateways;
+    of.self = settings.self;
+    of.born = settings.born;
+    of.seed = settings.seed;
+    return of;
+}
+
+Ballot::Settings ballot_of(const Accord::Settings& settings) {
+    Ballot::Settings of;
+    of.gateways = settings.gateways;
+    of.slot = settings.slot;
+    of.read_after = settings.skew;
+    of.lease = 3 * settings.slot;
+    return of;
+}
+
+// The counter as the ballot asks it.
+struct Asking final : Counting {
+    explicit Asking(const std::function<void(const std::string&, double, Span)>& with) : ask(with) {}
+    void count(const std::string& name, double amount, Span life) override {
+        if (ask) ask(name, amount, life);
+    }
+    const std::function<void(const std::string&, double, Span)>& ask;
+};
+
+}  // namespace
+
+Accord::Accord(const Settings& settings, Outside outside)
+    : settings_(settings),
+      outside_(std::move(outside)),
+      members_(members_of(settings)),
+      exchange_(settings.gateways, records_,
+                {[this](int to, Message message) { return send(last_tick_, to, std::move(message)); },
+                 [this](const Record& record) { return wanted(record); },
+                 [this](const Record& record) { learn(last_tick_, record); }}),
+      council_(settings.gateways, settings.lease, settings.skew),
+      ballot_(ballot_of(settings)),
+      holders_(static_cast<std::size_t>(settings.gateways)),
+      last_presence_(static_cast<std::size_t>(settings.gateways), Presence::gone) {}
+
+Span Accord::lead() const {
+    if (settings_.lead > Span{}) return settings_.lead;
+    return 300ms + std::chrono::duration_cast<Span>(80ms * std::log2(settings_.gateways + 1.0));
+}
+
+Span Accord::longest_contradiction() const {
+    if (settings_.way == Way::alone) return Span::max();
+    return (settings_.way == Way::counter ? 3 * settings_.slot : settings_.lease) + settings_.skew;
+}
+
+void Accord::event(Time now, const std::string& what, const std::string& text) {
+    if (outside_.event) outside_.event({now, what, text});
+}
+
+std::string Accord::key_of(const std::string& topic, Version version) const {
+    char rest[48];
+    std::snprintf(rest, sizeof(rest), "#%llu#%016llx", static_cast<unsigned long long>(version.number),
+                  static_cast<unsigned long long>(version.digest));
+    return topic + rest;
+}
+
+std::uint64_t Accord::mark_of(Version version) const { return hash_of(key_of("", version)); }
+
+// ---- Datagrams ------------------------------------------------------------------------------------------
+
+bool Accord::may_send(Time now, bool always) {
+    const double since = std::chrono::duration<double>(now - tokens_at_).count();
+    tokens_ = std::min(settings_.datagrams_per_s, tokens_ + std::max(0.0, since) * settings_.datagrams_per_s);
+    tokens_at_ = now;
+    if (tokens_ < 1 && !always) return false;
+    tokens_ = std::max(0.0, tokens_ - 1);
+    return true;
+}
+
+bool Accord::send(Time now, int to, Message message, bool always) {
+    if (!may_send(now, always)) return ++traffic_.held_back, false;
+    message.from = settings_.self;
+    message.presence = members_.presence(settings_.self);
+    message.incarnation = members_.incarnation();
+    const std::string bytes = write(message, ++turn_);
+    if (bytes.empty()) return true;  // one that cannot be written is lost
+    ++traffic_.sent;
+    traffic_.bytes += bytes.size();
+    if (outside_.send) outside_.send(to, bytes);
+    return true;
+}
+
+bool Accord::pass(Time now, int to, const std::string& payload) {
+    if (settings_.way != Way::datagrams) return false;
+    Message message;
+    message.kind = Kind::health;
+    message.payload = payload;
+    return send(now, to, std::move(message));
+}
+
+Message Accord::beat(Time now, Kind kind, int to, std::uint32_t number) {
+    Message message;
+    message.kind = kind;
+    message.number = number;
+    Beat& beat = message.beat;
+    beat.sent_ms = now / 1ms;
+    beat.records = records_.hash();
+    beat.held = held_;
+    // The clock's remainder would make a statement later than it was.
+    const Time sent = std::chrono::milliseconds(beat.sent_ms);
+    if (const auto place = council_.place_of(settings_.self)) council_.said(now, *place, {sent, standing()});
+    for (int place = 0; place < council_.size(); ++place) {
+        const Statement& last = council_.last(place);
+        const Span age = sent - last.at;
+        if (last.at == Time{} || age > 2 * settings_.lease) continue;
+        beat.words.push_back({place, std::max<std::int64_t>(age / 1ms, 0), last.standing});
+    }
+    if (held_ != 0) {
+        beat.holders.assign((holders_.size() + 7) / 8, '\0');
+        for (std::size_t i = 0; i < holders_.size(); ++i) {
+            if (holders_[i]) beat.holders[i / 8] = static_cast<char>(beat.holders[i / 8] | (1 << (i % 8)));
+        }
+    }
+    beat.rumours = members_.rumours_for(to, most_rumours);
+    return message;
+}
+
+void Accord::take_beat(Time now, const Message& message) {
+    const Beat& beat = message.beat;
+    const Time sent = std::chrono::milliseconds(beat.sent_ms);
+    for (const Beat::Word& word : beat.words) {
+        council_.said(now, word.place, {sent - std::chrono::milliseconds(word.age_ms), word.standing});
+    }
+    for (const Rumour& rumour : beat.rumours) members_.rumour(now, rumour);
+    if (members_.held_gone() != held_gone_seen_) {
+        held_gone_seen_ = members_.held_gone();
+        // What was heard before may be of a tier that has gone on without this gateway.
+        council_.forget(now);
+        event(now, "held gone", "the others took this gateway for gone; it waits to hear them anew");
+    }
+    if (beat.held != 0 && beat.held == held_) {
+        holders_[static_cast<std::size_t>(message.from)] = true;
+        for (std::size_t i = 0; i < holders_.size() && i / 8 < beat.holders.size(); ++i) {
+            if ((beat.holders[i / 8] >> (i % 8) & 1) != 0) holders_[i] = true;
+        }
+    }
+    if (!joined_ && message.presence == Presence::alive && stale_) whole_again(now);
+    if (beat.records != records_.hash()) exchange_.differs(now, message.from);
+    reckon(now);
+}
+
+// What was said up to now may have waited in the kernel for as long as this process was stopped.
+void Accord::awake(Time now) {
+    if (awake_at_ > Time{} && now - awake_at_ > settings_.lease / 2) {
+        council_.forget(now);
+        good_until_ = {};
+        event(now, "stopped",
+              "for " + std::to_string((now - awake_at_) / 1ms) + " ms; the tier is heard anew");
+    }
+    awake_at_ = now;
+}
+
+void Accord::heard(Time now, int from, std::string_view datagram) {
+    awake(now);
+    last_tick_ = std::max(last_tick_, now);
+    ++traffic_.taken;
+    const auto message = read(datagram);
+    if (!message || message->from != from || from < 0 || from >= settings_.gateways ||
+        from == settings_.self) {
+        ++traffic_.nonsense;
+        return;
+    }
+    members_.heard(now, from, message->presence, message->incarnation);
+    // The words of a life that is over.
+    if (message->incarnation < members_.incarnation_of(from)) return;
+    switch (message->kind) {
+        case Kind::ping:
+            take_beat(now, *message);
+            send(now, from, beat(now, Kind::ack, from, message->number), true);
+            exchange_.beside(now, from);
+            break;
+        case Kind::ack: {
+            members_.answered(now, from, message->number);
+            take_beat(now, *message);
+            const auto help = helped_for_.find(message->number);
+            if (help == helped_for_.end()) break;
+            Message vouch;
+            vouch.kind = Kind::vouch;
+            vouch.number = help->second.second;
+            vouch.target = from;
+            send(now, help->second.first, std::move(vouch));
+            helped_for_.erase(help);
+            break;
+        }
+        case Kind::ask: {
+            if (message->target >= settings_.gateways || message->target == settings_.self) break;
+            const std::uint32_t number = helping | (++help_number_ & ~helping);
+            helped_for_[number] = {from, message->number};
+            if (helped_for_.size() > most_helped) helped_for_.erase(helped_for_.begin());
+            send(now, message->target, beat(now, Kind::ping, message->target, number));
+            break;
+        }
+        case Kind::vouch:
+            members_.answered(now, message->target, message->number);
+            break;
+        case Kind::health:
+            if (outside_.heard) outside_.heard(from, message->payload);
+            break;
+        default:
+            exchange_.heard(now, *message);
+            break;
+    }
+}
+
+// ---- Time -----------------------------------------------------------------------------------------------
+
+void Accord::tick(Time now) {
+    awake(now);
+    last_tick_ = now;
+    if (records_.sweep(now)) ++changes_;
+    if (settings_.way == Way::datagrams && settings_.gateways > 1) {
+        for (const Members::Probe& probe : members_.tick(now)) {
+            if (probe.to != probe.target) {
+                Message ask;
+                ask.kind = Kind::ask;
+                ask.number = probe.number;
+                ask.target = probe.target;
+                send(now, probe.to, std::move(ask));
+            } else {
+                send(now, probe.to, beat(now, Kind::ping, probe.to, probe.number), true);
+                exchange_.beside(now, probe.to);
+            }
+        }
+        exchange_.tick(now);
+        for (int i = 0; i < settings_.gateways; ++i) {
+            Presence& before = last_presence_[static_cast<std::size_t>(i)];
+            if (i == settings_.self || before == members_.presence(i)) continue;
+            event(now, "member", std::to_string(i) + " is " + name_of(members_.presence(i)));
+            before = members_.presence(i);
+            if (before == Presence::gone) holders_[static_cast<std::size_t>(i)] = false;
+        }
+    }
+    if (const auto place = council_.place_of(settings_.self)) council_.said(now, *place, {now, standing()});
+    for (auto& [name, topic] : topics_) {
+        if (!topic.settled || topic.settled->at > now) continue;
+        const Version version = topic.settled->version;
+        const Record* record = records_.find(key_of(name, version));
+        const auto checked = topic.checked.find(mark_of(version));
+        if (!record || checked == topic.checked.end() || !checked->second) continue;  // it is behind
+        adopt(now, name, topic, version, record->value);
+    }
+    if (settings_.way == Way::counter) count_votes(now);
+    settle(now);
+    notice(now);
+}
+
+std::optional<Time> Accord::wake_at() const {
+    std::optional<Time> first;
+    for (const auto& [name, topic] : topics_) {
+        if (topic.settled && (!first || topic.settled->at < *first)) first = topic.settled->at;
+    }
+    return first;
+}
+
+void Accord::notice(Time now) {
+    reckon(now);
+    const bool is = fenced(now);
+    if (!is) {
+        in_touch_ = now;
+        if (!std::exchange(joined_, true)) {
+            stale_ = false;
+            members_.say(leaving_ ? Presence::leaving : Presence::alive);
+            event(now, "joined",
+                  std::to_string(present()) + " of " + std::to_string(settings_.gateways) +
+                      " gateways are there");
+        }
+    } else if (joined_ && now - in_touch_ > settings_.tombstones / 2) {
+        // Guards against bringing back what the others have dropped and forgotten since.
+        joined_ = false;
+        stale_ = true;
+        members_.say(Presence::joining);
+    }
+    if (is == fenced_) return;
+    fenced_ = is;
+    fenced_at_ = now;
+    event(now, is ? "fenced" : "in accord",
+          is ? (behind(now) ? "a version has taken effect that this gateway cannot act on"
+                            : "the tier has not been heard for the lease's time")
+             : "the tier acts on the same versions");
+    if (outside_.fenced) outside_.fenced(is);
+}
+
+void Accord::whole_again(Time now) {
+    stale_ = false;
+    records_.clear();
+    exchange_.clear();
+    ++changes_;
+    event(now, "taken whole",
+          "out of touch for longer than tombstones last: the tier's records are taken whole");
+    look(now);
+}
+
+bool Accord::behind(Time now) const {
+    return std::any_of(topics_.begin(), topics_.end(), [&](const auto& named) {
+        const Topic& topic = named.second;
+        return topic.settled && topic.settled->at <= now && !(topic.settled->version == topic.force);
+    });
+}
+
+void Accord::reckon(Time now) {
+    const Standing& mine = standing();
+    good_until_ = settings_.way == Way::counter ? ballot_.holds_until(mine.force)
+                                                : council_.holds_until(now, mine).value_or(Time{0});
+    // From its instant on, what is settled is to be acted on, or nothing in full.
+    for (const auto& [name, topic] : topics_) {
+        if (topic.settled) good_until_ = std::min(good_until_, topic.settled->at);
+    }
+}
+
+int Accord::present() const {
+    return settings_.way == Way::counter ? ballot_.present()
+           : settings_.way == Way::alone ? 1
+                                         : members_.present();
+}
+
+void Accord::leave(Time now) {
+    leaving_ = true;
+    members_.say(Presence::leaving);
+    constexpr int told = 3;
+    for (int i = 0, left = told; i < settings_.gateways && left > 0; ++i) {
+        if (i == settings_.self || !members_.counts(i) || settings_.way != Way::datagrams) continue;
+        send(now, i, beat(now, Kind::ping, i, helping), true);
+        --left;
+    }
+}
+
+// ---- What is agreed -------------------------------------------------------------------------------------
+
+const Standing& Accord::standing() {
+    if (standing_) return *standing_;
+    std::string force, plan;
+    for (const auto& [name, topic] : topics_) {
+        if (topic.force.number > 0) force += key_of(name, topic.force);
+        if (topic.settled) {
+            plan += key_of(name, topic.settled->version) + '@' + std::to_string(topic.settled->at / 1ms);
+        } else if (topic.force.number > 0) {
+            plan += key_of(name, topic.force) + '@' + std::to_string(topic.force_at / 1ms);
+        }
+    }
+    standing_ = Standing{short_hash(hash_of(force)), short_hash(hash_of(plan))};
+    return *standing_;
+}
+
+std::string Accord::propose(Time now, const std::string& name, std::uint64_t number, std::string value) {
+    last_tick_ = std::max(last_tick_, now);
+    if (name.empty() || name.size() > most_topic || name.find('#') != std::string::npos || number == 0 ||
+        number > most_number || value.size() > most_value) {
+        return "it cannot be proposed: its number or its size is beyond what there is room for";
+    }
+    Topic& topic = topics_[name];
+    const Version version{number, hash_of(value)};
+    const Version known = topic.settled ? topic.settled->version : topic.force;
+    if (version == known) return {};
+    if (number < known.number) {
+        return "version " + text_of(version) + " is older than " + text_of(known) + ", which stands";
+    }
+    if (number == known.number) {
+        return "version " + text_of(version) + " has other content than " + text_of(known) + ", which stands";
+    }
+    Record record;
+    record.key = key_of(name, version);
+    record.number = number;
+    record.value = std::move(value);
+    const std::string key = record.key;
+    if (records_.merge(now, std::move(record)) == Records::Merged::refused) return "there is no room for it";
+    ++changes_;
+    exchange_.tell(key);
+    event(now, "proposed", name + " " + text_of(version));
+    learn(now, *records_.find(key));
+    return {};
+}
+
+bool Accord::wanted(const Record& record) const {
+    const auto named = read_proposal_key(record.key);
+    const auto settled = named ? std::nullopt : read_settled_key(record.key);
+    if (!named && !settled) return true;
+    const auto topic = topics_.find(named ? named->topic : *settled);
+    if (topic == topics_.end()) return true;
+    const Version& force = topic->second.force;
+    if (settled) return record.number >= force.number;
+    const auto& next = topic->second.settled;
+    return named->version.number > force.number || named->version == force ||
+           (next && named->version == next->version);
+}
+
+void Accord::learn(Time now, const Record& record) {
+    ++changes_;
+    if (const auto named = read_proposal_key(record.key)) {
+        if (hash_of(record.value) != named->version.digest) return records_.erase(record.key);
+        Topic& topic = topics_[named->topic];
+        const std::uint64_t mark = mark_of(named->version);
+        if (topic.checked.count(mark) == 0) {
+            topic.checked[mark] = false;
+            const Version version = named->version;
+            const std::string value = record.value, name = named->topic;
+            if (outside_.check) outside_.check(name, version, value);
+        }
+        return look(now);
+    }
+    if (const auto name = read_settled_key(record.key)) {
+        const json told = json::from_cbor(record.value.begin(), record.value.end(), true, false);
+        if (!told.is_array() || told.size() != 3 || !told[0].is_number_unsigned() ||
+            !told[1].is_number_unsigned() || !told[2].is_number_unsigned()) {
+            return;
+        }
+        Topic& topic = topics_[*name];
+        const Version version{told[0].get<std::uint64_t>(), told[1].get<std::uint64_t>()};
+        const Time at = std::chrono::milliseconds(told[2].get<std::int64_t>());
+        if (version.number < topic.force.number) return;
+        standing_.reset();
+        if (version == topic.force) {
+            topic.force_at = at;  // two who settled it: all name the same instant in the end
+            return;
+        }
+        const bool known = topic.settled && topic.settled->version == version;
+        topic.settled = Settled{version, at};
+        if (!known) event(now, "settled", *name + " " + text_of(version));
+        return look(now);
+    }
+    if (outside_.record) outside_.record(record);
+}
+
+void Accord::checked(Time now, const std::string& name, Version version, bool good) {
+    topics_[name].checked[mark_of(version)] = good;
+    if (!good) event(now, "refused", name + " " + text_of(version) + " cannot be acted on here");
+    look(now);
+}
+
+// The newest proposal of each topic; a number that stands for unlike contents is none.
+void Accord::look(Time now) {
+    candidates_.clear();
+    std::string all;
+    bool can = true;
+    for (auto& [name, topic] : topics_) {
+        std::map<std::uint64_t, std::set<std::uint64_t>> proposed;
+        records_.each_with_prefix(name + '#', [&](const Record& record) {
+            const auto named = read_proposal_key(record.key);
+            if (named) proposed[named->version.number].insert(named->version.digest);
+        });
+        const std::uint64_t above = topic.settled ? topic.settled->version.number : topic.force.number;
+        for (auto at = proposed.rbegin(); at != proposed.rend() && at->first > above; ++at) {
+            if (at->second.size() > 1) {
+                if (topic.conflicts.insert(at->first).second) {
+                    std::string text =
+                        name + " " + std::to_string(at->first) + " stands for unlike contents:";
+                    for (const std::uint64_t digest : at->second) text += ' ' + text_of({at->first, digest});
+                    event(now, "conflict", text + "; none of them takes effect");
+                }
+                continue;
+            }
+            const Version version{at->first, *at->second.begin()};
+            candidates_[name] = version;
+            all += key_of(name, version);
+            const auto checked = topic.checked.find(mark_of(version));
+            can = can && checked != topic.checked.end() && checked->second;
+            break;
+        }
+    }
+    const std::uint32_t held = candidates_.empty() || !can ? 0 : std::max(1U, short_hash(hash_of(all)));
+    if (held == held_) return;
+    held_ = held;
+    holders_.assign(holders_.size(), false);
+    if (held_ != 0) holders_[static_cast<std::size_t>(settings_.self)] = true;
+}
+
+bool Accord::is_decider() const {
+    for (int place = 0; place < council_.size(); ++place) {
+        const int member = council_.member(place);
+        if (members_.presence(member) == Presence::alive) return member == settings_.self;
+    }
+    return false;
+}
+
+std::vector<int> Accord::lacking() const {
+    std::vector<int> without;
+    if (candidates_.empty()) return without;
+    for (int i = 0; i < settings_.gateways; ++i) {
+        const bool holds = held_ != 0 && holders_[static_cast<std::size_t>(i)];
+        if (!holds && members_.counts(i) && (held_ != 0 || i == settings_.self)) without.push_back(i);
+    }
+    return without;
+}
+
+void Accord::settle(Time now) {
+    const bool alone = settings_.way == Way::alone || settings_.gateways == 1;
+    if (held_ == 0 || settings_.way == Way::counter) return;
+    if (!alone && (fenced(now) || !joined_ || !is_decider() || !lacking().empty())) return;
+    const auto settled = candidates_;
+    for (const auto& [name, version] : settled) {
+        const Time at = alone ? now : now + lead();
+        Record record;
+        record.key = name + ".at";
+        record.number = version.number;
+        record.origin = settings_.self;
+        const json value{version.number, version.digest, static_cast<std::uint64_t>(at / 1ms)};
+        json::to_cbor(value, record.value);
+        const std::string key = record.key;
+        if (records_.merge(now, std::move(record)) != Records::Merged::news) continue;
+        exchange_.tell(key);
+        learn(now, *records_.find(key));
+    }
+}
+
+void Accord::adopt(Time now, const std::string& name, Topic& topic, Version version, std::string value) {
+    const Settled settled = *topic.settled;
+    standing_.reset();
+    topic.settled.reset();
+    topic.force = version;
+    topic.force_at = settled.at;
+    topic.value = value;
+    // What is over and done with: all that hold this version forget it alike.
+    std::vector<std::string> over;
+    records_.each_with_prefix(name + '#', [&](const Record& record) {
+        const auto named = read_proposal_key(record.key);
+        const bool older = named && named->version.number <= version.number && !(named->version == version);
+        if (older) over.push_back(record.key);
+    });
+    for (const std::string& key : over) records_.erase(key);
+    for (auto at = topic.checked.begin(); at != topic.checked.end();) {
+        at = topic.checked.size() > most_checked ? topic.checked.erase(at) : std::next(at);
+    }
+    topic.conflicts.erase(topic.conflicts.begin(), topic.conflicts.upper_bound(version.number));
+    ++changes_;
+    if (settings_.way == Way::counter) ballot_.adopted(standing().force);
+    event(now, "in force", name + " " + text_of(version));
+    if (outside_.in_force) outside_.in_force(name, version, value);
+    look(now);
+}
+
+// ---- The counter's way ----------------------------------------------------------------------------------
+
+void Accord::count_votes(Time now) {
+    Asking asking(outside_.count);
+    std::string then;
+    for (const auto& [name, topic] : topics_) {
+        const auto candidate = candidates_.find(name);
+        const Version next = candidate != candidates_.end() ? candidate->second : topic.force;
+        if (next.number > 0) then += key_of(name, next);
+    }
+    ballot_.tick(now, asking, standing().force, held_, short_hash(hash_of(then)));
+}
+
+void Accord::counted(Time now, const std::string& name, bool good, double total) {
+    last_tick_ = std::max(last_tick_, now);
+    if (settings_.way != Way::counter || !ballot_.counted(name, good, total)) return;
+    reckon(now);
+    const auto at = ballot_.settles(held_);
+    if (!at) return;
+    const auto settled = candidates_;
+    for (const auto& [topic, version] : settled) {
+        topics_[topic].settled = Settled{version, *at};
+        standing_.reset();
+        event(now, "settled", topic + " " + text_of(version));
+    }
+    look(now);
+    reckon(now);
+}
+
+// ---- Records --------------------------------------------------------------------------------------------
+
+bool Accord::put(Time now, const std::string& key, std::string value, Span life) {
+    last_tick_ = std::max(last_tick_, now);
+    const Record* before = records_.find(key);
+    Record record;
+    record.key = key;
+    record.number = before ? before->number + 1 : 1;
+    record.origin = settings_.self;
+    if (life > Span{}) record.until = std::chrono::ceil<std::chrono::milliseconds>(now + life);
+    record.value = std::move(value);
+    if (records_.merge(now, std::move(record)) != Records::Merged::news) return false;
+    ++changes_;
+    exchange_.tell(key);
+    return true;
+}
+
+bool Accord::drop(Time now, const std::string& key) {
+    last_tick_ = std::max(last_tick_, now);
+    const Record* before = records_.find(key);
+    if (!before || before->dead) return false;
+    ++changes_;
+    if (!settings_.buries) {
+        records_.erase(key);
+        return true;
+    }
+    Record record;
+    record.key = key;
+    record.number = before->number + 1;
+    record.origin = settings_.self;
+    record.dead = true;
+    record.until = std::chrono::ceil<std::chrono::milliseconds>(now + settings_.tombstones);
+    records_.merge(now, std::move(record));
+    exchange_.tell(key);
+    return true;
+}
+
+Version Accord::in_force(const std::string& name) const {
+    const auto at = topics_.find(name);
+    return at == topics_.end() ? Version{} : at->second.force;
+}
+
+const std::string* Accord::value_in_force(const std::string& name) const {
+    const auto at = topics_.find(name);
+    return at == topics_.end() || at->second.force.number == 0 ? nullptr : &at->second.value;
+}
+
+std::optional<Version> Accord::proposed(const std::string& name) const {
+    const auto at = candidates_.find(name);
+    return at == candidates_.end() ? std::nullopt : std::optional(at->second);
+}
+
+std::optional<Time> Accord::settled_for(const std::string& name) const {
+    const auto at = topics_.find(name);
+    if (at == topics_.end() || !at->second.settled) return std::nullopt;
+    return at->second.settled->at;
+}
+
+// ---- Through a crash ------------------------------------------------------------------------------------
+
+std::string Accord::save() const {
+    json records = json::array(), topics = json::array();
+    records_.each([&](const Record& one) {
+        records.push_back(
+            {one.key, one.number, one.origin, one.dead, one.until / 1ms, json::binary(bytes_of(one.value))});
+    });
+    for (const auto& [name, topic] : topics_) {
+        topics.push_back({name, topic.force.number, topic.force.digest, topic.force_at / 1ms,
+                          json::binary(bytes_of(topic.value))});
+    }
+    std::string text;
+    json::to_cbor(json{{"at_ms", last_tick_ / 1ms},
+                       {"in_touch_ms", in_touch_ / 1ms},
+                       {"records", std::move(records)},
+                       {"topics", std::move(topics)}},
+                  text);
+    return text;
+}
+
+bool Accord::restore(Time now, const std::string& state) {
+    const json told = json::from_cbor(state.begin(), state.end(), true, false);
+    if (!told.is_object()) return false;
+    try {
+        const auto text_of_binary = [](const json& value) {
+            const auto& held = value.get_binary();
+            return std::string(held.begin(), held.end());
+        };
+        last_tick_ = now;
+        for (const json& one : told.at("topics")) {
+            Topic topic;
+            topic.force = {one.at(1).get<std::uint64_t>(), one.at(2).get<std::uint64_t>()};
+            topic.force_at = std::chrono::milliseconds(one.at(3).get<std::int64_t>());
+            topic.value = text_of_binary(one.at(4));
+            if (topic.force.number > 0 && hash_of(topic.value) != topic.force.digest) return false;
+            topics_[one.at(0).get<std::string>()] = std::move(topic);
+        }
+        standing_.reset();
+        std::vector<Record> records;
+        for (const json& one : told.at("records")) {
+            Record record;
+            record.key = one.at(0).get<std::string>();
+            record.number = one.at(1).get<std::uint64_t>();
+            record.origin = one.at(2).get<int>();
+            record.dead = one.at(3).get<bool>();
+            record.until = std::chrono::milliseconds(one.at(4).get<std::int64_t>());
+            record.value = text_of_binary(one.at(5));
+            records.push_back(std::move(record));
+        }
+        in_touch_ = std::chrono::milliseconds(told.at("in_touch_ms").get<std::int64_t>());
+        stale_ = now - in_touch_ > settings_.tombstones / 2;
+        for (Record& record : records) {
+            const std::string key = record.key;
+            if (wanted(record) && records_.merge(now, std::move(record)) == Records::Merged::news) {
+                learn(now, *records_.find(key));
+            }
+        }
+    } catch (const json::exception&) {
+        return false;
+    }
+    for (const auto& [name, topic] : topics_) {
+        if (topic.force.number > 0 && outside_.in_force) outside_.in_force(name, topic.force, topic.value);
+    }
+    return true;
+}
+
+}  // namespace linnetlead::accord
--- /dev/null
+++ b/src/accord/exchange.cpp
@@ -0,0 +1,241 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace linnetlead::accord {
+
+using namespace std::chrono_literals;
+
+Exchange::Exchange(int gateways, Records& records, Outside outside)
+    : gateways_(gateways), records_(records), outside_(std::move(outside)) {}
+
+void Exchange::tell(const std::string& key) {
+    hot_[key] = 2 + static_cast<int>(std::ceil(std::log2(gateways_ + 1.0)));
+}
+
+void Exchange::clear() {
+    hot_.clear();
+    parts_.clear();
+    wanted_at_.clear();
+}
+
+// One that fits into a datagram goes itself; of a longer one it is told that it is there.
+void Exchange::beside(Time, int to) {
+    std::vector<const Record*> longer;
+    bool sent = false;
+    for (auto at = hot_.begin(); at != hot_.end();) {
+        const Record* record = records_.find(at->first);
+        const bool is_short = record && record->value.size() <= chunk_room(record->key);
+        if (!record || (is_short && sent) || (!is_short && longer.size() >= most_entries)) {
+            at = record ? std::next(at) : hot_.erase(at);
+            continue;
+        }
+        if (is_short) {
+            send_record(to, *record, 0, 1);
+            sent = true;
+        } else {
+            longer.push_back(record);
+        }
+        at = --at->second <= 0 ? hot_.erase(at) : std::next(at);
+    }
+    if (!longer.empty()) send_entries(to, Kind::offer, 0, longer);
+}
+
+void Exchange::differs(Time now, int from) {
+    Time& last = compared_[from];
+    if (now - last < compare_again) return;
+    last = now;
+    Message message;
+    message.kind = Kind::buckets;
+    const auto& hashes = records_.bucket_hashes();
+    message.bucket_hashes.assign(hashes.begin(), hashes.end());
+    outside_.send(from, std::move(message));
+}
+
+void Exchange::send_record(int to, const Record& record, std::size_t offset, std::size_t most_chunks) {
+    const std::size_t room = chunk_room(record.key);
+    for (std::size_t i = 0; i < most_chunks && (offset < record.value.size() || offset == 0); ++i) {
+        Message message;
+        message.kind = Kind::chunk;
+        Chunk& chunk = message.chunk;
+        chunk.key = record.key;
+        chunk.number = record.number;
+        chunk.origin = record.origin;
+        chunk.dead = record.dead;
+        chunk.until_ms = record.until / 1ms;
+        chunk.digest = hash_of(record.value);
+        chunk.size = record.value.size();
+        chunk.offset = offset;
+        chunk.bytes = record.value.substr(offset, room);
+        if (!outside_.send(to, std::move(message))) return;
+        offset += room;
+    }
+}
+
+void Exchange::send_entries(int to, Kind kind, std::size_t bucket, std::vector<const Record*> records) {
+    const auto key_of = [](const Record* record) { return short_hash(hash_of(record->key)); };
+    std::sort(records.begin(), records.end(),
+              [&](const Record* a, const Record* b) { return key_of(a) < key_of(b); });
+    std::uint32_t before = 0;
+    for (std::size_t at = 0; at < records.size() || at == 0; at += most_entries) {
+        Message message;
+        message.kind = kind;
+        message.bucket = bucket;
+        message.key = before;
+        message.more = at + most_entries < records.size();
+        for (std::size_t i = at; i < std::min(at + most_entries, records.size()); ++i) {
+            before = key_of(records[i]);
+            message.entries.push_back({before, records[i]->stamp()});
+        }
+        if (!outside_.send(to, std::move(message))) return;
+    }
+}
+
+void Exchange::want(Time now, int from, std::uint32_t key, std::size_t offset) {
+    Time& at = wanted_at_[key];
+    if (now - at < ask_again) return;
+    at = now;
+    Message message;
+    message.kind = Kind::want;
+    message.key = key;
+    message.offset = offset;
+    outside_.send(from, std::move(message));
+}
+
+void Exchange::heard(Time now, const Message& message) {
+    switch (message.kind) {
+        case Kind::buckets:
+            for (std::size_t bucket = 0; bucket < Records::buckets; ++bucket) {
+                if (message.bucket_hashes[bucket] == records_.bucket_hashes()[bucket]) continue;
+                send_entries(message.from, Kind::entries, bucket, records_.bucket(bucket));
+            }
+            break;
+        case Kind::entries:
+        case Kind::offer:
+            take_entries(now, message);
+            break;
+        case Kind::want:
+            if (const Record* record = records_.find_short(message.key)) {
+                send_record(message.from, *record, message.offset, chunks_a_want);
+            }
+            break;
+        case Kind::chunk:
+            take_chunk(now, message);
+            break;
+        default:
+            break;
+    }
+}
+
+void Exchange::take_entries(Time now, const Message& message) {
+    for (const Entry& entry : message.entries) {
+        const Record* mine = records_.find_short(entry.key);
+        if (!mine || mine->stamp() < entry.stamp) {
+            want(now, message.from, entry.key, 0);
+        } else if (entry.stamp < mine->stamp()) {
+            send_record(message.from, *mine, 0, 1);  // what is longer it asks for
+        }
+    }
+    if (message.kind == Kind::offer) return;
+    // What lies between the ends of the page and is not on it the other lacks.
+    const std::uint32_t last = message.more ? message.entries.back().key : ~std::uint32_t{0};
+    for (const Record* mine : records_.bucket(message.bucket)) {
+        const std::uint32_t key = short_hash(hash_of(mine->key));
+        if (key <= message.key || key > last) continue;
+        const bool named = std::any_of(message.entries.begin(), message.entries.end(),
+                                       [&](const Entry& entry) { return entry.key == key; });
+        if (!named) send_record(message.from, *mine, 0, 1);
+    }
+}
+
+void Exchange::take_chunk(Time now, const Message& message) {
+    const Chunk& chunk = message.chunk;
+    Record record;
+    record.key = chunk.key;
+    record.number = chunk.number;
+    record.origin = chunk.origin;
+    record.dead = chunk.dead;
+    record.until = std::chrono::milliseconds(chunk.until_ms);
+    const std::size_t room = chunk_room(chunk.key);
+    if (chunk.offset % room != 0) return;
+    if (chunk.offset == 0 && chunk.bytes.size() == chunk.size) {
+        if (hash_of(chunk.bytes) != chunk.digest) return;
+        record.value = chunk.bytes;
+        return merge(now, std::move(record));
+    }
+    if (const Record* mine = records_.find(chunk.key)) {
+        const bool older = chunk.number < mine->number;
+        const bool same = chunk.number == mine->number && hash_of(mine->value) == chunk.digest &&
+                          mine->dead == chunk.dead && mine->origin == chunk.origin;
+        if (older || same) return;
+    }
+    auto at = parts_.find(chunk.key);
+    if (at != parts_.end() &&
+        (at->second.digest != chunk.digest || at->second.record.number < chunk.number)) {
+        if (chunk.number < at->second.record.number) return;
+        parts_.erase(at);
+        at = parts_.end();
+    }
+    if (at == parts_.end()) {
+        if (parts_.size() >= most_parts) return;
+        Part part;
+        part.record = std::move(record);
+        part.record.value.assign(chunk.size, '\0');
+        part.digest = chunk.digest;
+        part.room = room;
+        part.missing = (chunk.size + room - 1) / room;
+        part.have.assign(part.missing, false);
+        part.begun = now;
+        at = parts_.emplace(chunk.key, std::move(part)).first;
+    }
+    Part& part = at->second;
+    if (chunk.size != part.record.value.size()) return;
+    part.from = message.from;
+    const std::size_t piece = chunk.offset / part.room;
+    if (part.have[piece]) return;
+    part.have[piece] = true;
+    part.record.value.replace(chunk.offset, chunk.bytes.size(), chunk.bytes);
+    part.asked = now;
+    if (--part.missing > 0) {
+        // The end of what one request brings: the next is asked for at once.
+        if ((piece + 1) % chunks_a_want == 0) part.asked = now - ask_again;
+        return;
+    }
+    Record whole = std::move(part.record);
+    const bool good = hash_of(whole.value) == part.digest;
+    parts_.erase(at);
+    if (good) merge(now, std::move(whole));
+}
+
+void Exchange::merge(Time now, Record record) {
+    if (!outside_.wanted(record)) return;
+    const std::string key = record.key;
+    if (records_.merge(now, std::move(record)) != Records::Merged::news) return;
+    tell(key);
+    outside_.news(*records_.find(key));
+}
+
+void Exchange::tick(Time now) {
+    for (auto at = parts_.begin(); at != parts_.end();) {
+        Part& part = at->second;
+        if (now - part.begun > give_up) {
+            at = parts_.erase(at);
+            continue;
+        }
+        if (now - part.asked >= ask_again) {
+            part.asked = now;
+            const auto gap = std::find(part.have.begin(), part.have.end(), false);
+            const auto piece = static_cast<std::size_t>(gap - part.have.begin());
+            wanted_at_.erase(short_hash(hash_of(at->first)));
+            want(now, part.from, short_hash(hash_of(at->first)), piece * part.room);
+        }
+        ++at;
+    }
+    for (auto at = wanted_at_.begin(); at != wanted_at_.end();) {
+        at = now - at->second > give_up ? wanted_at_.erase(at) : std::next(at);
+    }
+}
+
+}  // namespace linnetlead::accord
--- /dev/null
+++ b/src/accord/exchange.h
@@ -0,0 +1,68 @@
+// Brings the records of two gateways together: what is news goes out with the beats, what differs all the
+// same is found by the hashes of buckets, then by entries, and long values are fetched piece by piece by who
+// lacks them. No I/O and no clock.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "wire.h"
+
+namespace linnetlead::accord {
+
+class Exchange {
+public:
+    struct Outside {
+        // Sends one, if the budget has room for it.
+        std::function<bool(int to, Message message)> send;
+        // A record has come whole. False: it is not wanted (superseded), and is not kept.
+        std::function<bool(const Record&)> wanted;
+        std::function<void(const Record&)> news;
+    };
+    Exchange(int gateways, Records& records, Outside outside);
+
+    // A record of this gateway's own, or one just learnt: to be told on.
+    void tell(const std::string& key);
+    // With a beat to or from a member.
+    void beside(Time now, int to);
+    // The member's records are others than ours.
+    void differs(Time now, int from);
+    void heard(Time now, const Message& message);
+    // Asks again for what has not come.
+    void tick(Time now);
+    // Records have been dropped: what was still to be told of them goes too.
+    void clear();
+
+private:
+    static constexpr std::size_t most_parts = 8;  // long values on their way at once
+    static constexpr std::size_t chunks_a_want = 6;
+    static constexpr Span ask_again = std::chrono::milliseconds(120);
+    static constexpr Span give_up = std::chrono::seconds(6);
+    static constexpr Span compare_again = std::chrono::milliseconds(150);
+    struct Part {
+        Record record;
+        std::uint64_t digest = 0;
+        std::vector<bool> have;  // of its pieces
+        std::size_t missing = 0, room = 0;
+        int from = 0;
+        Time begun{}, asked{};
+    };
+    void send_record(int to, const Record& record, std::size_t offset, std::size_t most_chunks);
+    void send_entries(int to, Kind kind, std::size_t bucket, std::vector<const Record*> records);
+    void take_entries(Time now, const Message& message);
+    void take_chunk(Time now, const Message& message);
+    void want(Time now, int from, std::uint32_t key, std::size_t offset);
+    void merge(Time now, Record record);
+
+    int gateways_;
+    Records& records_;
+    Outside outside_;
+    std::map<std::string, int> hot_;  // tellings left, by key
+    std::map<std::string, Part> parts_;
+    std::map<int, Time> compared_;  // with each member, when last
+    std::map<std::uint32_t, Time> wanted_at_;
+};
+
+}  // namespace linnetlead::accord
--- /dev/null
+++ b/src/accord/wire.cpp
@@ -0,0 +1,292 @@
+#include "wire.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace linnetlead::accord {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int version = 1;
+
+std::string bytes_of(const json& value) {
+    std::string text;
+    json::to_cbor(value, text);
+    return text;
+}
+
+json binary(const std::string& bytes) {
+    return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+// Values of an array one after another; any that is not there, or of another kind, spoils the whole.
+class Reader {
+public:
+    explicit Reader(const json& array) : array_(&array) { good_ = array.is_array(); }
+    template <typename Number>
+    Number number(std::uint64_t most = ~std::uint64_t{0}) {
+        const json* value = next();
+        if (!value || !value->is_number_unsigned()) return fail<Number>();
+        const auto read = value->get<std::uint64_t>();
+        if (read > most) return fail<Number>();
+        return static_cast<Number>(read);
+    }
+    std::string text() {
+        const json* value = next();
+        return value && value->is_string() ? value->get<std::string>() : fail<std::string>();
+    }
+    std::string bytes() {
+        const json* value = next();
+        if (!value || !value->is_binary()) return fail<std::string>();
+        const auto& held = value->get_binary();
+        return {held.begin(), held.end()};
+    }
+    template <typename Act>
+    void each(Act act) {
+        const json* value = next();
+        if (!value || !value->is_array()) return void(fail<int>());
+        for (const json& one : *value) {
+            Reader inner(one);
+            act(inner);
+            good_ = good_ && inner.good_;
+        }
+    }
+    bool good() const { return good_; }
+
+private:
+    const json* next() {
+        if (!good_ || at_ >= array_->size()) return nullptr;
+        return &(*array_)[at_++];
+    }
+    template <typename Value>
+    Value fail() {
+        good_ = false;
+        return {};
+    }
+    const json* array_;
+    std::size_t at_ = 0;
+    bool good_ = true;
+};
+
+constexpr std::uint64_t most_gateway = 9999, most_time = std::uint64_t{1} << 52, most_age = 65535;
+
+Stamp read_stamp(Reader& from) {
+    Stamp stamp;
+    stamp.number = from.number<std::uint64_t>();
+    stamp.dead = from.number<int>(1) == 1;
+    stamp.tie = from.number<std::uint32_t>(~std::uint32_t{0});
+    return stamp;
+}
+
+json head(const Message& message) {
+    return json::array({version, static_cast<unsigned>(message.kind), static_cast<unsigned>(message.from),
+                        static_cast<unsigned>(message.presence), message.incarnation});
+}
+
+// A beat's lists, each as long as there is room for it. Their frames grow by a byte or two when they are
+// long.
+void add_beat(json& out, const Beat& beat, std::uint64_t turn) {
+    constexpr std::size_t frames = 6;
+    out.push_back(static_cast<std::uint64_t>(beat.sent_ms));
+    out.push_back(beat.records);
+    out.push_back(beat.held);
+    const std::size_t head_size = bytes_of(out).size() + frames;
+    std::size_t room = most_datagram - std::min(most_datagram, head_size);
+    json words = json::array(), rumours = json::array(), holders = binary({});
+    const auto add = [&room](json& list, json one) {
+        const std::size_t size = bytes_of(one).size();
+        if (size > room) return false;
+        room -= size;
+        list.push_back(std::move(one));
+        return true;
+    };
+    const auto add_words = [&] {
+        for (const Beat::Word& word : beat.words) {
+            if (!add(words, {static_cast<unsigned>(word.place), static_cast<std::uint64_t>(word.age_ms),
+                             word.standing.force, word.standing.plan})) {
+                return;
+            }
+        }
+    };
+    const auto add_holders = [&] {
+        if (beat.holders.empty() || beat.holders.size() > room) return;
+        room -= beat.holders.size();
+        holders = binary(beat.holders);
+    };
+    // The first rumour may be one that its reader must contradict, so it goes before all.
+    for (const Rumour& rumour : beat.rumours) {
+        if (!add(rumours, {static_cast<unsigned>(rumour.member), static_cast<unsigned>(rumour.presence),
+                           rumour.incarnation})) {
+            break;
+        }
+    }
+    if (turn % 2 == 0) {
+        add_words(), add_holders();
+    } else {
+        add_holders(), add_words();
+    }
+    out.push_back(std::move(words));
+    out.push_back(std::move(holders));
+    out.push_back(std::move(rumours));
+}
+
+Beat read_beat(Reader& from) {
+    Beat beat;
+    beat.sent_ms = from.number<std::int64_t>(most_time);
+    beat.records = from.number<std::uint64_t>();
+    beat.held = from.number<std::uint32_t>(~std::uint32_t{0});
+    from.each([&](Reader& one) {
+        Beat::Word word;
+        word.place = one.number<int>(Council::most_members - 1);
+        word.age_ms = one.number<std::int64_t>(most_age);
+        word.standing.force = one.number<std::uint32_t>(~std::uint32_t{0});
+        word.standing.plan = one.number<std::uint32_t>(~std::uint32_t{0});
+        beat.words.push_back(word);
+    });
+    beat.holders = from.bytes();
+    from.each([&](Reader& one) {
+        Rumour rumour;
+        rumour.member = one.number<int>(most_gateway);
+        rumour.presence = static_cast<Presence>(one.number<int>(static_cast<int>(Presence::gone)));
+        rumour.incarnation = one.number<Incarnation>();
+        beat.rumours.push_back(rumour);
+    });
+    return beat;
+}
+
+}  // namespace
+
+std::size_t chunk_room(const std::string& key) {
+    // Head, numbers at their longest, and the frames round them.
+    constexpr std::size_t rest = 66;
+    return most_datagram - rest - key.size();
+}
+
+std::string write(const Message& message, std::uint64_t turn) {
+    json out = head(message);
+    switch (message.kind) {
+        case Kind::ping:
+        case Kind::ack:
+            out.push_back(message.number);
+            add_beat(out, message.beat, turn);
+            break;
+        case Kind::ask:
+        case Kind::vouch:
+            out.push_back(message.number);
+            out.push_back(static_cast<unsigned>(message.target));
+            break;
+        case Kind::buckets:
+            out.push_back(message.bucket_hashes);
+            break;
+        case Kind::entries:
+        case Kind::offer: {
+            out.push_back(message.bucket);
+            out.push_back(message.key);
+            out.push_back(message.more ? 1U : 0U);
+            json list = json::array();
+            for (const Entry& entry : message.entries) {
+                list.push_back({entry.key, entry.stamp.number, entry.stamp.dead ? 1U : 0U, entry.stamp.tie});
+            }
+            out.push_back(std::move(list));
+            break;
+        }
+        case Kind::want:
+            out.push_back(message.key);
+            out.push_back(message.offset);
+            break;
+        case Kind::chunk: {
+            const Chunk& chunk = message.chunk;
+            out.push_back(chunk.key);
+            out.push_back(chunk.number);
+            out.push_back(static_cast<unsigned>(chunk.origin));
+            out.push_back(chunk.dead ? 1U : 0U);
+            out.push_back(static_cast<std::uint64_t>(chunk.until_ms));
+            out.push_back(chunk.digest);
+            out.push_back(chunk.size);
+            out.push_back(chunk.offset);
+            out.push_back(binary(chunk.bytes));
+            break;
+        }
+        case Kind::health:
+            out.push_back(binary(message.payload));
+            break;
+    }
+    std::string text = bytes_of(out);
+    return text.size() <= most_datagram ? text : std::string();
+}
+
+std::optional<Message> read(std::string_view bytes) {
+    if (bytes.empty() || bytes.size() > most_datagram) return std::nullopt;
+    const json array = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!array.is_array()) return std::nullopt;
+    Reader from(array);
+    Message message;
+    if (from.number<int>() != version) return std::nullopt;
+    message.kind = static_cast<Kind>(from.number<int>(static_cast<int>(Kind::health)));
+    message.from = from.number<int>(most_gateway);
+    message.presence = static_cast<Presence>(from.number<int>(static_cast<int>(Presence::gone)));
+    message.incarnation = from.number<Incarnation>();
+    if (!from.good()) return std::nullopt;
+    switch (message.kind) {
+        case Kind::ping:
+        case Kind::ack:
+            message.number = from.number<std::uint32_t>(~std::uint32_t{0});
+            message.beat = read_beat(from);
+            break;
+        case Kind::ask:
+        case Kind::vouch:
+            message.number = from.number<std::uint32_t>(~std::uint32_t{0});
+            message.target = from.number<int>(most_gateway);
+            break;
+        case Kind::buckets:
+            if (array.size() != 6 || !array[5].is_array()) return std::nullopt;
+            for (const json& one : array[5]) {
+                if (!one.is_number_unsigned()) return std::nullopt;
+                message.bucket_hashes.push_back(one.get<std::uint32_t>());
+            }
+            if (message.bucket_hashes.size() != Records::buckets) return std::nullopt;
+            break;
+        case Kind::entries:
+        case Kind::offer:
+            message.bucket = from.number<std::size_t>(Records::buckets - 1);
+            message.key = from.number<std::uint32_t>(~std::uint32_t{0});
+            message.more = from.number<int>(1) == 1;
+            from.each([&](Reader& one) {
+                Entry entry;
+                entry.key = one.number<std::uint32_t>(~std::uint32_t{0});
+                entry.stamp = read_stamp(one);
+                message.entries.push_back(entry);
+            });
+            break;
+        case Kind::want:
+            message.key = from.number<std::uint32_t>(~std::uint32_t{0});
+            message.offset = from.number<std::size_t>(most_value);
+            break;
+        case Kind::chunk: {
+            Chunk& chunk = message.chunk;
+            chunk.key = from.text();
+            chunk.number = from.number<std::uint64_t>();
+            chunk.origin = from.number<int>(most_gateway);
+            chunk.dead = from.number<int>(1) == 1;
+            chunk.until_ms = from.number<std::int64_t>(most_time);
+            chunk.digest = from.number<std::uint64_t>();
+            chunk.size = from.number<std::size_t>(most_value);
+            chunk.offset = from.number<std::size_t>(most_value);
+            chunk.bytes = from.bytes();
+            if (chunk.key.empty() || chunk.key.size() > most_key ||
+                chunk.offset + chunk.bytes.size() > chunk.size) {
+                return std::nullopt;
+            }
+            break;
+        }
+        case Kind::health:
+            message.payload = from.bytes();
+            break;
+    }
+    if (!from.good()) return std::nullopt;
+    return message;
+}
+
+}  // namespace linnetlead::accord
--- /dev/null
+++ b/src/health/board.cpp
@@ -0,0 +1,151 @@
+#include "board.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace linnetlead::health {
+
+const char* name_of(Opinion opinion) {
+    constexpr const char* names[] = {"well", "doubtful", "bad"};
+    return names[static_cast<int>(opinion)];
+}
+
+void Board::report(Time now, const Report& told) {
+    if (told.started != started_) {
+        // Another process under the same id: nothing of the one before counts, its opinion neither.
+        started_ = told.started;
+        reports_.clear();
+        if (opinion_ != Opinion::well) change(now, Opinion::well);
+        dwell_ = {};
+    }
+    Report& held = reports_[told.gateway];
+    if (held.life == told.life && held.seen.at >= told.seen.at) return;  // told twice, or overtaken
+    held = told;
+    // A clock that is ahead would make a register outlast its evidence.
+    held.seen.at = std::min(held.seen.at, now);
+}
+
+namespace {
+
+struct Part {
+    double weight, value;
+};
+
+// The mean of what the best-seeing part of the gateways sees: a `quorum` of all their weight, lowest first.
+double lowest_mean(std::vector<Part>& parts, double quorum) {
+    std::sort(parts.begin(), parts.end(), [](const Part& a, const Part& b) { return a.value < b.value; });
+    double all = 0, sum = 0, taken = 0;
+    for (const Part& part : parts) all += part.weight;
+    for (const Part& part : parts) {
+        const double weight = std::min(part.weight, all * quorum - taken);
+        if (weight <= 0) break;
+        sum += weight * part.value;
+        taken += weight;
+    }
+    return taken > 0 ? sum / taken : 0;
+}
+
+// Nor more than the highest of what a quorum sees: one that all but a few see as high is that high.
+double at_quorum(std::vector<Part>& parts, double quorum) {
+    std::sort(parts.begin(), parts.end(), [](const Part& a, const Part& b) { return a.value < b.value; });
+    double all = 0, taken = 0;
+    for (const Part& part : parts) all += part.weight;
+    for (const Part& part : parts) {
+        taken += part.weight;
+        if (taken >= all * (1 - quorum)) return part.value;
+    }
+    return 0;
+}
+
+}  // namespace
+
+Weighed Board::weigh(Time now, int least) const {
+    Weighed all;
+    std::vector<Register> seen;
+    for (const auto& [gateway, told] : reports_) {
+        const Register one = told.seen.at_time(now);
+        if (one.weight >= least_weight && !(told.odd && figures_.robust)) seen.push_back(one);
+    }
+    all.gateways = static_cast<int>(seen.size());
+    for (const Register& one : seen) all.attempts += one.weight;
+    if (all.gateways < least || seen.empty()) return all;
+    // No gateway speaks for more than a few others together: a flood of attempts, or of words, is one
+    // gateway's.
+    std::vector<double> weights;
+    for (const Register& one : seen) weights.push_back(one.weight);
+    std::nth_element(weights.begin(), weights.begin() + static_cast<std::ptrdiff_t>(weights.size() / 2),
+                     weights.end());
+    const double most = figures_.robust ? 3 * weights[weights.size() / 2] : 1e9;
+    std::vector<Part> failing, slow;
+    double served = 0, counted = 0;
+    for (const Register& one : seen) {
+        const double part = std::min(1.0, most / one.weight);
+        failing.push_back({one.weight * part, one.failures / one.weight});
+        counted += one.weight * part;
+        if (one.served < least_weight) continue;
+        slow.push_back({one.served * part, one.slow / one.served});
+        served += one.served * part;
+    }
+    double slower = 0;
+    if (figures_.robust) {
+        all.failing = lowest_mean(failing, figures_.quorum);
+        slower = at_quorum(slow, figures_.quorum);
+    } else {
+        all.failing = lowest_mean(failing, 1);
+        slower = lowest_mean(slow, 1);
+    }
+    all.slower = std::exp(slower);
+    // The middle of several is a little less sure than their mean.
+    constexpr double of_the_middle = 0.64;
+    all.sureness = slower * std::sqrt(served * of_the_middle) / figures_.noise;
+    all.sure_failing = (all.failing - figures_.failing_again) * std::sqrt(counted * figures_.quorum) /
+                       std::sqrt(std::max(all.failing * (1 - all.failing), 0.04));
+    return all;
+}
+
+bool Board::shows_bad(const Weighed& weighed) const {
+    constexpr double sure_of_failing = 3;
+    const bool slow = weighed.slower >= figures_.slower && weighed.sureness >= figures_.sure;
+    const bool failing = weighed.failing >= figures_.failing && weighed.sure_failing >= sure_of_failing;
+    return slow || failing;
+}
+
+void Board::change(Time now, Opinion opinion) {
+    opinion_ = opinion;
+    since_ = now;
+}
+
+bool Board::judge(Time now, int least) {
+    for (auto at = reports_.begin(); at != reports_.end();) {
+        at = at->second.seen.at_time(now).weight < least_weight / 4 ? reports_.erase(at) : std::next(at);
+    }
+    weighed_ = weigh(now, least);
+    if (weighed_.gateways >= least) last_seen_ = now;
+    const Opinion before = opinion_;
+    if (opinion_ != Opinion::bad) {
+        if (shows_bad(weighed_)) {
+            // One that comes back and is bad again stays out for longer each time.
+            const bool again = last_bad_ > Time{} && now - last_bad_ < figures_.flaps_within + dwell_;
+            dwell_ = again ? std::min(2 * dwell_, figures_.most_dwell) : figures_.dwell;
+            change(now, Opinion::bad);
+        } else {
+            // Half as sure is reason enough to hear more of it.
+            const bool doubtful = (weighed_.sureness >= figures_.sure / 2 && weighed_.slower >= 1.3) ||
+                                  weighed_.failing >= figures_.failing_again;
+            const Opinion next = doubtful ? Opinion::doubtful : Opinion::well;
+            if (next != opinion_) change(now, next);
+        }
+    } else if (now - since_ >= dwell_) {
+        const bool unseen = now - last_seen_ >= figures_.unseen;
+        const bool well = weighed_.gateways >= least && weighed_.attempts >= figures_.least_again &&
+                          weighed_.slower <= figures_.slower_again &&
+                          weighed_.failing <= figures_.failing_again;
+        if (unseen || well) {
+            last_bad_ = now;
+            change(now, Opinion::well);
+        }
+    }
+    return opinion_ != before;
+}
+
+}  // namespace linnetlead::health
--- /dev/null
+++ b/src/health/board.h
@@ -0,0 +1,87 @@
+// What a keeper of a worker has been told of it by the gateways, and what it makes of that: an opinion. Each
+// gateway has one register, so that what is told twice or late counts once; and what a minority of the
+// gateways sees does not make an opinion, since a link or a host of theirs may be at fault. No I/O; the time
+// is told.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "evidence.h"
+
+namespace linnetlead::health {
+
+enum class Opinion { well, doubtful, bad };
+const char* name_of(Opinion opinion);
+
+// What a gateway tells of a worker.
+struct Report {
+    int gateway = 0;
+    std::uint16_t life = 0;     // of the gateway's process
+    std::uint16_t started = 0;  // of the worker's, as a hash
+    Register seen;
+    bool odd = false;  // the gateway knows that it is the odd one out
+};
+
+struct Figures {
+    double slower = 1.8;         // times the usual, at which a worker is bad
+    double slower_again = 1.35;  // below which it is well again
+    double failing = 0.2;        // share of attempts
+    double failing_again = 0.08;
+    double sure = 4;         // standard errors
+    double least_again = 5;  // attempts that show that it is well again
+    // What the part of the gateways that see it best sees is what counts.
+    double quorum = 0.6;
+    bool robust = true;  // for measurements of what it would be without: the mean of all, whoever says it
+    Span dwell = std::chrono::seconds(5);
+    Span most_dwell = std::chrono::minutes(1);
+    Span flaps_within = std::chrono::seconds(30);
+    Span unseen = std::chrono::seconds(10);  // without evidence it is tried again
+    double noise = 0.7;                      // of one latency's logarithm
+};
+
+// Of all reports together, as of now.
+struct Weighed {
+    int gateways = 0;  // that have seen it of late
+    double attempts = 0;
+    double slower = 1;  // times the usual
+    double failing = 0;
+    double sureness = 0;  // of its being slower at all, in standard errors
+    double sure_failing = 0;
+};
+
+class Board {
+public:
+    explicit Board(Figures figures) : figures_(figures) {}
+
+    // Of a worker whose process is another now, or a gateway's, what was told before is dropped.
+    void report(Time now, const Report& report);
+    void forget_gateway(int gateway) { reports_.erase(gateway); }
+    // `least`: so many gateways have to have seen it.
+    Weighed weigh(Time now, int least) const;
+    // The opinion with what is known now; true when it has changed.
+    bool judge(Time now, int least);
+
+    Opinion opinion() const { return opinion_; }
+    Time since() const { return since_; }
+    const Weighed& weighed() const { return weighed_; }
+    std::size_t reports() const { return reports_.size(); }
+
+private:
+    static constexpr double least_weight = 0.2;  // less has faded
+    bool shows_bad(const Weighed& weighed) const;
+    void change(Time now, Opinion opinion);
+
+    Figures figures_;
+    std::map<int, Report> reports_;  // one a gateway, those that have faded swept
+    std::uint16_t started_ = 0;
+    Opinion opinion_ = Opinion::well;
+    Weighed weighed_;
+    Time since_{}, last_bad_{}, last_seen_{};
+    Span dwell_{};
+};
+
+}  // namespace linnetlead::health
--- /dev/null
+++ b/src/health/health.cpp
@@ -0,0 +1,418 @@
+#include "health.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace linnetlead::health {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using topazcrank::ListKind;
+using topazcrank::ServerState;
+
+namespace {
+
+constexpr double heard_per_s = 30;  // datagrams of one gateway
+constexpr double scale = 16, slow_scale = 64;
+constexpr double most_told = 4000;
+
+std::string hex_of(std::uint32_t hash) {
+    char text[12];
+    std::snprintf(text, sizeof(text), "%08x", hash);
+    return text;
+}
+
+std::uint64_t mixed(std::uint32_t hash, std::uint64_t with) {
+    return accord::hash_of({reinterpret_cast<const char*>(&hash), sizeof(hash)}, with);
+}
+
+}  // namespace
+
+const char* name_of(Verdict verdict) {
+    constexpr const char* names[] = {"healthy", "degraded", "probation"};
+    return names[static_cast<int>(verdict)];
+}
+
+Health::Health(const Settings& settings, Outside outside)
+    : settings_(settings),
+      outside_(std::move(outside)),
+      heard_tokens_(static_cast<std::size_t>(settings.gateways), heard_per_s),
+      heard_at_(static_cast<std::size_t>(settings.gateways)) {
+    if (settings_.gateways == 1) settings_.shared = false;
+    settings_.keepers = settings_.shared ? std::min(settings_.keepers, settings_.gateways) : 1;
+}
+
+// One gateway alone makes no opinion where there are others.
+int Health::least() const { return settings_.shared ? 2 : 1; }
+int Health::majority() const { return settings_.keepers / 2 + 1; }
+
+std::uint16_t Health::started_of(const Worker& worker) const {
+    const std::int64_t ms = worker.started / 1ms;
+    return static_cast<std::uint16_t>(accord::hash_of({reinterpret_cast<const char*>(&ms), sizeof(ms)}));
+}
+
+// ---- The list -------------------------------------------------------------------------------------------
+
+void Health::listed(ListKind kind, const std::vector<topazcrank::ServerEntry>& entries) {
+    if (kind == ListKind::failed) return;
+    const auto forget = [this](const WorkerId& id) {
+        evidence_.gone(id);
+        boards_.erase(id);
+        doubted_.erase(id);
+        aside_.erase(id);
+        by_hash_.erase(accord::short_hash(accord::hash_of(id)));
+        workers_.erase(id);
+    };
+    if (kind != ListKind::changes) {
+        std::unordered_set<WorkerId> named;
+        for (const auto& entry : entries) named.insert(entry.id);
+        std::vector<WorkerId> gone;
+        for (const auto& [id, worker] : workers_) {
+            if (named.count(id) == 0) gone.push_back(id);
+        }
+        for (const WorkerId& id : gone) forget(id);
+    }
+    for (const auto& entry : entries) {
+        if (entry.state == ServerState::out) {
+            forget(entry.id);
+            continue;
+        }
+        Worker& worker = workers_[entry.id];
+        worker.hash = accord::short_hash(accord::hash_of(entry.id));
+        by_hash_[worker.hash] = entry.id;
+        worker.kind = entry.kind;
+        worker.weight = entry.weight;
+        worker.in_service = entry.state == ServerState::in;
+        if (worker.started != entry.started) {
+            worker.started = entry.started;
+            worker.verdict = Verdict::healthy;
+            boards_.erase(entry.id);
+        }
+        evidence_.listed(entry.id, entry.kind, entry.started);
+    }
+    keep_ = {};
+}
+
+// By the highest hash of worker and gateway, so that a gateway that comes or goes moves only its own part.
+void Health::choose_keepers() {
+    std::vector<int> there;
+    for (int i = 0; i < settings_.gateways; ++i) {
+        if (i == settings_.self || (settings_.shared && outside_.is_there && outside_.is_there(i))) {
+            there.push_back(i);
+        }
+    }
+    for (auto& [id, worker] : workers_) {
+        std::vector<std::pair<std::uint64_t, int>> ranked;
+        if (settings_.shared) {
+            for (const int gateway : there) {
+                ranked.emplace_back(mixed(worker.hash, static_cast<std::uint64_t>(gateway)), gateway);
+            }
+            const auto kept = std::min(ranked.size(), static_cast<std::size_t>(settings_.keepers));
+            std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                              ranked.end(), std::greater<>());
+            ranked.resize(kept);
+        } else {
+            ranked.emplace_back(0, settings_.self);
+        }
+        worker.keepers.clear();
+        for (const auto& [rank, gateway] : ranked) worker.keepers.push_back(gateway);
+        const bool mine =
+            std::find(worker.keepers.begin(), worker.keepers.end(), settings_.self) != worker.keepers.end();
+        if (mine) {
+            boards_.try_emplace(id, Kept{Board(settings_.figures), {}, {}, Opinion::well});
+        } else {
+            boards_.erase(id);
+        }
+    }
+}
+
+// ---- Evidence -------------------------------------------------------------------------------------------
+
+void Health::tried(Time now, const WorkerId& worker, int cls, double units, topazcrank::Outcome outcome,
+                   Span lag) {
+    evidence_.ended(now, worker, cls, units, outcome, lag);
+}
+
+void Health::tell_news(Time now) {
+    const double since = std::chrono::duration<double>(now - tokens_at_).count();
+    tokens_ = std::min(settings_.datagrams_per_s, tokens_ + since * settings_.datagrams_per_s);
+    tokens_at_ = now;
+    // Which is told first goes by the worker and by time, never by what was seen: else who saw ill of it
+    // would be heard before who saw well.
+    std::vector<WorkerId> news = evidence_.take_news(evidence_.size());
+    std::stable_partition(news.begin(), news.end(),
+                          [this](const WorkerId& id) { return doubted_.count(id) > 0; });
+    std::map<int, json> to;  // entries still to be sent to each
+    const auto send = [&](int gateway) {
+        json& entries = to[gateway];
+        if (entries.empty()) return;
+        std::string payload;
+        json::to_cbor(json{settings_.life, odd_ ? 1 : 0, now / 1ms, std::move(entries)}, payload);
+        entries = json::array();
+        tokens_ -= 1;
+        if (outside_.pass) outside_.pass(gateway, payload);
+    };
+    std::size_t told = 0;
+    for (; told < news.size(); ++told) {
+        const WorkerId& id = news[told];
+        const Worker& worker = workers_.at(id);
+        const Register& seen = *evidence_.of(id);
+        const double fewer = std::max(1.0, seen.weight / most_told);
+        std::size_t unsent = 0;
+        for (const auto& [gateway, entries] : to) unsent += entries.empty() ? 0 : 1;
+        if (tokens_ < static_cast<double>(unsent + worker.keepers.size())) break;
+        for (const int keeper : worker.keepers) {
+            if (keeper == settings_.self) {
+                const auto kept = boards_.find(id);
+                if (kept == boards_.end()) continue;
+                kept->second.board.report(now,
+                                          {settings_.self, settings_.life, started_of(worker), seen, odd_});
+                continue;
+            }
+            json& entries = to[keeper];
+            if (entries.is_null()) entries = json::array();
+            entries.push_back(
+                {worker.hash, started_of(worker), std::max<std::int64_t>((now - seen.at) / 1ms, 0),
+                 std::lround(seen.weight / fewer * scale), std::lround(seen.failures / fewer * scale),
+                 std::lround(seen.served / fewer * scale), std::lround(seen.slow / fewer * slow_scale)});
+            if (entries.size() >= reports_a_datagram) send(keeper);
+        }
+    }
+    for (auto& [gateway, entries] : to) send(gateway);
+    // The oldest first, so that the newest are told first again.
+    for (std::size_t i = news.size(); i > told; --i) evidence_.news_again(news[i - 1]);
+}
+
+void Health::heard(Time now, int from, const std::string& payload) {
+    if (from < 0 || from >= settings_.gateways || !settings_.shared) return;
+    auto& tokens = heard_tokens_[static_cast<std::size_t>(from)];
+    Time& at = heard_at_[static_cast<std::size_t>(from)];
+    tokens = std::min(heard_per_s, tokens + std::chrono::duration<double>(now - at).count() * heard_per_s);
+    at = now;
+    if (tokens < 1) return;
+    tokens -= 1;
+    const json told = json::from_cbor(payload.begin(), payload.end(), true, false);
+    if (!told.is_array() || told.size() != 4 || !told[3].is_array()) return;
+    for (const std::size_t i : {0, 1, 2}) {
+        if (!told[i].is_number_integer()) return;
+    }
+    const Time sent = std::chrono::milliseconds(told[2].get<std::int64_t>());
+    if (sent > now + 1s || sent < now - 1min) return;
+    for (const json& one : told[3]) {
+        if (!one.is_array() || one.size() != 7) return;
+        if (std::any_of(one.begin(), one.end(), [](const json& n) { return !n.is_number_integer(); })) return;
+        const auto named = by_hash_.find(one[0].get<std::uint32_t>());
+        const auto kept = named == by_hash_.end() ? boards_.end() : boards_.find(named->second);
+        if (kept == boards_.end()) continue;
+        Report report;
+        report.gateway = from;
+        report.life = told[0].get<std::uint16_t>();
+        report.odd = told[1].get<int>() != 0;
+        report.started = one[1].get<std::uint16_t>();
+        // Of a process that is not the one listed here: an older list, or a newer one.
+        if (report.started != started_of(workers_.at(named->second))) continue;
+        report.seen.at = sent - std::chrono::milliseconds(one[2].get<std::int64_t>());
+        report.seen.weight = one[3].get<double>() / scale;
+        report.seen.failures = one[4].get<double>() / scale;
+        report.seen.served = one[5].get<double>() / scale;
+        report.seen.slow = one[6].get<double>() / slow_scale;
+        const Register& seen = report.seen;
+        const bool possible = seen.weight >= 0 && seen.failures >= 0 && seen.served >= 0 &&
+                              seen.failures + seen.served <= seen.weight + 0.2 &&
+                              std::abs(seen.slow) <= 2.6 * seen.served + 0.2;
+        if (possible) kept->second.board.report(now, report);
+    }
+}
+
+// ---- Opinions and verdicts ------------------------------------------------------------------------------
+
+void Health::publish(Time now, const Worker& worker, Kept& kept) {
+    const Opinion opinion = kept.board.opinion();
+    if (kept.told == Opinion::bad && opinion != Opinion::bad) kept.left = now;
+    const bool silent = opinion == Opinion::well && kept.told == Opinion::well;
+    if (opinion == kept.told && (silent || now - kept.published < opinion_again)) return;
+    kept.told = opinion;
+    kept.published = now;
+    std::string value;
+    json::to_cbor(json{static_cast<unsigned>(opinion), static_cast<std::uint64_t>(kept.board.since() / 1ms),
+                       static_cast<std::uint64_t>(kept.left / 1ms), started_of(worker)},
+                  value);
+    const Span life = opinion == Opinion::bad ? opinion_life : std::max(opinion_life, 2 * settings_.ramp);
+    if (outside_.publish) {
+        outside_.publish(prefix + hex_of(worker.hash) + '/' + std::to_string(settings_.self), value, life);
+    }
+}
+
+void Health::judge(Time now) {
+    for (auto& [id, kept] : boards_) {
+        const Worker& worker = workers_.at(id);
+        if (kept.board.judge(now, least()) && outside_.event && settings_.shared) {
+            const Weighed& seen = kept.board.weighed();
+            char text[200];
+            std::snprintf(text, sizeof(text),
+                          "%s is %s: %.2f times the usual, %.2f failing, %.1f attempts of %d gateways",
+                          id.c_str(), name_of(kept.board.opinion()), seen.slower, seen.failing, seen.attempts,
+                          seen.gateways);
+            if (kept.board.opinion() != Opinion::doubtful) outside_.event({now, "opinion", text});
+        }
+        if (settings_.shared) {
+            publish(now, worker, kept);
+        } else if (kept.told == Opinion::bad && kept.board.opinion() != Opinion::bad) {
+            kept.left = now;
+        }
+        if (!settings_.shared) kept.told = kept.board.opinion();
+    }
+}
+
+// The same of the same records, at every gateway.
+void Health::decide(Time now) {
+    struct Bad {
+        Time since{};
+        std::uint32_t hash = 0;
+        WorkerId id;
+    };
+    std::vector<Bad> bad;
+    double all = 0;
+    doubted_.clear();
+    std::unordered_map<WorkerId, std::pair<Verdict, Time>> next;
+    for (auto& [id, worker] : workers_) {
+        if (!worker.in_service) continue;
+        all += worker.weight;
+        std::vector<Time> since, left;
+        const auto note = [&](Opinion opinion, Time from, Time out) {
+            if (opinion == Opinion::bad) since.push_back(from);
+            if (out > Time{}) left.push_back(out);
+            if (opinion != Opinion::well) doubted_.insert(id);
+        };
+        if (settings_.shared) {
+            const std::uint16_t started = started_of(worker);
+            outside_.opinions(prefix + hex_of(worker.hash) + '/', [&](const accord::Record& record) {
+                const json told = json::from_cbor(record.value.begin(), record.value.end(), true, false);
+                if (record.dead || !told.is_array() || told.size() != 4) return;
+                for (const json& one : told) {
+                    if (!one.is_number_unsigned()) return;
+                }
+                if (told[3].get<std::uint16_t>() != started || told[0].get<unsigned>() > 2) return;
+                note(static_cast<Opinion>(told[0].get<int>()),
+                     std::chrono::milliseconds(told[1].get<std::int64_t>()),
+                     std::chrono::milliseconds(told[2].get<std::int64_t>()));
+            });
+        } else if (const auto kept = boards_.find(id); kept != boards_.end()) {
+            note(kept->second.board.opinion(), kept->second.board.since(), kept->second.left);
+        }
+        const auto wanted = static_cast<std::size_t>(majority());
+        std::sort(since.begin(), since.end());
+        std::sort(left.begin(), left.end(), std::greater<>());
+        if (since.size() >= wanted) {
+            bad.push_back({since[wanted - 1], worker.hash, id});
+        } else if (left.size() >= wanted && now - left[wanted - 1] < settings_.ramp) {
+            next[id] = {Verdict::probation, left[wanted - 1]};
+        }
+    }
+    // Who has been bad for longest, up to the share that may be out: when many are, it is not they.
+    std::sort(bad.begin(), bad.end(), [](const Bad& a, const Bad& b) {
+        return std::tie(a.since, a.hash) < std::tie(b.since, b.hash);
+    });
+    double out = 0;
+    for (const Bad& one : bad) {
+        const double weight = workers_.at(one.id).weight;
+        if (out + weight > all * settings_.most_degraded + 1e-9) break;
+        out += weight;
+        next[one.id] = {Verdict::degraded, one.since};
+    }
+    for (auto& [id, worker] : workers_) {
+        const auto at = next.find(id);
+        const auto [verdict, since] = at == next.end() ? std::pair(Verdict::healthy, Time{}) : at->second;
+        if (verdict != worker.verdict && outside_.event) {
+            outside_.event({now, "health", id + " is " + name_of(verdict)});
+        }
+        worker.verdict = verdict;
+        worker.since = since;
+    }
+}
+
+// What this gateway sees failing and the tier sees well: where that is most of what it sees, the fault is
+// here.
+void Health::look_at_self(Time now) {
+    constexpr double enough = 3, most_failing = 0.4;
+    int seen = 0, alone = 0;
+    evidence_.each([&](const WorkerId& id, const Register& faded) {
+        const Register one = faded.at_time(now);
+        const Worker& worker = workers_.at(id);
+        if (one.weight < enough || worker.verdict == Verdict::degraded) return;
+        ++seen;
+        if (one.failures / one.weight > most_failing) ++alone;
+    });
+    const bool odd = settings_.shared && seen >= 2 && 2 * alone >= seen;
+    if (odd != odd_ && outside_.event) {
+        outside_.event({now, odd ? "odd one out" : "no longer odd",
+                        std::to_string(alone) + " of " + std::to_string(seen) +
+                            " workers fail here that the others see well"});
+    }
+    odd_ = odd;
+}
+
+double Health::share(Time now, const WorkerId&, const Worker& worker) const {
+    if (worker.verdict == Verdict::degraded) return settings_.trickle;
+    if (worker.verdict == Verdict::healthy) return 1;
+    const double through = std::chrono::duration<double>(now - worker.since) / settings_.ramp;
+    return std::clamp(settings_.cold_from + (1 - settings_.cold_from) * through, 0.0, 1.0);
+}
+
+// In each slice of time a worker is in or aside, in as many slices as its share; which ones differs from
+// gateway to gateway, so that together they give it that share of what it would get.
+void Health::set_asides(Time now) {
+    bool changed = false;
+    for (const auto& [id, worker] : workers_) {
+        const double part = share(now, id, worker);
+        const auto draw = mixed(worker.hash, static_cast<std::uint64_t>(now / slice) * 10007 +
+                                                 static_cast<std::uint64_t>(settings_.self));
+        const bool aside = part < 1 && static_cast<double>(draw >> 11) * 0x1.0p-53 >= part;
+        if (aside == (aside_.count(id) > 0)) continue;
+        changed = true;
+        if (aside) {
+            aside_.insert(id);
+        } else {
+            aside_.erase(id);
+        }
+    }
+    if (changed && outside_.changed) outside_.changed();
+}
+
+void Health::tick(Time now) {
+    if (now < look_) return;
+    look_ = now + look_every;
+    if (now >= keep_) {
+        keep_ = now + keep_every;
+        choose_keepers();
+        look_at_self(now);
+    }
+    tell_news(now);
+    judge(now);
+    decide(now);
+    set_asides(now);
+}
+
+Verdict Health::verdict(const WorkerId& worker) const {
+    const auto at = workers_.find(worker);
+    return at == workers_.end() ? Verdict::healthy : at->second.verdict;
+}
+
+std::vector<WorkerId> Health::degraded() const {
+    std::vector<WorkerId> all;
+    for (const auto& [id, worker] : workers_) {
+        if (worker.verdict == Verdict::degraded) all.push_back(id);
+    }
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+const Board* Health::board(const WorkerId& worker) const {
+    const auto at = boards_.find(worker);
+    return at == boards_.end() ? nullptr : &at->second.board;
+}
+
+}  // namespace linnetlead::health
--- a/src/routing/tier.cpp
+++ b/src/routing/tier.cpp
@@ -42,10 +42,18 @@
     count(name('p', slot_number, static_cast<std::size_t>(place / per_name_)), digit);
 }
 
+void Tier::ask(accord::Question question, accord::Question& into) {
+    into = std::move(question);
+    calls_ += into.size();
+    into.ask(counting_, life);
+}
+
 void Tier::ask_places(std::int64_t slot_number) {
-    const auto names = static_cast<std::size_t>((places_ + per_name_ - 1) / per_name_);
-    places_asked_ = {slot_number, std::vector<std::optional<double>>(names), names};
-    for (std::size_t part = 0; part < names; ++part) count(name('p', slot_number, part), 0);
+    std::vector<std::string> names;
+    for (int place = 0; place < places_; place += per_name_) {
+        names.push_back(name('p', slot_number, static_cast<std::size_t>(place / per_name_)));
+    }
+    ask({slot_number, std::move(names)}, places_asked_);
 }
 
 void Tier::tell_evidence(const Told& as, const Evidence& mine) {
@@ -57,41 +65,31 @@
 
 void Tier::ask_evidence(const Told& as) {
     evidence_asked_as_ = as;
-    evidence_asked_ = {as.slot, std::vector<std::optional<double>>(parts.size()), parts.size()};
-    for (std::size_t part = 0; part < parts.size(); ++part) count(evidence_name(as, part), 0);
+    std::vector<std::string> names;
+    for (std::size_t part = 0; part < parts.size(); ++part) names.push_back(evidence_name(as, part));
+    ask({as.slot, std::move(names)}, evidence_asked_);
 }
 
 void Tier::tick(Time now, std::optional<int> place, int stage, const Judge& judge, bool evidence_wanted) {
-    const std::int64_t slot_now = now / slot;
-    if (gateways_ == 1) return tick_alone(now, slot_now, place, stage, judge);
-    if (place && slot_now != told_slot_) {
-        told_slot_ = slot_now;
-        tell_place(slot_now, *place);
-    }
-    if (slot_now != asked_slot_ && now - slot * slot_now >= read_after) {
-        asked_slot_ = slot_now;
-        ask_places(slot_now - 1);
-    }
-    const std::int64_t evidence_now = now / evidence_slot;
+    if (gateways_ == 1) return tick_alone(now, place, stage, judge);
+    if (place && places_clock_.tell(now)) tell_place(places_clock_.number(now), *place);
+    if (const auto complete = places_clock_.read(now)) ask_places(*complete);
+    const std::int64_t evidence_now = evidence_clock_.number(now);
     if (stage > 0 && evidence_now != told_.slot) {
         told_before_ = std::exchange(told_, Told{evidence_now, stage, judge.epoch_number()});
         tell_evidence(told_, judge.evidence());
     }
-    if (evidence_now != asked_evidence_ && now - evidence_slot * evidence_now >= read_after) {
-        asked_evidence_ = evidence_now;
-        if (!evidence_wanted) return;
-        // What was told in the slot before, also where a stage or an epoch has ended since.
-        for (const Told& as : {told_, told_before_}) {
-            if (as.slot == evidence_now - 1) ask_evidence(as);
-        }
+    const auto complete = evidence_clock_.read(now);
+    if (!complete || !evidence_wanted) return;
+    // What was told in the slot before, also where a stage or an epoch has ended since.
+    for (const Told& as : {told_, told_before_}) {
+        if (as.slot == *complete) ask_evidence(as);
     }
 }
 
 // A tier of one gateway needs no counter to agree.
-void Tier::tick_alone(Time now, std::int64_t slot_now, std::optional<int> place, int stage,
-                      const Judge& judge) {
-    if (slot_now == told_slot_) return;
-    told_slot_ = slot_now;
+void Tier::tick_alone(Time now, std::optional<int> place, int stage, const Judge& judge) {
+    if (!places_clock_.tell(now)) return;
     View view;
     view.at = now;
     view.at_place.assign(static_cast<std::size_t>(places_), 0);
@@ -102,25 +100,13 @@
 }
 
 bool Tier::counted(Time now, const std::string& of, bool good, double total) {
-    const auto note = [&](Asked& asked, const auto& name_of) {
-        for (std::size_t part = 0; part < asked.totals.size(); ++part) {
-            if (asked.totals[part] || of != name_of(part)) continue;
-            if (!good || !std::isfinite(total)) {
-                asked.totals.clear();  // this slot says nothing
-                return false;
-            }
-            asked.totals[part] = total;
-            return --asked.missing == 0;
-        }
-        return false;
-    };
-    if (note(places_asked_, [&](std::size_t part) { return name('p', places_asked_.slot, part); })) {
+    if (places_asked_.take(of, good, total)) {
         View view;
         view.at = now;
         view.at_place.assign(static_cast<std::size_t>(places_), 0);
         const auto base = static_cast<std::int64_t>(gateways_ + 1);
         for (int place = 0; place < places_;) {
-            auto rest = std::llround(*places_asked_.totals[static_cast<std::size_t>(place / per_name_)]);
+            auto rest = std::llround(places_asked_.total(static_cast<std::size_t>(place / per_name_)));
             for (int i = 0; i < per_name_ && place < places_; ++i, ++place) {
                 const auto here = static_cast<int>(rest % base);
                 view.at_place[static_cast<std::size_t>(place)] = here;
@@ -135,11 +121,10 @@
         view_is_new_ = true;
         return true;
     }
-    const auto evidence_of = [&](std::size_t part) { return evidence_name(evidence_asked_as_, part); };
-    if (note(evidence_asked_, evidence_of)) {
+    if (evidence_asked_.take(of, good, total)) {
         pooled_ = {};
         for (std::size_t part = 0; part < parts.size(); ++part) {
-            pooled_.sum.*parts[part] = *evidence_asked_.totals[part];
+            pooled_.sum.*parts[part] = evidence_asked_.total(part);
         }
         pooled_.stage = evidence_asked_as_.stage;
         pooled_.epoch = evidence_asked_as_.epoch;
--- a/src/routing/tier.h
+++ b/src/routing/tier.h
@@ -12,16 +12,14 @@
 #include <string_view>
 #include <vector>
 
+#include "accord/slots.h"
 #include "judge.h"
 
 namespace linnetlead::routing {
 
 // What a count is asked for. The names begin with Tier::prefix.
-class Counting {
+class Counting : public accord::Counting {
 public:
-    virtual ~Counting() = default;
-    // Ends in one Tier::counted() or none, where no counter is at hand.
-    virtual void count(const std::string& name, double amount, Span life) = 0;
     // A word to the other gateways, which may come late or never; where there is no way to them, nothing.
     virtual void tell_peers(const std::string& text) = 0;
 };
@@ -69,18 +67,14 @@
         int stage = -1;
         std::int64_t epoch = -1;
     };
-    struct Asked {
-        std::int64_t slot = -1;
-        std::vector<std::optional<double>> totals;
-        std::size_t missing = 0;
-    };
     std::string name(char what, std::int64_t slot, std::size_t part) const;
     std::string evidence_name(const Told& as, std::size_t part) const;
     void tell_place(std::int64_t slot, int place);
     void ask_places(std::int64_t slot);
     void tell_evidence(const Told& as, const Evidence& mine);
     void ask_evidence(const Told& as);
-    void tick_alone(Time now, std::int64_t slot_now, std::optional<int> place, int stage, const Judge& judge);
+    void tick_alone(Time now, std::optional<int> place, int stage, const Judge& judge);
+    void ask(accord::Question question, accord::Question& into);
     void count(const std::string& name, double amount);
 
     std::string id_;
@@ -88,9 +82,9 @@
     int places_;
     Counting& counting_;
     int per_name_;  // places in one count
-    std::int64_t told_slot_ = -1, asked_slot_ = -1, asked_evidence_ = -1;
+    accord::SlotClock places_clock_{slot, read_after}, evidence_clock_{evidence_slot, read_after};
     Told told_, told_before_;
-    Asked places_asked_, evidence_asked_;
+    accord::Question places_asked_, evidence_asked_;
     Told evidence_asked_as_;
     std::optional<View> view_;
     bool view_is_new_ = false;
--- /dev/null
+++ b/tests/accord_test.cpp
@@ -0,0 +1,405 @@
+// The accord: its parts by properties, and the whole in virtual time under faults, each at every numbered
+// point.
+#include "accord/accord.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+#include "standin/fleet.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace accord;
+using standin::Fault;
+using standin::Fleet;
+using standin::FleetSettings;
+
+constexpr Time start = std::chrono::hours(500000);
+
+Record drawn_record() {
+    Record record;
+    record.key = "k" + std::to_string(*rc::gen::inRange(0, 6));
+    record.number = *rc::gen::inRange<std::uint64_t>(1, 4);
+    record.origin = *rc::gen::inRange(0, 3);
+    record.dead = *rc::gen::arbitrary<bool>();
+    record.value = record.dead ? "" : std::string(*rc::gen::element("a", "b", "c"));
+    return record;
+}
+
+RC_GTEST_PROP(AccordRecords, MergingInAnyOrderAndAnyNumberOfTimesEndsAlike, ()) {
+    std::vector<Record> all;
+    for (int i = *rc::gen::inRange(0, 20); i > 0; --i) all.push_back(drawn_record());
+    Records one, other;
+    for (const Record& record : all) one.merge(start, record);
+    std::vector<Record> shuffled = all;
+    for (std::size_t i = shuffled.size(); i > 1; --i) {
+        std::swap(shuffled[i - 1], shuffled[*rc::gen::inRange<std::size_t>(0, i)]);
+    }
+    for (const Record& record : shuffled) other.merge(start, record);
+    for (const Record& record : all) other.merge(start, record);
+    RC_ASSERT(one.hash() == other.hash());
+    RC_ASSERT(one.bucket_hashes() == other.bucket_hashes());
+    RC_ASSERT(one.bytes() == other.bytes());
+    one.each([&](const Record& record) {
+        const Record* same = other.find(record.key);
+        RC_ASSERT(same && same->value == record.value && same->dead == record.dead);
+    });
+}
+
+RC_GTEST_PROP(AccordWire, WhatIsWrittenIsReadAndWhatIsSpoiltIsNothingOrAMessage, ()) {
+    Message message;
+    message.kind = static_cast<Kind>(*rc::gen::inRange(0, 10));
+    message.from = *rc::gen::inRange(0, 1000);
+    message.incarnation = *rc::gen::inRange<Incarnation>(0, 4'000'000'000);
+    message.number = *rc::gen::arbitrary<std::uint32_t>();
+    message.target = *rc::gen::inRange(0, 1000);
+    message.beat.sent_ms = 1'800'000'000'000;
+    for (int i = *rc::gen::inRange(0, 8); i > 0; --i) {
+        message.beat.words.push_back(
+            {i - 1,
+             *rc::gen::inRange<std::int64_t>(0, 4000),
+             {*rc::gen::arbitrary<std::uint32_t>(), *rc::gen::arbitrary<std::uint32_t>()}});
+    }
+    message.beat.holders.assign(*rc::gen::inRange<std::size_t>(0, 126), 'x');
+    for (int i = *rc::gen::inRange(0, 5); i > 0; --i) {
+        message.beat.rumours.push_back(
+            {i, Presence::suspect, *rc::gen::inRange<Incarnation>(0, 4'000'000'000)});
+    }
+    message.bucket_hashes.assign(Records::buckets, *rc::gen::arbitrary<std::uint32_t>());
+    for (int i = *rc::gen::inRange(0, static_cast<int>(most_entries)); i > 0; --i) {
+        message.entries.push_back({*rc::gen::arbitrary<std::uint32_t>(), {20261201, false, 7}});
+    }
+    message.chunk.key = std::string(*rc::gen::inRange<std::size_t>(1, most_key + 1), 'k');
+    message.chunk.number = *rc::gen::arbitrary<std::uint64_t>();
+    message.chunk.digest = *rc::gen::arbitrary<std::uint64_t>();
+    message.chunk.until_ms = 1'800'000'000'000;
+    message.chunk.size = most_value;
+    message.chunk.bytes.assign(chunk_room(message.chunk.key), 'y');
+    message.payload.assign(*rc::gen::inRange<std::size_t>(0, 230), 'z');
+    std::string bytes = write(message, *rc::gen::inRange<std::uint64_t>(0, 2));
+    RC_ASSERT(!bytes.empty() && bytes.size() <= most_datagram);
+    const auto back = read(bytes);
+    RC_ASSERT(back.has_value());
+    RC_ASSERT(back->kind == message.kind && back->from == message.from);
+    if (message.kind == Kind::chunk) RC_ASSERT(back->chunk.bytes == message.chunk.bytes);
+    if (message.kind == Kind::entries) RC_ASSERT(back->entries.size() == message.entries.size());
+    if (message.kind == Kind::ping) RC_ASSERT(back->beat.rumours.size() == message.beat.rumours.size());
+    bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] ^= static_cast<char>(*rc::gen::inRange(1, 256));
+    (void)read(bytes);  // under the sanitizers: no crash, no read beyond
+    (void)read(std::string_view(bytes).substr(0, *rc::gen::inRange<std::size_t>(0, bytes.size())));
+}
+
+TEST(AccordMembers, OfTwoWordsTheLaterStandsAndALivingOneContradictsItsDeath) {
+    Members::Settings settings;
+    settings.gateways = 3;
+    settings.born = 100;
+    Members members(settings);
+    members.heard(start, 1, Presence::alive, 50);
+    EXPECT_EQ(members.presence(1), Presence::alive);
+    EXPECT_TRUE(members.rumour(start, {1, Presence::suspect, 50}));
+    EXPECT_FALSE(members.rumour(start, {1, Presence::alive, 50}))
+        << "a suspicion is outdone by a new word alone";
+    EXPECT_TRUE(members.rumour(start, {1, Presence::alive, 51}));
+    EXPECT_FALSE(members.rumour(start, {1, Presence::gone, 50})) << "of a life that is over";
+    EXPECT_TRUE(members.rumour(start, {1, Presence::gone, 51}));
+    EXPECT_TRUE(members.rumour(start, {1, Presence::joining, 90})) << "a new life";
+    EXPECT_TRUE(members.rumour(start, {0, Presence::gone, 100}));
+    EXPECT_EQ(members.incarnation(), 101u);
+    EXPECT_EQ(members.held_gone(), 1u);
+    EXPECT_EQ(members.presence(0), Presence::joining);
+}
+
+TEST(AccordCouncil, SpeaksOnlyByAMajorityWithinTheLease) {
+    Council council(300, 2s, 350ms);
+    EXPECT_EQ(council.size(), 7);
+    const Standing mine{1, 2}, other{3, 4}, planned{9, 2};
+    for (int place = 0; place < 3; ++place) council.said(start, place, {start, mine});
+    EXPECT_FALSE(council.holds_until(start, mine));
+    council.said(start, 3, {start - 1s, planned});
+    EXPECT_EQ(council.holds_until(start, mine), start + 1s) << "by the oldest word that it needs";
+    EXPECT_FALSE(council.holds_until(start + 1s, mine));
+    EXPECT_FALSE(council.said(start, 4, {start + 1s, mine})) << "from ahead of the clock";
+    EXPECT_FALSE(council.said(start, 0, {start - 1s, other})) << "an older word, late";
+    council.forget(start);
+    EXPECT_FALSE(council.holds_until(start, mine));
+}
+
+// ---- The whole, in virtual time -------------------------------------------------------------------------
+
+bool all_have(Fleet& fleet, std::uint64_t number, Span within) {
+    return fleet.run_until([&] { return fleet.settled(number); }, within);
+}
+
+Span stated(Fleet& fleet) { return fleet.accord(0).longest_contradiction(); }
+
+TEST(Accord, AVersionGivenToOneGatewayTakesEffectAtAllAtOneInstant) {
+    for (const int gateways : {1, 2, 3, 5, 9}) {
+        FleetSettings settings;
+        settings.gateways = gateways;
+        Fleet fleet(settings);
+        ASSERT_TRUE(all_have(fleet, 0, 4s)) << gateways;
+        EXPECT_EQ(fleet.propose(0, 7, std::string(3000, 'a') + "long enough for many datagrams"), "");
+        ASSERT_TRUE(all_have(fleet, 7, 5s)) << gateways << " gateways; " << fleet.with(7) << " have it";
+        EXPECT_LE(fleet.longest_contradiction, 40ms) << gateways;
+        EXPECT_EQ(fleet.broken, "");
+        EXPECT_EQ(fleet.accord(gateways - 1).value_in_force("settings")->size(), 3030u);
+    }
+}
+
+TEST(Accord, EqualNumbersWithUnlikeContentsTakeNoEffectAndTheNextDoes) {
+    Fleet fleet(FleetSettings{});
+    ASSERT_TRUE(all_have(fleet, 0, 4s));
+    fleet.propose(0, 1, "one");
+    ASSERT_TRUE(all_have(fleet, 1, 4s));
+    fleet.propose(0, 2, "left");
+    fleet.propose(2, 2, "right");
+    fleet.run_for(6s);
+    EXPECT_EQ(fleet.with(1), 3) << "the old one stands";
+    EXPECT_EQ(fleet.count("conflict"), 3u) << "each is told once";
+    fleet.propose(1, 3, "both");
+    EXPECT_TRUE(all_have(fleet, 3, 5s));
+    EXPECT_EQ(fleet.broken, "");
+}
+
+TEST(Accord, AnOlderFileAtARestartUndoesNothingAndARollBackIsANewVersion) {
+    Fleet fleet(FleetSettings{});
+    ASSERT_TRUE(all_have(fleet, 0, 4s));
+    fleet.propose(0, 4, "old");
+    ASSERT_TRUE(all_have(fleet, 4, 4s));
+    fleet.propose(0, 5, "new");
+    ASSERT_TRUE(all_have(fleet, 5, 4s));
+    fleet.crash(1);
+    fleet.run_for(500ms);
+    fleet.start(1);
+    fleet.run_for(1ms);
+    fleet.propose(1, 4, "old");  // what its disk had
+    ASSERT_TRUE(all_have(fleet, 5, 6s));
+    EXPECT_NE(fleet.propose(1, 4, "old"), "") << "and it is told why";
+    EXPECT_NE(fleet.propose(1, 5, "other"), "");
+    EXPECT_EQ(fleet.propose(1, 6, "old"), "") << "the old content under a new number";
+    EXPECT_TRUE(all_have(fleet, 6, 5s));
+    EXPECT_EQ(fleet.broken, "");
+}
+
+TEST(Accord, WaitsForAllThatAreThereAndNamesWhoLacksIt) {
+    Fleet fleet(FleetSettings{});
+    fleet.can = [](int gateway, const std::string& value) { return gateway != 2 || value != "broken there"; };
+    ASSERT_TRUE(all_have(fleet, 0, 4s));
+    fleet.propose(0, 1, "broken there");
+    fleet.run_for(5s);
+    EXPECT_EQ(fleet.with(1), 0);
+    EXPECT_EQ(fleet.accord(0).lacking(), std::vector<int>{2});
+    EXPECT_EQ(fleet.accord(2).lacking(), std::vector<int>{2});
+    fleet.crash(2);  // it is waited for no longer once it is known to be gone
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.with(1) == 2; }, 8s));
+    EXPECT_LE(fleet.longest_contradiction, stated(fleet));
+}
+
+TEST(Accord, TheSmallerSideOfAPartitionIsFencedAndTheLargerGoesOn) {
+    FleetSettings settings;
+    settings.gateways = 5;
+    Fleet fleet(settings);
+    ASSERT_TRUE(all_have(fleet, 0, 4s));
+    fleet.propose(0, 1, "one");
+    ASSERT_TRUE(all_have(fleet, 1, 4s));
+    fleet.part({0, 1});
+    fleet.run_for(2100ms);
+    EXPECT_TRUE(fleet.fenced(0) && fleet.fenced(1));
+    EXPECT_FALSE(fleet.fenced(2) || fleet.fenced(3) || fleet.fenced(4));
+    fleet.propose(3, 2, "two");
+    fleet.propose(0, 3, "of the smaller side");
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.with(2) == 3; }, 12s));
+    EXPECT_EQ(fleet.with(3), 0);
+    fleet.heal();
+    EXPECT_TRUE(all_have(fleet, 3, 15s)) << "and it comes after, in its turn";
+    EXPECT_LE(fleet.longest_contradiction, stated(fleet));
+    EXPECT_EQ(fleet.broken, "");
+}
+
+TEST(Accord, AGatewayThatWasStoppedKnowsThatItWasHeldGoneBeforeItActs) {
+    Fleet fleet(FleetSettings{});
+    ASSERT_TRUE(all_have(fleet, 0, 4s));
+    fleet.propose(0, 1, "one");
+    ASSERT_TRUE(all_have(fleet, 1, 4s));
+    fleet.stall(2, 8s);
+    fleet.run_for(3s);
+    fleet.propose(0, 2, "two");
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.with(2) == 2; }, 5s));
+    fleet.run_for(1s);
+    EXPECT_TRUE(fleet.fenced(2)) << "by its own clock, before it hears a word";
+    EXPECT_TRUE(all_have(fleet, 2, 6s));
+    EXPECT_GE(fleet.count("stopped"), 1u);
+    EXPECT_LE(fleet.longest_contradiction, 40ms);
+}
+
+TEST(Accord, WhatWasAgreedSurvivesACrashOfAllAndAnOldStateIsFencedUntilTheTierIsHeard) {
+    FleetSettings settings;
+    settings.saves = true;
+    Fleet fleet(settings);
+    ASSERT_TRUE(all_have(fleet, 0, 4s));
+    fleet.propose(0, 1, "one");
+    ASSERT_TRUE(all_have(fleet, 1, 4s));
+    const std::string old = fleet.saved(2);
+    for (int i = 0; i < 3; ++i) fleet.crash(i);
+    fleet.run_for(100ms);
+    for (int i = 0; i < 3; ++i) fleet.start(i);
+    EXPECT_EQ(fleet.with(1), 3);
+    EXPECT_TRUE(fleet.fenced(0) && fleet.fenced(1) && fleet.fenced(2));
+    ASSERT_TRUE(all_have(fleet, 1, 4s));
+    fleet.propose(0, 2, "two");
+    ASSERT_TRUE(all_have(fleet, 2, 4s));
+    fleet.crash(2);
+    fleet.saved(2) = old;
+    fleet.part({2});
+    fleet.start(2);
+    fleet.run_for(3s);
+    EXPECT_TRUE(fleet.fenced(2)) << "with version " << fleet.accord(2).in_force("settings").number;
+    fleet.heal();
+    EXPECT_TRUE(all_have(fleet, 2, 6s));
+    Accord spoilt(Accord::Settings{}, {});
+    EXPECT_FALSE(spoilt.restore(start, old.substr(0, old.size() / 2)));
+}
+
+TEST(Accord, ADroppedRecordStaysDroppedThroughAPartitionAndTheLongestOneIsTakenWhole) {
+    FleetSettings settings;
+    settings.with = [](Accord::Settings& s) { s.tombstones = 40s; };
+    Fleet fleet(settings);
+    ASSERT_TRUE(all_have(fleet, 0, 4s));
+    fleet.accord(0).put(fleet.time_of(0), "x/1", "a");
+    fleet.accord(0).put(fleet.time_of(0), "x/2", "b");
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.accord(2).find("x/2"); }, 4s));
+    fleet.run_for(1s);
+    const auto is_dead = [&](int gateway, const std::string& key) {
+        const Record* record = fleet.accord(gateway).find(key);
+        return !record || record->dead;
+    };
+    fleet.part({2});
+    fleet.accord(0).drop(fleet.time_of(0), "x/1");
+    fleet.run_for(10s);
+    EXPECT_FALSE(is_dead(2, "x/1"));
+    fleet.heal();
+    fleet.run_for(4s);
+    for (int i = 0; i < 3; ++i) EXPECT_TRUE(is_dead(i, "x/1")) << i;
+    fleet.part({2});
+    fleet.accord(0).drop(fleet.time_of(0), "x/2");
+    fleet.run_for(60s);  // longer than the tombstone
+    EXPECT_EQ(fleet.accord(0).find("x/2"), nullptr);
+    EXPECT_FALSE(is_dead(2, "x/2"));
+    fleet.heal();
+    fleet.run_for(6s);
+    for (int i = 0; i < 3; ++i) EXPECT_TRUE(is_dead(i, "x/2")) << i;
+    EXPECT_EQ(fleet.count("taken whole"), 1u);
+}
+
+TEST(Accord, OverTheCounterAloneItAgreesAndFencesToo) {
+    FleetSettings settings;
+    settings.gateways = 5;
+    settings.way = Way::counter;
+    settings.most_skew = 300ms;
+    Fleet fleet(settings);
+    const auto settled = [&](std::uint64_t number) {
+        int in_full = 0;
+        for (int i = 0; i < 5; ++i) {
+            const bool has = fleet.runs(i) && fleet.accord(i).in_force("settings").number == number;
+            in_full += has && !fleet.fenced(i) ? 1 : 0;
+        }
+        return in_full;
+    };
+    ASSERT_TRUE(fleet.run_until([&] { return settled(0) == 5; }, 6s));
+    for (int i = 0; i < 4; ++i) fleet.propose(i, 1, "one");
+    fleet.run_for(5s);
+    EXPECT_EQ(fleet.with(1), 0) << "one does not hold it yet";
+    fleet.propose(4, 1, "one");
+    ASSERT_TRUE(fleet.run_until([&] { return settled(1) == 5; }, 10s));
+    fleet.cut(4, 4, true);  // from the counter
+    ASSERT_TRUE(fleet.run_until([&] { return settled(1) == 4; }, 6s));
+    EXPECT_TRUE(fleet.fenced(4));
+    for (int i = 0; i < 4; ++i) fleet.propose(i, 2, "two");
+    ASSERT_TRUE(fleet.run_until([&] { return settled(2) == 4; }, 10s));
+    fleet.propose(4, 2, "two");
+    fleet.cut(4, 4, false);
+    EXPECT_TRUE(fleet.run_until([&] { return settled(2) == 5; }, 8s)) << "one that was cut off goes over too";
+    EXPECT_LE(fleet.longest_contradiction, stated(fleet));
+    fleet.counter.mood = standin::CounterModel::Mood::silent;
+    ASSERT_TRUE(fleet.run_until([&] { return settled(2) == 0; }, 6s)) << "a silent counter fences all";
+}
+
+// ---- Faults at numbered points, each in turn ------------------------------------------------------------
+
+// One version in force, then another is given to two gateways, a record is put and dropped; a fault
+// somewhere.
+std::string play(const std::function<void(Fleet&)>& prepare,
+                 const std::function<void(FleetSettings&)>& with = {}) {
+    FleetSettings settings;
+    settings.saves = true;
+    settings.lost = 0.02;
+    if (with) with(settings);
+    Fleet fleet(settings);
+    fleet.run_until([&] { return fleet.settled(0); }, 3s);
+    prepare(fleet);
+    fleet.propose(0, 1, "the first");
+    fleet.run_for(200ms);
+    if (fleet.runs(1)) fleet.accord(1).put(fleet.time_of(1), "x/1", "a");
+    fleet.run_for(600ms);
+    if (fleet.runs(2)) fleet.propose(2, 2, "the second");
+    if (fleet.runs(1)) fleet.accord(1).drop(fleet.time_of(1), "x/1");
+    fleet.run_for(1200ms);
+    fleet.inject({});
+    fleet.run_for(4500ms);  // the fault ends, whatever it was
+    const std::uint64_t newest = fleet.with(2) > 0 ? 2 : fleet.with(1) > 0 ? 1 : 0;
+    if (!fleet.run_until([&] { return fleet.settled(newest); }, 10s)) return "no agreement after the fault";
+    for (int i = 0; i < 3; ++i) {
+        const Record* record = fleet.accord(i).find("x/1");
+        if (record && !record->dead && fleet.count("put lost") == 0) {
+            const Record* at_origin = fleet.accord(1).find("x/1");
+            if (at_origin && at_origin->dead) return "a dropped record is back";
+        }
+    }
+    if (fleet.longest_contradiction > stated(fleet)) {
+        return "two gateways contradicted each other for " +
+               std::to_string(standin::seconds(fleet.longest_contradiction)) + " s";
+    }
+    return fleet.broken;
+}
+
+TEST(AccordPoints, EveryFaultAtEveryPointInTurnKeepsTheRules) {
+    const std::vector<Fault> faults(std::begin(standin::all_faults), std::end(standin::all_faults));
+    const auto all = standin::at_each_point([](const auto& prepare) { return play(prepare); }, faults);
+    EXPECT_GT(all.points, 100u);
+    for (const std::string& failure : all.failures) ADD_FAILURE() << failure;
+    std::printf("%llu points, %llu runs\n", static_cast<unsigned long long>(all.points),
+                static_cast<unsigned long long>(all.runs));
+}
+
+// Mutants: each breaks a rule on purpose, and must be caught.
+TEST(AccordPoints, WithoutTheFenceACutGatewayActsOnWhatIsOver) {
+    FleetSettings settings;
+    settings.with = [](Accord::Settings& s) { s.fences = false; };
+    Fleet fleet(settings);
+    fleet.run_for(3s);
+    fleet.propose(0, 1, "one");
+    fleet.run_for(3s);
+    fleet.part({2});
+    fleet.propose(0, 2, "two");
+    fleet.run_for(12s);
+    EXPECT_GT(fleet.longest_contradiction, stated(fleet));
+}
+
+TEST(AccordPoints, WithoutTombstonesADroppedRecordComesBack) {
+    FleetSettings settings;
+    settings.with = [](Accord::Settings& s) { s.buries = false; };
+    Fleet fleet(settings);
+    fleet.run_for(3s);
+    fleet.accord(0).put(fleet.time_of(0), "x/1", "a");
+    fleet.run_for(2s);
+    fleet.accord(0).drop(fleet.time_of(0), "x/1");
+    fleet.run_for(3s);
+    EXPECT_NE(fleet.accord(0).find("x/1"), nullptr);
+}
+
+}  // namespace
+}  // namespace linnetlead
