--- a/src/accord/accord.cpp
+++ b/src/accord/accord.cpp
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cbor.h"
+
 namespace linnetlead::accord {
 
 using nlohmann::json;
@@ -460,7 +461,7 @@
         return look(now);
     }
     if (const auto name = read_settled_key(record.key)) {
-        const json told = json::from_cbor(record.value.begin(), record.value.end(), true, false);
+        const json told = read_cbor(record.value);
         if (!told.is_array() || told.size() != 3 || !told[0].is_number_unsigned() ||
             !told[1].is_number_unsigned() || !told[2].is_number_unsigned()) {
             return;
@@ -555,7 +556,7 @@
         record.number = version.number;
         record.origin = settings_.self;
         const json value{version.number, version.digest, static_cast<std::uint64_t>(at / 1ms)};
-        json::to_cbor(value, record.value);
+        record.value = write_cbor(value);
         const std::string key = record.key;
         if (records_.merge(now, std::move(record)) != Records::Merged::news) continue;
         exchange_.tell(key);
@@ -688,17 +689,14 @@
         topics.push_back({name, topic.force.number, topic.force.digest, topic.force_at / 1ms,
                           json::binary(bytes_of(topic.value))});
     }
-    std::string text;
-    json::to_cbor(json{{"at_ms", last_tick_ / 1ms},
-                       {"in_touch_ms", in_touch_ / 1ms},
-                       {"records", std::move(records)},
-                       {"topics", std::move(topics)}},
-                  text);
-    return text;
+    return write_cbor(json{{"at_ms", last_tick_ / 1ms},
+                           {"in_touch_ms", in_touch_ / 1ms},
+                           {"records", std::move(records)},
+                           {"topics", std::move(topics)}});
 }
 
 bool Accord::restore(Time now, const std::string& state) {
-    const json told = json::from_cbor(state.begin(), state.end(), true, false);
+    const json told = read_cbor(state);
     if (!told.is_object()) return false;
     try {
         const auto text_of_binary = [](const json& value) {
@@ -738,7 +736,9 @@
         return false;
     }
     for (const auto& [name, topic] : topics_) {
-        if (topic.force.number > 0 && outside_.in_force) outside_.in_force(name, topic.force, topic.value);
+        if (topic.force.number == 0) continue;
+        event(now, "restored", name + " " + text_of(topic.force));
+        if (outside_.in_force) outside_.in_force(name, topic.force, topic.value);
     }
     return true;
 }
--- a/src/accord/accord.h
+++ b/src/accord/accord.h
@@ -116,6 +116,8 @@
     // The longest for which two gateways can act on what contradicts each other.
     Span longest_contradiction() const;
     int present() const;
+    Way way() const { return settings_.way; }
+    int gateways() const { return settings_.gateways; }
     // For the others to know at once that this one goes.
     void leave(Time now);
 
--- a/src/accord/members.h
+++ b/src/accord/members.h
@@ -62,6 +62,7 @@
     // What this gateway says of itself.
     void say(Presence presence);
     Presence presence(int member) const { return all_[static_cast<std::size_t>(member)].presence; }
+    int self() const { return settings_.self; }
     Incarnation incarnation() const { return all_[static_cast<std::size_t>(settings_.self)].incarnation; }
     Incarnation incarnation_of(int member) const {
         return all_[static_cast<std::size_t>(member)].incarnation;
--- a/src/accord/wire.cpp
+++ b/src/accord/wire.cpp
@@ -1,7 +1,9 @@
 #include "wire.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cbor.h"
 
 namespace linnetlead::accord {
 
@@ -11,12 +13,6 @@
 
 constexpr int version = 1;
 
-std::string bytes_of(const json& value) {
-    std::string text;
-    json::to_cbor(value, text);
-    return text;
-}
-
 json binary(const std::string& bytes) {
     return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
 }
@@ -92,11 +88,11 @@
     out.push_back(static_cast<std::uint64_t>(beat.sent_ms));
     out.push_back(beat.records);
     out.push_back(beat.held);
-    const std::size_t head_size = bytes_of(out).size() + frames;
+    const std::size_t head_size = write_cbor(out).size() + frames;
     std::size_t room = most_datagram - std::min(most_datagram, head_size);
     json words = json::array(), rumours = json::array(), holders = binary({});
     const auto add = [&room](json& list, json one) {
-        const std::size_t size = bytes_of(one).size();
+        const std::size_t size = write_cbor(one).size();
         if (size > room) return false;
         room -= size;
         list.push_back(std::move(one));
@@ -213,13 +209,13 @@
             out.push_back(binary(message.payload));
             break;
     }
-    std::string text = bytes_of(out);
+    std::string text = write_cbor(out);
     return text.size() <= most_datagram ? text : std::string();
 }
 
 std::optional<Message> read(std::string_view bytes) {
     if (bytes.empty() || bytes.size() > most_datagram) return std::nullopt;
-    const json array = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json array = read_cbor(bytes);
     if (!array.is_array()) return std::nullopt;
     Reader from(array);
     Message message;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -232,6 +232,7 @@
     if (routes_ && call->attempts == 1) {
         routes_->ended(call->mark, call->cls, call->units, result.outcome, result.lag);
     }
+    if (routes_) routes_->tried(now, call->worker, call->cls, call->units, result.outcome, result.lag);
     if (accounts_) note_use(handle, *call, end, result);
     call->attempt = {};
     call->may_have_run = call->may_have_run || !proves_not_run(result.outcome);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -124,6 +124,9 @@
     // The first attempt of a call goes to a worker, and ends. Returns the mark that goes with its end.
     virtual std::uint32_t sent(Time now, std::uint32_t mark, int cls, const WorkerId& worker) = 0;
     virtual void ended(std::uint32_t mark, int cls, double units, topazcrank::Outcome outcome, Span lag) = 0;
+    // Any attempt has ended.
+    virtual void tried(Time now, const WorkerId& worker, int cls, double units, topazcrank::Outcome outcome,
+                       Span lag) = 0;
     // Of a count whose name is its own; false: it is not.
     virtual bool counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) = 0;
 };
--- /dev/null
+++ b/src/gateway/agreement.cpp
@@ -0,0 +1,331 @@
+#include "agreement.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "accord/cbor.h"
+#include "keep/sealed.h"
+#include "points.h"
+
+namespace linnetlead::gateway {
+
+using accord::Accord;
+using core::Span;
+using core::Time;
+using core::WorkerId;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* topic = "settings";
+constexpr const char* warnings = "gone/";
+constexpr std::string_view sealed_as = "linnetlead-accord 1";
+constexpr Time counted_from =
+    std::chrono::hours(24 * 20454);  // 2026; incarnations are tenths of a second since
+
+// A text that the accord can carry goes compressed; of a longer one only its hash goes, and each gateway has
+// to be given the file itself.
+std::string pack(const std::string& text) {
+    std::string packed = 'z' + keep::compress(text);
+    if (packed.size() <= accord::most_value) return packed;
+    const std::uint64_t hash = accord::hash_of(text);
+    return 'h' + std::string(reinterpret_cast<const char*>(&hash), sizeof(hash));
+}
+std::optional<std::string> unpack(const std::string& value) {
+    if (value.empty() || value.front() != 'z') return std::nullopt;
+    constexpr std::size_t most = 1024 * 1024;
+    return keep::decompress(std::string_view(value).substr(1), most);
+}
+
+Accord::Settings accord_of(const AgreementSettings& settings, const Config& config, Time now, bool peers) {
+    Accord::Settings made;
+    made.gateways = config.site.settings.gateways;
+    made.self = config.site.settings.self;
+    const bool counts = config.site.settings.may_count && !config.counter.empty();
+    made.way = peers ? accord::Way::datagrams : counts ? accord::Way::counter : accord::Way::alone;
+    made.seed = config.seed;
+    made.born = static_cast<accord::Incarnation>(std::max(now - counted_from, Span{1}) / 100ms);
+    made.lease = settings.lease;
+    made.tombstones = settings.tombstones;
+    return made;
+}
+
+const char* name_of(accord::Way way) {
+    constexpr const char* names[] = {"alone", "datagrams", "counter"};
+    return names[static_cast<int>(way)];
+}
+
+}  // namespace
+
+// A state being written on a thread of libuv's. It outlives its owner, should that go first.
+struct Agreement::Saving {
+    uv_work_t work{};
+    Agreement* owner = nullptr;
+    std::string path, state;
+    bool good = false;
+};
+
+Accord::Outside Agreement::outside_of(net::PeerLink* peers, core::Counter& counter) {
+    Accord::Outside outside;
+    outside.send = [peers](int to, const std::string& datagram) {
+        reach_point();
+        if (peers) peers->tell(to, datagram);
+    };
+    outside.count = [&counter](const std::string& name, double amount, Span life) {
+        reach_point();
+        counter.add(name, amount, life);
+    };
+    outside.event = [this](const Accord::Event& event) {
+        reach_point();
+        log_.write(event.at, "accord", {{"what", event.what}, {"text", event.text}});
+    };
+    outside.check = [this](const std::string& name, accord::Version version, const std::string& value) {
+        if (name != topic) return;
+        const auto text = unpack(value);
+        if (text) return outside_.check(version, *text);
+        std::uint64_t hash = 0;
+        const bool is_hash = value.size() == 1 + sizeof(hash) && value.front() == 'h';
+        if (is_hash) std::memcpy(&hash, value.data() + 1, sizeof(hash));
+        accord_.checked(loop_.now(), topic, version, is_hash && hash == own_hash_);
+    };
+    outside.in_force = [this](const std::string& name, accord::Version version, const std::string& value) {
+        if (name == topic) outside_.in_force(version, unpack(value).value_or(""));
+    };
+    outside.fenced = [this](bool fenced) { outside_.fenced(fenced); };
+    outside.record = [this](const accord::Record& record) { take_record(record); };
+    outside.heard = [this](int from, const std::string& payload) {
+        if (health_) health_->heard(loop_.now(), from, payload);
+    };
+    return outside;
+}
+
+Agreement::Agreement(const AgreementSettings& settings, const Config& config, net::Loop& loop,
+                     net::PeerLink* peers, core::Counter& counter, mgmt::Suspensions& suspensions, Log& log,
+                     Outside outside)
+    : settings_(settings),
+      path_(settings.snapshot),
+      loop_(loop),
+      suspensions_(suspensions),
+      log_(log),
+      outside_(std::move(outside)),
+      accord_(accord_of(settings, config, loop.now(), peers != nullptr), outside_of(peers, counter)) {
+    constexpr std::string_view name = "{gateway}";
+    if (const auto at = path_.find(name); at != std::string::npos)
+        path_.replace(at, name.size(), config.name);
+    suspensions_.on_change(
+        [this](const WorkerId& worker, Time started, bool wanted) { tell_list(worker, started, wanted); });
+    if (!settings_.health) return;
+    health::Health::Settings made = settings_.of_health;
+    made.gateways = config.site.settings.gateways;
+    made.self = config.site.settings.self;
+    made.life = static_cast<std::uint16_t>(accord_.members().incarnation());
+    made.seed = config.seed;
+    made.shared = made.shared && peers != nullptr;
+    made.cold_from = config.site.settings.cold_from;
+    health_ = std::make_unique<health::Health>(
+        made,
+        health::Health::Outside{
+            [this](int to, const std::string& payload) { return accord_.pass(loop_.now(), to, payload); },
+            [this](const std::string& key, std::string value, Span life) {
+                accord_.put(loop_.now(), key, std::move(value), life);
+            },
+            [this](const std::string& prefix, const std::function<void(const accord::Record&)>& act) {
+                accord_.each(prefix, act);
+            },
+            [this](int gateway) { return accord_.members().counts(gateway); },
+            [this](const health::Health::Event& event) {
+                reach_point();
+                log_.write(event.at, "health", {{"what", event.what}, {"text", event.text}});
+            },
+            [this] { outside_.set_aside(); }});
+}
+
+Agreement::~Agreement() { close(); }
+
+void Agreement::start() {
+    if (!path_.empty()) {
+        if (const auto bytes = keep::read_whole(path_)) {
+            std::string problem;
+            const auto state = keep::unseal(sealed_as, *bytes, problem);
+            if (state && !accord_.restore(loop_.now(), *state)) problem = "it is damaged";
+            if (!problem.empty())
+                log_.write(loop_.now(), "accord", {{"what", "not restored"}, {"text", problem}});
+        }
+    }
+    tick();
+}
+
+void Agreement::close() {
+    loop_.disarm(std::exchange(timer_, {}));
+    suspensions_.on_change(nullptr);
+    if (saving_) std::exchange(saving_, nullptr)->owner = nullptr;
+}
+
+std::string Agreement::propose(std::uint64_t version, const std::string& text) {
+    own_hash_ = accord::hash_of(text);
+    return accord_.propose(loop_.now(), topic, version, pack(text));
+}
+
+void Agreement::checked(accord::Version version, bool good) {
+    accord_.checked(loop_.now(), topic, version, good);
+}
+
+void Agreement::heard(int from, std::string_view datagram) {
+    accord_.heard(loop_.now(), from, datagram);
+    arm();
+}
+
+bool Agreement::counted(const std::string& name, topazcrank::CountStatus status, double total) {
+    if (name.compare(0, std::strlen(accord::Ballot::prefix), accord::Ballot::prefix) != 0) return false;
+    accord_.counted(loop_.now(), name, status == topazcrank::CountStatus::ok, total);
+    arm();
+    return true;
+}
+
+// A settled instant is met when it comes, not at the next tick behind it.
+void Agreement::arm() {
+    const auto wake = accord_.wake_at();
+    if (!wake || wake == asked_wake_) return;
+    asked_wake_ = wake;
+    loop_.disarm(timer_);
+    const Time now = loop_.now();
+    timer_ = loop_.arm(std::min(now + tick_every, std::max(*wake, now)), [this] { tick(); });
+}
+
+void Agreement::tick() {
+    const Time now = loop_.now();
+    accord_.tick(now);
+    if (health_) health_->tick(now);
+    sweep_warnings(now);
+    save();
+    asked_wake_.reset();
+    Time next = now + tick_every;
+    if (const auto wake = accord_.wake_at(); wake && *wake > now) next = std::min(next, *wake);
+    timer_ = loop_.arm(next, [this] { tick(); });
+}
+
+void Agreement::save() {
+    const Time now = loop_.now();
+    if (path_.empty() || saving_ || accord_.changes() == saved_changes_ || now - saved_at_ < save_every)
+        return;
+    saved_changes_ = accord_.changes();
+    saved_at_ = now;
+    saving_ = new Saving;
+    saving_->work.data = saving_;
+    saving_->owner = this;
+    saving_->path = path_;
+    saving_->state = accord_.save();
+    reach_point();
+    uv_queue_work(
+        loop_.uv(), &saving_->work,
+        [](uv_work_t* work) {
+            auto& self = *static_cast<Saving*>(work->data);
+            self.good = keep::write_whole(self.path, keep::seal(sealed_as, self.state));
+        },
+        [](uv_work_t* work, int) {
+            const std::unique_ptr<Saving> self(static_cast<Saving*>(work->data));
+            if (!self->owner) return;
+            self->owner->saving_ = nullptr;
+            reach_point();
+            if (self->good) return;
+            self->owner->saved_changes_ = 0;  // tried again
+            self->owner->log_.write(self->owner->loop_.now(), "accord",
+                                    {{"what", "not saved"}, {"text", self->path}});
+        });
+}
+
+// ---- The list's ill news --------------------------------------------------------------------------------
+
+namespace {
+
+std::string warning_key(const WorkerId& worker) {
+    char text[24];
+    std::snprintf(text, sizeof(text), "%s%016llx", warnings,
+                  static_cast<unsigned long long>(accord::hash_of(worker)));
+    return text;
+}
+
+}  // namespace
+
+// What this gateway's own list says: that a worker drains or is gone concerns all, whose lists may be late.
+void Agreement::tell_list(const WorkerId& worker, Time started, bool wanted) {
+    const std::string key = warning_key(worker);
+    const accord::Record* told = accord_.find(key);
+    const bool stands = told && !told->dead;
+    if (!wanted && !stands) {
+        accord_.put(loop_.now(), key, accord::write_cbor(json{worker, started / 1ms}), warning_life);
+    } else if (wanted && stands && told->origin == accord_.members().self()) {
+        accord_.drop(loop_.now(), key);
+    }
+}
+
+void Agreement::take_record(const accord::Record& record) {
+    if (record.key.compare(0, std::strlen(warnings), warnings) != 0) return;
+    const json told = accord::read_cbor(record.value);
+    if (record.dead) {
+        for (auto at = warned_until_.begin(); at != warned_until_.end(); ++at) {
+            if (warning_key(at->first) != record.key) continue;
+            suspensions_.unwarn(at->first);
+            warned_until_.erase(at);
+            return;
+        }
+    }
+    if (!told.is_array() || told.size() != 2 || !told[0].is_string() || !told[1].is_number_integer()) return;
+    const WorkerId worker = told[0].get<std::string>();
+    // Guards the fleet against a registry that has lost its data, or a gateway that says so of all.
+    if (warned_until_.count(worker) == 0 && 2 * (warned_until_.size() + 1) > suspensions_.known()) return;
+    warned_until_[worker] = record.until;
+    suspensions_.warn(worker, std::chrono::milliseconds(told[1].get<std::int64_t>()));
+}
+
+void Agreement::sweep_warnings(Time now) {
+    for (auto at = warned_until_.begin(); at != warned_until_.end();) {
+        const bool over = at->second <= now;
+        if (over) suspensions_.unwarn(at->first);
+        at = over ? warned_until_.erase(at) : std::next(at);
+    }
+}
+
+// ---- For staff ------------------------------------------------------------------------------------------
+
+json Agreement::state() const {
+    const Time now = loop_.now();
+    const auto version = [](accord::Version of) {
+        char digest[20];
+        std::snprintf(digest, sizeof(digest), "%016llx", static_cast<unsigned long long>(of.digest));
+        return json{{"version", of.number}, {"content", digest}};
+    };
+    json state{{"way", name_of(accord_.way())},
+               {"present", accord_.present()},
+               {"fenced", accord_.fenced(now)},
+               {"in_force", version(accord_.in_force(topic))},
+               {"longest_contradiction_ms", accord_.longest_contradiction() == Span::max()
+                                                ? json()
+                                                : json(accord_.longest_contradiction() / 1ms)}};
+    if (const auto since = accord_.fenced_since()) state["fenced_since_ms"] = *since / 1ms;
+    if (const auto next = accord_.proposed(topic)) {
+        state["proposed"] = version(*next);
+        state["lacking"] = accord_.lacking();
+    }
+    if (const auto at = accord_.settled_for(topic)) state["takes_effect_ms"] = *at / 1ms;
+    json members = json::array();
+    if (accord_.way() == accord::Way::datagrams) {
+        for (int i = 0; i < accord_.gateways(); ++i)
+            members.push_back(name_of(accord_.members().presence(i)));
+    }
+    state["members"] = std::move(members);
+    const auto& traffic = accord_.traffic();
+    state["datagrams"] = {{"sent", traffic.sent},
+                          {"bytes", traffic.bytes},
+                          {"taken", traffic.taken},
+                          {"held_back", traffic.held_back},
+                          {"nonsense", traffic.nonsense}};
+    if (health_) {
+        state["degraded"] = health_->degraded();
+        state["odd_one_out"] = health_->is_odd();
+    }
+    return state;
+}
+
+}  // namespace linnetlead::gateway
--- a/src/gateway/desk.cpp
+++ b/src/gateway/desk.cpp
@@ -9,7 +9,8 @@
 
 Reply Desk::carry(const mgmt::Command& command) {
     Reply reply = carried(command);
-    const bool changes = command.verb != Verb::readyz && command.verb != Verb::metrics;
+    const bool changes =
+        command.verb != Verb::readyz && command.verb != Verb::metrics && command.verb != Verb::accord;
     if (changes && reply.status == 200) parts_.done(command);
     return reply;
 }
@@ -22,6 +23,9 @@
             return {200, "ready\n", {}};
         case Verb::metrics:
             return {200, figures(), {}};
+        case Verb::accord:
+            if (const std::string told = parts_.accord(); !told.empty()) return {200, told + '\n', {}};
+            return {404, "the operators' file has no accord\n", {}};
         case Verb::suspend:
             if (parts_.suspensions.suspend(command.worker)) return {200, "suspended\n", {}};
             break;
--- a/src/gateway/desk.h
+++ b/src/gateway/desk.h
@@ -23,6 +23,7 @@
         Drain& drain;
         std::vector<std::string> classes;                // their names, by number
         std::function<void(const mgmt::Command&)> done;  // a command that has changed something
+        std::function<std::string()> accord;             // what the tier agrees on; empty: nothing is agreed
     };
     explicit Desk(Parts parts) : parts_(std::move(parts)) {}
 
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -50,8 +50,56 @@
 
 }  // namespace
 
+namespace {
+
+AgreementSettings read_agreement(const operators::Value& document, const std::string& path) {
+    AgreementSettings settings;
+    const operators::Value* list = document.find("accords");
+    const operators::Value* health = document.find("healths");
+    const bool shared = health && !health->items.empty();
+    if (!list || list->items.empty()) {
+        if (!shared) return settings;
+        throw std::runtime_error(operators::Problem{path, health->items.front().at,
+                                                    "health() stands on accord(), which is missing"}
+                                     .line());
+    }
+    const operators::Value& from = list->items.front();
+    settings.wanted = true;
+    settings.version = static_cast<std::uint64_t>(from.find("version")->number);
+    if (const auto* file = from.find("snapshot")) settings.snapshot = file->text;
+    if (const auto* lease = from.find("lease")) {
+        settings.lease = std::clamp<core::Span>(operators::time_of(*lease), std::chrono::seconds(1),
+                                                std::chrono::minutes(1));
+    }
+    if (const auto* life = from.find("tombstones")) {
+        settings.tombstones = std::max<core::Span>(operators::time_of(*life), 10 * settings.lease);
+    }
+    if (!shared) return settings;
+    settings.health = true;
+    const operators::Value& of = health->items.front();
+    health::Health::Settings& made = settings.of_health;
+    if (const auto* truth = of.find("shared")) made.shared = truth->truth;
+    if (const auto* most = of.find("most_degraded")) made.most_degraded = operators::share_of(*most);
+    if (const auto* ramp = of.find("ramp")) made.ramp = operators::time_of(*ramp);
+    if (const auto* dwell = of.find("dwell")) made.figures.dwell = operators::time_of(*dwell);
+    if (const auto* slower = of.find("slower")) made.figures.slower = slower->number;
+    if (const auto* failing = of.find("failing")) made.figures.failing = operators::share_of(*failing);
+    made.figures.slower_again = std::min(made.figures.slower_again, 1 + (made.figures.slower - 1) / 2);
+    made.figures.failing_again = std::min(made.figures.failing_again, made.figures.failing / 2);
+    return settings;
+}
+
+}  // namespace
+
 OperatorSettings read_operators(const std::string& path, const settings::Site* site) {
-    const operators::Result document = operators::read_file(path);
+    std::string text;
+    if (const auto problem = operators::read_text(path, text)) throw std::runtime_error(problem->line());
+    return read_operators(text, path, site);
+}
+
+OperatorSettings read_operators(const std::string& text, const std::string& path,
+                                const settings::Site* site) {
+    const operators::Result document = operators::read_document(text, path);
     if (const auto* problem = std::get_if<operators::Problem>(&document)) {
         throw std::runtime_error(problem->line());
     }
@@ -66,7 +114,8 @@
     return {std::get<routing::RoutingSettings>(std::move(routing)),
             std::get<std::shared_ptr<const plans::PlanBook>>(std::move(book)),
             plans::read_usage(std::get<operators::Value>(document)),
-            read_registry(std::get<operators::Value>(document), path)};
+            read_registry(std::get<operators::Value>(document), path),
+            read_agreement(std::get<operators::Value>(document), path)};
 }
 
 // A file being read on a thread of libuv's. It outlives its owner, should that go first.
@@ -75,28 +124,49 @@
     Operators* owner = nullptr;
     std::string path;
     settings::Site site;
-    OperatorSettings settings;
+    std::string text;         // of the file, or of a proposal
+    accord::Version version;  // of a proposal; 0: it is the own file
+    std::shared_ptr<OperatorSettings> settings;
     std::string problem;
 };
 
 Operators::Operators(std::string path, const Config& config, net::Loop& loop, core::Gateway& gateway,
-                     core::Lists& lists, core::Counter& counter)
+                     mgmt::Suspensions& lists, core::Counter& counter)
     : path_(std::move(path)),
       name_(config.name),
       site_(config.site),
       timers_(loop),
       gateway_(gateway),
       log_(config.name),
-      peers_(loop, [this](std::string_view text) { router_.heard(timers_.now(), text); }),
-      router_(
-          config.site.settings, config.seed,
-          {[&counter](const std::string& name, double amount, core::Span life) {
-               counter.add(name, amount, life);
-           },
-           [this](const routing::Event& event) { log_.write(event.at, "move", fields_of(event)); },
-           [this](const std::string& text) { peers_.tell(text); },
-           [this](std::vector<topazcrank::ServerEntry> entries) { gateway_.marked(std::move(entries)); }}) {
-    const OperatorSettings settings = read_operators(path_, &site_);
+      peers_(loop,
+             [this](int from, std::string_view text) {
+                 // The accord's are CBOR arrays; a move's word to all is plain text.
+                 const bool is_text = !text.empty() && (text.front() & 0x80) == 0;
+                 if (is_text) return router_.heard(timers_.now(), text);
+                 if (agreement_) agreement_->heard(from, text);
+             }),
+      router_(config.site.settings, config.seed,
+              {[&counter](const std::string& name, double amount, core::Span life) {
+                   counter.add(name, amount, life);
+               },
+               [this](const routing::Event& event) { log_.write(event.at, "move", fields_of(event)); },
+               [this](const std::string& text) { peers_.tell(text); },
+               [this](std::vector<topazcrank::ServerEntry> entries) { gateway_.marked(std::move(entries)); },
+               [this](core::Time, const std::string& name, topazcrank::CountStatus status, double total) {
+                   return agreement_ && agreement_->counted(name, status, total);
+               },
+               [this](topazcrank::ListKind kind, const std::vector<topazcrank::ServerEntry>& entries) {
+                   if (agreement_ && agreement_->health()) agreement_->health()->listed(kind, entries);
+               },
+               [this](core::Time now, const core::WorkerId& worker, int cls, double units,
+                      topazcrank::Outcome outcome, core::Span lag) {
+                   if (agreement_ && agreement_->health()) {
+                       agreement_->health()->tried(now, worker, cls, units, outcome, lag);
+                   }
+               }}) {
+    std::string text;
+    if (const auto problem = operators::read_text(path_, text)) throw std::runtime_error(problem->line());
+    const OperatorSettings settings = read_operators(text, path_, &site_);
     router_.configure(timers_.now(), settings.routing);
     if (settings.wants_accounts()) {
         usage_ = std::make_unique<Usage>(config.name, config.seed, site_, settings.usage, loop, gateway,
@@ -110,8 +180,22 @@
                                                       log_.write(timers_.now(), event, {{"what", what}});
                                                   });
     }
-    if (site_.may_tell_peers && !config.peer_listen.empty()) open_peers(config);
+    const bool has_peers = site_.may_tell_peers && !config.peer_listen.empty() && open_peers(config);
     gateway_.attach(&router_);
+    if (settings.agreement.wanted) {
+        agreement_ = std::make_unique<Agreement>(
+            settings.agreement, config, loop, has_peers ? &peers_ : nullptr, counter, lists, log_,
+            Agreement::Outside{
+                [this](accord::Version version, const std::string& one) { check(version, one); },
+                [this](accord::Version version, const std::string& one) { in_force(version, one); },
+                [this](bool fenced) { fence(fenced); },
+                [this] { router_.set_aside(agreement_->health()->all_set_aside()); }});
+        // Until the tier has been heard, this gateway's own file is as old as may be.
+        fence(agreement_->fenced());
+        agreement_->start();  // what was kept goes before the file, which may be older
+        const std::string problem = agreement_->propose(settings.agreement.version, text);
+        if (!problem.empty()) log_.write(timers_.now(), "operators", {{"file", path_}, {"problem", problem}});
+    }
     if (registry_) registry_->start();
     tick();
 }
@@ -127,21 +211,23 @@
 }
 
 // Without them a halt takes a second or two longer.
-void Operators::open_peers(const Config& config) {
+bool Operators::open_peers(const Config& config) {
     const auto read = [](const std::string& text) {
         sockaddr_storage address{};
         if (!net::read_address(text, address)) throw std::runtime_error("peers: no address: '" + text + "'");
         return address;
     };
     std::vector<sockaddr_storage> addresses;
-    for (const std::string& peer : config.peers) {
-        if (peer != config.peer_listen) addresses.push_back(read(peer));
-    }
+    for (const std::string& peer : config.peers) addresses.push_back(read(peer));
+    const auto gateways = static_cast<std::size_t>(site_.settings.gateways);
+    const auto self = static_cast<std::size_t>(site_.settings.self);
     const sockaddr_storage all = config.peers_all.empty() ? sockaddr_storage{} : read(config.peers_all);
-    peers_.peers(std::move(addresses), config.peers_all.empty() ? nullptr : &all);
+    const bool all_known = addresses.size() == gateways && self < gateways;
+    peers_.peers(std::move(addresses), self, config.peers_all.empty() ? nullptr : &all);
     if (const int error = peers_.listen(read(config.peer_listen)); error < 0) {
         throw std::runtime_error("cannot listen on " + config.peer_listen + ": " + uv_strerror(error));
     }
+    return all_known;
 }
 
 Operators::~Operators() { close(); }
@@ -150,6 +236,8 @@
     timers_.disarm(std::exchange(timer_, {}));
     gateway_.attach(static_cast<core::Routes*>(nullptr));
     if (reading_) std::exchange(reading_, nullptr)->owner = nullptr;
+    for (Reading* one : std::exchange(checking_, {})) one->owner = nullptr;
+    if (agreement_) agreement_->close();
     if (usage_) usage_->close();
     if (registry_) registry_->close();
     peers_.close();
@@ -170,7 +258,12 @@
 
 void Operators::read_beside() {
     read_again_ = false;
-    auto* reading = reading_ = new Reading;
+    reading_ = new Reading;
+    begin(reading_);
+}
+
+// Beside the loop, since a file may name long lists of accounts.
+void Operators::begin(Reading* reading) {
     reading->work.data = reading;
     reading->owner = this;
     reading->path = path_;
@@ -178,7 +271,13 @@
     const auto read = [](uv_work_t* work) {
         auto& self = *static_cast<Reading*>(work->data);
         try {
-            self.settings = read_operators(self.path, &self.site);
+            if (self.version.number == 0) {
+                if (const auto problem = operators::read_text(self.path, self.text)) {
+                    throw std::runtime_error(problem->line());
+                }
+            }
+            self.settings =
+                std::make_shared<OperatorSettings>(read_operators(self.text, self.path, &self.site));
         } catch (const std::exception& e) {
             self.problem = e.what();
         }
@@ -187,18 +286,79 @@
         const std::unique_ptr<Reading> self(static_cast<Reading*>(work->data));
         Operators* const owner = self->owner;
         if (!owner) return;
-        owner->reading_ = nullptr;
-        if (self->problem.empty()) {
-            owner->take(self->settings);
+        if (self->version.number == 0) return owner->read_own(*self);
+        owner->checking_.erase(self.get());
+        const bool good = self->problem.empty() && self->settings->agreement.version == self->version.number;
+        if (good) {
+            owner->ready_.emplace_back(self->version.digest, self->settings);
+            if (owner->ready_.size() > most_ready) owner->ready_.pop_front();
         } else {
-            owner->log_.write(owner->timers_.now(), "operators",
-                              {{"file", owner->path_}, {"taken", false}, {"problem", self->problem}});
+            owner->log_.write(
+                owner->timers_.now(), "operators",
+                {{"version", self->version.number}, {"good", false}, {"problem", self->problem}});
         }
-        if (owner->read_again_) owner->read_beside();
+        owner->agreement_->checked(self->version, good);
+        if (owner->fenced_) owner->fence(true);  // there is another to be narrowed by
     };
     uv_queue_work(timers_.uv(), &reading->work, read, take);
 }
 
+void Operators::read_own(const Reading& reading) {
+    reading_ = nullptr;
+    std::string problem = reading.problem;
+    if (problem.empty() && agreement_) {
+        problem = reading.settings->agreement.wanted
+                      ? agreement_->propose(reading.settings->agreement.version, reading.text)
+                      : "an accord is switched on and off by a restart";
+        if (problem.empty()) {
+            log_.write(timers_.now(), "operators",
+                       {{"file", path_}, {"proposed", reading.settings->agreement.version}});
+        }
+    } else if (problem.empty()) {
+        take(*reading.settings);
+    }
+    if (!problem.empty()) {
+        log_.write(timers_.now(), "operators", {{"file", path_}, {"taken", false}, {"problem", problem}});
+    }
+    if (read_again_) read_beside();
+}
+
+void Operators::check(accord::Version version, const std::string& text) {
+    constexpr std::size_t most_checks = 8;
+    if (checking_.size() >= most_checks) return agreement_->checked(version, false);
+    auto* reading = new Reading;
+    reading->version = version;
+    reading->text = text;
+    checking_.insert(reading);
+    begin(reading);
+}
+
+void Operators::in_force(accord::Version version, const std::string& text) {
+    in_force_ = version.digest;
+    const auto ready = std::find_if(ready_.begin(), ready_.end(),
+                                    [&](const auto& one) { return one.first == version.digest; });
+    if (ready != ready_.end()) return take(*ready->second);
+    // What a file kept from before.
+    try {
+        take(text.empty() ? read_operators(path_, &site_) : read_operators(text, path_, &site_));
+    } catch (const std::exception& e) {
+        log_.write(timers_.now(), "operators",
+                   {{"version", version.number}, {"taken", false}, {"problem", e.what()}});
+    }
+}
+
+// A fenced gateway acts on what the version in force and any that may have come to be allow alike.
+void Operators::fence(bool fenced) {
+    fenced_ = fenced;
+    router_.fence(fenced);
+    if (!usage_) return;
+    const auto other =
+        std::find_if(ready_.rbegin(), ready_.rend(), [&](const auto& one) { return one.first != in_force_; });
+    usage_->narrow(fenced, other == ready_.rend() ? nullptr : other->second->book);
+}
+
+std::string Operators::accord_state() const { return agreement_ ? agreement_->state().dump() : ""; }
+
 void Operators::take(const OperatorSettings& settings) {
     const core::Time now = timers_.now();
     router_.configure(now, settings.routing);
@@ -218,6 +378,7 @@
                          {"accounts", gateway_.crowd().accounts()},
                          {"turned_away_in_a_crowd", gateway_.crowd().turned_away()}};
     if (usage_) state["usage"] = usage_->state();
+    if (agreement_) state["accord"] = agreement_->state();
     if (registry_) {
         const net::RegistryClient::State one = registry_->state();
         state["registry"] = {{"endpoint", one.endpoint},
--- a/src/gateway/operators.h
+++ b/src/gateway/operators.h
@@ -2,9 +2,13 @@
 // that it sets up, the log of what happens.
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <string>
+#include <unordered_set>
+#include <utility>
 
+#include "agreement.h"
 #include "config.h"
 #include "core/gateway.h"
 #include "log.h"
@@ -21,18 +25,21 @@
     std::shared_ptr<const plans::PlanBook> book;
     plans::UsageSettings usage;
     net::RegistryClient::Settings registry;
+    AgreementSettings agreement;
 
     bool wants_accounts() const { return usage.wanted || !book->terms.empty() || !book->reserves.empty(); }
 };
 // Reads and checks a file. `site`: the platform's settings that it has to fit; none: not checked. Throws
 // std::runtime_error with the one line "FILE:LINE:COLUMN: WHAT".
 OperatorSettings read_operators(const std::string& path, const settings::Site* site);
+// The same of a text that came otherwise; `path` is where it would lie.
+OperatorSettings read_operators(const std::string& text, const std::string& path, const settings::Site* site);
 
 class Operators {
 public:
     // Reads the file; throws as read_operators() does. Attach the router before the first list is told.
     Operators(std::string path, const Config& config, net::Loop& loop, core::Gateway& gateway,
-              core::Lists& lists, core::Counter& counter);
+              mgmt::Suspensions& lists, core::Counter& counter);
     ~Operators();
     Operators(const Operators&) = delete;
     Operators& operator=(const Operators&) = delete;
@@ -41,6 +48,8 @@
     // line, and the old one stays.
     void reload();
     void tell_state();
+    // What the tier agrees on, as JSON; empty: nothing is agreed.
+    std::string accord_state() const;
     // Workers come from a registry of the operators' own, and the platform's discovery is not asked.
     bool has_registry() const { return registry_ != nullptr; }
     void close();
@@ -49,9 +58,17 @@
     static constexpr core::Span tick_every = std::chrono::milliseconds(100);
     struct Reading;
     void tick();
+    using Shared = std::shared_ptr<const OperatorSettings>;
     void take(const OperatorSettings& settings);
+    void begin(Reading* reading);
     void read_beside();
-    void open_peers(const Config& config);
+    void read_own(const Reading& reading);
+    bool open_peers(const Config& config);
+    // The accord's: a text to be checked beside the loop, one that is in force, and what holds while it is
+    // not known whether it does.
+    void check(accord::Version version, const std::string& text);
+    void in_force(accord::Version version, const std::string& text);
+    void fence(bool fenced);
 
     net::RegistryClient::Settings registry_of(const OperatorSettings& settings) const;
 
@@ -62,9 +79,16 @@
     Log log_;
     net::PeerLink peers_;
     routing::Router router_;
+    std::unique_ptr<Agreement> agreement_;
+    // Texts that were found good, by digest: what is in force, and what may come to be.
+    static constexpr std::size_t most_ready = 4;
+    std::deque<std::pair<std::uint64_t, Shared>> ready_;
+    std::uint64_t in_force_ = 0;
+    bool fenced_ = false;
     std::unique_ptr<Usage> usage_;
     std::unique_ptr<net::RegistryClient> registry_;  // where the file says something of plans or use
-    Reading* reading_ = nullptr;
+    Reading* reading_ = nullptr;                     // of the own file
+    std::unordered_set<Reading*> checking_;          // of proposals
     bool read_again_ = false;
     core::Handle timer_;
 };
--- /dev/null
+++ b/src/gateway/points.h
@@ -0,0 +1,25 @@
+// Numbered points at which a test has this process crash or stop: "N:crash", "N:stall" in LINNETLEAD_POINT,
+// the Nth of all. Only where the tests are built; what is deployed holds none.
+#pragma once
+
+#ifdef LINNETLEAD_POINTS
+#include <csignal>
+#include <cstdint>
+#include <cstdlib>
+#include <cstring>
+
+namespace linnetlead::gateway {
+
+inline void reach_point() {
+    static std::uint64_t reached = 0;
+    static const char* const wanted = std::getenv("LINNETLEAD_POINT");
+    if (!wanted || ++reached != std::strtoull(wanted, nullptr, 10)) return;
+    raise(std::strstr(wanted, ":stall") ? SIGSTOP : SIGKILL);
+}
+
+}  // namespace linnetlead::gateway
+#else
+namespace linnetlead::gateway {
+inline void reach_point() {}
+}  // namespace linnetlead::gateway
+#endif
--- a/src/gateway/usage.cpp
+++ b/src/gateway/usage.cpp
@@ -112,6 +112,14 @@
         {{"taken", true}, {"terms", terms}, {"new_plans", new_plans}, {"stall_us", std::round(stall)}});
 }
 
+void Usage::narrow(bool on, std::shared_ptr<const plans::PlanBook> other) {
+    std::vector<topazcrank::PlanSettings> more;
+    if (!accounts_.narrow(on, std::move(other), more)) {
+        log_.write(loop_.now(), "plans", {{"taken", false}, {"problem", "too many plans since the start"}});
+    }
+    if (!more.empty()) core_.add_plans(std::move(more));
+}
+
 void Usage::tick() {
     timer_ = loop_.arm(loop_.now() + tick_every, [this] { tick(); });
     accounts_.reserves.tick(loop_.now());
--- a/src/gateway/usage.h
+++ b/src/gateway/usage.h
@@ -23,6 +23,8 @@
     ~Usage();
 
     void take_book(std::shared_ptr<const plans::PlanBook> book);
+    // While it is not known whether another book holds: Accounts::narrow.
+    void narrow(bool on, std::shared_ptr<const plans::PlanBook> other);
     nlohmann::json state();
     // At the program's end: everything is kept, and the epoch is closed.
     void close();
--- a/src/health/health.cpp
+++ b/src/health/health.cpp
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "accord/cbor.h"
+
 namespace linnetlead::health {
 
 using namespace std::chrono_literals;
@@ -149,8 +150,8 @@
     const auto send = [&](int gateway) {
         json& entries = to[gateway];
         if (entries.empty()) return;
-        std::string payload;
-        json::to_cbor(json{settings_.life, odd_ ? 1 : 0, now / 1ms, std::move(entries)}, payload);
+        const std::string payload =
+            accord::write_cbor(json{settings_.life, odd_ ? 1 : 0, now / 1ms, std::move(entries)});
         entries = json::array();
         tokens_ -= 1;
         if (outside_.pass) outside_.pass(gateway, payload);
@@ -194,7 +195,7 @@
     at = now;
     if (tokens < 1) return;
     tokens -= 1;
-    const json told = json::from_cbor(payload.begin(), payload.end(), true, false);
+    const json told = accord::read_cbor(payload);
     if (!told.is_array() || told.size() != 4 || !told[3].is_array()) return;
     for (const std::size_t i : {0, 1, 2}) {
         if (!told[i].is_number_integer()) return;
@@ -236,10 +237,9 @@
     if (opinion == kept.told && (silent || now - kept.published < opinion_again)) return;
     kept.told = opinion;
     kept.published = now;
-    std::string value;
-    json::to_cbor(json{static_cast<unsigned>(opinion), static_cast<std::uint64_t>(kept.board.since() / 1ms),
-                       static_cast<std::uint64_t>(kept.left / 1ms), started_of(worker)},
-                  value);
+    const std::string value = accord::write_cbor(
+        json{static_cast<unsigned>(opinion), static_cast<std::uint64_t>(kept.board.since() / 1ms),
+             static_cast<std::uint64_t>(kept.left / 1ms), started_of(worker)});
     const Span life = opinion == Opinion::bad ? opinion_life : std::max(opinion_life, 2 * settings_.ramp);
     if (outside_.publish) {
         outside_.publish(prefix + hex_of(worker.hash) + '/' + std::to_string(settings_.self), value, life);
@@ -290,7 +290,7 @@
         if (settings_.shared) {
             const std::uint16_t started = started_of(worker);
             outside_.opinions(prefix + hex_of(worker.hash) + '/', [&](const accord::Record& record) {
-                const json told = json::from_cbor(record.value.begin(), record.value.end(), true, false);
+                const json told = accord::read_cbor(record.value);
                 if (record.dead || !told.is_array() || told.size() != 4) return;
                 for (const json& one : told) {
                     if (!one.is_number_unsigned()) return;
--- a/src/mgmt/command.cpp
+++ b/src/mgmt/command.cpp
@@ -16,8 +16,9 @@
     Verb verb;
 };
 constexpr std::string_view workers = "/v1/quoters/";
-constexpr std::array<Path, 6> paths{{{"/v1/readyz", {}, HTTP_GET, Verb::readyz},
+constexpr std::array<Path, 7> paths{{{"/v1/readyz", {}, HTTP_GET, Verb::readyz},
                                      {"/v1/metrics", {}, HTTP_GET, Verb::metrics},
+                                     {"/v1/accord", {}, HTTP_GET, Verb::accord},
                                      {workers, "/suspend", HTTP_PUT, Verb::suspend},
                                      {workers, "/resume", HTTP_PUT, Verb::resume},
                                      {"/v1/gateway/drain", {}, HTTP_PUT, Verb::drain},
--- a/src/mgmt/command.h
+++ b/src/mgmt/command.h
@@ -13,7 +13,7 @@
 constexpr std::size_t most_headers = 8 * 1024;  // bytes, of all names and values
 constexpr std::size_t most_body = 16 * 1024;    // bytes; a body says nothing here and is dropped
 
-enum class Verb { readyz, metrics, suspend, resume, drain, activate };
+enum class Verb { readyz, metrics, accord, suspend, resume, drain, activate };
 
 struct Command {
     Verb verb = Verb::readyz;
--- a/src/mgmt/suspensions.cpp
+++ b/src/mgmt/suspensions.cpp
@@ -15,15 +15,23 @@
     if (kind == ListKind::full || kind == ListKind::cached) {
         std::unordered_set<WorkerId> named;
         for (const Listed& one : entries) named.insert(one.entry.id);
+        const auto kept = std::count_if(told_.begin(), told_.end(),
+                                        [&](const auto& one) { return named.count(one.first) > 0; });
+        // Where much of the list is missing at once, it may be the registry that has lost it: no news for
+        // others.
+        constexpr std::size_t most_missing = 4;
+        const bool is_news = (told_.size() - static_cast<std::size_t>(kept)) * most_missing <= told_.size();
         for (auto at = told_.begin(); at != told_.end();) {
             const bool stays = named.count(at->first) > 0;
             if (!stays) forget(at->first);
+            if (!stays && is_news && change_) change_(at->first, at->second.entry.started, false);
             at = stays ? std::next(at) : told_.erase(at);
         }
     }
     std::vector<Listed> as_seen;
     as_seen.reserve(entries.size());
     for (const Listed& one : entries) {
+        if (change_) change_(one.entry.id, one.entry.started, one.entry.state == ServerState::in);
         if (one.entry.state == ServerState::out) {
             if (told_.erase(one.entry.id) > 0) forget(one.entry.id);
         } else {
@@ -35,8 +43,11 @@
 }
 
 Listed Suspensions::seen(Listed listed) const {
-    const bool banned = listed.entry.state == ServerState::in && banned_.count(listed.entry.id) > 0;
-    if (banned) listed.entry.state = ServerState::draining;
+    const auto warned = warned_.find(listed.entry.id);
+    // A process that began later is another one.
+    const bool is_warned = warned != warned_.end() && listed.entry.started <= warned->second;
+    const bool banned = banned_.count(listed.entry.id) > 0 || is_warned;
+    if (banned && listed.entry.state == ServerState::in) listed.entry.state = ServerState::draining;
     return listed;
 }
 
@@ -70,6 +81,15 @@
     return true;
 }
 
+void Suspensions::warn(const WorkerId& id, core::Time started) {
+    warned_[id] = started;
+    tell(id);
+}
+
+void Suspensions::unwarn(const WorkerId& id) {
+    if (warned_.erase(id) > 0) tell(id);
+}
+
 void Suspensions::adopt(const WorkerId& id) {
     if (banned_.insert(id).second) tell(id);
 }
--- a/src/mgmt/suspensions.h
+++ b/src/mgmt/suspensions.h
@@ -1,9 +1,11 @@
-// Workers that the operators have taken out, as an overlay on the list: a suspended one is told on as
-// draining, whatever the registry says; what it says is kept beneath, and a resume tells that. No I/O.
+// Workers that the operators have taken out, or of which another gateway's list says that they drain or are
+// gone, as an overlay on the list: such a one is told on as draining, whatever the registry says; what it
+// says is kept beneath, and a resume tells that. No I/O.
 #pragma once
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -26,6 +28,13 @@
     void release(const core::WorkerId& id);
     std::vector<core::WorkerId> all() const { return {banned_.begin(), banned_.end()}; }
 
+    // The list of another gateway says that this process of the worker drains or is gone.
+    void warn(const core::WorkerId& id, core::Time started);
+    void unwarn(const core::WorkerId& id);
+    // Hears what the list itself says of each worker that it names or drops: whether it is wanted any more.
+    using Change = std::function<void(const core::WorkerId&, core::Time started, bool wanted)>;
+    void on_change(Change change) { change_ = std::move(change); }
+
     bool has_list() const { return has_list_; }
     std::size_t known() const { return told_.size(); }  // workers in the list
     std::size_t skipped() const;                        // of them, suspended ones
@@ -42,6 +51,8 @@
     core::Lists& beyond_;
     std::unordered_map<core::WorkerId, core::Listed> told_;
     std::unordered_set<core::WorkerId> banned_;
+    std::unordered_map<core::WorkerId, core::Time> warned_;  // by when the process began that they are of
+    Change change_;
     std::unordered_set<std::size_t> gone_;  // by hash: a long day's ids are many
     std::deque<std::size_t> gone_order_;
     bool has_list_ = false;
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -48,25 +48,41 @@
     return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
 }
 
-void PeerLink::peers(std::vector<sockaddr_storage> addresses, const sockaddr_storage* all) {
+void PeerLink::peers(std::vector<sockaddr_storage> addresses, std::optional<std::size_t> self,
+                     const sockaddr_storage* all) {
     peers_ = std::move(addresses);
-    to_ = all ? std::vector<sockaddr_storage>{*all} : peers_;
+    self_ = self;
+    to_.clear();
+    if (all) to_.push_back(*all);
+    for (std::size_t i = 0; !all && i < peers_.size(); ++i) {
+        if (i != self_) to_.push_back(peers_[i]);
+    }
 }
 
-void PeerLink::tell(std::string_view text) {
+void PeerLink::send(const sockaddr_storage& to, std::string_view text) {
     if (!udp_ || text.size() > most_bytes) return;
-    for (const sockaddr_storage& to : to_) {
-        uv_buf_t bytes = uv_buf_init(const_cast<char*>(text.data()), static_cast<unsigned>(text.size()));
-        uv_udp_try_send(udp_, &bytes, 1, reinterpret_cast<const sockaddr*>(&to));
-    }
+    uv_buf_t bytes = uv_buf_init(const_cast<char*>(text.data()), static_cast<unsigned>(text.size()));
+    uv_udp_try_send(udp_, &bytes, 1, reinterpret_cast<const sockaddr*>(&to));
+}
+
+void PeerLink::tell(std::string_view text) {
+    for (const sockaddr_storage& to : to_) send(to, text);
+}
+
+void PeerLink::tell(int to, std::string_view text) {
+    const auto place = static_cast<std::size_t>(to);
+    if (place < peers_.size() && place != self_) send(peers_[place], text);
 }
 
 void PeerLink::received(ssize_t size, const sockaddr* from) {
     // One that is longer than may be has been cut, and is no message.
     if (size <= 0 || !from || static_cast<std::size_t>(size) > most_bytes) return;
-    const bool known =
-        std::any_of(peers_.begin(), peers_.end(), [&](const auto& peer) { return same(from, peer); });
-    if (known) heard_({buffer_, static_cast<std::size_t>(size)});
+    const auto peer =
+        std::find_if(peers_.begin(), peers_.end(), [&](const auto& one) { return same(from, one); });
+    const auto place = static_cast<std::size_t>(peer - peers_.begin());
+    if (peer != peers_.end() && place != self_) {
+        heard_(static_cast<int>(place), {buffer_, static_cast<std::size_t>(size)});
+    }
 }
 
 void PeerLink::close() {
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,7 +15,7 @@
 class PeerLink {
 public:
     static constexpr std::size_t most_bytes = 256;
-    using Heard = std::function<void(std::string_view)>;
+    using Heard = std::function<void(int from, std::string_view)>;  // `from`: its place among the peers
 
     PeerLink(Loop& loop, Heard heard);
     ~PeerLink() { close(); }
@@ -24,10 +25,13 @@
     // libuv's error, or 0.
     int listen(const sockaddr_storage& address);
     int port() const;
-    // Whom to tell, and whom to believe. Where there is an address for all, what is told goes there alone.
-    void peers(std::vector<sockaddr_storage> addresses, const sockaddr_storage* all);
+    // Whom to tell, and whom to believe, by their numbers in the tier; the one at `self` is this gateway.
+    // Where there is an address for all, what is told goes there alone.
+    void peers(std::vector<sockaddr_storage> addresses, std::optional<std::size_t> self,
+               const sockaddr_storage* all);
     // One that cannot be sent at once is lost.
     void tell(std::string_view text);
+    void tell(int to, std::string_view text);
     void close();
 
 private:
@@ -36,7 +40,9 @@
     Loop& loop_;
     Heard heard_;
     uv_udp_t* udp_ = nullptr;
+    void send(const sockaddr_storage& to, std::string_view text);
     std::vector<sockaddr_storage> peers_, to_;
+    std::optional<std::size_t> self_;
     char buffer_[most_bytes + 1];
 };
 
--- a/src/net/registry_client.cpp
+++ b/src/net/registry_client.cpp
@@ -1,11 +1,10 @@
 #include "registry_client.h"
 
 #include <algorithm>
-#include <fstream>
-#include <iterator>
 #include <utility>
 
 #include "http/message.h"
+#include "keep/sealed.h"
 #include "registry/snapshot.h"
 
 namespace linnetlead::net {
@@ -204,11 +203,10 @@
 // For a cold start with the registry down; its first whole list shows the difference.
 void RegistryClient::load_snapshot() {
     if (settings_.snapshot.empty()) return;
-    std::ifstream file(settings_.snapshot, std::ios::binary);
-    if (!file) return;
-    const std::string bytes((std::istreambuf_iterator<char>(file)), {});
+    const auto bytes = keep::read_whole(settings_.snapshot);
+    if (!bytes) return;
     std::string problem;
-    const auto snapshot = registry::unpack(bytes, loop_.now(), settings_.snapshot_age, problem);
+    const auto snapshot = registry::unpack(*bytes, loop_.now(), settings_.snapshot_age, problem);
     if (!snapshot) return tell_("snapshot", settings_.snapshot + ": not taken: " + problem);
     desk_->roster.whole(loop_.now(), snapshot->entries);
     // All of it before the first call.
@@ -239,7 +237,7 @@
     keeping_->snapshot = {loop_.now(), desk_->roster.all()};
     const auto keep = [](uv_work_t* work) {
         auto& self = *static_cast<Keeping*>(work->data);
-        self.good = registry::write_snapshot(self.path, registry::pack(self.snapshot));
+        self.good = keep::write_whole(self.path, registry::pack(self.snapshot));
     };
     const auto done = [](uv_work_t* work, int) {
         const std::unique_ptr<Keeping> self(static_cast<Keeping*>(work->data));
--- a/src/operators/document.cpp
+++ b/src/operators/document.cpp
@@ -115,6 +115,32 @@
         }
       }
     },
+    "accords": {
+      "type": "array", "maxItems": 1,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["version"],
+        "properties": {
+          "version": {"type": "integer", "minimum": 1, "maximum": 9999999999},
+          "snapshot": {"type": "string", "minLength": 1},
+          "lease": {"$ref": "#/definitions/time"},
+          "tombstones": {"$ref": "#/definitions/time"}
+        }
+      }
+    },
+    "healths": {
+      "type": "array", "maxItems": 1,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": [],
+        "properties": {
+          "shared": {"type": "boolean"},
+          "most_degraded": {"$ref": "#/definitions/share"},
+          "ramp": {"$ref": "#/definitions/time"},
+          "dwell": {"$ref": "#/definitions/time"},
+          "slower": {"type": "number", "minimum": 1.2, "maximum": 100},
+          "failing": {"$ref": "#/definitions/share"}
+        }
+      }
+    },
     "account_lists": {
       "type": "array", "maxItems": 16,
       "items": {
@@ -383,13 +409,13 @@
     return explain(*document, file, chosen);
 }
 
-Result read_file(const std::string& path) {
+std::optional<Problem> read_text(const std::string& path, std::string& text) {
     std::ifstream file(path, std::ios::binary);
-    std::string text(most_bytes + 1, '\0');
+    text.assign(most_bytes + 1, '\0');
     file.read(text.data(), static_cast<std::streamsize>(text.size()));
     if (!file && !file.eof()) return Problem{path, {}, "the file cannot be read"};
     text.resize(static_cast<std::size_t>(file.gcount()));
-    return read_document(text, path);
+    return std::nullopt;
 }
 
 std::chrono::nanoseconds time_of(const Value& quantity) {
--- a/src/operators/document.h
+++ b/src/operators/document.h
@@ -15,8 +15,8 @@
 
 // Reads, runs and checks a script. The Value is a dict of the lists of declarations.
 Result read_document(std::string_view text, const std::string& file);
-// The same from a file; one that cannot be read is a Problem too.
-Result read_file(const std::string& path);
+// The text of a file, at most `most_bytes` and one more; a Problem where it cannot be read.
+std::optional<Problem> read_text(const std::string& path, std::string& text);
 
 // Of a checked document.
 std::chrono::nanoseconds time_of(const Value& quantity);
--- a/src/operators/script.cpp
+++ b/src/operators/script.cpp
@@ -149,7 +149,9 @@
                                            {"usage", "usages", {}},
                                            {"reserve", "reserves", {"id"}},
                                            {"capacity", "capacities", {"rate"}},
-                                           {"registry", "registries", {"kind"}}};
+                                           {"registry", "registries", {"kind"}},
+                                           {"accord", "accords", {"version"}},
+                                           {"health", "healths", {}}};
     return all;
 }
 
--- a/src/plans/accounts.cpp
+++ b/src/plans/accounts.cpp
@@ -66,17 +66,49 @@
     return true;
 }
 
+bool Accounts::narrow(bool on, std::shared_ptr<const PlanBook> other,
+                      std::vector<topazcrank::PlanSettings>& more) {
+    more.clear();
+    std::vector<std::int32_t> position;
+    if (on && other) {
+        for (const auto& plan : other->plans) position.push_back(position_of(plan, more));
+    }
+    narrow_ = on;
+    if (positions_.size() + more.size() > most_positions) {
+        more.clear();
+        other_.reset();
+        return false;
+    }
+    for (const auto& plan : more) {
+        positions_.push_back(plan);
+        name_.push_back(ledger.plan(plan.name));
+    }
+    other_ = on ? std::move(other) : nullptr;
+    other_position_ = std::move(position);
+    return true;
+}
+
 void Accounts::taken(Time now, core::Handle call, topazcrank::Request& request) {
     const auto account = read_account(request.customer);
+    const std::int32_t named = request.plan;
     if (book_ && account) {
         if (const auto plan = book_->plan_at(*account, now)) {
             request.plan = position_[static_cast<std::size_t>(*plan)];
         }
     }
+    if (other_ && account) {
+        const auto plan = other_->plan_at(*account, now);
+        const std::int32_t other = plan ? other_position_[static_cast<std::size_t>(*plan)] : named;
+        const auto figures = [this](std::int32_t position) {
+            const auto& one = positions_[static_cast<std::size_t>(position)];
+            return std::pair(one.rate, one.burst);
+        };
+        if (figures(other) < figures(request.plan)) request.plan = other;
+    }
     if (call.index >= open_.size()) open_.resize(call.index + 1);
     Open& open = open_[call.index] = {account.value_or(Ledger::no_account), request.plan, false, 0, {}, {}};
     ++open_calls_;
-    const auto paid = account ? reserves.pay(now, *account, request.units) : std::nullopt;
+    const auto paid = account && !narrow_ ? reserves.pay(now, *account, request.units) : std::nullopt;
     if (!paid) return;
     open.paid = *paid;
     const int most_open = reserves.find(paid->purse)->reserve().open;
--- a/src/plans/accounts.h
+++ b/src/plans/accounts.h
@@ -23,6 +23,9 @@
     // Takes a new book. `more`: the plans that the module has to learn, behind those it has. False, and
     // nothing is taken, where the module would have to hold too many over its life.
     bool take(std::shared_ptr<const PlanBook> book, std::vector<topazcrank::PlanSettings>& more);
+    // While it is not known which of two books holds, an account has the lesser of its two plans and pays
+    // from no reserve. `other`: nothing where there is only the one. `more` as above.
+    bool narrow(bool on, std::shared_ptr<const PlanBook> other, std::vector<topazcrank::PlanSettings>& more);
     const PlanBook* book() const { return book_.get(); }
 
     void taken(Time now, core::Handle call, topazcrank::Request& request) override;
@@ -56,6 +59,9 @@
     bool may_count_;
     std::shared_ptr<const PlanBook> book_;
     std::vector<std::int32_t> position_;  // in the module, of each plan of the book
+    bool narrow_ = false;
+    std::shared_ptr<const PlanBook> other_;
+    std::vector<std::int32_t> other_position_;
     std::vector<topazcrank::PlanSettings> positions_;
     std::vector<std::int32_t> name_;                  // in the ledger, of each position
     std::unordered_map<int, std::int32_t> reserved_;  // in the module, by a reserve's limit of open attempts
--- a/src/plans/store.cpp
+++ b/src/plans/store.cpp
@@ -4,7 +4,6 @@
 #include <sqlite3.h>
 #include <sys/file.h>
 #include <unistd.h>
-#include <zstd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -25,8 +24,6 @@
 using nlohmann::json;
 
 constexpr std::size_t most_batch_rows = 50'000;
-constexpr std::size_t most_decompressed = 256 << 20;
-constexpr int zstd_level = 3;
 
 class Statement {
 public:
@@ -105,23 +102,6 @@
 
 }  // namespace
 
-std::string compress(const std::string& text) {
-    std::string out(ZSTD_compressBound(text.size()), '\0');
-    out.resize(ZSTD_compress(out.data(), out.size(), text.data(), text.size(), zstd_level));
-    return out;
-}
-
-std::optional<std::string> decompress(const std::string& bytes) {
-    const auto size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
-    if (size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR || size > most_decompressed) {
-        return std::nullopt;
-    }
-    std::string out(size, '\0');
-    const std::size_t got = ZSTD_decompress(out.data(), out.size(), bytes.data(), bytes.size());
-    if (ZSTD_isError(got) || got != out.size()) return std::nullopt;
-    return out;
-}
-
 std::string checksum_of(const std::string& bytes) { return hex_of(XXH64(bytes.data(), bytes.size(), 0)); }
 
 Store::~Store() {
--- a/src/plans/store.h
+++ b/src/plans/store.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "keep/sealed.h"
 #include "ledger.h"
 
 struct sqlite3;
@@ -91,8 +92,8 @@
     Milliunits uncertain_ = 0;
 };
 
-std::string compress(const std::string& text);
-std::optional<std::string> decompress(const std::string& bytes);
+using keep::compress;
+using keep::decompress;
 std::string checksum_of(const std::string& bytes);
 
 }  // namespace linnetlead::plans
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -57,7 +57,7 @@
     for (auto& [id, worker] : workers_) {
         const std::size_t pool = place(worker.entry);
         worker.pool = pool;
-        worker.entry.pools = bit(pool);
+        worker.entry.pools = pools_of(worker);
         changed.push_back(worker.entry);
     }
     if (settings_.moves.empty()) {
@@ -118,14 +118,34 @@
     if (move_) move_->tick(now);
 }
 
+void Router::set_aside(const std::unordered_set<WorkerId>& workers) {
+    aside_ = workers;
+    std::vector<ServerEntry> changed;
+    for (auto& [id, worker] : workers_) {
+        const bool is = aside_.count(id) > 0;
+        if (is == worker.aside) continue;
+        worker.aside = is;
+        worker.entry.pools = pools_of(worker);
+        changed.push_back(worker.entry);
+    }
+    if (outside_.marked && !changed.empty()) outside_.marked(std::move(changed));
+}
+
 std::uint32_t Router::route(Time now, topazcrank::Request& request) {
+    const std::uint32_t made = choose(now, request);
+    // What a move leaves no worker for goes to those set aside all the same.
+    if (!aside_.empty()) request.pools &= ~aside;
+    return made;
+}
+
+std::uint32_t Router::choose(Time now, topazcrank::Request& request) {
     if (!move_) return mark(for_nothing);
     // All but the new pool: what is not for the move, and what the move leaves.
     const Pools rest = others_serve_ ? ~bit(target_) : topazcrank::all_pools;
     request.pools = request.fallback = rest;
     const bool meant =
         classes_[static_cast<std::size_t>(request.cls)] && plans_[static_cast<std::size_t>(request.plan)];
-    if (!meant) return mark(for_nothing);
+    if (!meant || fenced_) return mark(for_nothing);
     const double draw =
         fraction(move_->settings().by_account ? mixed(hash_of(request.customer) ^ account_salt_) : random_());
     if (move_->to_target(now, request.cls, draw)) {
@@ -136,16 +156,21 @@
     return mark(for_source);
 }
 
+void Router::tried(Time now, const WorkerId& worker, int cls, double units, Outcome outcome, Span lag) {
+    if (outside_.tried) outside_.tried(now, worker, cls, units, outcome, lag);
+}
+
 void Router::listed(Time now, ListKind kind, std::vector<ServerEntry>& entries) {
     if (kind == ListKind::failed) return;
+    if (outside_.listed) outside_.listed(kind, entries);
     if (kind != ListKind::changes) workers_.clear();
     for (ServerEntry& entry : entries) {
-        const std::size_t pool = place(entry);
-        entry.pools = bit(pool);
+        Known known{entry, place(entry), aside_.count(entry.id) > 0};
+        known.entry.pools = entry.pools = pools_of(known);
         if (entry.state == ServerState::out) {
             workers_.erase(entry.id);
         } else {
-            workers_[entry.id] = {entry, pool};
+            workers_[entry.id] = std::move(known);
         }
     }
     tell_workers(now);
@@ -177,6 +202,7 @@
 }
 
 bool Router::counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) {
+    if (outside_.counted && outside_.counted(now, name, status, total)) return true;
     if (name.compare(0, Tier::prefix.size(), Tier::prefix) != 0) return false;
     if (move_) move_->counted(now, name, status == topazcrank::CountStatus::ok, total);
     return true;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/ports.h"
@@ -22,17 +23,31 @@
         std::function<void(const std::string& text)> tell_peers;  // none: there is no way to them
         // Workers that are in other pools now, for Gateway::marked.
         std::function<void(std::vector<topazcrank::ServerEntry>)> marked;
+        // Of the accord's and of the workers' health; none: there is none.
+        std::function<bool(Time now, const std::string& name, topazcrank::CountStatus status, double total)>
+            counted;
+        std::function<void(topazcrank::ListKind kind, const std::vector<topazcrank::ServerEntry>& entries)>
+            listed;
+        std::function<void(Time now, const core::WorkerId& worker, int cls, double units,
+                           topazcrank::Outcome outcome, Span lag)>
+            tried;
     };
     Router(const topazcrank::Settings& site, std::uint64_t seed, Outside outside);
 
     // At start, and whenever the operators' file has changed.
     void configure(Time now, RoutingSettings settings);
     void tick(Time now);
+    // Acts on what the versions before and after allow alike: nothing goes to a move's new pool.
+    void fence(bool on) { fenced_ = on; }
+    // These get what no other can take.
+    void set_aside(const std::unordered_set<core::WorkerId>& workers);
 
     std::uint32_t route(Time now, topazcrank::Request& request) override;
     void listed(Time now, topazcrank::ListKind kind, std::vector<topazcrank::ServerEntry>& entries) override;
     std::uint32_t sent(Time now, std::uint32_t mark, int cls, const core::WorkerId& worker) override;
     void ended(std::uint32_t mark, int cls, double units, topazcrank::Outcome outcome, Span lag) override;
+    void tried(Time now, const core::WorkerId& worker, int cls, double units, topazcrank::Outcome outcome,
+               Span lag) override;
     bool counted(Time now, const std::string& name, topazcrank::CountStatus status, double total) override;
 
     // What another gateway's tell_peers() said.
@@ -46,15 +61,20 @@
     struct Known {
         topazcrank::ServerEntry entry;
         std::size_t pool = 0;  // 0: of none; else its number in the file, from 1
+        bool aside = false;
     };
     // A mark: the move's generation, and what the call was meant for or its attempt went to.
     enum Meant : std::uint32_t { for_nothing, for_source, for_target };
+    std::uint32_t choose(Time now, topazcrank::Request& request);
     std::uint32_t mark(Meant meant) const { return generation_ << 2 | meant; }
 
     void count(const std::string& name, double amount, Span life) override;
     void tell_peers(const std::string& text) override;
     std::size_t place(const topazcrank::ServerEntry& entry) const;
     Pools bit(std::size_t pool) const { return Pools{1} << pool; }
+    // Beside the pools, of which there are 30 at most.
+    static constexpr Pools aside = Pools{1} << 31;
+    Pools pools_of(const Known& worker) const { return worker.aside ? aside : bit(worker.pool); }
     std::size_t number_of(const std::string& pool) const;
     void tell_workers(Time now);
     void start(Time now, const MoveSettings& settings);
@@ -69,6 +89,8 @@
     std::uint32_t generation_ = 0;
     std::vector<bool> classes_, plans_;  // that the move is for
     std::size_t source_ = 0, target_ = 0;
+    bool fenced_ = false;
+    std::unordered_set<core::WorkerId> aside_;
     bool others_serve_ = false;  // some worker outside the new pool may be sent to
     std::uint64_t account_salt_ = 0;
 };
--- a/standin/peer.cpp
+++ b/standin/peer.cpp
@@ -102,7 +102,8 @@
     must(std::rename((path + ".new").c_str(), path.c_str()) == 0, "rename");
 }
 
-Process::Process(const std::string& program, const std::string& config, std::vector<std::string> arguments)
+Process::Process(const std::string& program, const std::string& config, std::vector<std::string> arguments,
+                 std::vector<std::string> environment)
     : path_(temporary_path("json")) {
     write_file(path_, config);
     int ends[2];
@@ -118,6 +119,7 @@
         dup2(ends[1], 2);
         ::close(ends[1]);
         setenv("BALANCER_CONFIG", path_.c_str(), 1);
+        for (std::string& one : environment) putenv(one.data());
         execv(program.c_str(), words.data());
         _exit(99);
     }
--- a/standin/peer.h
+++ b/standin/peer.h
@@ -57,7 +57,9 @@
 // line(). Killed at the end.
 class Process {
 public:
-    Process(const std::string& program, const std::string& config, std::vector<std::string> arguments = {});
+    // `environment`: NAME=VALUE, beside what is inherited.
+    Process(const std::string& program, const std::string& config, std::vector<std::string> arguments = {},
+            std::vector<std::string> environment = {});
     ~Process();
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
--- a/standin/town.cpp
+++ b/standin/town.cpp
@@ -133,6 +133,8 @@
     const std::string id, kind;
     Time started;
     Stage stage = Stage::in_service;
+    std::map<int, Stage> late;                     // what the list of a gateway says still
+    std::vector<std::unique_ptr<TcpRelay>> links;  // of each gateway
     Time drained_at{};
     Time first{}, last{};  // calls
     WorkerModel model;
@@ -193,7 +195,7 @@
             loop().disarm(timer_);
             const bool news = index_ < peer_.version;
             const std::string body =
-                news ? peer_.town_.listed()
+                news ? peer_.town_.listed(peer_.gateway_)
                      : json{{"version", peer_.version}, {"full", false}, {"servers", json::array()}}.dump();
             to_write().append("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
                               "\r\n\r\n" + body);
@@ -228,7 +230,8 @@
         Time until_{};
         Handle timer_;
     };
-    RegistryPeer(net::Loop& loop, Town& town) : town_(town), server(loop, *this) {}
+    RegistryPeer(net::Loop& loop, Town& town, int gateway)
+        : town_(town), gateway_(gateway), server(loop, *this) {}
     void tell_all() {
         server.connections.for_each([](Handle, Connection& connection) { connection.tell(); });
     }
@@ -237,6 +240,7 @@
 
 private:
     Town& town_;
+    int gateway_;
 
 public:
     Server<Connection> server;
@@ -388,10 +392,15 @@
     : settings_(std::move(settings)),
       random_(settings_.seed),
       counter_(std::make_unique<CounterPeer>(loop_)),
-      registry_(std::make_unique<RegistryPeer>(loop_, *this)),
       receiver_(std::make_unique<ReceiverPeer>(loop_, *this)),
       gateways_(static_cast<std::size_t>(settings_.gateways)) {
     std::signal(SIGPIPE, SIG_IGN);
+    const int own = settings_.relays ? settings_.gateways : 1;
+    for (int i = 0; i < own; ++i) registries_.push_back(std::make_unique<RegistryPeer>(loop_, *this, i));
+    if (settings_.peers) peers_ = std::make_unique<PeerRelays>(loop_, settings_.gateways, settings_.seed);
+    for (int i = 0; settings_.relays && i < settings_.gateways; ++i) {
+        counter_links_.push_back(std::make_unique<TcpRelay>(loop_, counter_->server.port));
+    }
 }
 
 Town::~Town() {
@@ -402,9 +411,14 @@
     }
     clients_.for_each([](Handle, Client& client) { client.close(); });
     counter_->server.close();
-    registry_->server.close();
+    for (auto& registry : registries_) registry->server.close();
+    for (auto& link : counter_links_) link->close();
+    if (peers_) peers_->close();
     receiver_->server.close();
-    for (auto& [id, worker] : workers_) worker->close();
+    for (auto& [id, worker] : workers_) {
+        for (auto& link : worker->links) link->close();
+        worker->close();
+    }
     loop_.drain();
 }
 
@@ -416,7 +430,22 @@
                               Time started) {
     workers_.emplace_back(id, std::make_unique<WorkerPeer>(*this, id, kind, figures, started,
                                                            settings_.seed * 1000 + workers_.size()));
-    return workers_.back().second->model;
+    WorkerPeer& made = *workers_.back().second;
+    for (int i = 0; settings_.relays && i < settings_.gateways; ++i) {
+        made.links.push_back(std::make_unique<TcpRelay>(loop_, made.port()));
+    }
+    return made.model;
+}
+
+TcpRelay& Town::worker_link(const std::string& id, int gateway) {
+    for (auto& [name, worker] : workers_) {
+        if (name == id) return *worker->links[static_cast<std::size_t>(gateway)];
+    }
+    throw std::runtime_error("no worker " + id);
+}
+
+Town::RegistryPeer& Town::registry_of(int gateway) const {
+    return *registries_[settings_.relays ? static_cast<std::size_t>(gateway) : 0];
 }
 
 WorkerModel& Town::worker(const std::string& id) {
@@ -451,31 +480,55 @@
     for (auto& [name, worker] : workers_) {
         if (name != id) continue;
         worker->stage = stage;
+        worker->late.clear();
         worker->drained_at = stage == Stage::in_service ? Time{} : now();
     }
-    ++registry_->version;
-    registry_->tell_all();
+    for (auto& registry : registries_) {
+        ++registry->version;
+        registry->tell_all();
+    }
 }
 
-void Town::registry_is_silent(bool silent) {
-    registry_->silent = silent;
-    registry_->tell_all();
+void Town::list_late(const std::string& id, Stage stage, int gateway) {
+    for (auto& [name, worker] : workers_) {
+        if (name != id) continue;
+        const Stage before = worker->stage;
+        worker->stage = stage;
+        worker->drained_at = stage == Stage::in_service ? Time{} : now();
+        for (int i = 0; i < settings_.gateways; ++i) {
+            if (i != gateway) worker->late[i] = before;
+        }
+    }
+    ++registry_of(gateway).version;
+    registry_of(gateway).tell_all();
 }
 
-std::string Town::listed() const {
+void Town::registry_is_silent(bool silent, int gateway) {
+    for (int i = 0; i < static_cast<int>(registries_.size()); ++i) {
+        if (gateway >= 0 && i != gateway) continue;
+        registries_[static_cast<std::size_t>(i)]->silent = silent;
+        registries_[static_cast<std::size_t>(i)]->tell_all();
+    }
+}
+
+std::string Town::listed(int gateway) const {
     json servers = json::array();
     for (const auto& [id, worker] : workers_) {
-        if (worker->stage == Stage::terminated) continue;
+        const auto late = worker->late.find(gateway);
+        const Stage stage = late == worker->late.end() ? worker->stage : late->second;
+        if (stage == Stage::terminated) continue;
+        const std::uint16_t port =
+            worker->links.empty() ? worker->port() : worker->links[static_cast<std::size_t>(gateway)]->port();
         servers.push_back({{"id", id},
-                           {"addr", "127.0.0.1:" + std::to_string(worker->port())},
+                           {"addr", "127.0.0.1:" + std::to_string(port)},
                            {"zone", "dc-1"},
                            {"kind", worker->kind},
                            {"cell", 0},
-                           {"state", worker->stage == Stage::in_service ? "in_service" : "terminating"},
+                           {"state", stage == Stage::in_service ? "in_service" : "terminating"},
                            {"weight", 1.0},
                            {"started_ms", worker->started / 1ms}});
     }
-    return json{{"version", registry_->version}, {"full", true}, {"servers", servers}}.dump();
+    return json{{"version", registry_of(gateway).version}, {"full", true}, {"servers", servers}}.dump();
 }
 
 std::string Town::config_of(int number) const {
@@ -509,6 +562,7 @@
           {"retry_after", true},
           {"max_retry_after", s.most_retry_after.count()},
           {"max_attempts", s.most_attempts},
+          {"peers", settings_.peers},
           {"conn_idle", 30000000000},
           {"connect_timeout", 250000000}}},
         {"report", {{"how", "probe"}, {"fields", {"concurrent", "depth"}}}},
@@ -519,16 +573,22 @@
           {"fall_multiple", s.fall_multiple},
           {"fall", s.fall_time.count()},
           {"stop_sending_within", 500000000}}}};
-    return json{{"name", "n" + std::to_string(number)},
+    const auto port_of = [](const auto& server) { return "127.0.0.1:" + std::to_string(server.port); };
+    json config{{"name", "n" + std::to_string(number)},
                 {"listen", gateways_[static_cast<std::size_t>(number)].address},
                 {"mgmt", gateways_[static_cast<std::size_t>(number)].mgmt},
-                {"discovery", "127.0.0.1:" + std::to_string(registry_->server.port)},
-                {"counter", "127.0.0.1:" + std::to_string(counter_->server.port)},
+                {"discovery", port_of(registry_of(number).server)},
+                {"counter", settings_.relays ? counter_links_[static_cast<std::size_t>(number)]->address()
+                                             : port_of(counter_->server)},
                 {"seed", std::to_string(settings_.seed + static_cast<std::uint64_t>(number))},
                 {"limits", {{"memory_mb", settings_.memory_mb}, {"sockets", 1024}}},
-                {"known", json::parse(listed())},
-                {"settings", settings}}
-        .dump();
+                {"known", json::parse(listed(number))},
+                {"settings", settings}};
+    if (peers_) {
+        config["peer_listen"] = peers_->listen_of(number);
+        config["peers"] = peers_->peers_of(number);
+    }
+    return config.dump();
 }
 
 void Town::start() {
@@ -551,7 +611,8 @@
         }
         arguments = {"--operators", gateway.operators_path};
     }
-    gateway.process = std::make_unique<Process>(settings_.program, config_of(number), arguments);
+    gateway.process =
+        std::make_unique<Process>(settings_.program, config_of(number), arguments, environment[number]);
     // The loop must turn meanwhile: the gateway asks the registry first of all.
     gateway.address = "127.0.0.1:" + std::to_string(gateway.process->listening());
 }
--- a/standin/town.h
+++ b/standin/town.h
@@ -15,6 +15,7 @@
 #include "net/stream.h"
 #include "peer.h"
 #include "plans/ledger.h"
+#include "relay.h"
 #include "resp/parser.h"
 
 namespace linnetlead::standin {
@@ -32,6 +33,10 @@
     // Each gateway has a second address, and an address of its own from the start, so that another process
     // can take over.
     bool second_address = false;
+    // Datagrams between the gateways, over relays.
+    bool peers = false;
+    // Each gateway reaches the counter and each worker over a relay of its own, and has a registry to itself.
+    bool relays = false;
 };
 
 // What the auditor counted. Rules are broken where a figure of the second row is not 0.
@@ -82,8 +87,14 @@
     net::Loop& loop() { return loop_; }  // for further stand-ins
     enum class Stage { in_service, terminating, terminated };
     void list(const std::string& id, Stage stage);  // told at once to whom watches
-    void registry_is_silent(bool silent);
+    // Of one gateway's, or of all; a gateway's own needs relays.
+    void registry_is_silent(bool silent, int gateway = -1);
+    // The list of one gateway alone says so, and the others' lists are late.
+    void list_late(const std::string& id, Stage stage, int gateway);
     CounterModel& counter();
+    PeerRelays& peers() { return *peers_; }
+    TcpRelay& counter_link(int gateway) { return *counter_links_[static_cast<std::size_t>(gateway)]; }
+    TcpRelay& worker_link(const std::string& worker, int gateway);
 
     TownSettings& settings() { return settings_; }  // before start()
     void start();                                   // the gateways; returns once all answer PING
@@ -99,6 +110,8 @@
     Process& gateway(int number);
     void kill(int gateway);
     void start_again(int gateway);
+    // The environment of a gateway's processes that start from now on: NAME=VALUE.
+    std::map<int, std::vector<std::string>> environment;
     // A process beside the one that runs takes over from it, which ends. False: one of the steps did not come
     // about in its time.
     bool upgrade(int gateway);
@@ -158,14 +171,17 @@
     void ended(std::uint64_t id, bool may_have_run);
     void read_logs();
     std::string config_of(int gateway) const;
-    std::string listed() const;
+    std::string listed(int gateway) const;
+    RegistryPeer& registry_of(int gateway) const;
 
     TownSettings settings_;
     net::Loop loop_;
     std::mt19937_64 random_;
     std::vector<std::pair<std::string, std::unique_ptr<WorkerPeer>>> workers_;
     std::unique_ptr<CounterPeer> counter_;
-    std::unique_ptr<RegistryPeer> registry_;
+    std::vector<std::unique_ptr<RegistryPeer>> registries_;  // one for all, or one for each
+    std::unique_ptr<PeerRelays> peers_;
+    std::vector<std::unique_ptr<TcpRelay>> counter_links_;
     std::unique_ptr<ReceiverPeer> receiver_;
     std::vector<Gateway> gateways_;
     core::Slots<Client> clients_;
--- a/standin/world.cpp
+++ b/standin/world.cpp
@@ -54,15 +54,17 @@
           gateway_(site_of(world, self), seed, {4096, 64 << 20}, *this),
           accounts_(site_of(world, self).settings, std::chrono::hours(1), {}, 0,
                     [this](const std::string& name, double amount, Span life) { add(name, amount, life); }),
-          router_(settings_of(world.settings_.mix, world.settings_.gateways, self), seed,
-                  {[this](const std::string& name, double amount, Span life) { add(name, amount, life); },
-                   [this](const routing::Event& event) {
-                       world_.events.push_back({self_, event});
-                   },
-                   [this](const std::string& text) { world_.tell_peers(self_, text); },
-                   [this](std::vector<topazcrank::ServerEntry> entries) {
-                       gateway_.marked(std::move(entries));
-                   }}) {
+          router_(
+              settings_of(world.settings_.mix, world.settings_.gateways, self), seed,
+              {[this](const std::string& name, double amount, Span life) { add(name, amount, life); },
+               [this](const routing::Event& event) {
+                   world_.events.push_back({self_, event});
+               },
+               [this](const std::string& text) { world_.tell_peers(self_, text); },
+               [this](std::vector<topazcrank::ServerEntry> entries) { gateway_.marked(std::move(entries)); },
+               {},
+               {},
+               {}}) {
         gateway_.attach(*this, *this);
         gateway_.attach(&router_);
         gateway_.attach(&accounts_);
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -148,7 +148,8 @@
                                     "a = " + std::string(operators::most_bytes, '1')}) {
         EXPECT_TRUE(std::holds_alternative<Problem>(read(text)));
     }
-    EXPECT_TRUE(std::holds_alternative<Problem>(operators::read_file("/nowhere/at/all")));
+    std::string text;
+    EXPECT_TRUE(operators::read_text("/nowhere/at/all", text).has_value());
 }
 
 }  // namespace
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -576,8 +576,11 @@
 TEST(Peers, AreHeardFromTheTiersAddressesAloneAndNeverBeyond256Bytes) {
     net::Loop loop;
     std::vector<std::string> heard;
-    net::PeerLink one(loop, [](std::string_view) {}), stranger(loop, [](std::string_view) {});
-    net::PeerLink other(loop, [&](std::string_view text) { heard.emplace_back(text); });
+    net::PeerLink one(loop, [](int, std::string_view) {}), stranger(loop, [](int, std::string_view) {});
+    net::PeerLink other(loop, [&](int from, std::string_view text) {
+        EXPECT_EQ(from, 0);
+        heard.emplace_back(text);
+    });
     sockaddr_storage any{};
     net::read_address("127.0.0.1:0", any);
     for (net::PeerLink* link : {&one, &stranger, &other}) ASSERT_EQ(link->listen(any), 0);
@@ -586,13 +589,15 @@
         net::read_address("127.0.0.1:" + std::to_string(link.port()), address);
         return address;
     };
-    one.peers({at(other)}, nullptr);
-    stranger.peers({at(other)}, nullptr);
-    other.peers({at(one)}, nullptr);
+    one.peers({at(one), at(other)}, 0, nullptr);
+    stranger.peers({at(other)}, std::nullopt, nullptr);
+    other.peers({at(one), at(other)}, 1, nullptr);
     stranger.tell("not from here");
     one.tell(std::string(net::PeerLink::most_bytes + 1, 'x'));
     one.tell(std::string(net::PeerLink::most_bytes, 'y'));
-    one.tell("halted");
+    one.tell(1, "halted");
+    one.tell(0, "to itself");
+    one.tell(7, "to nobody");
     const auto end = std::chrono::steady_clock::now() + patience;
     while (heard.size() < 2 && std::chrono::steady_clock::now() < end) loop.turn();
     EXPECT_EQ(heard, (std::vector<std::string>{std::string(net::PeerLink::most_bytes, 'y'), "halted"}));
--- /dev/null
+++ b/tests/tier_test.cpp
@@ -0,0 +1,279 @@
+// Several real gateway processes that agree, with faults between them: dropped links, partitions, stalls,
+// crashes and old files, and faults at numbered points of the processes themselves.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "standin/town.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using standin::Town;
+using standin::TownSettings;
+
+std::string file(int version, const std::string& more = "") {
+    return "accord(" + std::to_string(version) + more + ")\n" + "plan(\"p" + std::to_string(version) +
+           "\", rate = per_second(" + std::to_string(100 + version) +
+           "), burst = 200)\naccount(\"0000000000000001\", plan = \"p" + std::to_string(version) + "\")\n";
+}
+
+struct Tier {
+    explicit Tier(int gateways, const std::string& operators,
+                  const std::function<void(TownSettings&)>& with = {}, int workers = 4)
+        : town([&] {
+              TownSettings settings;
+              settings.program = LINNETLEAD_PROGRAM;
+              settings.gateways = gateways;
+              settings.calls_per_s = 90;
+              settings.operators = operators;
+              settings.peers = settings.relays = settings.second_address = true;
+              if (with) with(settings);
+              return settings;
+          }()) {
+        for (int i = 0; i < workers; ++i)
+            town.add_worker("w" + std::to_string(i), "std", {}).figures.cores = 4;
+        for (int i = 0; i < gateways; ++i) {
+            for (int j = 0; j < gateways; ++j) {
+                if (town.settings().peers) town.peers().link(i, j).lost = 0.07;
+            }
+        }
+    }
+    json state(int gateway) {
+        standin::Peer caller = standin::connect_to(town.second_address(gateway));
+        caller.write("GET /v1/accord HTTP/1.1\r\nHost: x\r\n\r\n");
+        if (!town.run_until([&] { return caller.is_over(); }, 2s)) return {};
+        const auto body = caller.got.find("\r\n\r\n");
+        return body == std::string::npos ? json() : json::parse(caller.got.substr(body), nullptr, false);
+    }
+    // The version that a gateway last told, in its log, to have taken effect; and when.
+    std::pair<int, core::Time> in_force(int gateway, core::Time since = {}) const {
+        std::pair<int, core::Time> last{0, {}};
+        for (const auto& logged : town.log()) {
+            if (logged.gateway != gateway || logged.at < since) continue;
+            const json line = json::parse(logged.line, nullptr, false);
+            if (!line.is_object() || line.value("what", "") != "in force") continue;
+            last = {std::stoi(line["text"].get<std::string>().substr(std::string("settings ").size())),
+                    logged.at};
+        }
+        return last;
+    }
+    bool reach(int version, std::set<int> gateways, core::Span within = 10s) {
+        return town.run_until(
+            [&] {
+                return std::all_of(gateways.begin(), gateways.end(),
+                                   [&](int one) { return in_force(one).first == version; });
+            },
+            within);
+    }
+    int logged(const std::string& text, int gateway = -1, core::Time since = {}) const {
+        int lines = 0;
+        for (const auto& one : town.log()) {
+            const bool here = (gateway < 0 || one.gateway == gateway) && one.at >= since;
+            lines += here && one.line.find(text) != std::string::npos ? 1 : 0;
+        }
+        return lines;
+    }
+    void finish() {
+        town.load(false);
+        town.run_for(6s);
+        EXPECT_EQ(town.audit.broken(), "");
+        EXPECT_GT(town.audit.served, 0u);
+    }
+    Town town;
+};
+
+TEST(Tier, AFileGivenToOneTakesEffectAtAllAtOnceAndIsTold) {
+    for (const int gateways : {3, 5}) {
+        Tier tier(gateways, file(1));
+        tier.town.start();
+        tier.town.load(true);
+        std::set<int> all;
+        for (int i = 0; i < gateways; ++i) all.insert(i);
+        ASSERT_TRUE(tier.reach(1, all)) << gateways;
+        tier.town.operate(file(2), gateways - 1);
+        ASSERT_TRUE(tier.reach(2, all)) << gateways;
+        core::Time first = core::Time::max(), last{};
+        for (const int one : all) {
+            first = std::min(first, tier.in_force(one).second);
+            last = std::max(last, tier.in_force(one).second);
+        }
+        EXPECT_LE(last - first, 150ms) << "as read from the logs, every 20 ms";
+        const json state = tier.state(0);
+        EXPECT_EQ(state["in_force"]["version"], 2);
+        EXPECT_EQ(state["fenced"], false);
+        EXPECT_EQ(state["way"], "datagrams");
+        EXPECT_EQ(state["present"], gateways);
+        tier.town.operate(file(1), 0);  // an older one undoes nothing
+        EXPECT_TRUE(tier.town.run_until([&] { return tier.logged("is older than", 0) > 0; }, 3s));
+        EXPECT_EQ(tier.state(0)["in_force"]["version"], 2);
+        tier.finish();
+    }
+}
+
+TEST(Tier, TwoFilesUnderOneNumberTakeNoEffectAndABrokenOneIsNamed) {
+    Tier tier(3, file(1));
+    tier.town.start();
+    ASSERT_TRUE(tier.reach(1, {0, 1, 2}));
+    tier.town.operate(file(2), 0);
+    tier.town.operate(file(2) + "# the other shift's\n", 2);
+    EXPECT_TRUE(tier.town.run_until([&] { return tier.logged("\"conflict\"") == 3; }, 5s));
+    tier.town.run_for(2s);
+    for (int i = 0; i < 3; ++i) EXPECT_EQ(tier.in_force(i).first, 1) << i;
+    tier.town.operate("accord(3)\npool(\n", 1);
+    EXPECT_TRUE(tier.town.run_until([&] { return tier.logged("\"taken\":false", 1) > 0; }, 3s));
+    tier.town.operate(file(3), 1);
+    EXPECT_TRUE(tier.reach(3, {0, 1, 2}));
+}
+
+TEST(Tier, TheSmallerSideOfAPartitionIsFencedServesOnAndComesBack) {
+    Tier tier(5, file(1));
+    tier.town.start();
+    tier.town.load(true);
+    ASSERT_TRUE(tier.reach(1, {0, 1, 2, 3, 4}));
+    tier.town.run_for(1s);
+    const core::Time parted = tier.town.now();
+    tier.town.peers().part({3, 4}, true);
+    ASSERT_TRUE(tier.town.run_until(
+        [&] { return tier.logged("\"fenced\"", 3, parted) > 0 && tier.logged("\"fenced\"", 4, parted) > 0; },
+        4s));
+    EXPECT_EQ(tier.state(4)["fenced"], true);
+    tier.town.operate(file(2), 0);
+    EXPECT_TRUE(tier.reach(2, {0, 1, 2}));
+    EXPECT_EQ(tier.in_force(3).first, 1);
+    EXPECT_EQ(tier.logged("\"fenced\"", 0, parted) + tier.logged("\"fenced\"", 1, parted), 0);
+    const auto served = tier.town.audit.served;
+    tier.town.run_for(1s);
+    EXPECT_GT(tier.town.audit.served, served + 30) << "a fence is no outage";
+    tier.town.peers().part({3, 4}, false);
+    EXPECT_TRUE(tier.reach(2, {0, 1, 2, 3, 4}));
+    EXPECT_TRUE(tier.town.run_until([&] { return tier.state(3)["fenced"] == false; }, 3s));
+    tier.finish();
+}
+
+TEST(Tier, OneThatWasStoppedActsOnNothingOldWhenItGoesOn) {
+    Tier tier(3, file(1));
+    tier.town.start();
+    ASSERT_TRUE(tier.reach(1, {0, 1, 2}));
+    tier.town.gateway(2).signal(SIGSTOP);
+    tier.town.run_for(500ms);
+    tier.town.operate(file(2), 0);
+    ASSERT_TRUE(tier.reach(2, {0, 1}));
+    tier.town.run_for(1s);
+    const core::Time on = tier.town.now();
+    tier.town.gateway(2).signal(SIGCONT);
+    ASSERT_TRUE(tier.reach(2, {2}));
+    EXPECT_EQ(tier.logged("\"stopped\"", 2, on), 1);
+    const auto line_of = [&](const std::string& text) {
+        std::size_t line = 0;
+        for (const auto& one : tier.town.log()) {
+            ++line;
+            if (one.gateway == 2 && one.at >= on && one.line.find(text) != std::string::npos) return line;
+        }
+        return std::size_t{0};
+    };
+    EXPECT_LT(line_of("\"fenced\""), line_of("\"in force\"")) << "first the fence, then what is new";
+}
+
+TEST(Tier, AnOldFileAndAnOldStateAtARestartUndoNothing) {
+    const std::string kept = standin::temporary_path("{gateway}.accord");
+    Tier tier(3, file(1, ", snapshot = \"" + kept + "\""));
+    const std::string second = file(2, ", snapshot = \"" + kept + "\"");
+    tier.town.start();
+    ASSERT_TRUE(tier.reach(1, {0, 1, 2}));
+    tier.town.operate(second, 0);
+    ASSERT_TRUE(tier.reach(2, {0, 1, 2}));
+    tier.town.run_for(700ms);  // kept by now
+    for (int i = 0; i < 3; ++i) tier.town.kill(i);
+    const core::Time again = tier.town.now();
+    for (int i = 1; i < 3; ++i) tier.town.start_again(i);  // their files are still the first
+    ASSERT_TRUE(tier.town.run_until([&] { return tier.state(1)["fenced"] == false; }, 5s));
+    EXPECT_EQ(tier.state(1)["in_force"]["version"], 2) << "from what was kept";
+    EXPECT_EQ(tier.logged("\"restored\"", 1, again), 1);
+    EXPECT_EQ(tier.logged("is older than", 1, again), 1) << "its file is told of, and takes no effect";
+    tier.town.start_again(0);
+    ASSERT_TRUE(tier.town.run_until([&] { return tier.state(0)["fenced"] == false; }, 5s));
+    EXPECT_EQ(tier.state(0)["in_force"]["version"], 2);
+    for (int i = 0; i < 3; ++i) {
+        std::string path = kept;
+        path.replace(path.find("{gateway}"), 9, "n" + std::to_string(i));
+        EXPECT_EQ(unlink(path.c_str()), 0) << path;
+    }
+}
+
+TEST(Tier, ADrainThatOneListKnowsStopsAllWhoseListsAreLate) {
+    Tier tier(3, file(1));
+    tier.town.start();
+    tier.town.load(true);
+    ASSERT_TRUE(tier.reach(1, {0, 1, 2}));
+    tier.town.run_for(1s);
+    tier.town.list_late("w1", Town::Stage::terminating, 0);
+    tier.town.run_for(3s);  // the auditor counts what comes later than 0.55 s
+    EXPECT_EQ(tier.town.audit.after_drain, 0u);
+    const auto calls = tier.town.calls_of("w1");
+    tier.town.list_late("w1", Town::Stage::in_service, 0);  // it stays after all
+    EXPECT_TRUE(tier.town.run_until([&] { return tier.town.calls_of("w1") > calls + 20; }, 5s));
+    tier.finish();
+}
+
+TEST(Tier, WithoutDatagramsTheCounterCarriesTheAgreement) {
+    Tier tier(3, file(1), [](TownSettings& settings) { settings.peers = false; });
+    tier.town.start();
+    ASSERT_TRUE(tier.reach(1, {0, 1, 2}, 15s));
+    tier.town.operate(file(2), 0);
+    tier.town.operate(file(2), 1);
+    tier.town.run_for(5s);
+    EXPECT_EQ(tier.in_force(0).first, 1) << "the third has not been given it";
+    EXPECT_EQ(tier.state(0)["way"], "counter");
+    tier.town.operate(file(2), 2);
+    EXPECT_TRUE(tier.reach(2, {0, 1, 2}, 15s));
+    tier.town.counter_link(2).cut(true);
+    EXPECT_TRUE(tier.town.run_until([&] { return tier.state(2)["fenced"] == true; }, 8s));
+    tier.town.counter_link(2).cut(false);
+    EXPECT_TRUE(tier.town.run_until([&] { return tier.state(2)["fenced"] == false; }, 8s));
+}
+
+// A crash or a stop of one process at a numbered point of its own (a datagram, an event, a save), a spread of
+// them; every number is played in virtual time.
+class TierPoints : public testing::TestWithParam<std::pair<int, const char*>> {};
+
+TEST_P(TierPoints, TheOthersAgreeAndItComesBackToWhatTheyAgreed) {
+    const auto [point, fault] = GetParam();
+    const bool crashes = std::string(fault) == "crash";
+    Tier tier(3, file(1));
+    tier.town.environment[2] = {"LINNETLEAD_POINT=" + std::to_string(point) + ":" + fault};
+    tier.town.start();
+    tier.town.load(true);
+    ASSERT_TRUE(tier.reach(1, {0, 1}));
+    tier.town.run_for(300ms);
+    tier.town.operate(file(2), 0);
+    ASSERT_TRUE(tier.reach(2, {0, 1}, 15s));
+    if (crashes) {
+        ASSERT_TRUE(tier.town.run_until([&] { return tier.town.gateway(2).has_ended(); }, 15s));
+        tier.town.kill(2);
+        tier.town.environment.clear();
+        tier.town.start_again(2);
+    } else {
+        tier.town.run_for(2500ms);  // past its lease
+        tier.town.gateway(2).signal(SIGCONT);
+    }
+    ASSERT_TRUE(tier.reach(2, {2}, 15s));
+    EXPECT_TRUE(tier.town.run_until([&] { return tier.state(2)["fenced"] == false; }, 5s));
+    tier.town.load(false);
+    tier.town.run_for(1s);
+    EXPECT_EQ(tier.town.audit.answered_twice + tier.town.audit.ran_again + tier.town.audit.two_out +
+                  tier.town.audit.wrong_value,
+              0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Spread, TierPoints,
+                         testing::Values(std::pair(30, "crash"), std::pair(75, "crash"),
+                                         std::pair(130, "crash"), std::pair(40, "stall"),
+                                         std::pair(100, "stall")));
+
+}  // namespace
+}  // namespace linnetlead
