Health of workers that gateways share: reports to keepers, opinions as records, one verdict

Need: at fleet size a gateway sees a worker seldom, so it learns late that one is ill, and each learns it for itself.

Change: src/health, without I/O and clock. Evidence of each gateway for each worker (attempts, failures, how much slower than usual for class, size and kind; what slows all is taken out). Reports go to the three gateways that keep a worker's board, the newest first and never by what was seen; a register a gateway, so that nothing counts twice. What 60% of the gateways see is an opinion, no gateway weighing more than the middle one. Opinions are records of the accord; of the same records every gateway makes the same verdict: degraded (set aside: it gets what no other can take, and a trickle), at most a stated share of all, then probation by degrees. A gateway that sees ill what the others see well is told that it is the odd one. health() in the operators' file; routing sets the workers aside by a set of their own.

Ruled out: all registers to all gateways (200 workers by 300 gateways do not fit in 60 datagrams a second, nor in memory); merging sums by gossip (a lost datagram loses or doubles weight, and one liar moves the mean).

Mutants (mean instead of quorum, a register a life, no dwell) are caught. In three processes a worker six times slower is set aside by all, and one with cut links degrades nobody.

--- /dev/null
+++ b/bench/health.cpp
@@ -0,0 +1,185 @@
+// Measures the shared health of workers beside each gateway alone: time to the verdict and its spread, calls
+// served in time, false verdicts over an hour of noise, and what a mistaken minority can do.
+//
+//     health [--short] [--program FILE] [--only verdict|noise|minority|processes]
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "standin/clinic.h"
+#include "standin/town.h"
+
+namespace {
+
+using namespace linnetlead;
+using namespace std::chrono_literals;
+using standin::Clinic;
+using standin::ClinicSettings;
+using standin::seconds;
+
+bool good = true;
+
+void bar(const std::string& name, double value, double most) {
+    const bool met = value <= most;
+    good = good && met;
+    std::printf("%-52s %10.3f  at most %8.3f  %s\n", name.c_str(), value, most, met ? "good" : "MISSED");
+    std::fflush(stdout);
+}
+
+struct Seen {
+    std::vector<double> at;  // seconds to the verdict, by gateway; those without one left out
+    double spread = 0, in_aim = 0;
+    int without = 0;
+};
+
+// One of eight workers becomes five times slower.
+Seen verdict(int gateways, int workers, double calls_per_s, bool shared, std::uint64_t seed,
+             core::Span within) {
+    ClinicSettings settings;
+    settings.fleet.gateways = gateways;
+    settings.fleet.seed = seed;
+    settings.workers = workers;
+    settings.calls_per_s = calls_per_s;
+    settings.health.shared = shared;
+    Clinic clinic(settings);
+    clinic.fleet.run_for(15s);
+    for (int i = 0; i < workers; i += 8) clinic.worker(i).slow = 5;
+    const core::Time ill = clinic.fleet.now();
+    clinic.calls = clinic.in_aim = 0;
+    clinic.fleet.run_for(within);
+    Seen seen;
+    for (const core::Time at : clinic.degraded_at(0, ill)) {
+        if (at > core::Time{}) {
+            seen.at.push_back(seconds(at - ill));
+        } else {
+            ++seen.without;
+        }
+    }
+    std::sort(seen.at.begin(), seen.at.end());
+    if (!seen.at.empty()) seen.spread = seen.at.back() - seen.at.front();
+    seen.in_aim = static_cast<double>(clinic.in_aim) / static_cast<double>(clinic.calls);
+    return seen;
+}
+
+void compare(int gateways, int workers, double calls_per_s, int seeds, core::Span within) {
+    double sum[2] = {0, 0}, spread = 0, in_aim[2] = {0, 0};
+    int without[2] = {0, 0};
+    for (int seed = 1; seed <= seeds; ++seed) {
+        for (const int shared : {0, 1}) {
+            const Seen seen = verdict(gateways, workers, calls_per_s, shared == 1,
+                                      static_cast<std::uint64_t>(seed), within);
+            // Those that came to none are taken for the time that was waited.
+            double median = seconds(within);
+            if (seen.at.size() * 2 > static_cast<std::size_t>(gateways))
+                median = seen.at[static_cast<std::size_t>(gateways) / 2];
+            sum[shared] += median / seeds;
+            in_aim[shared] += seen.in_aim / seeds;
+            without[shared] += seen.without;
+            if (shared == 1) spread = std::max(spread, seen.spread);
+        }
+    }
+    std::printf(
+        "%4d gateways, %3d workers, %5.0f calls a second, %d seeds: median %.2f s alone (%d of %d without a "
+        "verdict "
+        "in %.0f s), %.2f s shared (%d); spread shared %.2f s; in time %.4f alone, %.4f shared\n",
+        gateways, workers, calls_per_s, seeds, sum[0], without[0], gateways * seeds, seconds(within), sum[1],
+        without[1], spread, in_aim[0], in_aim[1]);
+    if (gateways == 3) bar("3 gateways: spread of the verdict, s", spread, 0.5);
+    if (gateways == 300) bar("300 gateways: shared / alone", sum[1] / sum[0], 0.2);
+}
+
+void noise(core::Span time) {
+    ClinicSettings settings;
+    settings.fleet.seed = 5;
+    Clinic clinic(settings);
+    clinic.fleet.run_for(time);
+    int verdicts = 0;
+    for (int i = 0; i < 3; ++i) verdicts += clinic.verdicts(i, "is degraded");
+    std::printf("%.0f s of noise at 3 gateways and 8 workers: %llu calls\n", seconds(time),
+                static_cast<unsigned long long>(clinic.calls));
+    bar("false verdicts", verdicts, 0);
+}
+
+void minority(int seeds) {
+    int verdicts = 0;
+    for (int seed = 1; seed <= seeds; ++seed) {
+        ClinicSettings settings;
+        settings.fleet.gateways = 5;
+        settings.fleet.seed = static_cast<std::uint64_t>(seed);
+        Clinic clinic(settings);
+        clinic.fleet.run_for(10s);
+        for (int i = 0; i < 8; ++i) {
+            clinic.worker(i).failing_for = [](int gateway, int) { return gateway < 2 ? 0.8 : 0.0; };
+        }
+        clinic.fleet.run_for(60s);
+        for (int i = 0; i < 5; ++i) verdicts += clinic.verdicts(i, "is degraded");
+    }
+    std::printf("two of five gateways see 80%% of all calls fail, %d seeds of 60 s\n", seeds);
+    bar("verdicts by a mistaken minority", verdicts, 0);
+}
+
+// The same on real processes: one of four workers becomes five times slower.
+void processes(const std::string& program, int runs) {
+    double spread = 0, worst = 0;
+    for (int run = 0; run < runs; ++run) {
+        standin::TownSettings settings;
+        settings.program = program;
+        settings.gateways = 3;
+        settings.calls_per_s = 120;
+        settings.seed = static_cast<std::uint64_t>(run + 1);
+        settings.operators = "accord(1)\nhealth()\n";
+        settings.peers = true;
+        standin::Town town(settings);
+        for (int i = 0; i < 4; ++i) town.add_worker("w" + std::to_string(i), "std", {}).figures.cores = 8;
+        town.start();
+        town.load(true);
+        town.run_for(10s);
+        const core::Time ill = town.now();
+        town.worker("w2").figures.slow = 5;
+        std::vector<core::Time> at(3);
+        const auto all = [&] {
+            for (const auto& one : town.log()) {
+                core::Time& first = at[static_cast<std::size_t>(one.gateway)];
+                if (one.at >= ill && first == core::Time{} &&
+                    one.line.find("w2 is degraded") != std::string::npos)
+                    first = one.at;
+            }
+            return std::find(at.begin(), at.end(), core::Time{}) == at.end();
+        };
+        if (!town.run_until(all, 20s)) {
+            std::printf("run %d: no verdict in 20 s\n", run);
+            good = false;
+            continue;
+        }
+        std::sort(at.begin(), at.end());
+        spread = std::max(spread, seconds(at.back() - at.front()));
+        worst = std::max(worst, seconds(at.back() - ill));
+    }
+    std::printf("3 processes, %d runs: verdict at all within %.2f s\n", runs, worst);
+    bar("3 processes: spread of the verdict, s", spread, 0.5);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"measures the shared health of workers"};
+    bool brief = false;
+    std::string program = LINNETLEAD_PROGRAM, only;
+    app.add_flag("--short", brief, "under a minute");
+    app.add_option("--program", program, "the gateway");
+    app.add_option("--only", only, "verdict, noise, minority or processes");
+    CLI11_PARSE(app, argc, argv);
+    const auto wanted = [&](const char* name) { return only.empty() || only == name; };
+    if (wanted("verdict")) {
+        compare(3, 8, 120, brief ? 3 : 10, 30s);
+        compare(300, 200, 6000, brief ? 1 : 3, brief ? 15s : 40s);
+    }
+    if (wanted("noise")) noise(brief ? 300s : 3600s);
+    if (wanted("minority")) minority(brief ? 2 : 10);
+    if (wanted("processes")) processes(program, brief ? 1 : 5);
+    return good ? 0 : 1;
+}
--- a/src/health/board.cpp
+++ b/src/health/board.cpp
@@ -18,7 +18,7 @@
         if (opinion_ != Opinion::well) change(now, Opinion::well);
         dwell_ = {};
     }
-    Report& held = reports_[told.gateway];
+    Report& held = reports_[figures_.one_register ? told.gateway : told.gateway + 10000 * (1 + told.life)];
     if (held.life == told.life && held.seen.at >= told.seen.at) return;  // told twice, or overtaken
     held = told;
     // A clock that is ahead would make a register outlast its evidence.
@@ -75,7 +75,7 @@
     for (const Register& one : seen) weights.push_back(one.weight);
     std::nth_element(weights.begin(), weights.begin() + static_cast<std::ptrdiff_t>(weights.size() / 2),
                      weights.end());
-    const double most = figures_.robust ? 3 * weights[weights.size() / 2] : 1e9;
+    const double most = figures_.robust ? weights[weights.size() / 2] : 1e9;
     std::vector<Part> failing, slow;
     double served = 0, counted = 0;
     for (const Register& one : seen) {
--- a/src/health/board.h
+++ b/src/health/board.h
@@ -36,6 +36,7 @@
     // What the part of the gateways that see it best sees is what counts.
     double quorum = 0.6;
     bool robust = true;  // for measurements of what it would be without: the mean of all, whoever says it
+    bool one_register = true;  // the same, of a register for each life of a gateway
     Span dwell = std::chrono::seconds(5);
     Span most_dwell = std::chrono::minutes(1);
     Span flaps_within = std::chrono::seconds(30);
--- /dev/null
+++ b/standin/clinic.h
@@ -0,0 +1,70 @@
+// A fleet that shares what it sees of its workers, in virtual time: the real accord and health code, and
+// workers whose latencies and failures are drawn, by gateway and class where a test wants it.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet.h"
+#include "health/health.h"
+
+namespace linnetlead::standin {
+
+struct ClinicSettings {
+    FleetSettings fleet;
+    int workers = 8;
+    double calls_per_s = 120;  // at all gateways
+    health::Health::Settings health;
+    Span aim = std::chrono::milliseconds(600);
+};
+
+struct Patient {
+    std::string id;
+    Time started{};
+    double slow = 1;
+    double failing = 0;
+    // Instead of `failing`, where a fault is one of links or classes.
+    std::function<double(int gateway, int cls)> failing_for;
+    bool in_service = true;
+    std::uint64_t calls = 0;
+};
+
+class Clinic {
+public:
+    explicit Clinic(ClinicSettings settings);
+
+    Fleet fleet;
+    Patient& worker(int number) { return patients_[static_cast<std::size_t>(number)]; }
+    health::Health& health(int gateway) { return *health_[static_cast<std::size_t>(gateway)]; }
+    void tell_list();
+    void load(bool on) { loaded_ = on; }
+
+    // Gateways that run and hold the worker for degraded.
+    int degrading(int worker);
+    // When each gateway first did since then; 0: not.
+    std::vector<Time> degraded_at(int worker, Time since) const;
+    // Verdicts of this kind that a gateway has made since then.
+    int verdicts(int gateway, const std::string& verdict, Time since = {}) const;
+    std::uint64_t calls = 0, in_aim = 0;
+
+private:
+    void next_call();
+    void begin(int gateway);
+
+    ClinicSettings settings_;
+    std::mt19937_64 random_;
+    std::vector<Patient> patients_;
+    std::vector<std::unique_ptr<health::Health>> health_;
+    struct Noted {
+        Time at{};
+        int gateway = 0;
+        std::string text;
+    };
+    std::vector<Noted> verdicts_;
+    bool loaded_ = true;
+};
+
+}  // namespace linnetlead::standin
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -51,6 +51,7 @@
     void run_for(Span time) { clock_.run_to(clock_.now() + time); }
     bool run_until(const std::function<bool()>& condition, Span within);
     Time now() const { return clock_.now(); }
+    void at(Time when, std::function<void()> act) { clock_.arm(when, std::move(act)); }
 
     accord::Accord& accord(int gateway);
     bool runs(int gateway) const;  // there, and not stalled
--- /dev/null
+++ b/tests/health_test.cpp
@@ -0,0 +1,325 @@
+// Shared health of workers: the evidence, what a keeper makes of it, and the whole in virtual time under the
+// hard cases and under faults at numbered points.
+#include "health/health.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "standin/clinic.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace health;
+using standin::Clinic;
+using standin::ClinicSettings;
+using standin::Fault;
+using standin::Fleet;
+
+constexpr Time start = std::chrono::hours(500000);
+
+Report report_of(int gateway, double weight, double failures, double slow, Time at = start) {
+    Report report;
+    report.gateway = gateway;
+    report.seen = {at, weight, failures, weight - failures, slow * (weight - failures)};
+    return report;
+}
+
+TEST(Board, ARegisterCountsOnceHoweverOftenAndLateItIsTold) {
+    Board one{Figures{}}, other{Figures{}};
+    const Report old = report_of(1, 3, 0, 0.1), now = report_of(1, 8, 1, 0.2, start + 1s);
+    one.report(start + 1s, now);
+    for (int i = 0; i < 5; ++i) other.report(start + 1s, now);
+    other.report(start + 1s, old);
+    EXPECT_DOUBLE_EQ(one.weigh(start + 1s, 1).attempts, other.weigh(start + 1s, 1).attempts);
+    EXPECT_DOUBLE_EQ(one.weigh(start + 1s, 1).slower, other.weigh(start + 1s, 1).slower);
+}
+
+TEST(Board, AMinorityHoweverLoudMakesNoOpinion) {
+    for (const int gateways : {3, 5, 9, 40}) {
+        Board board{Figures{}};
+        for (int i = 0; i < gateways; ++i) {
+            const bool lies = i < (gateways - 1) / 3;
+            board.report(start, report_of(i, lies ? 4000 : 10, lies ? 4000 : 0, 0));
+        }
+        board.judge(start, 2);
+        EXPECT_NE(board.opinion(), Opinion::bad) << gateways;
+    }
+}
+
+TEST(Board, WhatMostSeeIsBadAndWhatOneSeesAloneIsNot) {
+    Board slow{Figures{}}, failing{Figures{}}, alone{Figures{}};
+    for (int i = 0; i < 5; ++i) {
+        slow.report(start, report_of(i, 10, 0, 1.6));
+        failing.report(start, report_of(i, 10, 5, 0));
+    }
+    alone.report(start, report_of(0, 100, 100, 0));
+    for (Board* board : {&slow, &failing, &alone}) board->judge(start, 2);
+    EXPECT_EQ(slow.opinion(), Opinion::bad);
+    EXPECT_EQ(failing.opinion(), Opinion::bad);
+    EXPECT_EQ(alone.opinion(), Opinion::well);
+}
+
+TEST(Board, AnotherProcessUnderTheIdStartsWithAClean) {
+    Board board{Figures{}};
+    for (int i = 0; i < 5; ++i) board.report(start, report_of(i, 10, 10, 0));
+    board.judge(start, 2);
+    ASSERT_EQ(board.opinion(), Opinion::bad);
+    Report fresh = report_of(0, 1, 0, 0, start + 1s);
+    fresh.started = 7;
+    board.report(start + 1s, fresh);
+    EXPECT_EQ(board.opinion(), Opinion::well);
+    board.report(start + 1s, report_of(1, 10, 10, 0, start + 1s));  // of the one before, late
+    board.judge(start + 1s, 1);
+    EXPECT_EQ(board.reports(), 1u);
+}
+
+RC_GTEST_PROP(HealthUsual, WhatSlowsAllIsNobodysFault, ()) {
+    Usual usual;
+    std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+    std::normal_distribution<double> noise(0, 0.5);
+    std::uniform_int_distribution<int> which(0, 7);
+    double worst = 0, off = 0;
+    int seen = 0;
+    for (int i = 0; i < 1200; ++i) {
+        const double slow = i < 600 ? 1 : 5;
+        const double one = usual.judge("std", 0, 1, 0.1 * slow * std::exp(noise(random)),
+                                       "w" + std::to_string(which(random)));
+        if (i >= 640) off += one, ++seen;
+        worst = std::max(worst, one);
+    }
+    RC_ASSERT(std::abs(off / seen) < 0.25);
+}
+
+// ---- The whole, in virtual time -------------------------------------------------------------------------
+
+ClinicSettings clinic(int gateways = 3) {
+    ClinicSettings settings;
+    settings.fleet.gateways = gateways;
+    settings.health.ramp = 5s;
+    return settings;
+}
+
+// Workers that some gateway has held for degraded since then.
+std::set<int> ever_degraded(Clinic& clinic, int workers, Time since = {}) {
+    std::set<int> all;
+    for (int i = 0; i < workers; ++i) {
+        for (const Time at : clinic.degraded_at(i, since)) {
+            if (at > Time{}) all.insert(i);
+        }
+    }
+    return all;
+}
+
+TEST(Health, ASlowWorkerIsDegradedByAllAtOnceAndLetBackByDegrees) {
+    Clinic hall(clinic());
+    hall.fleet.run_for(20s);
+    EXPECT_EQ(ever_degraded(hall, 8), std::set<int>{}) << "noise is no illness";
+    hall.worker(3).slow = 5;
+    const Time ill = hall.fleet.now();
+    ASSERT_TRUE(hall.fleet.run_until([&] { return hall.degrading(3) == 3; }, 8s));
+    const auto when = hall.degraded_at(3, ill);
+    EXPECT_LE(*std::max_element(when.begin(), when.end()) - *std::min_element(when.begin(), when.end()),
+              500ms);
+    const auto calls = hall.worker(3).calls, all = hall.calls;
+    hall.fleet.run_for(5s);
+    const double share =
+        static_cast<double>(hall.worker(3).calls - calls) / static_cast<double>(hall.calls - all);
+    EXPECT_LT(share, 0.03) << "an eighth before";
+    EXPECT_GT(hall.worker(3).calls, calls) << "a trickle, to know it by";
+    hall.worker(3).slow = 1;
+    const Time well = hall.fleet.now();
+    ASSERT_TRUE(hall.fleet.run_until([&] { return hall.verdicts(0, "probation", well) > 0; }, 40s));
+    const auto before = hall.worker(3).calls, sum = hall.calls;
+    hall.fleet.run_for(1s);
+    EXPECT_LT(static_cast<double>(hall.worker(3).calls - before) / static_cast<double>(hall.calls - sum),
+              0.08);
+    EXPECT_TRUE(hall.fleet.run_until([&] { return hall.verdicts(0, "healthy", well) > 0; }, 8s));
+    EXPECT_EQ(ever_degraded(hall, 8), std::set<int>{3});
+}
+
+TEST(Health, AFailingOneIsAndAllSlowAtOnceAreNot) {
+    Clinic hall(clinic());
+    hall.fleet.run_for(10s);
+    for (int i = 0; i < 8; ++i) hall.worker(i).slow = 4;
+    hall.fleet.run_for(15s);
+    for (int i = 0; i < 8; ++i) hall.worker(i).slow = 1;
+    hall.fleet.run_for(15s);
+    EXPECT_EQ(ever_degraded(hall, 8), std::set<int>{});
+    hall.worker(5).failing = 0.6;
+    EXPECT_TRUE(hall.fleet.run_until([&] { return hall.degrading(5) == 3; }, 10s));
+}
+
+TEST(Health, OneThatFailsForOneClassOnlyIsSeenByThatClass) {
+    Clinic hall(clinic());
+    hall.fleet.run_for(10s);
+    hall.worker(2).failing_for = [](int, int cls) { return cls == 1 ? 1.0 : 0.0; };
+    EXPECT_TRUE(hall.fleet.run_until([&] { return hall.degrading(2) == 3; }, 15s)) << "a third of its calls";
+}
+
+TEST(Health, CutLinksOfHalfOfTheGatewaysDegradeNobody) {
+    Clinic hall(clinic(6));
+    hall.fleet.run_for(10s);
+    hall.worker(1).failing_for = [](int gateway, int) { return gateway % 2 == 0 ? 1.0 : 0.0; };
+    hall.fleet.run_for(20s);
+    EXPECT_EQ(ever_degraded(hall, 8), std::set<int>{});
+}
+
+TEST(Health, AGatewayWhoseOwnHostIsBadDegradesNobodyAndLearnsIt) {
+    Clinic hall(clinic());
+    hall.fleet.run_for(10s);
+    for (int i = 0; i < 8; ++i) {
+        hall.worker(i).failing_for = [](int gateway, int) { return gateway == 2 ? 0.9 : 0.0; };
+    }
+    hall.fleet.run_for(20s);
+    EXPECT_EQ(ever_degraded(hall, 8), std::set<int>{});
+    EXPECT_TRUE(hall.health(2).is_odd());
+    EXPECT_FALSE(hall.health(0).is_odd());
+    for (int i = 0; i < 8; ++i) hall.worker(i).failing_for = nullptr;
+    hall.fleet.run_for(15s);
+    EXPECT_FALSE(hall.health(2).is_odd());
+}
+
+TEST(Health, NeverMoreThanTheStatedShareIsOut) {
+    Clinic hall(clinic());
+    hall.fleet.run_for(10s);
+    for (int i = 0; i < 5; ++i) hall.worker(i).failing = 0.7;
+    for (int i = 0; i < 40; ++i) {
+        hall.fleet.run_for(500ms);
+        for (int gateway = 0; gateway < 3; ++gateway) ASSERT_LE(hall.health(gateway).degraded().size(), 2u);
+    }
+    EXPECT_EQ(hall.health(0).degraded().size(), 2u);
+}
+
+int flaps(Span dwell, Span each) {
+    ClinicSettings settings = clinic();
+    settings.health.figures.dwell = dwell;
+    Clinic hall(settings);
+    hall.fleet.run_for(10s);
+    const Time since = hall.fleet.now();
+    for (int i = 0; i < 20; ++i) {
+        hall.worker(4).failing = i % 2 == 0 ? 0.9 : 0;
+        hall.fleet.run_for(each);
+    }
+    return hall.verdicts(0, "w4 is degraded", since);
+}
+
+TEST(Health, OneThatFlapsStaysOutForLongerEachTime) {
+    EXPECT_LE(flaps(5s, 3s), 2);
+    EXPECT_LE(flaps(5s, 25s), 6) << "ten times ill";
+    // The mutant without a dwell is caught by the same count.
+    EXPECT_GT(flaps(0s, 25s), 6);
+}
+
+TEST(Health, ARestartedWorkerAndADrainingOneAreJudgedAnew) {
+    Clinic hall(clinic());
+    hall.fleet.run_for(10s);
+    hall.worker(3).failing = 0.9;
+    ASSERT_TRUE(hall.fleet.run_until([&] { return hall.degrading(3) == 3; }, 10s));
+    hall.worker(3).failing = 0;
+    hall.worker(3).started = hall.fleet.now();
+    hall.tell_list();
+    hall.fleet.run_for(300ms);
+    EXPECT_EQ(hall.degrading(3), 0);
+    hall.fleet.run_for(10s);
+    EXPECT_EQ(hall.degrading(3), 0) << "what was seen of the process before does not come back";
+    hall.worker(3).failing = 0.9;
+    ASSERT_TRUE(hall.fleet.run_until([&] { return hall.degrading(3) == 3; }, 10s));
+    hall.worker(3).in_service = false;
+    hall.tell_list();
+    hall.fleet.run_for(300ms);
+    EXPECT_TRUE(hall.health(0).degraded().empty()) << "one that drains takes no one's place among those out";
+}
+
+TEST(Health, AGatewayThatFloodsOrLiesOfAllIsOneOfMany) {
+    Clinic hall(clinic(5));
+    hall.fleet.run_for(10s);
+    for (int i = 0; i < 400; ++i) {
+        for (int worker = 0; worker < 8; ++worker) {
+            for (int call = 0; call < 3; ++call) {
+                hall.health(1).tried(hall.fleet.time_of(1), "w" + std::to_string(worker), 0, 1,
+                                     topazcrank::Outcome::error, 20ms);
+            }
+        }
+        hall.fleet.run_for(50ms);
+    }
+    EXPECT_EQ(ever_degraded(hall, 8), std::set<int>{});
+}
+
+TEST(Health, ALossOfAKeeperLosesNoVerdictForLong) {
+    Clinic hall(clinic(5));
+    hall.fleet.run_for(10s);
+    hall.worker(6).failing = 0.8;
+    ASSERT_TRUE(hall.fleet.run_until([&] { return hall.degrading(6) == 5; }, 10s));
+    for (int i = 0; i < 2; ++i) hall.fleet.crash(i);
+    hall.fleet.run_for(25s);  // longer than an opinion lives
+    EXPECT_EQ(hall.degrading(6), 3);
+}
+
+// Mutants.
+TEST(Health, WithoutTheQuorumAMinorityWouldDegradeAll) {
+    ClinicSettings settings = clinic();
+    settings.health.figures.robust = false;
+    Clinic hall(settings);
+    hall.fleet.run_for(10s);
+    for (int i = 0; i < 8; ++i) {
+        hall.worker(i).failing_for = [](int gateway, int) { return gateway == 2 ? 0.9 : 0.0; };
+    }
+    hall.fleet.run_for(20s);
+    EXPECT_NE(ever_degraded(hall, 8), std::set<int>{});
+}
+
+TEST(Health, WithARegisterForEachLifeARestartingGatewayWouldSpeakForMany) {
+    for (const bool one : {true, false}) {
+        Figures figures;
+        figures.one_register = one;
+        Board board{figures};
+        for (int i = 1; i < 4; ++i) board.report(start, report_of(i, 6, 0, 0));
+        for (int life = 0; life < 9; ++life) {
+            Report report = report_of(0, 6, 6, 0, start + std::chrono::milliseconds(life));
+            report.life = static_cast<std::uint16_t>(life);
+            board.report(start + 1s, report);
+        }
+        board.judge(start + 1s, 2);
+        EXPECT_EQ(board.opinion() == Opinion::bad, !one);
+    }
+}
+
+// ---- Faults at numbered points, each in turn ------------------------------------------------------------
+
+std::string play(const std::function<void(Fleet&)>& prepare) {
+    ClinicSettings settings = clinic();
+    settings.workers = 4;
+    settings.calls_per_s = 60;
+    settings.fleet.lost = 0.02;
+    settings.health.most_degraded = 0.5;
+    Clinic hall(settings);
+    hall.fleet.run_for(4s);
+    prepare(hall.fleet);
+    hall.worker(1).failing = 0.8;
+    hall.fleet.run_for(1500ms);
+    hall.fleet.inject({});
+    hall.fleet.run_for(4500ms);
+    if (!hall.fleet.run_until([&] { return hall.degrading(1) == 3; }, 12s))
+        return "the ill one is not out at all";
+    for (int i = 0; i < 4; ++i) {
+        if (i != 1 && hall.degrading(i) > 0) return "a well one is out";
+    }
+    return hall.fleet.broken;
+}
+
+TEST(HealthPoints, EveryFaultAtEveryThirdPointLeavesTheVerdictsAlike) {
+    const auto all =
+        standin::at_each_point(play, {Fault::drop, Fault::late, Fault::crash, Fault::stall, Fault::part}, 3);
+    EXPECT_GT(all.points, 60u);
+    for (const std::string& failure : all.failures) ADD_FAILURE() << failure;
+    std::printf("%llu points, %llu runs\n", static_cast<unsigned long long>(all.points),
+                static_cast<unsigned long long>(all.runs));
+}
+
+}  // namespace
+}  // namespace linnetlead
--- a/tests/operation_test.cpp
+++ b/tests/operation_test.cpp
@@ -164,7 +164,13 @@
         : Rig(with),
           suspensions(gateway),
           drain(loop, acceptor, 3s, [] {}),
-          desk({gateway, pool, suspensions, drain, {"read", "create", "hold"}, [](const mgmt::Command&) {}, [] { return std::string(); }}),
+          desk({gateway,
+                pool,
+                suspensions,
+                drain,
+                {"read", "create", "hold"},
+                [](const mgmt::Command&) {},
+                [] { return std::string(); }}),
           server(loop, [this](const mgmt::Command& command) { return desk.carry(command); }) {
         sockaddr_storage any{};
         net::read_address("127.0.0.1:0", any);
--- a/tests/tier_test.cpp
+++ b/tests/tier_test.cpp
@@ -237,6 +237,36 @@
     EXPECT_TRUE(tier.town.run_until([&] { return tier.state(2)["fenced"] == false; }, 8s));
 }
 
+TEST(Tier, ASlowWorkerIsSetAsideByAllAndAGatewayWithBadLinksDegradesNobody) {
+    Tier tier(3, "accord(1)\nhealth(dwell = seconds(3), ramp = seconds(3))\n",
+              [](TownSettings& settings) { settings.calls_per_s = 150; });
+    tier.town.start();
+    tier.town.load(true);
+    tier.town.run_for(8s);
+    const core::Time ill = tier.town.now();
+    tier.town.worker("w2").figures.slow = 6;
+    ASSERT_TRUE(tier.town.run_until(
+        [&] {
+            for (int i = 0; i < 3; ++i) {
+                if (tier.logged("w2 is degraded", i, ill) == 0) return false;
+            }
+            return true;
+        },
+        20s));
+    const auto calls = tier.town.calls_of("w2"), all = tier.town.audit.asked;
+    tier.town.run_for(2s);
+    EXPECT_LT(tier.town.calls_of("w2") - calls, (tier.town.audit.asked - all) / 10) << "a quarter before";
+    tier.town.worker("w2").figures.slow = 1;
+    const core::Time cut = tier.town.now();
+    for (int i = 0; i < 4; ++i) tier.town.worker_link("w" + std::to_string(i), 1).cut(true);
+    EXPECT_TRUE(tier.town.run_until([&] { return tier.logged("\"odd one out\"", 1, cut) > 0; }, 15s));
+    for (const char* other : {"w0", "w1", "w3"}) {
+        EXPECT_EQ(tier.logged(std::string(other) + " is degraded", -1, cut), 0) << other;
+    }
+    for (int i = 0; i < 4; ++i) tier.town.worker_link("w" + std::to_string(i), 1).cut(false);
+    tier.finish();
+}
+
 // A crash or a stop of one process at a numbered point of its own (a datagram, an event, a save), a spread of
 // them; every number is played in virtual time.
 class TierPoints : public testing::TestWithParam<std::pair<int, const char*>> {};
