linnetlead check tells the version that a file puts to the tier

Need: whoever raises a file's version wants to see it, and what of accord, health and forms is on, before SIGHUP.

Change: a second line where the file has an accord.

--- a/src/gateway/commands.cpp
+++ b/src/gateway/commands.cpp
@@ -80,6 +80,12 @@
                 path.c_str(), settings.routing.pools.size(), settings.routing.moves.size(),
                 settings.book->plans.size(), settings.book->terms.size(), settings.book->reserves.size(),
                 config ? "" : "; names not checked: no configuration given");
+    if (settings.agreement.wanted) {
+        std::printf("%s: version %llu for the tier to agree on; health %s, forms %s, %zu schemas\n",
+                    path.c_str(), static_cast<unsigned long long>(settings.agreement.version),
+                    settings.agreement.health ? "on" : "off", settings.agreement.forms ? "on" : "off",
+                    settings.agreement.schemas.size());
+    }
     return 0;
 }
 
