--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -16,6 +16,8 @@
 
 // The last resort for a call that the module still holds: an answer on its way just in time.
 constexpr Span overdue_after = 6ms;
+// Of the window in which workers know a repeat by its key, what is left for its way to them.
+constexpr int delivery_part = 20;
 
 }  // namespace
 
@@ -139,18 +141,39 @@
 void Gateway::withdraw(Handle handle) {
     Open* call = calls_.find(handle);
     if (!call || call->answered) return;
-    const Handle attempt = call->passing ? call->attempt : Handle{};
+    const Handle attempt = call->attempt;
     settle(handle, *call);
-    if (attempt) workers_->give_up(attempt);  // the rest of its value has nowhere to go
+    abandon(handle, attempt);
+}
+
+// Behind a call's answer, whose client has gone: a connection that comes up later would still carry it.
+void Gateway::abandon(Handle handle, Handle attempt) {
+    if (attempt) workers_->client_gone(attempt);
     tell([this, handle] { policy_->on_withdrawn(timers_.now(), handle.packed()); });
 }
 
+void Gateway::answer_all() {
+    std::vector<Handle> open;
+    calls_.for_each([&open](Handle handle, const Open& call) {
+        if (!call.answered) open.push_back(handle);
+    });
+    for (const Handle handle : open) {
+        Open* call = calls_.find(handle);
+        if (!call || call->answered) continue;
+        const Handle attempt = call->attempt;
+        const Verdict verdict = !call->out && is_harmless(*call) ? Verdict::refused : Verdict::failed;
+        conclude(handle, *call, {verdict, {}, {}, call->passing});
+        abandon(handle, attempt);
+    }
+}
+
 // The module answers before the deadline: attempts are cut to it. Should it not, the client still hears.
 void Gateway::overdue(Handle handle) {
     Open* call = calls_.find(handle);
     if (!call || call->answered) return;
+    const Handle attempt = call->attempt;
     conclude(handle, *call, {Verdict::failed, {}, {}, false});
-    tell([this, handle] { policy_->on_withdrawn(timers_.now(), handle.packed()); });
+    abandon(handle, attempt);
 }
 
 void Gateway::conclude(Handle handle, Open& call, const Answer& answer) {
@@ -269,7 +292,9 @@
     if (routes_) routes_->tried(now, call->worker, call->cls, call->units, result.outcome, result.lag);
     if (accounts_) note_use(handle, *call, end, result);
     call->attempt = {};
-    call->may_have_run = call->may_have_run || !proves_not_run(result.outcome);
+    if (!proves_not_run(result.outcome) && !std::exchange(call->may_have_run, true)) {
+        call->run_from = call->sent;
+    }
     // Of a value that was cut short, its client has had a part: no other answer, and no other attempt.
     const bool cut = call->passing && !call->answered;
     result.concluded = call->answered || cut || end.ending == Ending::served;
@@ -343,7 +368,7 @@
         }
     }
     const Payload& payload = call->changed.bytes.empty() ? call->payload : call->changed;
-    const Handle attempt = workers_->start(handle, worker, payload, until);
+    const Handle attempt = workers_->start(handle, worker, payload, {until, write_by(*call)});
     if (call->out) call->attempt = attempt;
 }
 
@@ -352,10 +377,23 @@
     Open* call = calls_.find(handle);
     if (!call) return;
     if (accounts_ && call->attempts == 0) accounts_->refused(timers_.now(), handle);
-    const topazcrank::ClassSettings& cls = classes_[static_cast<std::size_t>(call->cls)];
-    const bool harmless = !call->may_have_run || cls.repeat == Repeat::safe ||
-                          (cls.repeat == Repeat::keyed && cls.key_scope == topazcrank::KeyScope::all);
-    conclude(handle, *call, {harmless ? Verdict::refused : Verdict::failed, {}, retry_after, false});
+    conclude(handle, *call,
+             {is_harmless(*call) ? Verdict::refused : Verdict::failed, {}, retry_after, false});
+}
+
+// Whether a refusal, which invites the client to come again, does no harm.
+bool Gateway::is_harmless(const Open& call) const {
+    const topazcrank::ClassSettings& cls = classes_[static_cast<std::size_t>(call.cls)];
+    return !call.may_have_run || cls.repeat == Repeat::safe ||
+           (cls.repeat == Repeat::keyed && cls.key_scope == topazcrank::KeyScope::all);
+}
+
+// Between the choice of a worker and the last byte lie a connection that comes up late and a long body: what
+// is chosen within the window may leave outside it.
+Time Gateway::write_by(const Open& call) const {
+    const topazcrank::ClassSettings& cls = classes_[static_cast<std::size_t>(call.cls)];
+    if (cls.repeat != Repeat::keyed || !call.may_have_run) return Time::max();
+    return call.run_from + cls.key_window - cls.key_window / delivery_part;
 }
 
 void Gateway::fail(RequestId id) {
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -57,6 +57,8 @@
     // call under an open one's name fails.
     Handle take(Call call, Front& front, Ticket ticket);
     void withdraw(Handle call);
+    // The gateway ends: what is open gets its answer now.
+    void answer_all();
     void limit(Limits limits) { limits_ = limits; }
     // Room for a body that is still to come, by its length: to be given back, before take() at the latest.
     bool reserve(std::size_t bytes);
@@ -103,6 +105,7 @@
         int attempts = 0;
         bool out = false;
         bool may_have_run = false;
+        Time run_from{};  // the first attempt that may have run was sent then
         bool answered = false;
         bool form = false;                          // names a form
         std::unique_ptr<topazcrank::Request> held;  // by the forms
@@ -129,6 +132,9 @@
     void tell(Event event);
     template <typename Event>
     void guarded(const Event& event);
+    bool is_harmless(const Open& call) const;
+    void abandon(Handle handle, Handle attempt);
+    Time write_by(const Open& call) const;
     void settle(Handle handle, Open& call);
     void note_use(Handle handle, Open& call, const AttemptEnd& end, const topazcrank::AttemptResult& result);
     void conclude(Handle handle, Open& call, const Answer& answer);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -74,9 +74,17 @@
 class Workers {
 public:
     virtual ~Workers() = default;
+    struct Limits {
+        Time until{};                // for the answer
+        Time write_by{Time::max()};  // for the call's last byte: past it, the worker may not see it any more
+    };
     // Ends in exactly one Gateway::attempt_ended, also when given up. Returns the attempt's handle.
-    virtual Handle start(Handle call, const WorkerId& worker, const Payload& payload, Time until) = 0;
+    virtual Handle start(Handle call, const WorkerId& worker, const Payload& payload,
+                         const Limits& limits) = 0;
     virtual void give_up(Handle attempt) = 0;
+    // Nobody waits for the call any more: its attempt ends unless a worker may be at it, for nothing that has
+    // not left by now is to leave. So does one whose value is on its way to the client.
+    virtual void client_gone(Handle attempt) = 0;
     // The front takes more of the attempt's long value.
     virtual void go_on(Handle attempt) = 0;
     virtual void probe(const WorkerId& worker) = 0;
--- a/src/gateway/drain.cpp
+++ b/src/gateway/drain.cpp
@@ -13,6 +13,8 @@
 constexpr core::Span drain_heard_within = 350ms;
 constexpr core::Span leave_heard_within = 500ms;
 constexpr core::Span look_again = 20ms;
+// For the last answers to be written: SIGKILL comes 0.2 s after the longest deadline is over.
+constexpr core::Span last_words = 150ms;
 
 }  // namespace
 
@@ -50,7 +52,9 @@
 }
 
 void Drain::wait_for_answers() {
-    if (acceptor_.empty() || timers_.now() > leaves_at_ + longest_) return gone_();
+    const core::Time ends = leaves_at_ + longest_;
+    if (acceptor_.empty() || timers_.now() > ends + last_words) return gone_();
+    if (timers_.now() > ends) acceptor_.answer_all();
     timer_ = timers_.arm(timers_.now() + look_again, [this] { wait_for_answers(); });
 }
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -20,6 +20,7 @@
 #include "net/registry_watch.h"
 #include "net/worker_pool.h"
 #include "operators.h"
+#include "points.h"
 #include "upgrade.h"
 
 namespace {
@@ -65,9 +66,17 @@
     explicit Shares(const gateway::Config& config) {
         rlimit files{};
         getrlimit(RLIMIT_NOFILE, &files);
-        const auto sockets = std::max(std::min<std::size_t>(config.sockets, files.rlim_cur), least_sockets);
-        const std::size_t kept = std::max(sockets / 8, net::MgmtServer::most_callers + for_the_rest);
-        clients = sockets / 3 + sockets / 8;
+        const std::size_t given = files.rlim_cur;
+        if (given < least_given) {
+            throw std::runtime_error("the system gives " + std::to_string(given) + " descriptors, and " +
+                                     std::to_string(least_given) + " are needed");
+        }
+        const auto sockets = std::min(given, std::max<std::size_t>(config.sockets, least_sockets));
+        // Where the system gives fewer than any configuration may name, the second address's callers share.
+        const std::size_t kept = sockets < least_sockets
+                                     ? for_the_rest
+                                     : std::max(sockets / 8, net::MgmtServer::most_callers + for_the_rest);
+        clients = std::min(sockets / 3 + sockets / 8, (sockets - kept) * 6 / 10);
         unsent = config.memory_mb * 1024 * 1024 / 8;
         workers = sockets - clients - kept;
         calls.bytes = config.memory_mb * 1024 * 1024 / 3;
@@ -76,6 +85,7 @@
             std::max(1, config.site.max_open > 0 ? std::min(config.site.max_open, most_calls) : most_calls);
     }
     static constexpr std::size_t least_sockets = 120;
+    static constexpr std::size_t least_given = 48;
     static constexpr std::size_t for_the_rest = 24;
     static constexpr int most_calls = 4096;
     std::size_t clients = 0;
@@ -84,12 +94,15 @@
     core::Gateway::Limits calls;
 };
 
-// A hangup ends a program that does not handle it: before the handler is there and once it is gone, it waits.
-void hold_back_hangups(bool hold) {
-    sigset_t hangup;
-    sigemptyset(&hangup);
-    sigaddset(&hangup, SIGHUP);
-    sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &hangup, nullptr);
+constexpr std::array<int, 4> handled{SIGTERM, SIGINT, SIGHUP, SIGUSR1};
+
+// A signal ends a program that does not handle it, and what it has taken with it: before the handlers are
+// there, but behind the first client, and once they are gone, it waits.
+void hold_back_signals(bool hold) {
+    sigset_t all;
+    sigemptyset(&all);
+    for (const int one : handled) sigaddset(&all, one);
+    sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &all, nullptr);
 }
 
 class Program {
@@ -152,6 +165,7 @@
         if (const int error = upgrade_.take_over() ? acceptor_.start() : listen(address); error < 0) {
             throw std::runtime_error("cannot listen on " + config.listen + ": " + uv_strerror(error));
         }
+        gateway::reach_point();
         for (std::size_t i = 0; i < signals_.size(); ++i) {
             uv_signal_init(loop_.uv(), &signals_[i]);
             signals_[i].data = this;
@@ -166,7 +180,7 @@
         has_signals_ = true;
         upgrade_.ready();
         desk_.set_up();
-        hold_back_hangups(false);
+        hold_back_signals(false);
     }
 
     // Guards an upgrade from a program that neither hands its socket over nor shares its address: it is given
@@ -224,15 +238,13 @@
         counter_.close();
         registry_.close();
         if (operators_) operators_->close();  // behind the last answers, which count
-        hold_back_hangups(true);
+        hold_back_signals(true);
         for (uv_signal_t& signal : signals_) {
             if (has_signals_) uv_close(reinterpret_cast<uv_handle_t*>(&signal), nullptr);
         }
         loop_.drain();
     }
 
-    static constexpr std::array<int, 4> handled{SIGTERM, SIGINT, SIGHUP, SIGUSR1};
-
     gateway::Config file_;  // as read last, without the environment
     net::Loop loop_;
     Shares shares_;
@@ -254,7 +266,7 @@
 constexpr const char* version = LINNETLEAD_VERSION;
 
 int serve(const std::string& operators) {
-    hold_back_hangups(true);
+    hold_back_signals(true);
     const gateway::Config file = gateway::load_file();
     gateway::Config config = file;
     gateway::override_by_environment(config);
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -1,5 +1,6 @@
 #include "acceptor.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -21,6 +22,14 @@
 constexpr std::size_t most_unsent = 1024 * 1024;  // it does not read: it is given up
 constexpr core::Span farewell = std::chrono::seconds(1);
 constexpr core::Span look_over_every = std::chrono::milliseconds(200);
+// Of a client that is not read, while its calls wait: nothing may be begun for it 0.1 s after its end.
+constexpr core::Span look_at_unread_every = std::chrono::milliseconds(30);
+// A command that has not gone on for so long is one that a crowd has left half way.
+constexpr core::Span stops_after = std::chrono::milliseconds(500);
+// Who comes in a burst is let in when those before have been read, and may go. Longer, a call could be late.
+constexpr core::Span held_for = std::chrono::milliseconds(100);
+constexpr core::Span hold_step = std::chrono::milliseconds(4);
+constexpr std::size_t parting_part = 16;  // of the clients: those that are asked to go, to make room in time
 constexpr core::Span patience = std::chrono::milliseconds(2100);  // with one that does not ask
 // With one whose command is not whole: slow ones take 2 s, and others are told within 3 s of connecting.
 constexpr core::Span patience_half = std::chrono::milliseconds(2600);
@@ -53,10 +62,10 @@
         Entry& entry = entries_[static_cast<std::size_t>(number - first_)];
         entry.call = {};
         entry.done = true;
-        // Cut short: the client can tell by the end of its connection alone.
+        // Cut short: the client can tell by the end of its connection alone, and has the answers before it.
         if (answer.passed && answer.verdict != Verdict::served) {
             withdraw_all();
-            return close();
+            return leave();
         }
         if (number == first_) {
             write_answer(to_write(), answer);
@@ -93,18 +102,16 @@
     }
     // Closing at once could destroy answers that the client has not read yet, where bytes of its are unread.
     void leave() {
-        if (finishing()) return;
+        if (finishing() || closing()) return;
         finish();
-        loop().arm(loop().now() + farewell, [&clients = acceptor_.clients_, me = self] {
-            if (Client* client = clients.find(me)) client->close();
-        });
+        see_off();
     }
     bool waits() const { return !entries_.empty() || unsent() > 0; }
     // Guards against a close that crosses a call: a command that has begun to come is waited for.
     void go_if_idle() {
         if (closing() || finishing() || passing_ || waits() || half_since_ != Time{}) return;
         if (acceptor_.pass_) return pass();
-        if (acceptor_.retiring_ && is_quiet()) leave();
+        if (acceptor_.retiring_ && (turned_away_ || is_quiet())) leave();
     }
     void stay() {
         if (std::exchange(passing_, false)) read_more(true);
@@ -122,19 +129,27 @@
             leave();
         } else if (acceptor_.retiring_ || acceptor_.pass_) {
             go_if_idle();
-        } else if (now - used > patience && (!asked || crowded)) {
-            close();
+        } else if (now - used > patience && (!asked || crowded) && is_quiet()) {
+            leave();
         }
     }
     // Who gives way first where there is no room: lowest.
-    std::tuple<int, bool, Time> claim() const {
-        // A crowd stops half way after one piece; a slow client goes on, and its call would be lost.
-        constexpr int silent = 0, stopped = 1, slow = 2, idle = 3;
-        if (finishing()) return {silent, false, used};
-        if (half_since_ != Time{}) return {pieces_ > 1 ? slow : stopped, unsent() > 0, heard_};
+    std::tuple<int, bool, Time> claim(Time now) const {
+        // A crowd stops half way after one piece; a slow client goes on, and its call would be lost. One that
+        // is idle loses nothing: it comes again.
+        constexpr int silent = 0, stopped = 1, idle = 2, begun = 3;
+        if (finishing()) return {silent, unsent() > 0, used};
+        if (half_since_ != Time{}) {
+            const bool stops = pieces_ <= 1 && now - heard_ > stops_after;
+            return {stops ? stopped : begun, unsent() > 0, heard_};
+        }
         return {asked ? idle : silent, unsent() > 0, used};
     }
-    bool may_give_way() const { return !closing() && !passing_ && entries_.empty(); }
+    // Not one whose next call lies there unread, which would be lost.
+    bool may_give_way() const {
+        if (closing() || passing_ || !entries_.empty()) return false;
+        return finishing() || half_since_ != Time{} || is_quiet();
+    }
 
     void withdraw_all() {
         drop_body();
@@ -184,6 +199,7 @@
             }
             if (entries_.size() >= most_pipelined || unsent() > much_unsent) {
                 read_more(false);  // goes on in on_written()
+                acceptor_.watch_unread(self);
                 break;
             }
             resp::Message& message = acceptor_.message_;
@@ -293,6 +309,11 @@
     void take(core::Call call) {
         asked = true;
         used = loop().now();
+        turned_away_ = acceptor_.retiring_ && (turned_away_ || !entries_.empty());
+        if (turned_away_) {
+            acceptor_.gateway_.turned_away(call.request.cls);
+            return reply("-BUSY\r\n");
+        }
         const std::uint64_t number = first_ + entries_.size();
         entries_.emplace_back();
         const Handle handle = acceptor_.gateway_.take(std::move(call), acceptor_, {self.packed(), number});
@@ -333,6 +354,15 @@
         if (last_ && entries_.empty()) leave();
     }
 
+    // Of one that is asked to go: it may take the time it needs to read what it is owed, as long as it does.
+    void see_off() {
+        loop().arm(loop().now() + farewell, [&clients = acceptor_.clients_, me = self, left = unsent()] {
+            Client* const client = clients.find(me);
+            if (!client || client->closing()) return;
+            client->unsent() < left ? client->see_off() : client->close();
+        });
+    }
+
     void on_written() override {
         note_unsent();
         if (!entries_.empty() && entries_.front().passing) acceptor_.gateway_.go_on(entries_.front().call);
@@ -355,11 +385,12 @@
     std::deque<Entry> entries_;  // commands without an answer, in their order
     std::uint64_t first_ = 0;    // number of the first of them
     std::size_t noted_unsent_ = 0;
-    Time heard_{};          // when bytes came last
-    int pieces_ = 0;        // in which the command that is not whole yet has come so far
-    Time half_since_{};     // when the command that is not whole yet began
-    bool passing_ = false;  // to another process
-    bool last_ = false;     // no command is read any more
+    Time heard_{};              // when bytes came last
+    int pieces_ = 0;            // in which the command that is not whole yet has come so far
+    Time half_since_{};         // when the command that is not whole yet began
+    bool passing_ = false;      // to another process
+    bool turned_away_ = false;  // a call, since it is to go: so are all that follow
+    bool last_ = false;         // no command is read any more
 };
 
 Acceptor::Acceptor(Loop& loop, core::Gateway& gateway, const topazcrank::Settings& settings, Limits limits)
@@ -389,6 +420,7 @@
 void Acceptor::pass_on(Pass pass) {
     pass_ = std::move(pass);
     if (pass_) {
+        end_hold();
         listener_.pause();
         clients_.for_each([](Handle, Client& client) { client.go_if_idle(); });
     } else {
@@ -397,29 +429,73 @@
     }
 }
 
-void Acceptor::take_in(uv_stream_t* from, bool asked) { on_connection(from, 0, asked); }
+void Acceptor::take_in(uv_stream_t* from, bool asked) {
+    let_in(asked, make_room(), [from](Client& client) { return client.accept(from); });
+}
 
-void Acceptor::on_connection(uv_stream_t* listener, int status, bool asked) {
+// One that is not accepted here stays with libuv, which brings no other before it.
+void Acceptor::on_connection(uv_stream_t* listener, int status) {
     if (status < 0) return;  // out of descriptors: libuv has refused it
+    const Time now = loop_.now();
     const bool room = make_room();
+    if (room) hold_until_ = {};
+    if (!room && hold_until_ == Time{}) hold_until_ = now + held_for;
+    if (!room && now < hold_until_) {
+        hold_ = loop_.arm(now + hold_step, [this] {
+            hold_ = {};
+            on_connection(listener_.stream(), 0);
+        });
+        return;
+    }
+    let_in(false, room, [listener](Client& client) { return client.accept(listener); });
+}
+
+// Before the listener goes: one that is held would go with it.
+void Acceptor::end_hold() {
+    if (!hold_) return;
+    loop_.disarm(std::exchange(hold_, {}));
+    let_in(false, make_room(), [this](Client& client) { return client.accept(listener_.stream()); });
+}
+
+template <typename Connect>
+void Acceptor::let_in(bool asked, bool room, Connect connect) {
     const Handle handle = clients_.add(loop_, *this);
     Client& client = *clients_.find(handle);
     client.self = handle;
     client.used = loop_.now();
     client.asked = asked;
-    if (client.accept(listener) != 0 || !room) client.close();
+    if (connect(client) != 0 || !room) client.close();
 }
 
 // At the limit one that waits for nothing gives way: one that never asked, before the one idle longest, which
-// comes again when it needs to.
+// comes again when it needs to. Shortly before it, one is asked to go, which costs no call that is on its
+// way.
 bool Acceptor::make_room() {
-    if (clients_.size() < most_clients_) return true;
+    const bool full = clients_.size() >= most_clients_;
+    if (clients_.size() < most_clients_ - most_clients_ / parting_part) return true;
+    const Time now = loop_.now();
     Client* least = nullptr;
     clients_.for_each([&](Handle, Client& client) {
-        if (client.may_give_way() && (!least || client.claim() < least->claim())) least = &client;
+        if (least && client.claim(now) >= least->claim(now)) return;
+        if ((full || !client.finishing()) && client.may_give_way()) least = &client;
     });
-    if (least) least->close();
-    return least != nullptr;
+    if (least) full ? least->close() : least->leave();
+    return least || !full;
+}
+
+void Acceptor::watch_unread(Handle client) {
+    if (std::find(unread_.begin(), unread_.end(), client) != unread_.end()) return;
+    unread_.push_back(client);
+    if (unread_.size() > 1) return;
+    look_at_unread_ = loop_.arm(loop_.now() + look_at_unread_every, [this] { look_at_unread(); });
+}
+
+void Acceptor::look_at_unread() {
+    for (const Handle handle : std::exchange(unread_, {})) {
+        Client* const client = clients_.find(handle);
+        if (!client || client->closing() || client->reads() || client->end_if_ended()) continue;
+        watch_unread(handle);
+    }
 }
 
 void Acceptor::look_over() {
@@ -444,7 +520,15 @@
     return client && !client->closing() && client->pass_value(ticket.number, piece);
 }
 
-void Acceptor::stop_listening() { listener_.close(); }
+// Whoever has connected by then is let in: those whom the system still holds would be reset with the
+// listener.
+void Acceptor::stop_listening() {
+    end_hold();
+    listener_.take_backlog([this](uv_os_sock_t connected) {
+        let_in(false, make_room(), [connected](Client& client) { return client.open(connected); });
+    });
+    listener_.close();
+}
 
 void Acceptor::retire(bool on) {
     retiring_ = on;
@@ -453,8 +537,10 @@
 }
 
 void Acceptor::close() {
-    stop_listening();
+    end_hold();
+    listener_.close();
     loop_.disarm(look_over_);
+    loop_.disarm(look_at_unread_);
     clients_.for_each([](Handle, Client& client) {
         client.withdraw_all();
         client.close();
--- a/src/net/acceptor.h
+++ b/src/net/acceptor.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/gateway.h"
 #include "listener.h"
@@ -26,8 +27,11 @@
     int listen(const sockaddr_storage& address);
     int port() const { return listener_.port(); }
     void stop_listening();
-    // Closes the connections that wait for no answer, and the others once they have theirs; false: no more.
+    // Ends the connections that wait for no answer, and the others once they have theirs; what comes behind
+    // an open call is turned away, or a client that always has one would stay. False: no more.
     void retire(bool on);
+    // Once retired, at the very end: every open call gets its answer.
+    void answer_all() { gateway_.answer_all(); }
     // To hand over to another process; null: does not listen.
     uv_stream_t* listening() const { return listener_.stream(); }
     // The listening socket of another process, which accepts until start().
@@ -52,9 +56,14 @@
 private:
     class Client;
 
-    void on_connection(uv_stream_t* listener, int status, bool asked = false);
+    void on_connection(uv_stream_t* listener, int status);
+    void end_hold();
+    template <typename Connect>
+    void let_in(bool asked, bool room, Connect connect);
     bool make_room();
     void look_over();
+    void watch_unread(core::Handle client);
+    void look_at_unread();
 
     Loop& loop_;
     core::Gateway& gateway_;
@@ -65,6 +74,10 @@
     std::size_t unsent_ = 0;
     Listener listener_;
     core::Handle look_over_;
+    core::Handle look_at_unread_;
+    core::Handle hold_;                 // one that has come is not accepted until there is room, for a while
+    core::Time hold_until_{};           // of those that come now; 0: there was room
+    std::vector<core::Handle> unread_;  // clients from which nothing is read for now
     core::Slots<Client> clients_;
     resp::Message message_;  // of the command being read
     Pass pass_;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace linnetlead::net {
@@ -68,6 +69,19 @@
     return error;
 }
 
+void Listener::take_backlog(const std::function<void(uv_os_sock_t)>& take) {
+    uv_os_fd_t fd = -1;
+    if (!tcp_ || uv_fileno(reinterpret_cast<uv_handle_t*>(tcp_), &fd) != 0) return;
+    for (int left = backlog; left > 0; --left) {
+        const int one = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (one >= 0) {
+            take(one);
+        } else if (errno != EINTR && errno != ECONNABORTED) {
+            return;
+        }
+    }
+}
+
 void Listener::close() {
     if (paused_ >= 0) ::close(std::exchange(paused_, -1));
     if (!tcp_) return;
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -27,6 +27,8 @@
     int resume();
     // To be handed over; null: closed or paused.
     uv_stream_t* stream() const { return reinterpret_cast<uv_stream_t*>(tcp_); }
+    // Hands over, as sockets, the connections that the system has taken and this has not accepted yet.
+    void take_backlog(const std::function<void(uv_os_sock_t)>& take);
     void close();
     int port() const;
 
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-constexpr Span longest_answer = 2s;  // from its first byte to its last
-constexpr Span retry_after = 80ms;   // a watch goes on if the next call comes within 200 ms
+// From an answer's first byte to its last.
+constexpr Span longest_whole = 2s;
+constexpr Span longest_news = 500ms;
+constexpr Span retry_after = 80ms;  // a watch goes on if the next call comes within 200 ms
 
 }  // namespace
 
@@ -29,19 +31,19 @@
     }
     void ask() {
         to_write().append(watch_.request());
-        const Span within = watch_.pace_.answer + (watch_.wants_whole() ? Span{0} : watch_.pace_.wait);
-        whole_by_ = loop().now() + within + longest_answer;
+        const bool whole = watch_.wants_whole();
+        const Span within = watch_.pace_.answer + (whole ? Span{0} : watch_.pace_.wait);
+        whole_by_ = loop().now() + within + (whole ? longest_whole : longest_news);
         arm(within);
     }
     void give_up() {
         close();
         watch_.connect_later();
     }
-    // News may have been missed, and may still be missed by a watch that goes on from here.
     void fall_silent() {
-        watch_.doubtful_ = true;
         close();
         if (watch_.pace_.after_silence > Span{0}) return watch_.connect_later();
+        watch_.doubtful_ = true;
         watch_.connect();
     }
 
@@ -135,6 +137,7 @@
 
 void RegistryWatch::connect_later() {
     loop_.disarm(retry_);
+    doubtful_ = true;  // news may have been missed, and may be by a watch that goes on from here
     // Guards a registry that comes back, or refuses, against all gateways at once and in step: the first
     // pause keeps the watch, further ones double and are spread.
     const int doubled = std::min(failures_++, 4);
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -1,6 +1,17 @@
-// Watches the registry: one HTTP connection to discovery, always with a call that waits for news. One that is
-// silent is a broken one: what it should have told is asked for anew, whole and without a wait, until it is
-// here.
+// Watches the registry: one HTTP connection to discovery, always with a call that waits for news. After any
+// call that brought no list (silent, refused, broken, moved, no list, given up) the whole list is asked for,
+// without a wait, until it is here: a change binds 6 s after discovery had it and could be reached.
+//
+// Longest from a change to its being asked for by a call that is answered at once, while discovery is reached
+// again as soon as the call at hand has failed. In seconds; the answer's own time, 1 at most, comes on top.
+//
+//   the call at hand                       asked for             pushed
+//   falls silent                           3 + 1 + 0.08          1 + 0.25
+//   drips its answer                       3 + 1 + 0.5 + 0.08    1 + 0.25 + 0.5
+//   is reset, answered with nonsense, 5xx  0.08                  0.08
+//   is refused, again and again            1                     0.16
+//   never comes up                         1 + 1                 0.25
+//   whole list that drips                  1 + 2 + 0.08          0.25 + 2
 #pragma once
 
 #include <cstdint>
@@ -25,7 +36,7 @@
     // counts as told however the watch stands; else every call costs the registry.
     static constexpr Pace pushed{std::chrono::seconds(1), std::chrono::milliseconds(250), core::Span{0},
                                  std::chrono::milliseconds(160)};
-    static constexpr Pace asked{std::chrono::seconds(20), std::chrono::seconds(1),
+    static constexpr Pace asked{std::chrono::seconds(3), std::chrono::seconds(1),
                                 std::chrono::milliseconds(80), std::chrono::seconds(1)};
 
     // Goes on from the version that is known; below 0: from none.
@@ -58,7 +69,7 @@
     core::Slots<Connection> connections_;
     core::Handle retry_;
     Pace pace_;
-    bool doubtful_;     // since the start, a silence
+    bool doubtful_;     // since the start, or the last call that brought no list
     int failures_ = 0;  // in a row
     std::mt19937_64 random_;
     bool closed_ = false;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,6 +1,8 @@
 #include "stream.h"
 
+#include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <cstdio>
@@ -67,6 +69,12 @@
     return error;
 }
 
+int Stream::open(uv_os_sock_t connected) {
+    const int error = uv_tcp_open(&tcp_, connected);
+    error == 0 ? start() : static_cast<void>(::close(connected));
+    return error;
+}
+
 void Stream::start() {
     open_ = true;
     uv_tcp_nodelay(&tcp_, 1);
@@ -95,7 +103,7 @@
 
 void Stream::received(ssize_t size, const char* data) {
     if (size == 0) return;  // nothing there after all
-    if (size < 0) return broken(static_cast<int>(size));
+    if (size < 0) return broken(size == UV_EOF && is_reset() ? UV_ECONNRESET : static_cast<int>(size));
     if (static_cast<std::size_t>(size) == loop_.scratch().len) {
         // Guards the other connections against a peer at full speed: one buffer a turn.
         uv_read_stop(reinterpret_cast<uv_stream_t*>(&tcp_));
@@ -181,6 +189,23 @@
            recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Stream::is_reset() const {
+    uv_os_fd_t fd = -1;
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+           getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0;
+}
+
+bool Stream::end_if_ended() {
+    uv_os_fd_t fd = -1;
+    if (closing_ || uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) != 0) return false;
+    pollfd state{fd, POLLRDHUP, 0};
+    if (poll(&state, 1, 0) < 1 || (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0) return false;
+    guarded([this] { broken(UV_EOF); });
+    return true;
+}
+
 void Stream::finish() {
     if (finishing_ || closing_) return;
     finishing_ = true;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -20,6 +20,7 @@
     // Errors are libuv's: 0 or below. A connect that fails later ends in on_end().
     int connect(const sockaddr_storage& to);
     int accept(uv_stream_t* listener);
+    int open(uv_os_sock_t connected);  // which is this one's from now on
     // To be handed to another process while nothing is read or written.
     uv_stream_t* handle() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
 
@@ -31,6 +32,10 @@
     // Nothing has come that is not read yet, and the peer has not ended.
     bool is_quiet() const;
     void read_more(bool wanted);
+    bool reads() const { return reading_; }
+    // While nothing is read, the end is not seen: whether it has come, behind whatever lies unread. If so, it
+    // is taken as read.
+    bool end_if_ended();
     // Offers once more what on_bytes() has left. Not from within on_bytes().
     void take_rest();
     // At once, unsent bytes lost. on_released() follows when libuv has let go; nothing else does.
@@ -53,6 +58,8 @@
     virtual void on_released() = 0;  // the object may be destroyed
 
     void start();
+    // libuv tells a reset that comes with the last bytes as an end.
+    bool is_reset() const;
     void start_reading();
     template <typename Act>
     void guarded(Act act);
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -32,10 +32,11 @@
         : Stream(loop), worker(std::move(id)), pool_(pool) {}
 
     // What is to be done on the connection: a call, or without a payload a probe.
-    void begin(Handle call, const core::Payload* payload, Time until) {
+    void begin(Handle call, const core::Payload* payload, const Limits& limits) {
         call_ = call;
         payload_ = payload;
-        until_ = until;
+        until_ = limits.until;
+        write_by_ = limits.write_by;
         busy_ = true;
         answering_ = counted_ = false;
         reused_ = connected_;
@@ -45,7 +46,7 @@
         begun_ = loop().now();
         loop().disarm(timer_);
         if (connected_) return write();
-        arm(std::min(until, loop().now() + pool_.limits_.connect_timeout));
+        arm(std::min({until_, write_by_, loop().now() + pool_.bounds_.connect_timeout}));
     }
 
     // Ends the attempt that is out. A reusable connection rests until the next; any other is closed, which is
@@ -69,6 +70,8 @@
     bool busy() const { return busy_; }
     Time rests_since() const { return rests_since_; }
     bool unsent_call() const { return busy_ && stage() < Stage::written; }
+    // Whether its client's leaving leaves it without a purpose.
+    bool only_for_client() const { return unsent_call() || (busy_ && payload_ && part_ == Part::value); }
     void go_on() {
         if (part_ != Part::value) return;
         arm(loop().now() + stalls_for);
@@ -86,7 +89,7 @@
     }
 
     void write() {
-        arm(until_);
+        arm(std::min(until_, write_by_));
         std::string& out = to_write();
         if (payload_) {
             body_left_ = resp::write_call(out, *payload_, until_ - loop().now());
@@ -113,7 +116,7 @@
         rests_since_ = loop().now();
         place_ = pool_.resting_.insert(pool_.resting_.end(), self);
         resting_ = true;
-        arm(rests_since_ + pool_.limits_.idle * 8 / 10);
+        arm(rests_since_ + pool_.bounds_.idle * 8 / 10);
         pool_.workers_.at(worker).idle.push_back(self);
     }
 
@@ -134,7 +137,9 @@
             body_left_.remove_prefix(std::min(body_left_.size(), resp::most_bulk));
             return;
         }
-        if (busy_ && payload_ && connected_ && !std::exchange(counted_, true)) ++pool_.tries_;
+        if (!busy_ || !payload_ || !connected_) return;
+        if (std::exchange(write_by_, Time::max()) < until_ && part_ == Part::head) arm(until_);
+        if (!std::exchange(counted_, true)) ++pool_.tries_;
     }
 
     std::size_t on_bytes(std::string_view bytes) override {
@@ -242,7 +247,7 @@
     }
 
     void on_end(int) override {
-        const bool at_once = loop().now() - begun_ < pool_.limits_.connect_timeout / 10;
+        const bool at_once = loop().now() - begun_ < pool_.bounds_.connect_timeout / 10;
         if (busy_ && reused_ && !answering_ && at_once) pool_.note_reuse(begun_ - rests_since_, false);
         if (busy_) end(part_ == Part::tail ? tail_ : AttemptEnd{});
     }
@@ -271,6 +276,7 @@
     AttemptEnd tail_;                         // of a long value: what has been read behind it
     int tail_items_ = 0;
     Time until_{};
+    Time write_by_{};
     Time rests_since_{};
     Time begun_{};
     Handle timer_;
@@ -283,8 +289,8 @@
     bool reused_ = false;
 };
 
-WorkerPool::WorkerPool(Loop& loop, core::Gateway& gateway, Limits limits)
-    : loop_(loop), gateway_(gateway), limits_(limits), reuse_within_(limits.idle) {}
+WorkerPool::WorkerPool(Loop& loop, core::Gateway& gateway, Bounds bounds)
+    : loop_(loop), gateway_(gateway), bounds_(bounds), reuse_within_(bounds.idle) {}
 WorkerPool::~WorkerPool() = default;
 
 void WorkerPool::close() {
@@ -297,7 +303,7 @@
 }
 
 void WorkerPool::limit(std::size_t connections) {
-    limits_.connections = connections;
+    bounds_.connections = connections;
     limit_resting(connections);
 }
 
@@ -312,13 +318,14 @@
     }
 }
 
-Handle WorkerPool::start(Handle call, const WorkerId& worker, const core::Payload& payload, Time until) {
+Handle WorkerPool::start(Handle call, const WorkerId& worker, const core::Payload& payload,
+                         const Limits& limits) {
     Connection* connection = connection_to(worker);
     if (!connection) {
         gateway_.attempt_ended(call, {});
         return {};
     }
-    connection->begin(call, &payload, until);
+    connection->begin(call, &payload, limits);
     return connection->self;
 }
 
@@ -328,6 +335,11 @@
         connection->end({Stage::unconnected, Ending::given_up, {}, 0, {}, {}});
 }
 
+void WorkerPool::client_gone(Handle attempt) {
+    const Connection* connection = connections_.find(attempt);
+    if (connection && connection->only_for_client()) give_up(attempt);
+}
+
 void WorkerPool::go_on(Handle attempt) {
     Connection* connection = connections_.find(attempt);
     if (connection && connection->busy()) connection->go_on();
@@ -335,7 +347,7 @@
 
 void WorkerPool::probe(const WorkerId& worker) {
     if (Connection* connection = connection_to(worker)) {
-        connection->begin({}, nullptr, loop_.now() + probe_timeout);
+        connection->begin({}, nullptr, {loop_.now() + probe_timeout, Time::max()});
     } else {
         gateway_.probed(worker, Outcome::connect_failed, {});
     }
@@ -376,11 +388,11 @@
 void WorkerPool::note_reuse(Span rested, bool good) {
     constexpr int slowly = 400;
     const Span wanted = good ? reuse_within_ + reuse_within_ / slowly : std::min(reuse_within_, rested) / 2;
-    reuse_within_ = std::clamp(wanted, time_to_rest, limits_.idle);
+    reuse_within_ = std::clamp(wanted, time_to_rest, bounds_.idle);
 }
 
 bool WorkerPool::make_room() {
-    if (connections_.size() < limits_.connections) return true;
+    if (connections_.size() < bounds_.connections) return true;
     for (const Handle resting : resting_) {
         Connection* const longest = connections_.find(resting);
         if (!longest || longest->closing()) continue;  // on its way out already
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -14,18 +14,19 @@
 
 class WorkerPool final : public core::Workers {
 public:
-    struct Limits {
+    struct Bounds {
         std::size_t connections = 256;
         core::Span connect_timeout = std::chrono::milliseconds(250);
         core::Span idle = std::chrono::seconds(30);  // a worker closes an idle connection after this
     };
-    WorkerPool(Loop& loop, core::Gateway& gateway, Limits limits);
+    WorkerPool(Loop& loop, core::Gateway& gateway, Bounds bounds);
     ~WorkerPool() override;
     void close();
 
     core::Handle start(core::Handle call, const core::WorkerId& worker, const core::Payload& payload,
-                       core::Time until) override;
+                       const Limits& limits) override;
     void give_up(core::Handle attempt) override;
+    void client_gone(core::Handle attempt) override;
     void go_on(core::Handle attempt) override;
     void probe(const core::WorkerId& worker) override;
     void told(const std::vector<core::Listed>& entries, bool whole) override;
@@ -62,7 +63,7 @@
 
     Loop& loop_;
     core::Gateway& gateway_;
-    Limits limits_;
+    Bounds bounds_;
     std::unordered_map<core::WorkerId, Worker> workers_;
     // Who has been listed at an address: one, but for a while where another has taken it over.
     std::unordered_map<std::string, std::vector<core::WorkerId>> at_address_;
--- a/standin/peer.cpp
+++ b/standin/peer.cpp
@@ -40,6 +40,14 @@
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
 }
 
+void Peer::reset() {
+    const linger at_once{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    close();
+}
+
+void Peer::shut() { ::shutdown(fd_, SHUT_WR); }
+
 void Peer::write(std::string_view text) {
     must(::send(fd_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()), "send");
 }
@@ -89,6 +97,20 @@
     return Peer(fd);
 }
 
+std::uint16_t free_port() {
+    constexpr std::uint32_t first = 15000, many = 15000;
+    static std::uint32_t tries = 0;
+    for (;;) {
+        const std::uint32_t spread = static_cast<std::uint32_t>(getpid()) * 2654435761U + ++tries * 40503U;
+        const auto port = static_cast<std::uint16_t>(first + (spread >> 8) % many);
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(port);
+        const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+        ::close(fd);
+        if (free) return port;
+    }
+}
+
 std::string temporary_path(const std::string& name) {
     static int number = 0;
     const char* folder = std::getenv("TMPDIR");
@@ -180,6 +202,13 @@
     }
 }
 
+bool Process::is_stopped() const {
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string number, name, state;
+    stat >> number >> name >> state;
+    return state == "T";
+}
+
 long Process::resident_kib() const {
     std::ifstream status("/proc/" + std::to_string(pid) + "/status");
     for (std::string line; std::getline(status, line);) {
--- a/standin/peer.h
+++ b/standin/peer.h
@@ -21,6 +21,8 @@
         : got(std::move(other.got)), ended(other.ended), fd_(std::exchange(other.fd_, -1)) {}
     ~Peer() { close(); }
     void close();
+    void reset();                       // closes so that the other end is told of a break
+    void shut();                        // ends its sending alone
     void write(std::string_view text);  // throws where the kernel does not take all of it
     std::size_t write_some(std::string_view text);
     const std::string& read();
@@ -53,6 +55,10 @@
 
 Peer connect_to(std::uint16_t port);
 
+// For a program that is to listen there later, and for nobody else: below those that the system hands out by
+// itself, or another test's connection could have it by then.
+std::uint16_t free_port();
+
 // A gateway, started with a configuration in a file of its own; what it writes to standard error comes by
 // line(). Killed at the end.
 class Process {
@@ -72,6 +78,7 @@
     int exit_code();  // waits for the end; -1: by a signal
     void reload(const std::string& config);
     void signal(int number);
+    bool is_stopped() const;
     // Waits for the line that names the port.
     std::uint16_t listening();
     // Of memory, in KiB, and of processor time, in seconds, so far.
--- a/standin/town.cpp
+++ b/standin/town.cpp
@@ -650,7 +650,7 @@
 
 void Town::start() {
     for (int i = 0; i < settings_.gateways; ++i) {
-        const auto free_address = [] { return Listener().address(); };
+        const auto free_address = [] { return "127.0.0.1:" + std::to_string(free_port()); };
         Gateway& gateway = gateways_[static_cast<std::size_t>(i)];
         gateway.address = settings_.second_address ? free_address() : "127.0.0.1:0";
         if (settings_.second_address) gateway.mgmt = free_address();
@@ -683,7 +683,7 @@
 bool Town::upgrade(int number) {
     Gateway& gateway = gateways_[static_cast<std::size_t>(number)];
     std::unique_ptr<Process> old = std::move(gateway.process);
-    gateway.mgmt = Listener().address();
+    gateway.mgmt = "127.0.0.1:" + std::to_string(free_port());
     start_again(number);
     Peer caller = connect_to(second_address(number));
     caller.write("GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/standin/world.cpp
+++ b/standin/world.cpp
@@ -118,7 +118,8 @@
     void disarm(Handle timer) override { world_.clock_.disarm(timer); }
 
     // Workers.
-    Handle start(Handle call, const WorkerId& id, const core::Payload& payload, Time until) override {
+    Handle start(Handle call, const WorkerId& id, const core::Payload& payload,
+                 const core::Workers::Limits& limits) override {
         const auto at = wanted_.find(id);
         if (at == wanted_.end() || !at->second) {
             ++world_.tally.sent_to_unwanted;
@@ -151,11 +152,13 @@
             attempts_.find(attempt)->answer =
                 arm(told.at + way + skew_, [this, attempt, ending = told.ending] { end(attempt, ending); });
         }
-        attempts_.find(attempt)->timeout = arm(until, [this, attempt] { end(attempt, Ending::timed_out); });
+        attempts_.find(attempt)->timeout =
+            arm(limits.until, [this, attempt] { end(attempt, Ending::timed_out); });
         return attempt;
     }
     void give_up(Handle attempt) override { end(attempt, Ending::given_up); }
-    void go_on(Handle) override {}  // values are short here
+    void client_gone(Handle) override {}  // what is sent is whole at once
+    void go_on(Handle) override {}        // values are short here
     void probe(const WorkerId& id) override {
         arm(now() + 2 * way, [this, id] { gateway_.probed(id, topazcrank::Outcome::ok, {}); });
     }
--- /dev/null
+++ b/tests/close_range_test.cpp
@@ -0,0 +1,539 @@
+// Events that cross: a close, a reset, a signal or a byte between two steps of the gateway's. Each crossing
+// is forced by a peer that holds its part until told, or by a point at which the program stops.
+#include <sys/resource.h>
+
+#include <csignal>
+
+#include "gateway/drain.h"
+#include "net/registry_watch.h"
+#include "rig.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace tests;
+using std::chrono::steady_clock;
+
+const std::string ping = "*1\r\n$4\r\nPING\r\n";
+
+// A worker to which connections neither come up nor fail, until it accepts: its backlog is full.
+struct Unreachable {
+    Unreachable() {
+        for (int i = 0; i < 2; ++i) fillers.push_back(connect_to(listener.port()));
+        usleep(20000);  // the kernel takes both before any connection of the gateway's
+    }
+    // What it hears until `end`, when connections have come up late.
+    std::string hears_until(Rig& rig, steady_clock::time_point end) {
+        std::vector<std::unique_ptr<Peer>> taken;
+        std::string heard;
+        while (steady_clock::now() < end) {
+            rig.loop.turn();
+            if (auto peer = listener.accept()) taken.push_back(std::move(peer));
+            usleep(500);
+        }
+        for (auto& peer : taken) heard += peer->read();
+        return heard;
+    }
+    Listener listener{0};
+    std::vector<Peer> fillers;
+};
+constexpr auto syn_again = 1500ms;  // by then the kernel has asked for a connection once more
+
+// ---- Clients that leave ---------------------------------------------------------------------------------
+
+enum class Leaving { close, reset, half_close };
+
+class ClientsThatLeave : public testing::TestWithParam<Leaving> {
+protected:
+    static void leave(Peer& client) {
+        if (GetParam() == Leaving::close) client.close();
+        if (GetParam() == Leaving::reset) client.reset();
+        if (GetParam() == Leaving::half_close) client.shut();
+    }
+    static settings::Site patient() {
+        settings::Site with = site();
+        with.connect_timeout = 60s;
+        for (auto& cls : with.settings.classes) cls.aim = cls.deadline = 60s;
+        return with;
+    }
+};
+
+TEST_P(ClientsThatLeave, AnAttemptWhoseConnectionComesUpLaterCarriesNothing) {
+    Rig rig(patient());
+    Unreachable worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.listener.address())});
+    Peer client = rig.client();
+    client.write(call("read", 60000));
+    ASSERT_TRUE(rig.until([&] { return rig.pool.connections() == 1; }));
+    leave(client);
+    EXPECT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 0 && rig.pool.connections() == 0; }));
+    EXPECT_EQ(worker.hears_until(rig, steady_clock::now() + syn_again), "");
+}
+
+TEST_P(ClientsThatLeave, ACallWhoseLastByteHasNotLeftIsDropped) {
+    Rig rig(patient());
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    // Over what the kernel takes while the worker reads nothing.
+    const std::string command = call("hold", 60000, std::string(3900 * 1024, 'x'));
+    std::size_t written = 0;
+    std::unique_ptr<Peer> peer;
+    ASSERT_TRUE(rig.until([&] {
+        written += client.write_some(std::string_view(command).substr(written));
+        return written == command.size() && (peer || (peer = worker.accept()));
+    }));
+    rig.loop.turn();
+    ASSERT_EQ(rig.pool.tries(), 0u) << "the kernel has taken all of it";
+    leave(client);
+    EXPECT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 0; }));
+    EXPECT_TRUE(rig.until([&] { return peer->is_over(); }));
+    EXPECT_LT(peer->got.size(), command.size()) << "a worker that has all of it begins";
+    EXPECT_EQ(rig.pool.tries(), 0u);
+}
+
+TEST_P(ClientsThatLeave, ACallThatAWorkerMayBeAtGoesOn) {
+    Rig rig(patient());
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("read", 60000));
+    auto peer = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=read"); }));
+    leave(client);
+    ASSERT_TRUE(rig.until([&] { return rig.gateway.counts().in_progress == 0; }));
+    EXPECT_FALSE(peer->is_over());
+    peer->write(served("v"));
+    EXPECT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 0; }));
+    EXPECT_EQ(rig.pool.connections(), 1u) << "it rests";
+}
+
+// 64 commands wait, more are unread, and the end stands behind them.
+TEST_P(ClientsThatLeave, TheEndOfOneThatIsNotReadIsNoticed) {
+    Rig rig(patient());
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    std::string all;
+    for (int i = 0; i < 200; ++i) all += call("read", 60000);
+    client.write(all);
+    auto peer = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=read"); }));
+    for (int i = 0; i < 50; ++i) rig.loop.turn();
+    const std::size_t before = rig.gateway.counts().in_progress;
+    ASSERT_GT(before, 0u);
+    leave(client);
+    const auto left = steady_clock::now();
+    EXPECT_TRUE(rig.until([&] { return rig.gateway.counts().in_progress == 0; }));
+    EXPECT_LT(steady_clock::now() - left, 100ms) << "what is begun 0.1 s later breaks the rule";
+}
+
+// The counter is silent, and its call waits: nothing may go to a worker when that is over.
+TEST_P(ClientsThatLeave, WhatWaitsForItsQuotaIsNotSent) {
+    settings::Site with = patient();
+    with.settings.may_count = true;
+    with.settings.gateways = 8;
+    with.settings.count_timeout = 300ms;
+    with.settings.plans[0].rate = 4;
+    with.settings.plans[0].burst = 8;
+    Rig rig(with);
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    std::string waits = call("read", 60000);
+    waits.replace(waits.find("spread=1"), 8, "spread=8");
+    client.write(waits);
+    auto counting = rig.accepted(rig.counting);
+    ASSERT_TRUE(rig.until([&] { return counting->has("TALLY"); }));
+    ASSERT_EQ(rig.gateway.open_calls(), 1u);
+    leave(client);
+    EXPECT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 0; }));
+    counting->write("$1\r\n1\r\n");
+    const auto end = steady_clock::now() + 500ms;
+    while (steady_clock::now() < end) rig.loop.turn();
+    EXPECT_EQ(worker.accept(), nullptr);
+}
+
+// The end and the attempt's failure come in one turn.
+TEST_P(ClientsThatLeave, NoFurtherAttemptFollowsInTheTurnInWhichTheFirstFails) {
+    Rig rig(patient());
+    Listener one, other;
+    rig.gateway.listed(ListKind::full, {listed("a", one.address()), listed("b", other.address())});
+    Peer client = rig.client();
+    client.write(call("read", 60000));
+    std::unique_ptr<Peer> got;
+    ASSERT_TRUE(rig.until([&] { return (got = one.accept()) || (got = other.accept()); }));
+    ASSERT_TRUE(rig.until([&] { return got->has("c=read"); }));
+    leave(client);
+    got->reset();
+    EXPECT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 0; }));
+    const auto end = steady_clock::now() + 300ms;
+    std::unique_ptr<Peer> second;
+    while (steady_clock::now() < end && !second) {
+        rig.loop.turn();
+        (second = one.accept()) || (second = other.accept());
+    }
+    EXPECT_EQ(second ? second->read() : "", "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, ClientsThatLeave,
+                         testing::Values(Leaving::close, Leaving::reset, Leaving::half_close));
+
+// ---- Shutdown -------------------------------------------------------------------------------------------
+
+// One that always has a call open would never be asked to go, and would meet the end of the process.
+TEST(Shutdown, WhatComesBehindAnOpenCallIsTurnedAwayAndTheConnectionEnds) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("read"));
+    auto peer = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=read"); }));
+    rig.acceptor.retire(true);
+    client.write(call("read") + call("hold"));
+    for (int i = 0; i < 50; ++i) rig.loop.turn();
+    peer->write(served("v"));
+    // Another is on its way when the answers to all three go out.
+    ASSERT_TRUE(rig.until([&] { return client.has("\r\nv\r\n"); }));
+    EXPECT_TRUE(rig.until([&] { return client.is_over(); }));
+    EXPECT_EQ(client.got, "$1\r\nv\r\n-BUSY\r\n-BUSY\r\n");
+    EXPECT_EQ(worker.accept(), nullptr);
+}
+
+TEST(Shutdown, OneThatGoesOnAskingIsShutInOrderAllTheSame) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("read"));
+    auto peer = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=read"); }));
+    rig.acceptor.retire(true);
+    bool answered = false;
+    EXPECT_TRUE(rig.until([&] {
+        if (!client.is_over()) client.write_some(call("read"));
+        if (!answered && (answered = client.got.empty())) peer->write(served("v"));
+        return client.is_over();
+    }));
+    EXPECT_EQ(client.got.substr(0, 7), "$1\r\nv\r\n");
+    EXPECT_EQ(worker.accept(), nullptr) << "what is read after the first is not sent on";
+}
+
+// A command that has begun to come is waited for, and has its answer before the end.
+TEST(Shutdown, HalfACommandIsWaitedForAndAnswered) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    const std::string whole = call("read");
+    client.write(whole.substr(0, 20));
+    for (int i = 0; i < 20; ++i) rig.loop.turn();
+    rig.acceptor.retire(true);
+    rig.acceptor.stop_listening();
+    for (int i = 0; i < 20; ++i) rig.loop.turn();
+    ASSERT_FALSE(client.is_over());
+    client.write(whole.substr(20));
+    auto peer = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=read"); }));
+    peer->write(served("v"));
+    EXPECT_TRUE(rig.until([&] { return client.is_over(); }));
+    EXPECT_EQ(client.got, "$1\r\nv\r\n");
+}
+
+// Connected and asked, but not accepted when listening ends.
+TEST(Shutdown, WhoHasConnectedBeforeListeningEndsIsServed) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    for (int i = 0; i < 20; ++i) rig.loop.turn();
+    std::vector<Peer> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.push_back(rig.client());
+        clients.back().write(ping);
+    }
+    rig.acceptor.stop_listening();
+    rig.acceptor.retire(true);
+    for (Peer& client : clients) {
+        EXPECT_TRUE(rig.until([&] { return client.is_over(); }));
+        EXPECT_EQ(client.got, "+PONG\r\n");
+    }
+}
+
+// The order that a close would break: answer, end, and what the client sent meanwhile is left.
+TEST(Shutdown, ARequestThatCrossesTheEndIsNotSentOnAndDestroysNoAnswer) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("read"));
+    auto peer = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=read"); }));
+    rig.acceptor.retire(true);
+    peer->write(served("v"));
+    // The client's next call is written before it has read anything, and after the gateway has shut.
+    ASSERT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 0; }));
+    for (int i = 0; i < 5; ++i) rig.loop.turn();
+    client.write(call("read"));
+    EXPECT_TRUE(rig.until([&] { return client.is_over(); }));
+    EXPECT_EQ(client.got, "$1\r\nv\r\n");
+    EXPECT_EQ(worker.accept(), nullptr);
+}
+
+// A call that comes whole long after SIGTERM is open when the time is over.
+TEST(Shutdown, WhatIsOpenWhenTheTimeIsOverIsAnsweredBeforeTheEnd) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    bool gone = false;
+    gateway::Drain drain(rig.loop, rig.acceptor, 200ms, [&] { gone = true; });
+    Peer client = rig.client();
+    client.write(call("hold", 8000));
+    auto peer = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=hold"); }));
+    drain.leave();
+    ASSERT_TRUE(rig.until([&] { return gone; }));
+    rig.acceptor.close();
+    EXPECT_TRUE(rig.until([&] { return client.is_over(); }));
+    EXPECT_EQ(client.got, "-ERR failed\r\n") << "it may have run";
+}
+
+// The program listens, clients come, and its handlers are not there yet.
+TEST(Shutdown, ASignalBetweenListeningAndItsHandlerIsHeard) {
+    Listener discovery;
+    const std::uint16_t port = standin::free_port();
+    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) {
+        std::string config = config_of(discovery, discovery, "127.0.0.1:1");
+        config.replace(config.find("127.0.0.1:0"), 11, "127.0.0.1:" + std::to_string(port));
+        standin::Process program(LINNETLEAD_PROGRAM, config, {}, {"LINNETLEAD_POINT=1:stall"});
+        ASSERT_TRUE(wait_for([&] { return program.is_stopped(); }));
+        Peer client = connect_to(port);
+        client.write(ping);
+        program.signal(number);
+        program.signal(SIGCONT);
+        EXPECT_TRUE(wait_for([&] { return client.has("+PONG\r\n"); })) << number;
+        if (number == SIGHUP || number == SIGUSR1) program.signal(SIGTERM);
+        program.signal(SIGTERM);  // a second one ends nothing
+        EXPECT_EQ(program.exit_code(), 0) << number;
+        EXPECT_TRUE(client.is_over());
+    }
+}
+
+// ---- Idle connections -----------------------------------------------------------------------------------
+
+// Both crossings of a sweep and a call: the call lies unread when it is looked at, or comes after the end.
+TEST(IdleClients, OneWhoseCallLiesUnreadIsNotTheOneToGiveWay) {
+    Rig rig(site(), 3);
+    std::vector<Peer> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.push_back(rig.client());
+        clients.back().write(ping);
+        ASSERT_TRUE(rig.until([&] { return clients.back().has("+PONG"); }));
+    }
+    // The oldest asks, and in the same turn a fourth comes: it is accepted first.
+    Peer fourth = rig.client();
+    clients[0].write(ping);
+    EXPECT_TRUE(rig.until([&] { return clients[1].is_over(); }));
+    EXPECT_TRUE(rig.until([&] { return clients[0].has("+PONG\r\n+PONG\r\n"); }));
+    EXPECT_FALSE(clients[0].is_over() || clients[2].is_over() || fourth.is_over());
+}
+
+TEST(IdleClients, OneAmidACommandStaysWhereAnIdleOneCanGo) {
+    Rig rig(site(), 3);
+    std::vector<Peer> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.push_back(rig.client());
+        clients.back().write(call("read"));
+        ASSERT_TRUE(rig.until([&] { return clients.back().has("-BUSY"); }));
+    }
+    const std::string whole = call("read");
+    clients[0].write(whole.substr(0, 30));
+    for (int i = 0; i < 20; ++i) rig.loop.turn();
+    Peer fourth = rig.client();
+    EXPECT_TRUE(rig.until([&] { return clients[1].is_over(); }));
+    clients[0].got.clear();
+    clients[0].write(whole.substr(30));
+    EXPECT_TRUE(rig.until([&] { return clients[0].has("-BUSY"); }));
+}
+
+TEST(IdleClients, NearTheLimitOneIsAskedToGoAndItsCrossingCallResetsNothing) {
+    Rig rig(site(), 32);
+    std::vector<Peer> clients;
+    for (int i = 0; i < 31; ++i) {
+        clients.push_back(rig.client());
+        clients.back().write(call("read"));
+        ASSERT_TRUE(rig.until([&] { return clients.back().has("-BUSY"); }));
+    }
+    // Its end is sent, and its call comes behind it.
+    for (int i = 0; i < 20; ++i) rig.loop.turn();
+    clients[0].write_some(call("read"));
+    for (int i = 0; i < 20; ++i) rig.loop.turn();
+    EXPECT_TRUE(rig.until([&] { return clients[0].is_over(); }));
+    EXPECT_EQ(clients[0].got.substr(0, 5), "-BUSY") << "a reset would have taken it along";
+    EXPECT_FALSE(clients[1].is_over());
+}
+
+// ---- Lists ----------------------------------------------------------------------------------------------
+
+std::string whole_list(int version) {
+    const std::string json = R"({"version":)" + std::to_string(version) + R"(,"full":true,"servers":[]})";
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(json.size()) + "\r\n\r\n" + json;
+}
+
+struct Failing {
+    const char* name;
+    std::function<void(Peer&)> how;  // a call that waits for news
+};
+
+class Lists : public testing::TestWithParam<Failing> {};
+
+// Whatever became of it, the next call does not wait: its silence would come on top of what was missed.
+TEST_P(Lists, AnyCallThatBroughtNoListIsFollowedByOneForTheWholeList) {
+    for (const core::Span after_silence : {core::Span{0}, core::Span{80ms}}) {
+        Rig rig;
+        Listener discovery;
+        const net::RegistryWatch::Pace pace{300ms, 150ms, after_silence, 1s};
+        net::RegistryWatch watch(rig.loop, rig.gateway, discovery.address(), 41, 7, pace);
+        ASSERT_TRUE(watch.start());
+        auto first = rig.accepted(discovery);
+        ASSERT_TRUE(rig.until([&] { return first->has("index=41&"); }));
+        first->write(whole_list(42));
+        ASSERT_TRUE(rig.until([&] { return first->has("index=42&"); }));
+        const auto failed = steady_clock::now();
+        GetParam().how(*first);
+        auto second = rig.accepted(discovery);
+        ASSERT_TRUE(rig.until([&] { return second->read().find("HTTP/1.1\r\n") != std::string::npos; }));
+        EXPECT_EQ(second->got.substr(0, second->got.find("\r\n")), "GET /api/targets HTTP/1.1");
+        EXPECT_LT(steady_clock::now() - failed, 300ms + 150ms + 500ms + 80ms + 200ms);
+        // And again, until it is here.
+        second->reset();
+        auto third = rig.accepted(discovery);
+        ASSERT_TRUE(rig.until([&] { return third->has("GET /api/targets HTTP/1.1\r\n"); }));
+        third->write(whole_list(40));  // versions may go back
+        ASSERT_TRUE(rig.until([&] { return third->has("index=40&"); }));
+        watch.close();
+        rig.loop.turn();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Each, Lists,
+    testing::Values(
+        Failing{"reset", [](Peer& to) { to.reset(); }}, Failing{"end", [](Peer& to) { to.close(); }},
+        Failing{"silence", [](Peer&) {}},
+        Failing{"drip", [](Peer& to) { to.write("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n{"); }},
+        Failing{"nonsense", [](Peer& to) { to.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"); }},
+        Failing{"no_message", [](Peer& to) { to.write("SSH-2.0\r\n\r\n"); }},
+        Failing{"error", [](Peer& to) { to.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); }},
+        Failing{"reset_without_length",
+                [](Peer& to) {
+                    to.write("HTTP/1.1 200 OK\r\n\r\n{\"version\":43,\"full\":true,\"servers\":[]}");
+                    usleep(20000);
+                    to.reset();
+                }}),
+    [](const auto& one) { return std::string(one.param.name); });
+
+TEST(Lists, TwoMovesInARowAndOneAmidAnAnswerAskTheLastAddressAlone) {
+    Rig rig;
+    Listener one, other, last;
+    net::RegistryWatch watch(rig.loop, rig.gateway, one.address(), 41, 7, net::RegistryWatch::asked);
+    ASSERT_TRUE(watch.start());
+    auto first = rig.accepted(one);
+    ASSERT_TRUE(rig.until([&] { return first->has("index=41&"); }));
+    first->write(whole_list(42).substr(0, 60));
+    for (int i = 0; i < 20; ++i) rig.loop.turn();
+    ASSERT_TRUE(watch.move(other.address()));
+    ASSERT_TRUE(watch.move(last.address()));
+    auto now = rig.accepted(last);
+    ASSERT_TRUE(rig.until([&] { return now->has("GET /api/targets HTTP/1.1\r\n"); }));
+    EXPECT_TRUE(rig.until([&] { return first->is_over(); }));
+    if (auto passed = other.accept()) {
+        EXPECT_TRUE(rig.until([&] { return passed->is_over(); }));
+        EXPECT_EQ(passed->got, "");
+    }
+    now->write(whole_list(3));
+    ASSERT_TRUE(rig.until([&] { return now->has("index=3&"); }));
+    watch.close();
+    rig.loop.turn();
+}
+
+// ---- Repeats --------------------------------------------------------------------------------------------
+
+// The first attempt may have run; the second is chosen in time, but its connection comes up after the window.
+TEST(Repeats, OneWhoseConnectionComesUpAfterTheWindowIsNotSent) {
+    settings::Site with = site();
+    with.connect_timeout = 8s;
+    with.settings.classes[1].key_window = 400ms;
+    with.settings.classes[1].aim = with.settings.classes[1].deadline = 8s;
+    Rig rig(with);
+    Listener first;
+    Unreachable second;
+    Peer client = rig.client();
+    rig.gateway.listed(ListKind::full, {listed("a", first.address())});
+    std::string keyed = call("create", 8000);
+    const std::string marks = "c=create,t=team,d=8000,units=1,spread=1,first=0";
+    const std::string with_key = marks + ",k=00000000000000aa";
+    keyed.replace(keyed.find("$" + std::to_string(marks.size()) + "\r\n" + marks),
+                  std::to_string(marks.size()).size() + 3 + marks.size(),
+                  "$" + std::to_string(with_key.size()) + "\r\n" + with_key);
+    client.write(keyed);
+    auto peer = rig.accepted(first);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=create"); }));
+    const auto sent = steady_clock::now();
+    rig.gateway.listed(ListKind::changes, {listed("b", second.listener.address())});
+    peer->reset();
+    EXPECT_TRUE(rig.until([&] { return !client.read().empty(); }));
+    EXPECT_LT(steady_clock::now() - sent, 600ms) << "nothing more can come of it: it is told at once";
+    EXPECT_EQ(client.got.substr(0, 1), "-");
+    EXPECT_EQ(second.hears_until(rig, sent + syn_again + 500ms), "");
+}
+
+// ---- Descriptors ----------------------------------------------------------------------------------------
+
+// Idle clients hold what descriptors they can get, while discovery is down. The system gives fewer than the
+// configuration says.
+TEST(Descriptors, WhereIdleClientsFillThemDiscoveryIsReachedAndCallsAreServed) {
+    rlimit usual{};
+    getrlimit(RLIMIT_NOFILE, &usual);
+    for (const rlim_t few : {rlim_t{64}, rlim_t{128}}) {
+        Listener worker(64);
+        auto discovery = std::make_unique<Listener>(64);
+        std::string config = config_of(*discovery, *discovery, worker.address());
+        config.insert(1, R"("limits":{"memory_mb":32,"sockets":512},)");
+        rlimit small = usual;
+        small.rlim_cur = few;
+        setrlimit(RLIMIT_NOFILE, &small);
+        Program program(config);
+        setrlimit(RLIMIT_NOFILE, &usual);
+        const std::uint16_t port = program.listening();
+        std::vector<Peer> idle;
+        for (int i = 0; i < 300; ++i) {
+            idle.push_back(connect_to(port));
+            if (i % 2 == 0) idle.back().write_some(ping);
+        }
+        Peer client = connect_to(port);
+        client.write(ping);
+        EXPECT_TRUE(wait_for([&] { return client.has("+PONG"); }));
+        const double before = program.cpu_seconds();
+        usleep(500000);
+        EXPECT_LT(program.cpu_seconds() - before, 0.25) << "accepting without descriptors spins";
+        std::unique_ptr<Peer> asked;
+        const auto back = steady_clock::now();
+        while (discovery->accept()) {  // what it has not heard while it was down
+        }
+        ASSERT_TRUE(wait_for([&] { return asked || (asked = discovery->accept()); }));
+        EXPECT_LT(steady_clock::now() - back, 2s);
+        Peer active = connect_to(port);
+        active.write(call("read", 8000));
+        std::unique_ptr<Peer> peer;
+        ASSERT_TRUE(wait_for([&] { return peer || (peer = worker.accept()); }));
+        ASSERT_TRUE(wait_for([&] { return peer->has("c=read"); }));
+        peer->write(served("v"));
+        EXPECT_TRUE(wait_for([&] { return active.has("\r\nv\r\n"); }));
+        program.signal(SIGTERM);
+        EXPECT_EQ(program.exit_code(), 0);
+    }
+}
+
+}  // namespace
+}  // namespace linnetlead
