Counts are kept by the gateways themselves where the site has no counter but peers

Cause: with neither counter nor meter a gateway hears of nobody's use (policy.cpp shared(), is_sparse() and tally() all want may_count), so every slice is even (cut_slice): of a quota of one unit a second over 150 gateways a hundredth of a unit an interval, and thin() passes one call in a hundred. Ruled out: workers (40% busy), handshakes, lists, probes.

Change: net/peer_counter stands behind the module's counter port: each count has one home among the gateways, by rendezvous hashing of its name; 25 bytes ask it, 13 answer. One that answers nothing is passed over for 2 s. The module is untouched.

--- a/src/gateway/config.h
+++ b/src/gateway/config.h
@@ -18,6 +18,7 @@
     std::string counter;                 // empty: there is none
     std::string peer_listen, peers_all;  // empty: there is none
     std::vector<std::string> peers;
+    bool among_peers = false;  // counts are kept by the gateways themselves
     std::uint64_t seed = 0;
     std::size_t memory_mb = 192;
     std::size_t sockets = 1024;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -17,6 +17,8 @@
 #include "net/acceptor.h"
 #include "net/counter_client.h"
 #include "net/mgmt_server.h"
+#include "net/peer_counter.h"
+#include "net/peer_link.h"
 #include "net/registry_watch.h"
 #include "net/worker_pool.h"
 #include "operators.h"
@@ -105,6 +107,13 @@
     sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &all, nullptr);
 }
 
+bool may_count_among_peers(const gateway::Config& config) {
+    const topazcrank::Settings& settings = config.site.settings;
+    return !settings.may_count && config.site.may_tell_peers && !config.peer_listen.empty() &&
+           config.counter.empty() && settings.gateways > 1 &&
+           config.peers.size() == static_cast<std::size_t>(settings.gateways);
+}
+
 class Program {
 public:
     // `operators`: the path of the operators' file; empty: there is none.
@@ -127,7 +136,15 @@
                     plan_names(config)},
                    gateway::meeting_place(gateway::variable("TMPDIR"), config.listen), config.listen),
           mgmt_(loop_, [this](const mgmt::Command& command) { return desk_.carry(command); }) {
-        gateway_.attach(pool_, counter_);
+        if (config.among_peers) {
+            peer_counter_ = std::make_unique<net::PeerCounter>(
+                loop_, config.site.settings.gateways, config.site.settings.self,
+                [this](int to, std::string_view datagram) { peers_.tell(to, datagram); },
+                [this](const std::string& name, topazcrank::CountStatus status, double total) {
+                    gateway_.counted(name, status, total);
+                });
+        }
+        gateway_.attach(pool_, peer_counter_ ? static_cast<core::Counter&>(*peer_counter_) : counter_);
         try {
             start(config, operators);
         } catch (...) {
@@ -156,6 +173,15 @@
             if (!registry_.start())
                 throw std::runtime_error("discovery: no address: '" + config.discovery + "'");
         }
+        if (peer_counter_) {
+            std::vector<sockaddr_storage> tier;
+            for (const std::string& peer : config.peers) tier.push_back(address_of("peers", peer));
+            peers_.peers(std::move(tier), static_cast<std::size_t>(config.site.settings.self), nullptr);
+            if (const int error = peers_.listen(address_of("peer_listen", config.peer_listen)); error < 0) {
+                throw std::runtime_error("cannot listen on " + config.peer_listen + ": " +
+                                         uv_strerror(error));
+            }
+        }
         if (!config.mgmt.empty()) {
             if (const int error = mgmt_.listen(address_of("mgmt", config.mgmt)); error < 0) {
                 throw std::runtime_error("mgmt: cannot listen on " + config.mgmt + ": " + uv_strerror(error));
@@ -236,6 +262,7 @@
         acceptor_.close();
         pool_.close();
         counter_.close();
+        peers_.close();
         registry_.close();
         if (operators_) operators_->close();  // behind the last answers, which count
         hold_back_signals(true);
@@ -251,6 +278,9 @@
     core::Gateway gateway_;
     net::WorkerPool pool_;
     net::CounterClient counter_;
+    net::PeerLink peers_{
+        loop_, [this](int from, std::string_view datagram) { peer_counter_->heard(from, datagram); }};
+    std::unique_ptr<net::PeerCounter> peer_counter_;  // null: the site has a counter service, or none may be
     mgmt::Suspensions suspensions_;
     net::RegistryWatch registry_;
     net::Acceptor acceptor_;
@@ -270,6 +300,12 @@
     const gateway::Config file = gateway::load_file();
     gateway::Config config = file;
     gateway::override_by_environment(config);
+    // The operators' file has another use for the tier's datagrams.
+    if (operators.empty() && may_count_among_peers(config)) {
+        config.among_peers = true;
+        config.site.settings.may_count = true;
+        config.site.settings.count_timeout = net::PeerCounter::timeout;
+    }
     Program program(config, file, operators);
     program.run();
     return 0;
--- /dev/null
+++ b/src/net/peer_counter.h
@@ -0,0 +1,70 @@
+// The counter where the site has no counter service: each count is kept by one gateway of the tier, told by
+// its name, and the others ask that one by datagrams. Without it a gateway of hundreds knows of no one's use
+// but its own, and an even part of a small quota lets next to nothing through.
+//
+// One datagram asks, one answers; a lost one is a call that found no answer in time. A gateway that answers
+// nothing any more is passed over for a while, and its counts begin anew at the next in the name's own order:
+// all gateways find the same one, once they have noticed.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/ports.h"
+
+namespace linnetlead::net {
+
+class PeerCounter final : public core::Counter {
+public:
+    static constexpr core::Span timeout = std::chrono::milliseconds(80);  // datagrams take some 20 ms a way
+    using Tell = std::function<void(int to, std::string_view)>;
+    using Counted = std::function<void(const std::string& name, topazcrank::CountStatus, double total)>;
+
+    // Of `gateways`, this is number `self`.
+    PeerCounter(core::Timers& timers, int gateways, int self, Tell tell, Counted counted);
+
+    void add(const std::string& name, double amount, core::Span life) override;
+    // A datagram of another gateway's; what is none of ours is dropped.
+    void heard(int from, std::string_view datagram);
+
+    std::size_t kept() const { return totals_.size(); }
+    static constexpr std::size_t most_kept = 32768;    // counts; beyond, calls are turned away
+    static constexpr std::size_t most_waiting = 4096;  // calls without an answer; likewise
+
+private:
+    struct Total {
+        double sum = 0;
+        core::Time end{};
+    };
+    struct Waiting {
+        std::string name;
+        int home = 0;
+    };
+    struct Home {
+        int missed = 0;  // calls in a row that found no answer
+        core::Time passed_over_until{};
+    };
+
+    int home_of(std::uint64_t name) const;
+    // Nothing: no room.
+    const double* total_of(std::uint64_t name, double amount, core::Span life);
+    void end(std::uint32_t number, topazcrank::CountStatus status, double total);
+    void missed(std::uint32_t number);
+
+    core::Timers& timers_;
+    int self_;
+    Tell tell_;
+    Counted counted_;
+    std::vector<Home> homes_;
+    std::unordered_map<std::uint64_t, Total> totals_;  // kept here, by the hash of their name
+    core::Time swept_{};
+    std::unordered_map<std::uint32_t, Waiting> waiting_;
+    std::unordered_map<std::string, std::deque<std::uint32_t>> order_;  // of the calls of a name
+    std::uint32_t numbers_ = 0;
+};
+
+}  // namespace linnetlead::net
