Cold servers that fall at less than three times their capacity are sent less

Lead: with 20 or 30 gateways the bound on attempts out, one at least for each gateway, could push a cold worker over.

Cause: warm_share() in policy.cpp sends a cold server its share by the capacity alone; what the settings allow beyond it (fall_multiple) is the margin for chance, and it was taken to be wide. Under 3 the share at the start shrinks with it; at 3 and above nothing changes.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -72,8 +72,9 @@
 constexpr int attempts_per_probe = 8;        // an answered one is good for so many
 constexpr Span probe_good_for = 2500ms;
 constexpr std::size_t most_found = 16;
-constexpr double hopeless = 1.5;   // times its bound out: one request in five finds room
-constexpr double far_zone = 1.05;  // another zone only where it is at least this much better
+constexpr double hopeless = 1.5;           // times its bound out: one request in five finds room
+constexpr double usual_fall_multiple = 3;  // cold servers that fall at less are sent less
+constexpr double far_zone = 1.05;          // another zone only where it is at least this much better
 constexpr Span list_asked_again = 2s;
 // Attempts.
 constexpr double retry_share = 0.1;       // further attempts for each first one
@@ -431,8 +432,7 @@
         c.looked_at = now;
         c.tallied = true;
         if (plan.max_open > 0) {
-            const double others = std::max(0.0, level - 1);
-            c.room = chance_of_room(others, plan.max_open - 1) > wanted_chance_of_room;
+            c.room = chance_of_room(std::max(0.0, level - 1), plan.max_open - 1) > wanted_chance_of_room;
             c.pass += room_gain * ((c.room ? 1 : 0) - c.pass);
         } else {
             c.pass = std::min(1.0, plan.rate * seconds(life_of(plan)) / level);
@@ -586,8 +586,7 @@
     }
     void learn(std::size_t cls, Span lag) {
         double& mean = mean_lag_[cls];
-        const double took = seconds(lag);
-        mean = mean <= 0 ? took : mean + mean_gain * (took - mean);
+        mean += (mean <= 0 ? 1 : mean_gain) * (seconds(lag) - mean);
     }
 
     double late_after(const Open& r) const { return late_of_aim * seconds(cls_of(r).aim); }
@@ -597,8 +596,7 @@
         const bool used =
             static_cast<double>(s.out.size()) >= bound_of(s) / 2 && out_mean_ + 1 >= bound() / 2;
         if (!may_be_sent_to(s) || (!late && !used)) return;
-        const double growth = bound_gain * late_wanted;
-        const double factor = late ? 1 - bound_gain * (1 - late_wanted) : 1 + growth;
+        const double factor = late ? 1 - bound_gain * (1 - late_wanted) : 1 + bound_gain * late_wanted;
         const double least = least_bound / cfg_.gateways;
         sum_of_bounds_ -= s.bound;
         s.bound = std::clamp(s.bound * factor, least / fleet_bound_, most_bound / fleet_bound_);
@@ -791,7 +789,8 @@
     double warm_share(const Server& s, Time now) const {
         if (s.entry.started <= Time{0} || cfg_.ramp_time <= Span{0}) return 1;
         const double age = std::clamp(seconds(now - s.entry.started) / seconds(cfg_.ramp_time), 0.0, 1.0);
-        return cfg_.cold_from + (1 - cfg_.cold_from) * age;
+        const double from = cfg_.cold_from * std::min(1.0, cfg_.fall_multiple / usual_fall_multiple);
+        return from + (1 - from) * age;
     }
 
     bool in_time(const Open& r, Time now) const {
--- a/standin/model.cpp
+++ b/standin/model.cpp
@@ -28,6 +28,9 @@
         }
         const double bears = capacity(now) * figures.slow * seconds(figures.fall_time);
         most_when_cold = std::max(most_when_cold, lately_sum_ / bears);
+        const double budget = figures.fall_multiple * bears / figures.mean_work;
+        const double beyond = lately_sum_ / figures.mean_work - budget;
+        most_beyond_budget = std::max(most_beyond_budget, beyond / (2 * std::sqrt(budget) + 2));
     }
     if (figures.silent) return {core::Ending::timed_out, {}, true};
     if (figures.turns_away) return {core::Ending::turned_away, now, false};
@@ -95,7 +98,7 @@
     s.most_attempts = 6;
     s.cold_from = 0.2;
     s.ramp_time = std::chrono::seconds(18);
-    s.fall_multiple = 4;
+    s.fall_multiple = mix.fall_multiple;
     s.fall_time = std::chrono::seconds(1);
     return s;
 }
--- a/standin/model.h
+++ b/standin/model.h
@@ -30,6 +30,7 @@
     Span ramp{};  // warm after so long, evenly; 0: warm at once
     double fall_multiple = 4;
     Span fall_time = std::chrono::seconds(1);
+    double mean_work = 0.122;  // seconds of a mean call, in which the budget is counted
     // Faults.
     double slow = 1;             // so many times slower
     double slow_under_load = 0;  // and by so much more for each core's worth of work that waits
@@ -57,6 +58,9 @@
     std::uint64_t calls = 0;
     // The most that was sent within the cold rule's window, in times of what it could do then, while cold.
     double most_when_cold = 0;
+    // The same in calls of mean work beyond the budget of N that the settings allow then, in parts of what is
+    // chance: 2 root N + 2. Over 1 it falls.
+    double most_beyond_budget = -1e9;
 
 private:
     Time started_;
@@ -94,6 +98,7 @@
     double spread = 0.5;                            // of a call's work: sigma of its logarithm
     std::vector<double> aim{1.2, 1.2, 0.5};
     std::vector<double> deadline{4, 5, 2};
+    double fall_multiple = 4;  // as the settings say
 };
 topazcrank::Settings settings_of(const Mix& mix, int gateways, int self);
 
--- a/standin/world.cpp
+++ b/standin/world.cpp
@@ -336,7 +336,9 @@
     next_ = clock_.arm(clock_.now() + span_of(gap(random_)), [this] {
         const DrawnCall call = draw_call(settings_.mix, settings_.customers, random_);
         std::uniform_int_distribution<std::size_t> which(0, nodes_.size() - 1);
-        Node* node = nodes_[which(random_)].get();
+        std::size_t at = which(random_);
+        if (settings_.first_share > 0 && std::bernoulli_distribution(settings_.first_share)(random_)) at = 0;
+        Node* node = nodes_[at].get();
         if (!workers_.empty() && node) node->take(call);
         next_call();
     });
--- a/standin/world.h
+++ b/standin/world.h
@@ -45,8 +45,9 @@
     int customers = 200;
     Mix mix;
     std::uint64_t seed = 1;
-    Span most_skew{};    // between the gateways' clocks
-    bool peers = false;  // they may send each other datagrams, of which 7% are lost
+    Span most_skew{};        // between the gateways' clocks
+    double first_share = 0;  // of the calls, beside its even part, through the first gateway
+    bool peers = false;      // they may send each other datagrams, of which 7% are lost
 };
 
 // What the clients and the rules' auditor saw.
