Close range tests: each effect under four customers' settings, readiness, a drain before the held-back write

Need: the terms on effects, readiness and drained workers had no test of their own that forces the crossing. Change: a table of customers (names, order and number of classes, effects, windows) for what goes out again after a cut answer; a new process that starts while discovery is down, silent or dripping and the old one drains; a drain told between the choice of a worker and the write at the turn's end.

--- a/standin/peer.h
+++ b/standin/peer.h
@@ -19,6 +19,12 @@
     explicit Peer(int fd);
     Peer(Peer&& other) noexcept
         : got(std::move(other.got)), ended(other.ended), fd_(std::exchange(other.fd_, -1)) {}
+    Peer& operator=(Peer&& other) noexcept {
+        got = std::move(other.got);
+        ended = other.ended;
+        std::swap(fd_, other.fd_);
+        return *this;
+    }
     ~Peer() { close(); }
     void close();
     void reset();                       // closes so that the other end is told of a break
--- a/tests/close_range_test.cpp
+++ b/tests/close_range_test.cpp
@@ -39,6 +39,22 @@
 };
 constexpr auto syn_again = 1500ms;  // by then the kernel has asked for a connection once more
 
+// A call of any class, with its verb and its key as its effect wants them.
+std::string call_of(const std::string& cls, topazcrank::Repeat effect, core::Span deadline) {
+    static unsigned long long next_id = 0xf000000000000000;
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016llx", ++next_id);
+    std::string out;
+    resp::write_array(out, 4);
+    resp::write_bulk(out, effect == topazcrank::Repeat::safe ? "Q.ASK" : "Q.DO");
+    resp::write_bulk(out, "00000000b4d65521");
+    resp::write_bulk(out, id);
+    const std::string key = effect == topazcrank::Repeat::keyed ? ",k=" + std::string(id) : "";
+    resp::write_bulk(
+        out, "c=" + cls + ",t=team,d=" + std::to_string(deadline / 1ms) + ",units=1,spread=1,first=0" + key);
+    return out;
+}
+
 // ---- Clients that leave ---------------------------------------------------------------------------------
 
 enum class Leaving { close, reset, half_close };
@@ -457,6 +473,28 @@
     rig.loop.turn();
 }
 
+// A write waits for the end of the turn; the drain is told between.
+TEST(Lists, ACallTakenInTheTurnInWhichItsWorkerDrainsIsNotWritten) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("hold"));
+    auto peer = rig.accepted(worker);
+    rig.answer_hold(*peer, served("v"));
+    ASSERT_TRUE(rig.until([&] { return client.has("\r\nv\r\n"); }));
+    usleep(20000);  // its connection has rested long enough to be taken again
+    rig.loop.turn();
+    client.got.clear();
+    client.write(call("hold"));
+    while (rig.gateway.open_calls() == 0) rig.loop.turn();  // read and chosen, and not flushed
+    using topazcrank::ServerState;
+    rig.gateway.listed(ListKind::changes, {listed("w", worker.address(), ServerState::draining)});
+    EXPECT_TRUE(rig.until([&] { return client.has("-BUSY"); })) << "it never ran";
+    EXPECT_TRUE(rig.until([&] { return peer->is_over(); }));
+    EXPECT_EQ(peer->got, "");
+}
+
 // ---- Repeats --------------------------------------------------------------------------------------------
 
 // The first attempt may have run; the second is chosen in time, but its connection comes up after the window.
@@ -470,13 +508,7 @@
     Unreachable second;
     Peer client = rig.client();
     rig.gateway.listed(ListKind::full, {listed("a", first.address())});
-    std::string keyed = call("create", 8000);
-    const std::string marks = "c=create,t=team,d=8000,units=1,spread=1,first=0";
-    const std::string with_key = marks + ",k=00000000000000aa";
-    keyed.replace(keyed.find("$" + std::to_string(marks.size()) + "\r\n" + marks),
-                  std::to_string(marks.size()).size() + 3 + marks.size(),
-                  "$" + std::to_string(with_key.size()) + "\r\n" + with_key);
-    client.write(keyed);
+    client.write(call_of("create", topazcrank::Repeat::keyed, 8s));
     auto peer = rig.accepted(first);
     ASSERT_TRUE(rig.until([&] { return peer->has("c=create"); }));
     const auto sent = steady_clock::now();
@@ -488,6 +520,120 @@
     EXPECT_EQ(second.hears_until(rig, sent + syn_again + 500ms), "");
 }
 
+// Every effect under every customer's own names, order and number of classes.
+struct Customer {
+    const char* name;
+    std::vector<std::pair<const char*, topazcrank::Repeat>> classes;
+    core::Span deadline, window;
+};
+
+class Effects : public testing::TestWithParam<Customer> {};
+
+TEST_P(Effects, WhatMayHaveRunGoesOutAgainAsItsClassAllowsAndNotElse) {
+    using topazcrank::Repeat;
+    for (const auto& [name, effect] : GetParam().classes) {
+        settings::Site with = site();
+        with.settings.classes.resize(GetParam().classes.size());
+        for (std::size_t i = 0; i < GetParam().classes.size(); ++i) {
+            auto& cls = with.settings.classes[i];
+            cls.name = GetParam().classes[i].first;
+            cls.repeat = GetParam().classes[i].second;
+            cls.key_window = GetParam().window;
+            cls.deadline = cls.aim = GetParam().deadline;
+        }
+        Rig rig(with);
+        Listener one, other;
+        rig.gateway.listed(ListKind::full, {listed("a", one.address()), listed("b", other.address())});
+        Peer client = rig.client();
+        client.write(call_of(name, effect, GetParam().deadline));
+        const auto next = [&](std::unique_ptr<Peer>& peer) {
+            return peer || (peer = one.accept()) || (peer = other.accept());
+        };
+        std::unique_ptr<Peer> first, second;
+        ASSERT_TRUE(rig.until([&] { return next(first) && first->has(name); })) << name;
+        first->write("*3\r\n$9\r\nhal");  // an answer that is cut
+        for (int i = 0; i < 20; ++i) rig.loop.turn();
+        first->reset();
+        if (effect == Repeat::unsafe) {
+            EXPECT_TRUE(rig.until([&] { return client.has("\r\n"); }));
+            EXPECT_EQ(client.got, "-ERR failed\r\n") << name;
+            EXPECT_FALSE(next(second));
+            continue;
+        }
+        ASSERT_TRUE(rig.until([&] { return next(second) && second->has(name); })) << name;
+        second->write(served("v"));
+        EXPECT_TRUE(rig.until([&] { return client.has("\r\n"); }));
+        EXPECT_EQ(client.got, "$1\r\nv\r\n") << name;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, Effects,
+                         testing::Values(Customer{"usual",
+                                                  {{"read", topazcrank::Repeat::safe},
+                                                   {"create", topazcrank::Repeat::keyed},
+                                                   {"hold", topazcrank::Repeat::unsafe}},
+                                                  4s,
+                                                  10s},
+                                         Customer{"turned_round",
+                                                  {{"shelf-view", topazcrank::Repeat::unsafe},
+                                                   {"order-place", topazcrank::Repeat::keyed},
+                                                   {"stock-count", topazcrank::Repeat::safe}},
+                                                  2500ms,
+                                                  1500ms},
+                                         Customer{"two_classes",
+                                                  {{"route-plan", topazcrank::Repeat::keyed},
+                                                   {"parcel-book", topazcrank::Repeat::unsafe}},
+                                                  2s,
+                                                  1200ms},
+                                         Customer{"four_classes",
+                                                  {{"a", topazcrank::Repeat::unsafe},
+                                                   {"b", topazcrank::Repeat::safe},
+                                                   {"c", topazcrank::Repeat::unsafe},
+                                                   {"d", topazcrank::Repeat::keyed}},
+                                                  8s,
+                                                  3s}),
+                         [](const auto& one) { return std::string(one.param.name); });
+
+// ---- Readiness ------------------------------------------------------------------------------------------
+
+// Restarted while discovery cannot be heard, and while the process before it still answers what it has taken.
+TEST(Readiness, ANewProcessAnswersAtOnceWhateverDiscoveryDoesAndThoughTheOldOneDrains) {
+    enum class Discovery { down, silent, dripping };
+    for (const Discovery mood : {Discovery::down, Discovery::silent, Discovery::dripping}) {
+        Listener worker, discovery;
+        const std::string address = "127.0.0.1:" + std::to_string(standin::free_port());
+        std::string config = config_of(discovery, discovery, worker.address());
+        config.replace(config.find("127.0.0.1:0"), 11, address);
+        if (mood == Discovery::down) discovery.close();
+        Program old(config);
+        Peer busy = old.client();
+        busy.write(call("read", 8000));
+        std::unique_ptr<Peer> peer, asking;
+        ASSERT_TRUE(wait_for([&] { return peer || (peer = worker.accept()); }));
+        ASSERT_TRUE(wait_for([&] { return peer->has("c=read"); }));
+        old.signal(SIGTERM);
+        const auto begun = steady_clock::now();
+        Program young(config);
+        const std::uint16_t port = young.listening();
+        Peer client = connect_to(port);
+        client.write(ping);
+        EXPECT_TRUE(wait_for([&] {
+            if (mood == Discovery::dripping && !asking && (asking = discovery.accept())) {
+                asking->write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{");
+            }
+            if (client.is_over() && !client.has("+PONG")) {  // the old one took it in its last moments
+                client = connect_to(port);
+                client.write(ping);
+            }
+            return client.has("+PONG");
+        }));
+        EXPECT_LT(steady_clock::now() - begun, 3s);
+        peer->write(served("v"));
+        EXPECT_TRUE(wait_for([&] { return busy.has("\r\nv\r\n"); }));
+        EXPECT_EQ(old.exit_code(), 0);
+    }
+}
+
 // ---- Descriptors ----------------------------------------------------------------------------------------
 
 // Idle clients hold what descriptors they can get, while discovery is down. The system gives fewer than the
