--- /dev/null
+++ b/src/distribution/change.h
@@ -0,0 +1,64 @@
+// What operators change: keyed resources (pools, plans, routes, tenants' terms), by transactions over some of
+// them. A change is given to any relay; the log of the relays' quorum gives it its number, and the state
+// after it is the revision of that number. No I/O and no clock.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "topazcrank/policy.h"
+
+namespace linnetlead::distribution {
+
+using topazcrank::Span;
+using topazcrank::Time;
+
+// Of a record of the log: from 1 on, without gaps; 0: none. A change's record's number is its revision.
+using Number = std::uint64_t;
+
+constexpr std::size_t most_key = 96;              // bytes
+constexpr std::size_t most_value = 16 * 1024;     // bytes
+constexpr std::size_t most_edits = 8192;          // of a change
+constexpr std::size_t most_change = 1024 * 1024;  // bytes of keys and values together
+constexpr std::size_t most_id = 64;               // bytes
+
+struct Edit {
+    std::string key;                   // KIND/NAME, such as "tenant/00000000b4d65521"
+    std::optional<std::string> value;  // none: the key is taken away
+};
+
+struct Change {
+    std::string id;  // drawn by who gives it: the same id with the same content is the same change
+    Number base =
+        0;  // the revision that it was made against: refused where one of its keys has changed since; 0: any
+    std::vector<Edit> edits;
+};
+
+// Why a change, a frame or a follower is turned away; each has words of its own.
+enum class Refusal {
+    none,
+    malformed,     // no such frame or change; an empty change, a key twice in it
+    over_size,     // one of the bounds above
+    unknown_kind,  // of a key
+    absent,        // takes away a key that is not there
+    stale,         // made against a revision that is old for one of its keys
+    ahead,         // made against a revision that is not there yet
+    taken,         // its id stands for another content
+    unreadable,    // a value that no gateway could read (the relay's own check)
+    busy,          // too many changes wait; come again
+    no_leader,     // nobody orders changes now; come again
+    lying,         // a follower that acknowledges what it was never sent
+    full,          // this relay has as many followers as it may have
+};
+const char* words(Refusal refusal);
+
+// The kinds of keys that there are: "pool", "plan", "route", "tenant", "reserve", "capacity", "move".
+bool is_known_kind(std::string_view kind);
+// Of the change by itself: its form, its bounds and its kinds.
+Refusal check(const Change& change);
+std::uint64_t digest(const Change& change);
+
+}  // namespace linnetlead::distribution
--- /dev/null
+++ b/src/distribution/follower.h
@@ -0,0 +1,91 @@
+// Who follows a relay: a gateway, or a relay that does not vote. Holds the state in force, and behind it the
+// records that are not in force yet; knows by a lease whether the others may have moved on without it;
+// chooses its relay, and moves to another by jittered, budgeted retries. No I/O and no clock.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "frames.h"
+#include "store.h"
+
+namespace linnetlead::distribution {
+
+class Follower {
+public:
+    struct Settings {
+        Role role = Role::gateway;
+        std::string name;
+        std::vector<int> relays;  // by number, the nearest first: its zone's, its region's, all others
+        std::size_t near = 1;     // so many of them are equally near: any of these first
+        std::uint64_t seed = 0;
+        Span lease = std::chrono::milliseconds(2000);
+        Span skew = std::chrono::milliseconds(350);
+        Span silence = std::chrono::milliseconds(2500);        // without a frame: the relay is gone
+        Span shortest_pause = std::chrono::milliseconds(200);  // between tries; doubles, with full jitter
+        Span longest_pause = std::chrono::milliseconds(2000);
+        double tries_per_s = 0.7;  // budget of connections, and so many seconds' worth at once
+        double tries_at_once = 3;
+        Span ack_every = std::chrono::milliseconds(200);
+        std::size_t most_pending = 16 * 1024 * 1024;  // bytes of records not yet in force
+    };
+    struct Outside {
+        std::function<void(int relay)> connect;  // answered by connected() or gone()
+        std::function<void()> hang_up;  // of the connection or the try at hand; gone() need not follow
+        std::function<void(const Frame&)> send;  // on the connection at hand
+        // Which of a change's edits cannot be acted on here, by place; a relay: none.
+        std::function<std::vector<std::size_t>(const Change&)> check;
+        // These keys have other values in store() from now on; whole: any may have. `number`: the revision.
+        std::function<void(Number number, const std::vector<std::string>& keys, bool whole)> in_force;
+        std::function<void(bool fenced)> fenced;
+        // For a relay that passes on what it follows. The record is new here; the beat too; whole: store() is
+        // another state, and the records kept before are void.
+        std::function<void(const Record&)> record;
+        std::function<void(const Beat&)> beat;
+        std::function<void()> whole;
+        // What is there behind it, for its acknowledgement; a gateway: none.
+        std::function<Ack()> behind;
+        std::function<void(const std::string& what, const std::string& text)> event;
+    };
+    Follower(const Settings& settings, Outside outside);
+
+    void tick(Time now);                  // every 40 ms or so, and at wake_at()
+    std::optional<Time> wake_at() const;  // the next settled instant
+    void connected(Time now);
+    void gone(Time now);  // the connection or the try at hand has ended
+    void heard(Time now, const Frame& frame);
+    // No connection now, and none until this is over: for tests and for a relay that is asked to wait.
+    void leave(Time now);
+
+    // May act in full: it holds all that counted at a time within the lease, and is in force with all of it
+    // that is due. Cheap, and true also right after a stall.
+    bool fenced(Time now) const;
+    // This gateway could not take the key's newest value: what it does for it is narrowed, all else goes on.
+    bool fenced(std::string_view key) const;
+    const Store& store() const { return store_; }
+    // What would be in force with this key if all that is held were: for what is narrowed by both. The
+    // outer: nothing of it is pending.
+    std::optional<std::optional<std::string>> pending(std::string_view key) const;
+    bool anything_pending() const;
+    Number position() const;
+    Number in_force() const;            // the newest settlement's number that is in force here
+    Number revision() const;            // the newest change in force here
+    std::optional<Time> since() const;  // when it came into force here
+    const Beat& beat() const;
+    Span longest_contradiction() const;  // W
+    std::optional<int> relay() const;    // connected to
+    std::uint64_t reconnects() const, snapshots() const, whole_snapshots() const;
+
+    // What survives a restart: state and records. Nothing of it is acted on in full until a beat confirms it.
+    std::string save() const;
+    bool restore(Time now, const std::string& saved);
+
+private:
+    Store store_;
+};
+
+}  // namespace linnetlead::distribution
--- /dev/null
+++ b/src/distribution/frames.h
@@ -0,0 +1,124 @@
+// What relays and gateways say to each other on a connection: frames of a length (4 bytes, big-endian) and a
+// CBOR array. A frame that is none, is over its bound or comes from the wrong side is answered by an `error`
+// frame with words of its own, and the connection ends; nothing else stops. No I/O.
+#pragma once
+
+#include <variant>
+
+#include "record.h"
+
+namespace linnetlead::distribution {
+
+constexpr std::size_t most_frame = 2 * 1024 * 1024;
+constexpr int protocol_version = 1;
+constexpr std::size_t most_names = 4;  // told of those that cannot take a change
+
+enum class Role { gateway, relay, tool };
+
+// ---- up ----
+struct Hello {
+    int version = protocol_version;
+    Role role = Role::gateway;
+    std::string name;
+    Number position = 0;     // the last record that it holds; 0: nothing
+    std::uint64_t term = 0;  // of that record
+    Number base = 0;  // its state in force is that of this number; all behind it up to `position` are records
+};
+// What a follower and those behind it hold: counts and a few names, whatever the size of what is behind it.
+struct Counted {
+    Number change = 0;
+    std::uint32_t cannot = 0;        // gateways that cannot take some of its keys
+    std::vector<std::string> names;  // of some of them
+};
+struct Holding {
+    Number upto = 0;  // so many gateways hold all records up to here (and not the next such)
+    std::uint32_t gateways = 0;
+};
+struct Ack {
+    Number position = 0;
+    Number in_force = 0;           // the newest settlement that is in force with it
+    std::uint32_t gateways = 0;    // there are behind it (a gateway: itself)
+    std::uint32_t fenced = 0;      // of them
+    std::vector<Holding> holding;  // newest first; 64 at most, the rest is in the last
+    std::vector<Counted> cannot;   // of changes not settled; 64 at most
+};
+struct Submit {
+    std::uint64_t request = 0;  // drawn by who asks; comes back in the answer
+    Change change;
+};
+struct Ask {  // for the relay's state, in words for people (JSON)
+    std::uint64_t request = 0;
+};
+
+// ---- down ----
+struct Welcome {
+    std::string relay;
+    int region = 0;
+};
+// Not here, or not now: come again after this, at this relay or another.
+struct Away {
+    std::int64_t after_ms = 0;
+    Refusal why = Refusal::full;
+};
+struct Records {
+    std::vector<Record> records;  // follow one another, and what the follower holds
+};
+struct Lease {
+    Beat beat;
+};
+// The state at `number` for a follower that is too far behind: values changed behind `since`, whole once all
+// pieces are there; a follower adopts it then at once, and goes on with the records behind it.
+struct SnapshotPiece {
+    Number number = 0, since = 0;  // since 0: the whole state, nothing of its own stays
+    std::uint64_t term = 0;
+    std::uint64_t piece = 0;  // from 0
+    bool last = false;
+    std::uint64_t hash = 0;  // of the last: of the state that results
+    struct Entry {
+        std::string key;
+        std::optional<std::string> value;
+        Number number = 0;
+    };
+    std::vector<Entry> entries;  // zstd on the wire
+    Time in_force_at{};          // of the last settlement within
+};
+struct Answer {
+    std::uint64_t request = 0;
+    Refusal refusal = Refusal::none;
+    Number number = 0;  // of the change, once it counts; or of the state
+    std::string words;
+};
+
+// ---- either ----
+struct Error {
+    Refusal refusal = Refusal::malformed;
+    std::string words;
+};
+
+// Between voters: a quorum's message, as it is.
+struct Voter {
+    int from = 0;
+    std::string message;
+};
+
+using Frame =
+    std::variant<Hello, Ack, Submit, Ask, Welcome, Away, Records, Lease, SnapshotPiece, Answer, Error, Voter>;
+
+// With the length in front.
+std::string write(const Frame& frame);
+
+// Takes bytes as they come.
+class FrameReader {
+public:
+    explicit FrameReader(std::size_t most = most_frame) : most_(most) {}
+    enum class State { partial, frame, wrong };
+    // Takes what belongs to the next frame; call again until partial.
+    State take(std::string_view& bytes, Frame& frame, Refusal& refusal);
+    std::size_t held() const { return held_.size(); }
+
+private:
+    std::size_t most_;
+    std::string held_;
+};
+
+}  // namespace linnetlead::distribution
--- /dev/null
+++ b/src/distribution/record.h
@@ -0,0 +1,45 @@
+// The records of the log that the relays' quorum orders, and how they stand in frames and on disk. A change
+// is not in force by being in the log: a later record settles the instant from which it, and all changes
+// before it that are not withdrawn, are in force everywhere. What is withdrawn never was in force; both have
+// numbers of their own, so that one history tells all.
+#pragma once
+
+#include "change.h"
+
+namespace linnetlead::distribution {
+
+enum class RecordKind : std::uint8_t {
+    begin,  // a leader's term begins
+    change,
+    settle,    // all changes up to `upto` that are neither in force nor withdrawn are in force from `instant`
+               // on
+    withdraw,  // the change `upto` is held back for good
+};
+
+struct Record {
+    Number number = 0;
+    std::uint64_t term = 0;  // of the leader that wrote it
+    RecordKind kind = RecordKind::begin;
+    Change change;
+    Number upto = 0;
+    Time instant{};      // Unix time; later than any settled before
+    std::string reason;  // of a withdrawal, with names
+};
+
+// Without number and term, which the log itself has.
+std::string write_body(const Record& record);
+std::optional<Record> read_body(std::string_view body);
+
+// What the leader of the quorum knows to have been true: at `at`, by its clock, a majority took it for the
+// leader, and `committed` was the last record that counted. No settlement that is not among these was
+// committed before `at`; so who holds all of them may act on what they say until `at` + lease.
+struct Beat {
+    std::uint64_t term = 0;
+    Time at{};
+    Number committed = 0;
+    friend bool operator==(const Beat& a, const Beat& b) {
+        return a.term == b.term && a.at == b.at && a.committed == b.committed;
+    }
+};
+
+}  // namespace linnetlead::distribution
