Distribution: changes, records, frames and a store for 760,000 keys

Need: what the follower and the relays are built on.

The change's form, bounds and kinds are checked with a refusal each; records and frames stand in CBOR by the JSON library, behind a pass over the bytes that refuses nesting, open lengths and what is cut off, since the library reads by recursion. The store keeps entries in chunks of 256 KiB behind a table of 8 bytes a slot; the chunk with the most garbage is copied to the end when there is more than an eighth of it. Slices may be taken while it changes. Keys taken away are known up to 65,536. SnapshotPiece says since when those are known; Records can carry what was written before.

--- /dev/null
+++ b/src/distribution/frames.cpp
@@ -0,0 +1,330 @@
+#include "frames.h"
+
+#include "keep/sealed.h"
+#include "wire_form.h"
+
+namespace linnetlead::distribution {
+
+using wire_form::blob;
+using wire_form::Fields;
+using wire_form::json;
+
+namespace {
+
+constexpr std::size_t most_name = 128;
+constexpr std::size_t most_counts = 64;
+constexpr std::size_t most_words = 256 * 1024;
+constexpr std::size_t most_piece = 4 * 1024 * 1024;  // unpacked
+
+// As they stand on the wire.
+enum class Kind : unsigned {
+    hello = 1,
+    ack,
+    submit,
+    ask,
+    welcome,
+    away,
+    records,
+    lease,
+    piece,
+    answer,
+    error,
+    voter,
+};
+
+unsigned place(Kind kind) { return static_cast<unsigned>(kind); }
+unsigned place(Refusal refusal) { return static_cast<unsigned>(refusal); }
+
+std::string pack(const std::vector<SnapshotPiece::Entry>& entries) {
+    std::string text;
+    for (const auto& entry : entries) {
+        wire_form::put_text(text, entry.key);
+        wire_form::put_number(text, entry.value ? entry.value->size() + 1 : 0);
+        if (entry.value) text += *entry.value;
+        wire_form::put_number(text, entry.number);
+    }
+    return keep::compress(text);
+}
+
+bool unpack(std::string_view packed, std::vector<SnapshotPiece::Entry>& entries) {
+    const auto text = keep::decompress(packed, most_piece);
+    if (!text) return false;
+    for (std::string_view rest = *text; !rest.empty();) {
+        SnapshotPiece::Entry entry;
+        std::string_view key;
+        std::uint64_t size = 0;
+        if (!wire_form::take_text(rest, key, most_key) || key.empty() || !wire_form::take_number(rest, size))
+            return false;
+        entry.key = key;
+        if (size > 0) {
+            if (size - 1 > most_value || size - 1 > rest.size()) return false;
+            entry.value = std::string(rest.substr(0, size - 1));
+            rest.remove_prefix(size - 1);
+        }
+        if (!wire_form::take_number(rest, entry.number)) return false;
+        entries.push_back(std::move(entry));
+    }
+    return true;
+}
+
+json form_of(const Hello& hello) {
+    return json::array({place(Kind::hello), static_cast<unsigned>(hello.version),
+                        static_cast<unsigned>(hello.role), hello.name, hello.position, hello.term,
+                        hello.base});
+}
+
+json form_of(const Ack& ack) {
+    json form = json::array({place(Kind::ack), ack.position, ack.in_force, ack.gateways, ack.fenced});
+    if (ack.holding.empty() && ack.cannot.empty()) return form;
+    json holding = json::array();
+    for (const Holding& each : ack.holding) {
+        holding.push_back(each.upto);
+        holding.push_back(each.gateways);
+    }
+    form.push_back(std::move(holding));
+    json cannot = json::array();
+    for (const Counted& each : ack.cannot) {
+        cannot.push_back(json::array({each.change, each.cannot, each.names}));
+    }
+    form.push_back(std::move(cannot));
+    return form;
+}
+
+json form_of(const Submit& submit) {
+    return json::array({place(Kind::submit), submit.request, wire_form::change_form(submit.change)});
+}
+
+json form_of(const Ask& ask) { return json::array({place(Kind::ask), ask.request}); }
+
+json form_of(const Welcome& welcome) {
+    return json::array({place(Kind::welcome), welcome.relay, welcome.region});
+}
+
+json form_of(const Away& away) { return json::array({place(Kind::away), away.after_ms, place(away.why)}); }
+
+json form_of(const Records& records) {
+    json each = json::array();
+    for (const Record& record : records.records) {
+        each.push_back(json::array({record.number, record.term, blob(write_body(record))}));
+    }
+    return json::array({place(Kind::records), std::move(each)});
+}
+
+json form_of(const Lease& lease) {
+    return json::array({place(Kind::lease), lease.beat.term, lease.beat.at.count(), lease.beat.committed});
+}
+
+json form_of(const SnapshotPiece& piece) {
+    return json::array({place(Kind::piece), piece.number, piece.since, piece.term, piece.piece,
+                        piece.last ? 1U : 0U, piece.hash, piece.known_since, piece.in_force_at.count(),
+                        blob(pack(piece.entries))});
+}
+
+json form_of(const Answer& answer) {
+    return json::array(
+        {place(Kind::answer), answer.request, place(answer.refusal), answer.number, answer.words});
+}
+
+json form_of(const Error& error) {
+    return json::array({place(Kind::error), place(error.refusal), error.words});
+}
+
+json form_of(const Voter& voter) {
+    return json::array({place(Kind::voter), voter.from, blob(voter.message)});
+}
+
+Refusal refusal_of(Fields& fields) {
+    return static_cast<Refusal>(fields.number(static_cast<unsigned>(Refusal::full)));
+}
+
+bool read_ack(Fields& fields, Ack& ack) {
+    ack.position = fields.number();
+    ack.in_force = fields.number();
+    ack.gateways = static_cast<std::uint32_t>(fields.number(~std::uint32_t{0}));
+    ack.fenced = static_cast<std::uint32_t>(fields.number(~std::uint32_t{0}));
+    if (!fields.more()) return fields.ok();
+    Fields holding(fields.array(2 * most_counts));
+    while (holding.more()) {
+        Holding each;
+        each.upto = holding.number();
+        each.gateways = static_cast<std::uint32_t>(holding.number(~std::uint32_t{0}));
+        ack.holding.push_back(each);
+    }
+    for (const json& form : fields.array(most_counts)) {
+        Fields of(form);
+        Counted each;
+        each.change = of.number();
+        each.cannot = static_cast<std::uint32_t>(of.number(~std::uint32_t{0}));
+        Fields names(of.array(most_names));
+        while (names.more()) each.names.push_back(names.text(most_name));
+        if (!of.done() || !names.ok()) return false;
+        ack.cannot.push_back(std::move(each));
+    }
+    return fields.ok() && holding.ok();
+}
+
+bool read_records(Fields& fields, Records& records) {
+    for (const json& form : fields.array(most_frame)) {
+        Fields of(form);
+        const Number number = of.number();
+        const std::uint64_t term = of.number();
+        auto record = read_body(of.bytes(most_frame));
+        if (!of.done() || !record || number == 0) return false;
+        record->number = number;
+        record->term = term;
+        records.records.push_back(std::move(*record));
+    }
+    return !records.records.empty();
+}
+
+std::optional<Frame> read(std::string_view bytes) {
+    const auto form = wire_form::read_array(bytes);
+    if (!form) return std::nullopt;
+    Fields fields(*form);
+    Frame frame;
+    bool good = true;
+    switch (static_cast<Kind>(fields.number(place(Kind::voter)))) {
+        case Kind::hello: {
+            Hello hello;
+            hello.version = static_cast<int>(fields.number(1000));
+            hello.role = static_cast<Role>(fields.number(static_cast<unsigned>(Role::tool)));
+            hello.name = fields.text(most_name);
+            hello.position = fields.number();
+            hello.term = fields.number();
+            hello.base = fields.number();
+            frame = std::move(hello);
+            break;
+        }
+        case Kind::ack: {
+            Ack ack;
+            good = read_ack(fields, ack);
+            frame = std::move(ack);
+            break;
+        }
+        case Kind::submit: {
+            Submit submit;
+            submit.request = fields.number();
+            Fields change(fields.array(3));
+            good = wire_form::read_change(change, submit.change) && change.done();
+            frame = std::move(submit);
+            break;
+        }
+        case Kind::ask:
+            frame = Ask{fields.number()};
+            break;
+        case Kind::welcome: {
+            Welcome welcome;
+            welcome.relay = fields.text(most_name);
+            welcome.region = static_cast<int>(fields.number(1000000));
+            frame = std::move(welcome);
+            break;
+        }
+        case Kind::away: {
+            Away away;
+            away.after_ms = static_cast<std::int64_t>(fields.number(3600 * 1000));
+            away.why = refusal_of(fields);
+            frame = away;
+            break;
+        }
+        case Kind::records: {
+            Records records;
+            good = read_records(fields, records);
+            frame = std::move(records);
+            break;
+        }
+        case Kind::lease: {
+            Lease lease;
+            lease.beat.term = fields.number();
+            lease.beat.at = fields.time();
+            lease.beat.committed = fields.number();
+            frame = lease;
+            break;
+        }
+        case Kind::piece: {
+            SnapshotPiece piece;
+            piece.number = fields.number();
+            piece.since = fields.number();
+            piece.term = fields.number();
+            piece.piece = fields.number();
+            piece.last = fields.number(1) == 1;
+            piece.hash = fields.number();
+            piece.known_since = fields.number();
+            piece.in_force_at = fields.time();
+            good = unpack(fields.bytes(most_frame), piece.entries);
+            frame = std::move(piece);
+            break;
+        }
+        case Kind::answer: {
+            Answer answer;
+            answer.request = fields.number();
+            answer.refusal = refusal_of(fields);
+            answer.number = fields.number();
+            answer.words = fields.text(most_words);
+            frame = std::move(answer);
+            break;
+        }
+        case Kind::error: {
+            Error error;
+            error.refusal = refusal_of(fields);
+            error.words = fields.text(4096);
+            frame = std::move(error);
+            break;
+        }
+        case Kind::voter: {
+            Voter voter;
+            voter.from = static_cast<int>(fields.number(1000));
+            voter.message = std::string(fields.bytes(most_frame));
+            frame = std::move(voter);
+            break;
+        }
+        default:
+            return std::nullopt;
+    }
+    if (!good || !fields.done()) return std::nullopt;
+    return frame;
+}
+
+}  // namespace
+
+std::string write(const Frame& frame) {
+    if (const auto* records = std::get_if<Records>(&frame)) {
+        if (records->written) return *records->written;
+    }
+    const std::string body =
+        accord::write_cbor(std::visit([](const auto& each) { return form_of(each); }, frame));
+    std::string out;
+    out.reserve(4 + body.size());
+    for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>(body.size() >> shift));
+    out += body;
+    return out;
+}
+
+FrameReader::State FrameReader::take(std::string_view& bytes, Frame& frame, Refusal& refusal) {
+    const auto wrong = [&](Refusal why) {
+        refusal = why;
+        bytes = {};
+        held_.clear();
+        return State::wrong;
+    };
+    const auto hold = [&](std::size_t size) {
+        size = std::min(size, bytes.size());
+        held_.append(bytes.substr(0, size));
+        bytes.remove_prefix(size);
+    };
+    if (held_.size() < 4) hold(4 - held_.size());
+    if (held_.size() < 4) return State::partial;
+    std::size_t size = 0;
+    for (int i = 0; i < 4; ++i) size = size << 8 | static_cast<unsigned char>(held_[i]);
+    if (size == 0) return wrong(Refusal::malformed);
+    if (size > most_) return wrong(Refusal::over_size);
+    hold(4 + size - held_.size());
+    if (held_.size() < 4 + size) return State::partial;
+    auto read_frame = read(std::string_view(held_).substr(4));
+    if (!read_frame) return wrong(Refusal::malformed);
+    frame = std::move(*read_frame);
+    held_.clear();
+    if (held_.capacity() > 64 * 1024) held_.shrink_to_fit();
+    return State::frame;
+}
+
+}  // namespace linnetlead::distribution
--- a/src/distribution/frames.h
+++ b/src/distribution/frames.h
@@ -3,6 +3,7 @@
 // frame with words of its own, and the connection ends; nothing else stops. No I/O.
 #pragma once
 
+#include <memory>
 #include <variant>
 
 #include "record.h"
@@ -62,6 +63,8 @@
 };
 struct Records {
     std::vector<Record> records;  // follow one another, and what the follower holds
+    // write() gives this where it is there: the same records go to hundreds of followers.
+    std::shared_ptr<const std::string> written;
 };
 struct Lease {
     Beat beat;
@@ -81,6 +84,8 @@
     };
     std::vector<Entry> entries;  // zstd on the wire
     Time in_force_at{};          // of the last settlement within
+    // Keys taken away since this number are all among the entries or known from before.
+    Number known_since = 0;
 };
 struct Answer {
     std::uint64_t request = 0;
--- /dev/null
+++ b/src/distribution/record.cpp
@@ -0,0 +1,64 @@
+#include "record.h"
+
+#include "wire_form.h"
+
+namespace linnetlead::distribution {
+
+using wire_form::json;
+
+namespace {
+
+constexpr std::size_t most_reason = 4096;
+
+}  // namespace
+
+std::string write_body(const Record& record) {
+    json form;
+    switch (record.kind) {
+        case RecordKind::begin:
+            return {};
+        case RecordKind::change:
+            form = wire_form::change_form(record.change);
+            form.insert(form.begin(), json(static_cast<unsigned>(record.kind)));
+            break;
+        case RecordKind::settle:
+            form = json::array({static_cast<unsigned>(record.kind), record.upto, record.instant.count()});
+            break;
+        case RecordKind::withdraw:
+            form = json::array(
+                {static_cast<unsigned>(record.kind), record.upto, record.reason.substr(0, most_reason)});
+            break;
+    }
+    return accord::write_cbor(form);
+}
+
+std::optional<Record> read_body(std::string_view body) {
+    Record record;
+    if (body.empty()) return record;
+    const auto form = wire_form::read_array(body);
+    if (!form) return std::nullopt;
+    wire_form::Fields fields(*form);
+    switch (fields.number(static_cast<unsigned>(RecordKind::withdraw))) {
+        case static_cast<unsigned>(RecordKind::change):
+            record.kind = RecordKind::change;
+            if (!wire_form::read_change(fields, record.change)) return std::nullopt;
+            if (check(record.change) != Refusal::none) return std::nullopt;
+            break;
+        case static_cast<unsigned>(RecordKind::settle):
+            record.kind = RecordKind::settle;
+            record.upto = fields.number();
+            record.instant = fields.time();
+            break;
+        case static_cast<unsigned>(RecordKind::withdraw):
+            record.kind = RecordKind::withdraw;
+            record.upto = fields.number();
+            record.reason = fields.text(most_reason);
+            break;
+        default:
+            return std::nullopt;
+    }
+    if (!fields.done()) return std::nullopt;
+    return record;
+}
+
+}  // namespace linnetlead::distribution
--- /dev/null
+++ b/src/distribution/store.cpp
@@ -0,0 +1,259 @@
+#include "store.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace linnetlead::distribution {
+
+namespace {
+
+// Of an entry: the number, the value's length or that there is none, the key's length or that it is garbage.
+constexpr std::size_t head_size = 11;
+constexpr std::uint16_t no_value = 0xffff;
+constexpr unsigned char garbage_bit = 0x80;
+static_assert(most_key < garbage_bit && most_value < no_value);
+
+constexpr std::size_t aligned(std::size_t size) { return (size + 3) & ~std::size_t{3}; }
+std::uint64_t hash_of(std::string_view key) { return XXH3_64bits(key.data(), key.size()); }
+
+}  // namespace
+
+struct Store::Entry {
+    Number number = 0;
+    std::string_view key;
+    std::optional<std::string_view> value;
+    bool garbage = false;
+    std::size_t size = 0;  // with what it is filled up with
+};
+
+Store::Store() : slots_(1024) {}
+
+void Store::clear() { *this = Store(); }
+
+std::uint64_t Store::part_of_hash(std::string_view key, std::string_view value) {
+    return XXH3_64bits_withSeed(value.data(), value.size(), hash_of(key));
+}
+
+Store::Entry Store::read(const Chunk& chunk, std::size_t offset) const {
+    const char* at = chunk.bytes.get() + offset;
+    Entry entry;
+    std::uint16_t length = 0;
+    std::memcpy(&entry.number, at, 8);
+    std::memcpy(&length, at + 8, 2);
+    const auto last = static_cast<unsigned char>(at[10]);
+    entry.garbage = (last & garbage_bit) != 0;
+    const std::size_t key_length = last & ~garbage_bit;
+    entry.key = {at + head_size, key_length};
+    if (length != no_value) entry.value = std::string_view(at + head_size + key_length, length);
+    entry.size = aligned(head_size + key_length + (entry.value ? length : 0));
+    return entry;
+}
+
+Store::Entry Store::entry_at(std::uint32_t reference) const {
+    return read(chunks_[reference >> 16], std::size_t{reference & 0xffffU} * 4);
+}
+
+std::optional<std::size_t> Store::slot_of(std::string_view key, std::uint64_t hash) const {
+    const std::size_t mask = slots_.size() - 1;
+    const auto low = static_cast<std::uint32_t>(hash);
+    for (std::size_t at = low & mask;; at = (at + 1) & mask) {
+        const Slot& slot = slots_[at];
+        if (slot.entry == no_entry) return std::nullopt;
+        if (slot.entry != old_entry && slot.hash == low && entry_at(slot.entry).key == key) return at;
+    }
+}
+
+std::optional<std::string_view> Store::find(std::string_view key) const {
+    const auto slot = slot_of(key, hash_of(key));
+    return slot ? entry_at(slots_[*slot].entry).value : std::nullopt;
+}
+
+Number Store::changed(std::string_view key) const {
+    const auto slot = slot_of(key, hash_of(key));
+    return slot ? entry_at(slots_[*slot].entry).number : 0;
+}
+
+std::uint32_t Store::append(std::string_view key, std::optional<std::string_view> value, Number number) {
+    const std::size_t size = aligned(head_size + key.size() + (value ? value->size() : 0));
+    if (order_.empty() || chunks_[order_.back()].used + size > chunk_size) {
+        const auto free =
+            std::find_if(chunks_.begin(), chunks_.end(), [](const Chunk& chunk) { return !chunk.bytes; });
+        const auto id = static_cast<std::uint32_t>(free - chunks_.begin());
+        if (free == chunks_.end()) chunks_.emplace_back();
+        Chunk& chunk = chunks_[id];
+        chunk = Chunk();
+        chunk.bytes = std::make_unique<char[]>(chunk_size);
+        chunk.sequence = ++sequence_;
+        order_.push_back(id);
+    }
+    const std::uint32_t id = order_.back();
+    Chunk& chunk = chunks_[id];
+    char* at = chunk.bytes.get() + chunk.used;
+    const auto length = value ? static_cast<std::uint16_t>(value->size()) : no_value;
+    std::memcpy(at, &number, 8);
+    std::memcpy(at + 8, &length, 2);
+    at[10] = static_cast<char>(key.size());
+    std::memcpy(at + head_size, key.data(), key.size());
+    if (value && !value->empty()) std::memcpy(at + head_size + key.size(), value->data(), value->size());
+    const auto reference = static_cast<std::uint32_t>(id << 16 | chunk.used / 4);
+    chunk.used += size;
+    chunk.live += size;
+    chunk.newest = std::max(chunk.newest, number);
+    live_ += size;
+    return reference;
+}
+
+void Store::retire(std::uint32_t reference) {
+    Chunk& chunk = chunks_[reference >> 16];
+    const std::size_t offset = std::size_t{reference & 0xffffU} * 4;
+    const std::size_t size = read(chunk, offset).size;
+    chunk.bytes[offset + 10] =
+        static_cast<char>(static_cast<unsigned char>(chunk.bytes[offset + 10]) | garbage_bit);
+    chunk.live -= size;
+    live_ -= size;
+}
+
+void Store::place(std::uint32_t hash, std::uint32_t entry) {
+    const std::size_t mask = slots_.size() - 1;
+    std::size_t at = hash & mask;
+    while (slots_[at].entry != no_entry) at = (at + 1) & mask;
+    slots_[at] = {hash, entry};
+}
+
+void Store::make_room() {
+    if ((taken_ + 1) * 100 <= slots_.size() * 85) return;
+    const std::size_t size = entries_ * 100 > slots_.size() * 60 ? slots_.size() * 2 : slots_.size();
+    std::vector<Slot> old(size);
+    old.swap(slots_);
+    for (const Slot& slot : old) {
+        if (slot.entry != no_entry && slot.entry != old_entry) place(slot.hash, slot.entry);
+    }
+    taken_ = entries_;
+}
+
+void Store::set(std::string_view key, std::optional<std::string_view> value, Number number) {
+    if (key.empty() || key.size() > most_key || (value && value->size() > most_value)) return;
+    const std::uint64_t hash = hash_of(key);
+    const auto slot = slot_of(key, hash);
+    bool had = false;
+    if (slot) {
+        const Entry before = entry_at(slots_[*slot].entry);
+        had = before.value.has_value();
+        if (had) hash_ -= part_of_hash(key, *before.value);
+        const std::uint32_t entry = append(key, value, number);
+        retire(slots_[*slot].entry);
+        slots_[*slot].entry = entry;
+    } else {
+        make_room();
+        place(static_cast<std::uint32_t>(hash), append(key, value, number));
+        ++taken_;
+        ++entries_;
+    }
+    if (value) hash_ += part_of_hash(key, *value);
+    size_ = size_ - (had ? 1 : 0) + (value ? 1 : 0);
+    if (!value) {
+        tombstones_.emplace_back(number, hash);
+        bound_tombstones();
+    }
+    clean();
+}
+
+void Store::bound_tombstones() {
+    const auto forget_first = [this] {
+        const auto [number, hash] = tombstones_.front();
+        tombstones_.pop_front();
+        // By the hash: of a key that has a value again, or was taken away once more, it is void.
+        const std::size_t mask = slots_.size() - 1;
+        const auto low = static_cast<std::uint32_t>(hash);
+        for (std::size_t at = low & mask; slots_[at].entry != no_entry; at = (at + 1) & mask) {
+            if (slots_[at].entry == old_entry || slots_[at].hash != low) continue;
+            const Entry entry = entry_at(slots_[at].entry);
+            if (entry.value || entry.number != number || hash_of(entry.key) != hash) continue;
+            retire(slots_[at].entry);
+            slots_[at].entry = old_entry;
+            --entries_;
+            tombstones_since_ = std::max(tombstones_since_, number);
+            return;
+        }
+    };
+    while (entries_ - size_ > most_tombstones || tombstones_.size() > 2 * most_tombstones) forget_first();
+}
+
+void Store::forget_tombstones(Number upto) { tombstones_since_ = std::max(tombstones_since_, upto); }
+
+void Store::clean() {
+    if (order_.size() < 2) return;
+    const std::size_t open = chunk_size - chunks_[order_.back()].used;
+    const std::size_t garbage = order_.size() * chunk_size - open - live_;
+    if (garbage < 2 * chunk_size + live_ / 8) return;
+    const auto worst = std::min_element(order_.begin(), order_.end() - 1,
+                                        [this](auto a, auto b) { return chunks_[a].live < chunks_[b].live; });
+    if (chunks_[*worst].live > chunk_size - chunk_size / 16) return;
+    const std::uint32_t id = *worst;
+    order_.erase(worst);
+    // It keeps its place among the chunks until all of it is elsewhere, so that no reference stands for two.
+    live_ -= chunks_[id].live;
+    const std::size_t used = chunks_[id].used;
+    for (std::size_t offset = first_offset; offset < used;) {
+        const Entry entry = read(chunks_[id], offset);
+        if (!entry.garbage) {
+            const auto reference = static_cast<std::uint32_t>(id << 16 | offset / 4);
+            const auto low = static_cast<std::uint32_t>(hash_of(entry.key));
+            const std::size_t mask = slots_.size() - 1;
+            std::size_t at = low & mask;
+            while (slots_[at].entry != reference) at = (at + 1) & mask;
+            slots_[at].entry = append(entry.key, entry.value, entry.number);
+        }
+        offset += entry.size;
+    }
+    chunks_[id] = Chunk();
+}
+
+std::size_t Store::size() const { return size_; }
+
+std::size_t Store::bytes() const {
+    return order_.size() * chunk_size + slots_.capacity() * sizeof(Slot) +
+           tombstones_.size() * sizeof(tombstones_[0]) + chunks_.capacity() * sizeof(Chunk);
+}
+
+void Store::each(std::string_view prefix,
+                 const std::function<void(std::string_view, std::string_view)>& act) const {
+    for (const std::uint32_t id : order_) {
+        const Chunk& chunk = chunks_[id];
+        for (std::size_t offset = first_offset; offset < chunk.used;) {
+            const Entry entry = read(chunk, offset);
+            offset += entry.size;
+            if (!entry.garbage && entry.value && entry.key.substr(0, prefix.size()) == prefix)
+                act(entry.key, *entry.value);
+        }
+    }
+}
+
+std::size_t Store::slice(
+    std::size_t place, Number since, std::size_t most,
+    const std::function<void(std::string_view, std::optional<std::string_view>, Number)>& act) const {
+    // A place: the chunk's sequence, and the offset in it. An entry that has not been told only moves to
+    // places behind.
+    std::size_t told = 0;
+    for (const std::uint32_t id : order_) {
+        const Chunk& chunk = chunks_[id];
+        const std::uint64_t sequence = place / chunk_size;
+        if (chunk.sequence < sequence || chunk.newest <= since) continue;
+        std::size_t offset = chunk.sequence == sequence ? place % chunk_size : first_offset;
+        offset = std::max(offset, first_offset);
+        while (offset < chunk.used) {
+            if (told >= most) return chunk.sequence * chunk_size + offset;
+            const Entry entry = read(chunk, offset);
+            offset += entry.size;
+            if (entry.garbage || entry.number <= since) continue;
+            told += entry.size;
+            act(entry.key, entry.value, entry.number);
+        }
+    }
+    return 0;
+}
+
+}  // namespace linnetlead::distribution
--- /dev/null
+++ b/src/distribution/wire_form.cpp
@@ -0,0 +1,107 @@
+#include "wire_form.h"
+
+namespace linnetlead::distribution::wire_form {
+
+namespace {
+
+constexpr int most_depth = 6;
+
+// Goes over the bytes without reading them: false where something is cut off, nested too deep, or of a kind
+// that no frame has (maps, tags, lengths left open).
+bool is_shallow(std::string_view bytes) {
+    std::uint64_t left[most_depth + 1] = {1};
+    int depth = 0;
+    std::size_t at = 0;
+    while (true) {
+        while (depth > 0 && left[depth] == 0) --depth;
+        if (left[depth] == 0) return at == bytes.size();
+        --left[depth];
+        if (at >= bytes.size()) return false;
+        const auto head = static_cast<unsigned char>(bytes[at++]);
+        const int kind = head >> 5;
+        const unsigned low = head & 31U;
+        std::uint64_t value = low;
+        if (low >= 24) {
+            if (low > 27) return false;
+            const std::size_t size = std::size_t{1} << (low - 24);
+            if (bytes.size() - at < size) return false;
+            value = 0;
+            for (std::size_t i = 0; i < size; ++i)
+                value = value << 8 | static_cast<unsigned char>(bytes[at + i]);
+            at += size;
+        }
+        if (kind == 2 || kind == 3) {
+            if (bytes.size() - at < value) return false;
+            at += value;
+        } else if (kind == 4) {
+            if (depth == most_depth || value > bytes.size() - at) return false;
+            left[++depth] = value;
+        } else if (kind == 5 || kind == 6 || (kind == 7 && (low < 20 || low > 22))) {
+            return false;
+        }
+    }
+}
+
+}  // namespace
+
+std::optional<json> read_array(std::string_view bytes) {
+    if (!is_shallow(bytes)) return std::nullopt;
+    json value = accord::read_cbor(bytes);
+    if (!value.is_array()) return std::nullopt;
+    return value;
+}
+
+json change_form(const Change& change) {
+    json edits = json::array();
+    for (const Edit& edit : change.edits) {
+        edits.push_back(edit.key);
+        edits.push_back(edit.value ? blob(*edit.value) : json());
+    }
+    return json::array({change.id, change.base, std::move(edits)});
+}
+
+bool read_change(Fields& fields, Change& change) {
+    // A little over the bounds is still read, for an answer that names the bound.
+    change.id = fields.text(4 * most_id);
+    change.base = fields.number();
+    const json& edits = fields.array(4 * most_edits);
+    if (!fields.ok() || edits.size() % 2 != 0) return false;
+    Fields each(edits);
+    change.edits.resize(edits.size() / 2);
+    for (Edit& edit : change.edits) {
+        edit.key = each.text(4 * most_key);
+        edit.value = each.bytes_or_null(4 * most_value);
+    }
+    return each.done();
+}
+
+void put_number(std::string& out, std::uint64_t value) {
+    for (; value >= 128; value >>= 7) out.push_back(static_cast<char>(value | 128));
+    out.push_back(static_cast<char>(value));
+}
+
+bool take_number(std::string_view& bytes, std::uint64_t& value) {
+    value = 0;
+    for (int shift = 0; shift < 64 && !bytes.empty(); shift += 7) {
+        const auto byte = static_cast<unsigned char>(bytes.front());
+        bytes.remove_prefix(1);
+        value |= static_cast<std::uint64_t>(byte & 127U) << shift;
+        if (byte < 128) return true;
+    }
+    return false;
+}
+
+void put_text(std::string& out, std::string_view text) {
+    put_number(out, text.size());
+    out.append(text);
+}
+
+bool take_text(std::string_view& bytes, std::string_view& text, std::size_t most) {
+    std::uint64_t size = 0;
+    if (!take_number(bytes, size) || size > most || size > bytes.size()) return false;
+    text = bytes.substr(0, size);
+    bytes.remove_prefix(size);
+    return true;
+}
+
+}  // namespace linnetlead::distribution::wire_form
