--- /dev/null
+++ b/src/distribution/flat.cpp
@@ -0,0 +1,94 @@
+#include "flat.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace linnetlead::distribution {
+
+namespace {
+
+using nlohmann::json;
+
+// One array of unsigned numbers, and nothing within it: so no depth and no size but the input's own.
+class Numbers : public nlohmann::json_sax<json> {
+public:
+    explicit Numbers(std::vector<std::uint64_t>& out) : out_(out) {}
+    bool null() override { return false; }
+    bool boolean(bool) override { return false; }
+    bool number_integer(number_integer_t) override { return false; }
+    bool number_unsigned(number_unsigned_t number) override {
+        out_.push_back(number);
+        return within_;
+    }
+    bool number_float(number_float_t, const string_t&) override { return false; }
+    bool string(string_t&) override { return false; }
+    bool binary(binary_t&) override { return false; }
+    bool start_object(std::size_t) override { return false; }
+    bool key(string_t&) override { return false; }
+    bool end_object() override { return false; }
+    bool start_array(std::size_t) override { return !std::exchange(within_, true); }
+    bool end_array() override { return true; }
+    bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+        return false;
+    }
+
+private:
+    std::vector<std::uint64_t>& out_;
+    bool within_ = false;
+};
+
+}  // namespace
+
+std::uint64_t checksum_of(std::string_view bytes, std::uint64_t seed) {
+    return XXH64(bytes.data(), bytes.size(), seed);
+}
+
+void write_fixed(std::string& out, std::uint64_t number, int bytes) {
+    for (int i = bytes - 1; i >= 0; --i) out += static_cast<char>(number >> (8 * i));
+}
+
+std::uint64_t read_fixed(std::string_view from, int bytes) {
+    std::uint64_t number = 0;
+    for (int i = 0; i < bytes; ++i) number = number << 8 | static_cast<std::uint8_t>(from[i]);
+    return number;
+}
+
+std::string write_flat(std::uint8_t version, const std::vector<std::uint64_t>& numbers,
+                       const std::vector<std::string_view>& parts, std::uint64_t seed) {
+    std::string array;
+    json::to_cbor(json(numbers), array);
+    std::size_t size = array.size() + flat_head;
+    for (const std::string_view part : parts) size += part.size();
+    std::string out;
+    out.reserve(size);
+    out += static_cast<char>(version);
+    write_fixed(out, 0, 8);
+    write_fixed(out, array.size(), 4);
+    out += array;
+    for (const std::string_view part : parts) out += part;
+    std::string sum;
+    write_fixed(sum, checksum_of(std::string_view(out).substr(flat_checksum_at + 8), seed), 8);
+    out.replace(flat_checksum_at, 8, sum);
+    return out;
+}
+
+FlatState read_flat(std::uint8_t version, std::string_view from, Flat& out, std::uint64_t seed) {
+    if (from.size() < flat_head) return FlatState::garbage;
+    if (static_cast<std::uint8_t>(from[0]) != version) return FlatState::unknown_version;
+    const std::string_view rest = from.substr(flat_checksum_at + 8);
+    if (read_fixed(from.substr(flat_checksum_at), 8) != checksum_of(rest, seed)) return FlatState::garbage;
+    const std::uint64_t size = read_fixed(rest, 4);
+    if (size > most_flat_numbers || size > rest.size() - 4) return FlatState::garbage;
+    const std::string_view array = rest.substr(4, size);
+    out.numbers.clear();
+    Numbers numbers(out.numbers);
+    if (!json::sax_parse(array.begin(), array.end(), &numbers, json::input_format_t::cbor))
+        return FlatState::garbage;
+    out.bytes = rest.substr(4 + size);
+    return FlatState::good;
+}
+
+}  // namespace linnetlead::distribution
--- /dev/null
+++ b/src/distribution/quorum.cpp
@@ -0,0 +1,820 @@
+#include "quorum.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <utility>
+
+#include "flat.h"
+
+namespace linnetlead::distribution {
+
+namespace {
+
+constexpr std::uint8_t message_version = 1;
+constexpr std::size_t entry_overhead = 16;   // bytes, counted for each entry beside its body
+constexpr std::size_t most_messages = 1024;  // answers that wait for ready(); more are as if lost
+constexpr std::size_t most_rounds = 256;     // heartbeat rounds not yet answered
+constexpr std::uint64_t most_number = std::uint64_t{1} << 62;
+
+enum class Kind : std::uint8_t {
+    pre_vote_ask,  // would you vote for me in `term`?
+    pre_vote,
+    vote_ask,
+    vote,
+    append,    // entries behind `number`; without any it is a heartbeat
+    appended,  // its answer
+    piece,     // of a snapshot
+    pieced,    // its answer
+    count
+};
+
+// One struct for all kinds; each writes the fields that it has.
+struct Message {
+    Kind kind = Kind::count;
+    std::uint64_t term = 0;  // the sender's; of pre_vote_ask: the one that it would begin
+    Number number = 0;       // asks: its last entry; append: the one before; appended: of the append that
+                             // is answered; piece, pieced: the snapshot's
+    std::uint64_t number_term = 0;
+    std::uint64_t proposed = 0;  // pre_vote: the term that was asked about
+    bool yes = false;            // granted; matches; pieced: all of it is there
+    Number match = 0;         // appended: held up to here, as the leader has it; or, if not, try behind this
+    std::uint64_t round = 0;  // append, piece: of heartbeats, the newest begun; in the answer: the same
+    Number committed = 0;
+    std::optional<Beat> beat;
+    std::uint64_t size = 0, hash = 0, offset = 0;  // of the snapshot; where the piece begins; next wanted
+    std::vector<LogEntry> entries;
+    std::string_view bytes;  // of a piece
+};
+
+std::string write(const Message& m) {
+    std::vector<std::uint64_t> n{static_cast<std::uint64_t>(m.kind), m.term};
+    std::vector<std::string_view> parts;
+    const auto add = [&n](std::initializer_list<std::uint64_t> more) { n.insert(n.end(), more); };
+    const auto add_beat = [&] {
+        add({m.beat ? 1U : 0U, m.beat ? static_cast<std::uint64_t>(m.beat->at.count()) : 0,
+             m.beat ? m.beat->committed : 0});
+    };
+    switch (m.kind) {
+        case Kind::pre_vote_ask:
+        case Kind::vote_ask:
+            add({m.number, m.number_term});
+            break;
+        case Kind::pre_vote:
+            add({m.proposed, m.yes});
+            break;
+        case Kind::vote:
+            add({m.yes});
+            break;
+        case Kind::append:
+            add({m.number, m.number_term, m.committed, m.round});
+            add_beat();
+            add({m.entries.size()});
+            for (const LogEntry& entry : m.entries) {
+                add({entry.term, entry.body.size()});
+                parts.push_back(entry.body);
+            }
+            break;
+        case Kind::appended:
+            add({m.round, m.number, m.yes, m.match});
+            break;
+        case Kind::piece:
+            add({m.number, m.number_term, m.round});
+            add_beat();
+            add({m.size, m.hash, m.offset});
+            parts.push_back(m.bytes);
+            break;
+        case Kind::pieced:
+            add({m.round, m.number, m.hash, m.offset, m.yes});
+            break;
+        case Kind::count:
+            break;
+    }
+    return write_flat(message_version, n, parts);
+}
+
+FlatState read(std::string_view text, Message& m) {
+    Flat flat;
+    const FlatState state = read_flat(message_version, text, flat);
+    if (state != FlatState::good) return state;
+    std::size_t at = 0;
+    bool good = true;
+    const auto next = [&](std::uint64_t most = most_number) -> std::uint64_t {
+        if (at >= flat.numbers.size() || flat.numbers[at] > most) {
+            good = false;
+            return 0;
+        }
+        return flat.numbers[at++];
+    };
+    const auto next_beat = [&] {
+        const bool there = next(1) == 1;
+        Beat beat;
+        beat.term = m.term;
+        beat.at = Time(static_cast<Time::rep>(next()));
+        beat.committed = next();
+        if (there) m.beat = beat;
+    };
+    m.kind = static_cast<Kind>(next(static_cast<std::uint64_t>(Kind::count) - 1));
+    m.term = next();
+    switch (m.kind) {
+        case Kind::pre_vote_ask:
+        case Kind::vote_ask:
+            m.number = next();
+            m.number_term = next();
+            good = good && m.term > 0 && m.number_term < m.term && (m.number == 0) == (m.number_term == 0);
+            break;
+        case Kind::pre_vote:
+            m.proposed = next();
+            m.yes = next(1) == 1;
+            break;
+        case Kind::vote:
+            m.yes = next(1) == 1;
+            break;
+        case Kind::append: {
+            m.number = next();
+            m.number_term = next();
+            m.committed = next();
+            m.round = next();
+            next_beat();
+            const std::uint64_t count = next(most_message_entries);
+            std::uint64_t term = m.number_term;
+            for (std::uint64_t i = 0; i < count && good; ++i) {
+                LogEntry entry;
+                entry.number = m.number + 1 + i;
+                entry.term = next();
+                const std::uint64_t size = next(flat.bytes.size());
+                good = good && entry.term >= term && entry.term > 0;
+                if (!good) break;
+                term = entry.term;
+                entry.body = flat.bytes.substr(0, size);
+                flat.bytes.remove_prefix(size);
+                m.entries.push_back(std::move(entry));
+            }
+            good = good && term <= m.term && m.term > 0 && flat.bytes.empty() &&
+                   (m.number == 0) == (m.number_term == 0);
+            break;
+        }
+        case Kind::appended:
+            m.round = next();
+            m.number = next();
+            m.yes = next(1) == 1;
+            m.match = next();
+            break;
+        case Kind::piece:
+            m.number = next();
+            m.number_term = next();
+            m.round = next();
+            next_beat();
+            m.size = next(most_snapshot);
+            m.hash = next(~std::uint64_t{0});
+            m.offset = next(m.size);
+            m.bytes = flat.bytes;
+            good = good && m.number > 0 && m.number_term > 0 && m.number_term <= m.term &&
+                   m.bytes.size() <= m.size - m.offset && (!m.bytes.empty() || m.size == 0);
+            flat.bytes = {};
+            break;
+        case Kind::pieced:
+            m.round = next();
+            m.number = next();
+            m.hash = next(~std::uint64_t{0});
+            m.offset = next();
+            m.yes = next(1) == 1;
+            break;
+        case Kind::count:
+            break;
+    }
+    return good && at == flat.numbers.size() && flat.bytes.empty() ? FlatState::good : FlatState::garbage;
+}
+
+// A snapshot as it is sent: kept by each voter that is being brought up until that is done, so that a
+// compaction meanwhile does not begin it anew.
+struct Image {
+    LogSnapshot snapshot;
+    std::uint64_t hash = 0;
+    bool hashed = false;
+};
+
+}  // namespace
+
+struct Quorum::Impl {
+    enum class Part { follower, pre_candidate, candidate, leader };
+    struct Held {
+        LogEntry entry;
+        std::uint64_t end = 0;  // bytes of all entries up to here, since this process began
+    };
+    // What the leader knows of another voter.
+    struct Peer {
+        Number match = 0;     // held there, on disk
+        Number next = 1;      // the first that is not on its way
+        bool probing = true;  // where they part is not known: no entries until it has answered
+        bool due = false;     // something is to be sent, if only a heartbeat
+        Number told = 0;      // committed, as it was told
+        std::uint64_t round = 0;
+        Time answered{};
+        std::shared_ptr<Image> image;  // is being sent
+        std::uint64_t image_acked = 0, image_sent = 0, image_wanted = 0;
+        bool image_begun = false;
+        Time image_moved{};
+    };
+    struct Round {
+        std::uint64_t number = 0;
+        Time at{};  // as given to tick(): what a beat tells
+        Time began{};
+        Number committed = 0;
+    };
+
+    Impl(const Settings& with, const HardState& was, LogSnapshot image, std::vector<LogEntry> entries)
+        : settings(with),
+          random(with.seed * 0x9e3779b97f4a7c15U + static_cast<std::uint64_t>(with.self)),
+          hard(was),
+          hard_told(was) {
+        base = image.number;
+        base_term = image.term;
+        snapshot = std::make_shared<Image>();
+        snapshot->snapshot = std::move(image);
+        for (LogEntry& entry : entries) {
+            if (entry.number == last() + 1) push(std::move(entry));
+        }
+        committed = given = base;
+        stable = handed = last();
+        deadline = draw(settings.election, 2 * settings.election);
+    }
+
+    // ---- time: only spans between calls count ----
+    void advance(Time now) {
+        if (seen && now > seen_at) clock += now - seen_at;
+        seen = true;
+        seen_at = now;
+    }
+    Time draw(Span from, Span to) {
+        return clock + from + Span(std::uniform_int_distribution<Span::rep>(0, (to - from).count())(random));
+    }
+
+    // ---- log ----
+    Number last() const { return base + log.size(); }
+    const LogEntry& entry(Number number) const { return log[number - base - 1].entry; }
+    // Of an entry from base on to the last.
+    std::uint64_t term_at(Number number) const { return number == base ? base_term : entry(number).term; }
+    std::uint64_t last_term() const { return term_at(last()); }
+    // Bytes of all entries up to this number.
+    std::uint64_t end_of(Number number) const {
+        return number <= base ? base_end : log[number - base - 1].end;
+    }
+    void push(LogEntry&& added) {
+        const std::uint64_t end = end_of(last()) + added.body.size() + entry_overhead;
+        log.push_back({std::move(added), end});
+    }
+    void cut(Number from) {
+        if (from <= handed) {
+            truncate_from = truncate_from ? std::min(truncate_from, from) : from;
+            handed = from - 1;
+            stable = std::min(stable, handed);
+            writing_to = std::min(writing_to, handed);
+        }
+        log.resize(from - base - 1);
+    }
+    bool up_to_date(const Message& m) const {
+        return m.number_term > last_term() || (m.number_term == last_term() && m.number >= last());
+    }
+
+    // ---- who leads ----
+    std::size_t majority() const { return static_cast<std::size_t>(settings.voters / 2 + 1); }
+    void follow(int from) {
+        part = Part::follower;
+        leader = from;
+        contact = clock;
+        deadline = draw(settings.election, 2 * settings.election);
+    }
+    void leave_lead() {
+        for (Peer& peer : peers) peer = Peer();
+        rounds.clear();
+    }
+    // Of a later term, in which nothing is known yet.
+    void adopt(std::uint64_t term) {
+        hard = {term, -1};
+        beat.reset();
+        messages.clear();
+        if (part == Part::leader) leave_lead();
+        if (part != Part::follower) deadline = draw(settings.election, 2 * settings.election);
+        part = Part::follower;
+        leader = -1;
+    }
+    void step_down() {
+        leave_lead();
+        part = Part::follower;
+        leader = -1;
+        deadline = draw(settings.election, 2 * settings.election);
+    }
+    void ask_all(Kind kind, std::uint64_t term) {
+        Message m;
+        m.kind = kind;
+        m.term = term;
+        m.number = last();
+        m.number_term = last_term();
+        for (int to = 0; to < settings.voters; ++to) send(to, m);
+    }
+    void pre_campaign(Time now) {
+        part = Part::pre_candidate;
+        leader = -1;
+        votes = std::uint32_t{1} << settings.self;
+        // Disturbs nobody, so it is tried again soon: after a round trip between regions.
+        deadline = draw(settings.election / 4, settings.election / 2);
+        if (won()) return campaign(now);
+        ask_all(Kind::pre_vote_ask, hard.term + 1);
+    }
+    void campaign(Time now) {
+        adopt(hard.term + 1);
+        hard.vote = settings.self;
+        part = Part::candidate;
+        votes = std::uint32_t{1} << settings.self;
+        deadline = draw(settings.election / 2, settings.election);
+        if (won()) return lead(now);
+        ask_all(Kind::vote_ask, hard.term);
+    }
+    bool won() const {
+        std::size_t count = 0;
+        for (int i = 0; i < settings.voters; ++i) count += votes >> i & 1U;
+        return count >= majority();
+    }
+    void lead(Time now) {
+        part = Part::leader;
+        leader = settings.self;
+        for (Peer& peer : peers) {
+            peer = Peer();
+            peer.next = last() + 1;
+            peer.answered = clock;
+        }
+        rounds.clear();
+        round = 0;
+        confirmed = clock;
+        push({last() + 1, hard.term, std::string()});
+        begin = last();
+        begin_round(now);
+    }
+    void begin_round(Time now) {
+        if (rounds.size() >= most_rounds) rounds.pop_front();
+        rounds.push_back({++round, now, clock, committed});
+        next_round = clock + settings.heartbeat;
+        for (Peer& peer : peers) peer.due = true;
+        confirm();
+    }
+    // The newest round that a majority has answered, this voter among them, tells that it led when that
+    // began.
+    void confirm() {
+        std::array<std::uint64_t, most_voters> answered{};
+        for (int i = 0; i < settings.voters; ++i) answered[i] = i == settings.self ? round : peers[i].round;
+        const auto nth = answered.begin() + static_cast<std::ptrdiff_t>(majority() - 1);
+        std::nth_element(answered.begin(), nth, answered.begin() + settings.voters, std::greater<>());
+        while (!rounds.empty() && rounds.front().number <= *nth) {
+            const Round& done = rounds.front();
+            confirmed = std::max(confirmed, done.began);
+            if (done.committed >= begin && (!beat || done.at > beat->at))
+                beat = Beat{hard.term, done.at, done.committed};
+            rounds.pop_front();
+        }
+    }
+    void count_committed(Time now) {
+        std::array<Number, most_voters> held{};
+        for (int i = 0; i < settings.voters; ++i) held[i] = i == settings.self ? stable : peers[i].match;
+        const auto nth = held.begin() + static_cast<std::ptrdiff_t>(majority() - 1);
+        std::nth_element(held.begin(), nth, held.begin() + settings.voters, std::greater<>());
+        // Entries of older terms count with the first of the own term, never by their copies.
+        if (*nth <= committed || *nth < begin) return;
+        const bool first = committed < begin;
+        committed = *nth;
+        if (first) begin_round(now);  // the first that can give a beat
+    }
+
+    // ---- messages ----
+    void send(int to, const Message& m) {
+        if (to == settings.self || messages.size() >= most_messages) return;
+        messages.emplace_back(to, write(m));
+    }
+    void answer(int to, Kind kind, Message m) {
+        m.kind = kind;
+        m.term = hard.term;
+        send(to, m);
+    }
+    Message message(Kind kind) const {
+        Message m;
+        m.kind = kind;
+        m.term = hard.term;
+        m.round = round;
+        m.beat = beat;
+        return m;
+    }
+    // What this voter is to be sent now.
+    void fill(int to) {
+        Peer& peer = peers[to];
+        if (!peer.image && !peer.probing && peer.next <= base) begin_image(peer);
+        if (peer.image) return fill_image(to);
+        for (;;) {
+            if (peer.next <= base) peer.next = base + 1;  // probing: where its log begins is soon told
+            const Number told = std::min(committed, peer.next - 1);
+            const bool may = !peer.probing && peer.next <= last() &&
+                             end_of(peer.next - 1) - end_of(peer.match) < settings.window;
+            if (!may && !peer.due && (peer.probing || told <= peer.told)) return;
+            Message m = message(Kind::append);
+            m.number = peer.next - 1;
+            m.number_term = term_at(m.number);
+            m.committed = committed;
+            std::size_t size = 0;
+            while (may && peer.next <= last() && m.entries.size() < most_message_entries) {
+                size += entry(peer.next).body.size() + entry_overhead;
+                if (!m.entries.empty() && size > settings.most_message) break;
+                m.entries.push_back(entry(peer.next++));
+            }
+            peer.told = std::max(peer.told, std::min(committed, peer.next - 1));
+            peer.due = false;
+            send(to, m);
+            if (!may) return;
+        }
+    }
+    void begin_image(Peer& peer) {
+        if (!snapshot->hashed) {
+            snapshot->hash = checksum_of(snapshot->snapshot.state);
+            snapshot->hashed = true;
+        }
+        peer.image = snapshot;
+        peer.image_acked = peer.image_sent = peer.image_wanted = 0;
+        peer.image_begun = false;
+        peer.image_moved = clock;
+    }
+    void fill_image(int to) {
+        Peer& peer = peers[to];
+        const std::string& state = peer.image->snapshot.state;
+        if (peer.due) {  // a heartbeat that says nothing of the log
+            send(to, message(Kind::append));
+            peer.due = false;
+        }
+        // Three heartbeats without a step: what was sent was lost, or it began anew.
+        if (clock - peer.image_moved > 3 * settings.heartbeat) {
+            peer.image_acked = peer.image_sent = peer.image_wanted;
+            peer.image_begun = false;
+            peer.image_moved = clock;
+        }
+        // To one that has not answered for long, a piece at a time.
+        const std::uint64_t window = clock - peer.answered < settings.election ? settings.window : 0;
+        while (!peer.image_begun ||
+               (peer.image_sent < state.size() && peer.image_sent - peer.image_acked < window)) {
+            Message m = message(Kind::piece);
+            m.number = peer.image->snapshot.number;
+            m.number_term = peer.image->snapshot.term;
+            m.size = state.size();
+            m.hash = peer.image->hash;
+            m.offset = peer.image_sent;
+            m.bytes = std::string_view(state).substr(m.offset, settings.snapshot_piece);
+            peer.image_sent += m.bytes.size();
+            peer.image_begun = true;
+            send(to, m);
+        }
+    }
+
+    void heard(Time now, int from, std::string_view text) {
+        advance(now);
+        Message m;
+        const FlatState state =
+            from >= 0 && from < settings.voters && from != settings.self ? read(text, m) : FlatState::garbage;
+        if (state == FlatState::unknown_version) ++unknown;
+        if (state == FlatState::garbage) ++ignored;
+        if (state != FlatState::good) return;
+        if (m.kind == Kind::pre_vote_ask) return heard_pre_vote_ask(from, m);
+        if (m.kind == Kind::pre_vote) return heard_pre_vote(now, from, m);
+        if (m.term > hard.term) adopt(m.term);
+        switch (m.kind) {
+            case Kind::vote_ask:
+                return heard_vote_ask(from, m);
+            case Kind::vote:
+                if (m.term != hard.term || part != Part::candidate || !m.yes) return;
+                votes |= std::uint32_t{1} << from;
+                if (won()) lead(now);
+                return;
+            case Kind::append:
+                return heard_append(from, m);
+            case Kind::piece:
+                return heard_piece(from, m);
+            case Kind::appended:
+                return heard_appended(now, from, m);
+            case Kind::pieced:
+                return heard_pieced(now, from, m);
+            default:
+                return;
+        }
+    }
+    void heard_pre_vote_ask(int from, const Message& m) {
+        // Not while a leader is there: who was cut off from it does not end its term.
+        const bool led = part == Part::leader || (leader >= 0 && clock - contact < settings.election);
+        Message back;
+        back.proposed = m.term;
+        back.yes = m.term > hard.term && !led && up_to_date(m);
+        answer(from, Kind::pre_vote, back);
+    }
+    void heard_pre_vote(Time now, int from, const Message& m) {
+        if (!m.yes) {
+            if (m.term > hard.term) adopt(m.term);
+            return;
+        }
+        if (part != Part::pre_candidate || m.proposed != hard.term + 1) return;
+        votes |= std::uint32_t{1} << from;
+        if (won()) campaign(now);
+    }
+    void heard_vote_ask(int from, const Message& m) {
+        Message back;
+        back.yes = m.term == hard.term && (hard.vote == -1 || hard.vote == from) && up_to_date(m);
+        if (back.yes) {
+            hard.vote = from;
+            deadline = draw(settings.election, 2 * settings.election);
+        }
+        answer(from, Kind::vote, back);
+    }
+    // Of the one that leads in this term? Else it is told so, or it is none of it.
+    bool heard_leader(int from, const Message& m) {
+        if (m.term < hard.term) {
+            Message back;
+            back.number = m.number;
+            answer(from, Kind::appended, back);
+            return false;
+        }
+        if (part == Part::leader || (leader >= 0 && leader != from)) {
+            ++ignored;
+            return false;
+        }
+        follow(from);
+        if (m.beat && (!beat || m.beat->at > beat->at)) beat = m.beat;
+        return true;
+    }
+    void heard_append(int from, Message& m) {
+        if (!heard_leader(from, m)) return;
+        Message back;
+        back.round = m.round;
+        back.number = m.number;
+        const Number end = m.number + m.entries.size();
+        // What counts already is the leader's too; entries within the snapshot have no term any more.
+        const bool within = m.number <= base;
+        if (!within && m.number > last()) {
+            back.match = last();
+            return answer(from, Kind::appended, back);
+        }
+        if (!within && term_at(m.number) != m.number_term) {
+            const std::uint64_t other = term_at(m.number);
+            Number behind = m.number - 1;
+            while (behind > committed && term_at(behind) == other) --behind;
+            back.match = std::max(behind, committed);
+            return answer(from, Kind::appended, back);
+        }
+        for (LogEntry& added : m.entries) {
+            if (added.number <= base) continue;
+            if (added.number <= last()) {
+                if (term_at(added.number) == added.term) continue;
+                if (added.number <= committed) {  // nobody who leads could say so
+                    ++ignored;
+                    return;
+                }
+                cut(added.number);
+            }
+            push(std::move(added));
+        }
+        committed = std::max(committed, std::min(m.committed, end));
+        back.yes = true;
+        back.match = std::max(end, base);
+        answer(from, Kind::appended, back);
+    }
+    void heard_piece(int from, const Message& m) {
+        if (!heard_leader(from, m)) return;
+        Message back;
+        back.round = m.round;
+        back.number = m.number;
+        back.hash = m.hash;
+        if (m.number > committed && m.number <= last() && term_at(m.number) == m.number_term)
+            committed = m.number;  // held already, and what is behind it stays: it may have counted with it
+        if (m.number <= committed) {
+            incoming = Incoming();
+            back.yes = true;
+            return answer(from, Kind::pieced, back);
+        }
+        const bool same = incoming.number == m.number && incoming.term == m.number_term &&
+                          incoming.hash == m.hash && incoming.size == m.size;
+        if (!same && m.offset == 0) {
+            incoming = {m.number, m.number_term, m.hash, m.size, {}};
+            incoming.state.reserve(m.size);
+        }
+        if (same || m.offset == 0) {
+            if (m.offset == incoming.state.size()) incoming.state += m.bytes;
+            back.offset = incoming.state.size();
+            if (incoming.state.size() == incoming.size) {
+                if (checksum_of(incoming.state) == incoming.hash) {
+                    install_incoming();
+                    back.yes = true;
+                } else {
+                    ++ignored;
+                    back.offset = 0;
+                }
+                incoming = Incoming();
+            }
+        }
+        answer(from, Kind::pieced, back);
+    }
+    void install_incoming() {
+        log.clear();
+        base = incoming.number;
+        base_term = incoming.term;
+        base_end = 0;
+        snapshot = std::make_shared<Image>();
+        snapshot->snapshot = {incoming.number, incoming.term, std::move(incoming.state)};
+        snapshot->hash = incoming.hash;
+        snapshot->hashed = true;
+        committed = given = stable = handed = base;
+        writing_to = 0;
+        truncate_from = 0;
+        compaction = false;
+        installation = true;
+    }
+    // The voter has answered in this term; false: not one that leads, or to what was never sent.
+    bool heard_answer(int from, const Message& m) {
+        if (part != Part::leader || m.term != hard.term) return false;
+        if (m.round > round) {
+            ++ignored;
+            return false;
+        }
+        Peer& peer = peers[from];
+        peer.answered = clock;
+        if (m.round > peer.round) {
+            peer.round = m.round;
+            confirm();
+        }
+        return true;
+    }
+    void matches(Time now, Peer& peer, Number upto) {
+        peer.probing = false;
+        if (upto > peer.match) peer.match = upto;
+        peer.next = std::max(peer.next, peer.match + 1);
+        count_committed(now);
+    }
+    void heard_appended(Time now, int from, const Message& m) {
+        if (part == Part::leader && m.term == hard.term && m.yes && m.match > last()) {
+            ++ignored;
+            return;
+        }
+        if (!heard_answer(from, m)) return;
+        Peer& peer = peers[from];
+        if (m.yes) {
+            // An answer to a heartbeat beside a snapshot says nothing of the log.
+            if (peer.image && m.match < peer.image->snapshot.number) return;
+            peer.image.reset();
+            return matches(now, peer, m.match);
+        }
+        if (peer.image || m.number <= peer.match || m.number >= peer.next) return;  // told before
+        peer.next = std::max(peer.match + 1, std::min(m.number, m.match + 1));
+        if (peer.next <= base) {
+            peer.probing = false;  // it needs the snapshot
+        } else {
+            peer.probing = true;
+            peer.due = true;
+        }
+    }
+    void heard_pieced(Time now, int from, const Message& m) {
+        if (!heard_answer(from, m)) return;
+        Peer& peer = peers[from];
+        if (!peer.image || peer.image->snapshot.number != m.number || peer.image->hash != m.hash) return;
+        if (m.yes) {
+            peer.image.reset();
+            peer.next = m.number + 1;
+            return matches(now, peer, m.number);
+        }
+        if (m.offset > peer.image_sent) return;
+        peer.image_wanted = m.offset;
+        if (m.offset > peer.image_acked) {
+            peer.image_acked = m.offset;
+            peer.image_moved = clock;
+        }
+    }
+
+    void tick(Time now) {
+        advance(now);
+        if (part != Part::leader) {
+            if (settings.voters == 1) return campaign(now);
+            if (clock < deadline) return;
+            return pre_campaign(now);
+        }
+        // Nobody answers, or the clock went back behind what it told: another may lead.
+        const bool alone = settings.voters > 1 && clock - confirmed >= settings.election;
+        if (alone || (beat && now + settings.election < beat->at)) return step_down();
+        for (Peer& peer : peers) {
+            if (clock - peer.answered < settings.election || peer.probing || peer.image) continue;
+            peer.probing = true;
+            peer.next = peer.match + 1;
+        }
+        if (clock >= next_round) begin_round(now);
+    }
+
+    Ready ready() {
+        if (writing) return {};
+        if (part == Part::leader) {
+            for (int to = 0; to < settings.voters; ++to) {
+                if (to != settings.self) fill(to);
+            }
+        }
+        Ready out;
+        if (std::exchange(installation, false)) out.install = snapshot->snapshot;
+        if (std::exchange(compaction, false)) out.compact = snapshot->snapshot;
+        out.truncate_from = std::exchange(truncate_from, 0);
+        while (handed < last()) out.append.push_back(entry(++handed));
+        if (!(hard == hard_told)) out.hard = hard_told = hard;
+        out.messages = std::exchange(messages, {});
+        std::size_t size = 0;
+        while (given < committed && size < settings.most_waiting) {
+            out.committed.push_back(entry(++given));
+            size += out.committed.back().body.size() + entry_overhead;
+        }
+        writing = out.to_disk();
+        writing_to = writing ? handed : 0;
+        return out;
+    }
+    void persisted(Time now) {
+        advance(now);
+        if (!writing) return;
+        writing = false;
+        stable = std::max(stable, writing_to);
+        if (part == Part::leader) count_committed(now);
+    }
+    Number propose(Time now, std::string body) {
+        advance(now);
+        if (part != Part::leader || body.empty() || body.size() > most_entry) return 0;
+        const std::uint64_t waiting = end_of(last()) - end_of(committed);
+        if (waiting + body.size() + entry_overhead > settings.most_waiting) return 0;
+        push({last() + 1, hard.term, std::move(body)});
+        return last();
+    }
+    void compact(LogSnapshot given_one) {
+        if (given_one.number <= base || given_one.number > given) return;
+        given_one.term = term_at(given_one.number);
+        const Number upto = given_one.number;
+        base_end = end_of(upto);
+        base_term = given_one.term;
+        log.erase(log.begin(), log.begin() + static_cast<std::ptrdiff_t>(upto - base));
+        base = upto;
+        snapshot = std::make_shared<Image>();
+        snapshot->snapshot = std::move(given_one);
+        compaction = !installation;  // what is still to be installed is replaced by what is newer
+    }
+
+    const Settings settings;
+    std::mt19937_64 random;
+    HardState hard, hard_told;
+    std::deque<Held> log;  // from base + 1 on
+    Number base = 0;       // the snapshot's number
+    std::uint64_t base_term = 0, base_end = 0;
+    std::shared_ptr<Image> snapshot;
+    Number committed = 0, given = 0;  // given: out by ready()
+    Number handed = 0, stable = 0;    // for the disk by ready(); on it
+    Number truncate_from = 0;
+    bool installation = false, compaction = false;
+    bool writing = false;
+    Number writing_to = 0;
+    struct Incoming {
+        Number number = 0;
+        std::uint64_t term = 0, hash = 0, size = 0;
+        std::string state;
+    } incoming;
+
+    bool seen = false;
+    Time seen_at{};
+    Time clock{};  // the sum of what passed between calls; never goes back
+    Part part = Part::follower;
+    int leader = -1;
+    Time contact{}, deadline{};
+    std::uint32_t votes = 0;
+    std::array<Peer, most_voters> peers;
+    std::deque<Round> rounds;  // not yet answered by a majority
+    std::uint64_t round = 0;
+    Time next_round{}, confirmed{};
+    Number begin = 0;  // of the own term's first entry
+    std::optional<Beat> beat;
+    std::vector<std::pair<int, std::string>> messages;
+    std::uint64_t ignored = 0, unknown = 0;
+};
+
+Quorum::Quorum(const Settings& settings, const HardState& hard, LogSnapshot snapshot,
+               std::vector<LogEntry> entries)
+    : impl_(std::make_unique<Impl>(settings, hard, std::move(snapshot), std::move(entries))) {}
+Quorum::~Quorum() = default;
+
+void Quorum::tick(Time now) { impl_->tick(now); }
+void Quorum::heard(Time now, int from, std::string_view message) { impl_->heard(now, from, message); }
+Number Quorum::propose(Time now, std::string body) { return impl_->propose(now, std::move(body)); }
+Quorum::Ready Quorum::ready() { return impl_->ready(); }
+void Quorum::persisted(Time now) { impl_->persisted(now); }
+bool Quorum::leads() const { return impl_->part == Impl::Part::leader; }
+std::optional<int> Quorum::leader() const {
+    return impl_->leader < 0 ? std::nullopt : std::optional<int>(impl_->leader);
+}
+std::uint64_t Quorum::term() const { return impl_->hard.term; }
+Number Quorum::committed() const { return impl_->committed; }
+Number Quorum::last() const { return impl_->last(); }
+Number Quorum::first() const { return impl_->base + 1; }
+std::optional<Beat> Quorum::beat() const { return impl_->beat; }
+void Quorum::compact(LogSnapshot snapshot) { impl_->compact(std::move(snapshot)); }
+std::uint64_t Quorum::ignored() const { return impl_->ignored; }
+std::uint64_t Quorum::unknown_versions() const { return impl_->unknown; }
+
+}  // namespace linnetlead::distribution
--- a/src/distribution/quorum.h
+++ b/src/distribution/quorum.h
@@ -11,6 +11,9 @@
 namespace linnetlead::distribution {
 
 constexpr int most_voters = 7;
+constexpr std::size_t most_entry = 1536 * 1024;           // bytes of a body: a change of the largest size
+constexpr std::size_t most_snapshot = 240 * 1024 * 1024;  // bytes of a state: under keep::most_text
+constexpr std::size_t most_message_entries = 1024;        // entries in one message
 
 struct LogEntry {
     Number number = 0;
@@ -46,14 +49,21 @@
         std::size_t most_message = 256 * 1024;       // bytes of entries in one, or one entry
         std::size_t most_waiting = 4 * 1024 * 1024;  // bytes of entries not yet committed: more are refused
         std::size_t snapshot_piece = 256 * 1024;
+        std::size_t window = 1024 * 1024;  // bytes of entries, or of a snapshot, on their way to one voter
     };
     // As it was on disk. `entries` follow one another, the first behind the snapshot's number.
     Quorum(const Settings& settings, const HardState& hard, LogSnapshot snapshot,
            std::vector<LogEntry> entries);
+    ~Quorum();
+    Quorum(const Quorum&) = delete;
+    Quorum& operator=(const Quorum&) = delete;
 
+    // `now` may stand still, jump or go back: no safety hangs on it but a beat's `at`, which is never later
+    // than the `now` that was given when the heartbeat round began.
     void tick(Time now);  // every 20 ms or so
     void heard(Time now, int from, std::string_view message);
-    // By the leader: the number that it will have if it comes to count; 0: this is none, or too much waits.
+    // By the leader: the number that it will have if it comes to count; 0: this is none, the body is empty or
+    // over most_entry, or too much waits. An empty body is the first of a leader's term, written here.
     Number propose(Time now, std::string body);
 
     // To be done, in this order.
@@ -63,12 +73,14 @@
         std::vector<LogEntry> append;
         std::optional<HardState> hard;
         std::vector<std::pair<int, std::string>> messages;  // only once the above are on disk
-        std::vector<LogEntry> committed;                    // in order, each once in a process's life
-        bool empty() const {
-            return !install && !truncate_from && append.empty() && !hard && messages.empty() &&
-                   committed.empty();
-        }
+        // In order, each once in a process's life; most_waiting bytes of them at once, the rest comes next.
+        std::vector<LogEntry> committed;
+        // What compact() was given, for the disk: entries up to its number are put away, later ones stay.
+        std::optional<LogSnapshot> compact;
+        bool to_disk() const { return install || truncate_from || !append.empty() || hard || compact; }
+        bool empty() const { return !to_disk() && messages.empty() && committed.empty(); }
     };
+    // Empty while something of the one before is to go to disk and persisted() was not called.
     Ready ready();
     void persisted(Time now);  // what the last ready() held is on disk
 
@@ -82,8 +94,18 @@
     // of the term is committed.
     std::optional<Beat> beat() const;
 
-    // Entries up to this number (committed) are put away here; a voter that needs them gets this snapshot.
+    // Entries up to this number (committed, and given out by ready()) are put away here; a voter that needs
+    // them gets this snapshot. What is held between two compactions is bounded by who calls this; beside it
+    // one snapshot for each voter that is being brought up. Any other number changes nothing.
     void compact(LogSnapshot snapshot);
+
+    // Messages that were none, contradicted what is known or came from nobody; and those of another version.
+    std::uint64_t ignored() const;
+    std::uint64_t unknown_versions() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
 };
 
 }  // namespace linnetlead::distribution
--- /dev/null
+++ b/standin/quorum_world.cpp
@@ -0,0 +1,576 @@
+#include "quorum_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "distribution/flat.h"
+
+namespace linnetlead::standin {
+
+using namespace std::chrono_literals;
+using distribution::Flat;
+using distribution::FlatState;
+
+namespace {
+
+constexpr Time start = std::chrono::hours(500000);
+constexpr std::uint64_t append_kind = 4, appended_kind = 5, pre_vote_kind = 1;
+
+std::uint64_t chained(std::uint64_t chain, std::uint64_t term, std::string_view body) {
+    return distribution::checksum_of(body, chain * 31 + term);
+}
+
+}  // namespace
+
+struct QuorumWorld::Voter {
+    std::unique_ptr<Quorum> quorum;
+    std::uint64_t life = 1;
+    Time stalled_until{};
+    std::optional<Time> old_clock;  // read before a stall, used once behind it
+    // On its disk.
+    HardState hard;
+    LogSnapshot snapshot;
+    std::vector<LogEntry> entries;
+    bool writing = false;
+    Number applied = 0;
+    std::uint64_t term_seen = 0;
+    std::optional<Beat> beat_seen;
+    Tally tally;
+};
+
+QuorumWorld::QuorumWorld(const Settings& settings)
+    : settings_(settings),
+      random_(settings.seed),
+      now_(start),
+      begin_(start),
+      cut_(settings.voters, std::vector<bool>(settings.voters)) {
+    for (int i = 0; i < settings_.voters; ++i) {
+        voters_.push_back(std::make_unique<Voter>());
+        restart(i);
+    }
+}
+QuorumWorld::~QuorumWorld() = default;
+
+Span QuorumWorld::draw(Span most) {
+    return Span(std::uniform_int_distribution<Span::rep>(0, std::max<Span::rep>(0, most.count()))(random_));
+}
+bool QuorumWorld::chance(double share) {
+    return share > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < share;
+}
+
+Time QuorumWorld::clock_of(int voter) {
+    Voter& v = *voters_[voter];
+    const Time ahead = settings_.mutant == QuorumMutant::clock_ahead ? settings_.ahead : Time{0};
+    if (v.old_clock) {
+        const Time old = *v.old_clock;
+        v.old_clock.reset();
+        return old + ahead;
+    }
+    return now_ + ahead;
+}
+
+void QuorumWorld::at(Time when, int voter, std::uint64_t life, std::function<void()> act) {
+    agenda_.emplace(std::max(when, now_), Event{voter, life, std::move(act)});
+}
+
+void QuorumWorld::run_for(Span span) {
+    run_until([] { return false; }, span);
+}
+
+bool QuorumWorld::run_until(const std::function<bool()>& done, Span within) {
+    const Time end = now_ + within;
+    for (;;) {
+        if (done()) return true;
+        if (agenda_.empty() || agenda_.begin()->first > end) break;
+        auto first = agenda_.extract(agenda_.begin());
+        step(first.key(), std::move(first.mapped()));
+    }
+    now_ = end;
+    return done();
+}
+
+void QuorumWorld::step(Time when, Event event) {
+    now_ = when;
+    Voter& v = *voters_[event.voter];
+    if (event.life != 0 && event.life != v.life) return;
+    if (event.life != 0 && v.stalled_until > now_) {  // it waits, in order, until the voter goes on
+        agenda_.emplace(v.stalled_until, std::move(event));
+        return;
+    }
+    ++steps_;
+    event.act();
+    check();
+}
+
+void QuorumWorld::restart(int voter) {
+    Voter& v = *voters_[voter];
+    if (v.quorum) return;
+    Quorum::Settings with = settings_.quorum;
+    with.voters = settings_.voters;
+    with.self = voter;
+    with.seed = settings_.seed * 1000 + v.life;
+    if (v.life > 1 && settings_.mutant == QuorumMutant::hard_state_lost) v.hard = HardState();
+    if (v.life > 1 && settings_.mutant == QuorumMutant::entries_lost) {
+        for (int i = 0; i < 2 && !v.entries.empty(); ++i) v.entries.pop_back();
+    }
+    v.quorum = std::make_unique<Quorum>(with, v.hard, v.snapshot, v.entries);
+    v.writing = false;
+    v.applied = v.snapshot.number;
+    v.beat_seen.reset();
+    const std::uint64_t life = v.life;
+    at(now_ + draw(settings_.tick), voter, life, [this, voter] { tick(voter); });
+}
+
+void QuorumWorld::crash(int voter) {
+    Voter& v = *voters_[voter];
+    if (!v.quorum) return;
+    v.quorum.reset();
+    ++v.life;
+    v.stalled_until = {};
+    v.old_clock.reset();
+}
+
+void QuorumWorld::stall(int voter, Span span) {
+    Voter& v = *voters_[voter];
+    if (!v.quorum) return;
+    v.old_clock = now_;
+    v.stalled_until = std::max(v.stalled_until, now_ + span);
+}
+
+void QuorumWorld::cut(int from, int to, bool is_cut) { cut_[from][to] = is_cut; }
+void QuorumWorld::cut_off(int voter, bool is_cut) {
+    for (int other = 0; other < settings_.voters; ++other) {
+        if (other == voter) continue;
+        cut(voter, other, is_cut);
+        cut(other, voter, is_cut);
+    }
+}
+void QuorumWorld::heal() {
+    settings_.lost = settings_.repeated = settings_.late = 0;
+    for (auto& row : cut_) row.assign(row.size(), false);
+    for (int i = 0; i < settings_.voters; ++i) restart(i);
+}
+
+QuorumFault QuorumWorld::point(QuorumPoint kind) {
+    if (++points_ != settings_.fault_at) return QuorumFault::none;
+    hit_ = kind;
+    return settings_.fault;
+}
+
+void QuorumWorld::tick(int voter) {
+    Voter& v = *voters_[voter];
+    const std::uint64_t life = v.life;
+    v.quorum->tick(clock_of(voter));
+    at(now_ + settings_.tick, voter, life, [this, voter] { tick(voter); });
+    pump(voter);
+}
+
+Number QuorumWorld::propose(int voter, std::string body) {
+    Voter& v = *voters_[voter];
+    if (!v.quorum || v.stalled_until > now_) return 0;
+    const Number number = v.quorum->propose(clock_of(voter), std::move(body));
+    pump(voter);
+    check();
+    return number;
+}
+
+void QuorumWorld::compact(int voter) {
+    Voter& v = *voters_[voter];
+    if (!v.quorum || v.applied <= v.snapshot.number) return;
+    v.quorum->compact({v.applied, history_[v.applied - 1].term, state_of(v.applied)});
+    pump(voter);
+}
+
+// Large enough for several pieces of the smallest size; it names all that was applied.
+std::string QuorumWorld::state_of(Number number) const {
+    std::string state = std::to_string(number) + ' ' + std::to_string(history_[number - 1].chain) + ' ';
+    state.resize(300 + number % 7, 'x');
+    return state;
+}
+
+void QuorumWorld::pump(int voter) {
+    Voter& v = *voters_[voter];
+    if (!v.quorum || v.writing) return;
+    check_new_commits();  // before any of it is applied
+    Quorum::Ready ready = v.quorum->ready();
+    if (ready.empty()) return;
+    const std::uint64_t life = v.life;
+    if (settings_.mutant == QuorumMutant::told_before_persisted && ready.to_disk()) {
+        v.writing = true;
+        v.quorum->persisted(clock_of(voter));
+        send_all(voter, std::exchange(ready.messages, {}));
+        auto kept = std::make_shared<Quorum::Ready>(std::move(ready));
+        at(now_ + 20 * (settings_.disk + draw(settings_.disk_jitter)), voter, life,
+           [this, voter, kept] { finish_write(voter, std::move(*kept)); });
+        return;
+    }
+    Span takes{};
+    if (ready.to_disk()) {
+        takes = settings_.disk + draw(settings_.disk_jitter);
+        switch (point(QuorumPoint::write)) {
+            case QuorumFault::drop:
+            case QuorumFault::crash:  // before it is there
+                crash(voter);
+                return at(now_ + 700ms, voter, 0, [this, voter] { restart(voter); });
+            case QuorumFault::late:
+                takes += 1500ms;
+                break;
+            case QuorumFault::stall:
+                stall(voter, 1500ms);
+                break;
+            default:
+                break;
+        }
+    }
+    v.writing = true;
+    auto kept = std::make_shared<Quorum::Ready>(std::move(ready));
+    if (takes == Span{}) return finish_write(voter, std::move(*kept));
+    at(now_ + takes, voter, life, [this, voter, kept] { finish_write(voter, std::move(*kept)); });
+}
+
+void QuorumWorld::finish_write(int voter, Quorum::Ready ready) {
+    Voter& v = *voters_[voter];
+    const bool to_disk = ready.to_disk();
+    keep(v, ready);
+    v.writing = false;
+    if (to_disk) {
+        switch (point(QuorumPoint::written)) {
+            case QuorumFault::drop:
+            case QuorumFault::crash:  // there, and nobody was told
+                crash(voter);
+                return at(now_ + 700ms, voter, 0, [this, voter] { restart(voter); });
+            case QuorumFault::stall:
+            case QuorumFault::late: {
+                stall(voter, 1500ms);
+                break;
+            }
+            case QuorumFault::repeat:
+                v.quorum->persisted(clock_of(voter));
+                break;
+            default:
+                break;
+        }
+        v.quorum->persisted(clock_of(voter));
+    }
+    const std::uint64_t life = v.life;
+    send_all(voter, std::move(ready.messages));
+    if (life != v.life) return;
+    if (ready.install) {
+        v.applied = ready.install->number;
+        ++v.tally.snapshots;
+        if (v.applied > history_.size() || ready.install->state != state_of(v.applied)) {
+            wrong("snapshots are the state at their number", std::to_string(v.applied));
+        }
+    }
+    apply(voter, ready.committed);
+    if (life != v.life) return;
+    if (settings_.compact_every > 0 && v.applied >= v.snapshot.number + settings_.compact_every) {
+        v.quorum->compact({v.applied, history_[v.applied - 1].term, state_of(v.applied)});
+    }
+    pump(voter);
+}
+
+// Onto the disk, as the store does.
+void QuorumWorld::keep(Voter& v, const Quorum::Ready& ready) {
+    const int voter = static_cast<int>(
+        std::find_if(voters_.begin(), voters_.end(), [&](const auto& one) { return one.get() == &v; }) -
+        voters_.begin());
+    const std::string who = "voter " + std::to_string(voter);
+    if (ready.install) {
+        v.snapshot = *ready.install;
+        v.entries.clear();
+    }
+    if (ready.truncate_from) {
+        while (!v.entries.empty() && v.entries.back().number >= ready.truncate_from) v.entries.pop_back();
+        if (ready.truncate_from <= v.applied) wrong("what was applied is never cut off", who);
+    }
+    for (const LogEntry& entry : ready.append) {
+        const Number last = v.entries.empty() ? v.snapshot.number : v.entries.back().number;
+        const std::uint64_t before = v.entries.empty() ? v.snapshot.term : v.entries.back().term;
+        if (entry.number != last + 1)
+            wrong("logs have no gaps",
+                  who + " writes " + std::to_string(entry.number) + " behind " + std::to_string(last));
+        const auto key = std::make_pair(entry.number, entry.term);
+        const auto known = entries_.emplace(key, entry.body);
+        const auto known_before = before_.emplace(key, before);
+        if ((!known.second && known.first->second != entry.body) ||
+            (!known_before.second && known_before.first->second != before)) {
+            wrong("logs match", who + " at " + std::to_string(entry.number));
+        }
+        v.entries.push_back(entry);
+        ++v.tally.written_entries;
+        // The first of a leader's term: all that older terms committed is before it.
+        if (entry.body.empty() && leaders_.count(entry.term) && leaders_[entry.term] == voter) {
+            for (Number n = v.snapshot.number + 1; n <= history_.size(); ++n) {
+                const Committed& one = history_[n - 1];
+                if (one.leader_term >= entry.term) continue;
+                const std::size_t place = n - v.entries.front().number;
+                if (n >= entry.number || place >= v.entries.size() || v.entries[place].term != one.term) {
+                    wrong("a leader has all that was committed", who + " lacks " + std::to_string(n));
+                    break;
+                }
+            }
+        }
+    }
+    if (ready.hard) {
+        if (ready.hard->term < v.hard.term)
+            wrong("terms never go back", who);
+        else if (ready.hard->vote >= 0) {
+            const auto vote = votes_.emplace(std::make_pair(voter, ready.hard->term), ready.hard->vote);
+            if (vote.first->second != ready.hard->vote) wrong("one vote a term", who);
+        }
+        v.hard = *ready.hard;
+    }
+    if (ready.compact) {
+        v.snapshot = *ready.compact;
+        auto end = std::find_if(v.entries.begin(), v.entries.end(),
+                                [&](const LogEntry& entry) { return entry.number > v.snapshot.number; });
+        v.entries.erase(v.entries.begin(), end);
+    }
+    if (ready.to_disk()) ++v.tally.writes;
+}
+
+void QuorumWorld::apply(int voter, const std::vector<LogEntry>& entries) {
+    Voter& v = *voters_[voter];
+    for (const LogEntry& entry : entries) {
+        switch (point(QuorumPoint::commit)) {
+            case QuorumFault::drop:
+            case QuorumFault::crash:
+                crash(voter);
+                return at(now_ + 700ms, voter, 0, [this, voter] { restart(voter); });
+            case QuorumFault::late:
+            case QuorumFault::stall:
+            case QuorumFault::repeat:
+                stall(voter, 1500ms);
+                break;
+            default:
+                break;
+        }
+        if (entry.number != v.applied + 1) {
+            wrong("each entry is applied once and in order", "voter " + std::to_string(voter) + " applies " +
+                                                                 std::to_string(entry.number) + " behind " +
+                                                                 std::to_string(v.applied));
+        }
+        v.applied = entry.number;
+        if (entry.number > history_.size() || history_[entry.number - 1].term != entry.term ||
+            history_[entry.number - 1].body != entry.body) {
+            wrong("all apply the same",
+                  "voter " + std::to_string(voter) + " at " + std::to_string(entry.number));
+        }
+    }
+}
+
+void QuorumWorld::send_all(int voter, std::vector<std::pair<int, std::string>> messages) {
+    Voter& v = *voters_[voter];
+    const std::uint64_t life = v.life;
+    for (auto& [to, message] : messages) {
+        v.tally.messages += 1;
+        v.tally.bytes += message.size();
+        bool is_late = false;
+        int times = 1;
+        switch (point(QuorumPoint::send)) {
+            case QuorumFault::drop:
+                times = 0;
+                break;
+            case QuorumFault::repeat:
+                times = 2;
+                break;
+            case QuorumFault::late:
+                is_late = true;
+                break;
+            case QuorumFault::crash:
+                crash(voter);
+                return at(now_ + 700ms, voter, 0, [this, voter] { restart(voter); });
+            case QuorumFault::stall:
+                stall(voter, 1500ms);
+                break;
+            default:
+                break;
+        }
+        // Of a stalled voter: it leaves when that goes on.
+        if (v.stalled_until > now_) {
+            for (int i = 0; i < times; ++i) {
+                at(v.stalled_until, voter, life,
+                   [this, voter, to = to, text = message, is_late] { transmit(voter, to, text, is_late); });
+            }
+            continue;
+        }
+        for (int i = 0; i < times; ++i) transmit(voter, to, message, is_late);
+    }
+}
+
+void QuorumWorld::transmit(int from, int to, std::string message, bool is_faulted) {
+    if (on_send) on_send(from, to, message);
+    Flat flat;
+    const bool is_read =
+        distribution::read_flat(1, message, flat) == FlatState::good && !flat.numbers.empty();
+    if (is_read && flat.numbers[0] == append_kind) {
+        auto& entry = newest_entry_[{from, to}];
+        entry = std::max(entry, flat.numbers[2] + flat.numbers[9]);
+    }
+    if (is_read && settings_.mutant == QuorumMutant::forged_match && flat.numbers[0] == appended_kind) {
+        flat.numbers[4] = 1;
+        flat.numbers[5] = std::max(flat.numbers[5], newest_entry_[{to, from}]);
+        message = distribution::write_flat(1, flat.numbers, {flat.bytes});
+    }
+    if (is_read && settings_.mutant == QuorumMutant::forged_pre_votes && flat.numbers[0] == pre_vote_kind) {
+        flat.numbers[3] = 1;
+        message = distribution::write_flat(1, flat.numbers, {flat.bytes});
+    }
+    if (cut_[from][to] || chance(settings_.lost)) return;
+    const int times = chance(settings_.repeated) ? 2 : 1;
+    for (int i = 0; i < times; ++i) {
+        Span takes = settings_.link(from, to) + draw(settings_.jitter);
+        if (is_faulted) takes += 1500ms;
+        if (chance(settings_.late)) takes += draw(settings_.latest);
+        // A message meets whoever runs when it comes.
+        at(now_ + takes, to, 0, [this, to, from, message] { arrive(to, from, message); });
+    }
+}
+
+void QuorumWorld::arrive(int to, int from, const std::string& message) {
+    Voter& v = *voters_[to];
+    if (!v.quorum) return;
+    if (v.stalled_until > now_) return at(v.stalled_until, to, v.life, [=] { arrive(to, from, message); });
+    switch (point(QuorumPoint::receive)) {
+        case QuorumFault::drop:
+            return;
+        case QuorumFault::repeat:
+            v.quorum->heard(clock_of(to), from, message);
+            break;
+        case QuorumFault::late:
+            return at(now_ + 1500ms, to, 0, [=] { arrive(to, from, message); });
+        case QuorumFault::crash:
+            crash(to);
+            return at(now_ + 700ms, to, 0, [this, to] { restart(to); });
+        case QuorumFault::stall:
+            stall(to, 1500ms);
+            return at(v.stalled_until, to, v.life, [=] { arrive(to, from, message); });
+        default:
+            break;
+    }
+    v.quorum->heard(clock_of(to), from, message);
+    pump(to);
+}
+
+void QuorumWorld::deliver(int to, int from, const std::string& message) {
+    Voter& v = *voters_[to];
+    if (!v.quorum) return;
+    v.quorum->heard(clock_of(to), from, message);
+    pump(to);
+    check();
+}
+
+void QuorumWorld::wrong(const std::string& rule, const std::string& text) {
+    if (violations_.size() < 100) violations_.emplace_back(rule, text);
+}
+bool QuorumWorld::violated(const std::string& rule) const {
+    return std::any_of(violations_.begin(), violations_.end(),
+                       [&](const auto& one) { return one.first == rule; });
+}
+
+void QuorumWorld::check() {
+    for (int i = 0; i < settings_.voters; ++i) {
+        Voter& v = *voters_[i];
+        if (!v.quorum) continue;
+        if (v.quorum->leads()) {
+            const auto known = leaders_.emplace(v.quorum->term(), i);
+            if (known.first->second != i)
+                wrong("one leader a term", "term " + std::to_string(v.quorum->term()));
+        }
+    }
+    check_new_commits();
+    for (int i = 0; i < settings_.voters; ++i) {
+        Voter& v = *voters_[i];
+        if (!v.quorum) continue;
+        const auto beat = v.quorum->beat();
+        if (!beat || (v.beat_seen && *v.beat_seen == *beat)) continue;
+        v.beat_seen = beat;
+        ++beats_;
+        if (beat->committed > history_.size()) wrong("a beat tells what is committed", std::to_string(i));
+        if (beat->at > now_) wrong("a beat is of the past", std::to_string(i));
+        // What was committed before it began is among what it names.
+        for (Number n = beat->committed + 1; n <= history_.size(); ++n) {
+            if (history_[n - 1].at >= beat->at) break;
+            wrong("a beat names all that was committed before it", "voter " + std::to_string(i) + ", term " +
+                                                                       std::to_string(beat->term) +
+                                                                       ", entry " + std::to_string(n));
+            break;
+        }
+    }
+}
+
+void QuorumWorld::check_new_commits() {
+    for (int i = 0; i < settings_.voters; ++i) {
+        Voter& v = *voters_[i];
+        if (!v.quorum) continue;
+        while (history_.size() < v.quorum->committed()) {
+            const Number number = history_.size() + 1;
+            // On the disks of a majority, and the same there.
+            std::map<std::uint64_t, int> copies;
+            for (const auto& one : voters_) {
+                const Number first = one->snapshot.number + 1;
+                if (number >= first && number - first < one->entries.size())
+                    ++copies[one->entries[number - first].term];
+            }
+            std::uint64_t term = 0;
+            for (const auto& [copy, count] : copies) {
+                if (count > settings_.voters / 2) term = copy;
+            }
+            if (term == 0) {
+                wrong("what is committed is on the disks of a majority", "entry " + std::to_string(number));
+                // The one who says so is taken at its word, so that the others can be held against it.
+                if (!copies.empty()) term = copies.rbegin()->first;
+            }
+            Committed one;
+            one.term = term;
+            one.leader_term = v.quorum->term();
+            one.at = now_;
+            const auto entry = entries_.find({number, term});
+            if (entry != entries_.end()) one.body = entry->second;
+            one.chain = chained(history_.empty() ? 0 : history_.back().chain, term, one.body);
+            if (!one.body.empty() && !by_body_.emplace(one.body, number).second)
+                wrong("a proposal has one number", one.body);
+            history_.push_back(std::move(one));
+        }
+    }
+}
+
+Quorum& QuorumWorld::quorum(int voter) { return *voters_[voter]->quorum; }
+bool QuorumWorld::up(int voter) const { return voters_[voter]->quorum != nullptr; }
+const QuorumWorld::Tally& QuorumWorld::tally(int voter) const { return voters_[voter]->tally; }
+
+std::optional<int> QuorumWorld::leader() const {
+    std::optional<int> newest;
+    for (int i = 0; i < settings_.voters; ++i) {
+        const Voter& v = *voters_[i];
+        if (!v.quorum || !v.quorum->leads()) continue;
+        if (!newest || v.quorum->term() > voters_[*newest]->quorum->term()) newest = i;
+    }
+    return newest;
+}
+
+bool QuorumWorld::everybody_has(const std::string& body) const {
+    const auto number = by_body_.find(body);
+    return number != by_body_.end() && std::all_of(voters_.begin(), voters_.end(), [&](const auto& v) {
+               return !v->quorum || v->applied >= number->second;
+           });
+}
+
+bool QuorumWorld::agreed() const {
+    const auto leads = leader();
+    if (!leads) return false;
+    const Voter& first = *voters_[*leads];
+    return std::all_of(voters_.begin(), voters_.end(), [&](const auto& v) {
+        return v->quorum && v->quorum->leader() == leads && v->quorum->term() == first.quorum->term() &&
+               v->applied == history_.size() && v->quorum->last() == history_.size() && v->quorum->beat();
+    });
+}
+
+std::optional<Time> QuorumWorld::committed_at(const std::string& body) const {
+    const auto number = by_body_.find(body);
+    if (number == by_body_.end()) return std::nullopt;
+    return history_[number->second - 1].at;
+}
+
+}  // namespace linnetlead::standin
--- /dev/null
+++ b/tests/quorum_test.cpp
@@ -0,0 +1,1215 @@
+// The quorum's log: its rules one by one, seeded runs of voters in virtual time under faults, a fault at
+// every numbered point in turn, what the checks catch when the harness breaks a rule, and the log on disk.
+#include "distribution/quorum.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+#include "distribution/flat.h"
+#include "quorum_store/quorum_store.h"
+#include "standin/quorum_world.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace distribution;
+using standin::QuorumFault;
+using standin::QuorumMutant;
+using standin::QuorumPoint;
+using standin::QuorumWorld;
+
+constexpr Time start = std::chrono::hours(500000);
+
+std::string told(const QuorumWorld& world) {
+    std::string text;
+    for (const auto& [rule, what] : world.violations()) text += rule + ": " + what + "\n";
+    return text;
+}
+
+QuorumWorld::Settings world_of(int voters, std::uint64_t seed) {
+    QuorumWorld::Settings with;
+    with.voters = voters;
+    with.seed = seed;
+    with.quorum.snapshot_piece = 128;
+    with.quorum.window = 2048;
+    return with;
+}
+
+bool has_leader(QuorumWorld& world) {
+    return world.run_until([&] { return world.leader() && world.quorum(*world.leader()).beat(); }, 10s);
+}
+
+// A proposal until it counts, also through a change of the leader.
+bool propose_until_committed(QuorumWorld& world, const std::string& name, Span within = 15s) {
+    const Time end = world.now() + within;
+    for (int attempt = 0; world.now() < end; ++attempt) {
+        const std::string body = name + "#" + std::to_string(attempt);
+        const auto leader = world.leader();
+        if (leader && world.propose(*leader, body) != 0 &&
+            world.run_until([&] { return world.committed_at(body).has_value(); }, 2s)) {
+            return true;
+        }
+        world.run_for(100ms);
+    }
+    return false;
+}
+
+TEST(Quorum, VotersOfAnyNumberElectOneThatCommitsForAll) {
+    for (const int voters : {1, 3, 5, 7}) {
+        QuorumWorld world(world_of(voters, 11));
+        ASSERT_TRUE(has_leader(world)) << voters;
+        const int leader = *world.leader();
+        EXPECT_NE(world.propose(leader, "one"), 0U);
+        EXPECT_NE(world.propose(leader, "two"), 0U);
+        ASSERT_TRUE(world.run_until(
+            [&] { return world.everybody_has("one") && world.everybody_has("two") && world.agreed(); }, 1s));
+        EXPECT_EQ(world.quorum(leader).committed(), 3U);
+        EXPECT_EQ(told(world), "");
+        EXPECT_GT(world.beats(), 0U);
+    }
+}
+
+// ---- one voter by hand, the others played by the test ----
+
+// Messages as the quorum writes them, by place of their numbers.
+enum : std::uint64_t { pre_vote_ask, pre_vote, vote_ask, vote, append, appended, piece, pieced };
+
+std::vector<std::uint64_t> numbers_of(const std::string& message) {
+    Flat flat;
+    EXPECT_EQ(read_flat(1, message, flat), FlatState::good);
+    return flat.numbers;
+}
+
+struct Voter {
+    explicit Voter(HardState hard = {}, std::vector<LogEntry> entries = {}, LogSnapshot snapshot = {},
+                   Quorum::Settings with = {})
+        : quorum((with.voters = with.voters == 1 ? 3 : with.voters, with), hard, std::move(snapshot),
+                 std::move(entries)) {}
+    // All of Ready done at once; what it sends.
+    std::vector<std::pair<int, std::string>> go() {
+        std::vector<std::pair<int, std::string>> out;
+        for (;;) {
+            Quorum::Ready ready = quorum.ready();
+            if (ready.empty()) return out;
+            if (ready.to_disk()) quorum.persisted(now);
+            for (auto& message : ready.messages) out.push_back(std::move(message));
+            for (LogEntry& entry : ready.committed) committed.push_back(std::move(entry));
+            if (ready.install) installed = ready.install;
+        }
+    }
+    void hear(int from, const std::vector<std::uint64_t>& numbers,
+              const std::vector<std::string_view>& parts = {}) {
+        quorum.heard(now, from, write_flat(1, numbers, parts));
+    }
+    void pass(Span span) {
+        for (const Time end = now + span; now < end;) {
+            now += 20ms;
+            quorum.tick(now);
+        }
+    }
+    // The leader of the next term by the votes of voter 1.
+    void lead() {
+        for (int i = 0; i < 200 && !quorum.leads(); ++i) {
+            pass(20ms);
+            for (const auto& [to, message] : go()) {
+                const auto n = numbers_of(message);
+                if (to == 1 && n[0] == pre_vote_ask) hear(1, {pre_vote, n[1] - 1, n[1], 1});
+                if (to == 1 && n[0] == vote_ask) hear(1, {vote, n[1], 1});
+            }
+        }
+        ASSERT_TRUE(quorum.leads());
+    }
+    // The newest append to this voter among these.
+    static std::vector<std::uint64_t> newest_append(const std::vector<std::pair<int, std::string>>& sent,
+                                                    int to) {
+        std::vector<std::uint64_t> newest;
+        for (const auto& [whom, message] : sent) {
+            const auto n = numbers_of(message);
+            if (whom == to && n[0] == append) newest = n;
+        }
+        return newest;
+    }
+    void answer(int from, const std::vector<std::uint64_t>& n) {
+        ASSERT_FALSE(n.empty()) << "no append to answer";
+        hear(from, {appended, n[1], n[5], n[2], 1, n[2] + n[9]});
+    }
+
+    // With voter 1 until its first entry counts and a beat tells so.
+    void settle() {
+        for (int i = 0; i < 5 && !quorum.beat(); ++i) {
+            const auto n = newest_append(go(), 1);
+            n.empty() ? pass(160ms) : answer(1, n);
+        }
+        ASSERT_TRUE(quorum.beat());
+    }
+
+    Time now = start;
+    Quorum quorum;
+    std::vector<LogEntry> committed;
+    std::optional<LogSnapshot> installed;
+};
+
+TEST(Quorum, TheFirstEntryOfATermIsEmptyAndThereIsNoBeatBeforeItCounts) {
+    Voter voter;
+    voter.lead();
+    EXPECT_EQ(voter.quorum.last(), 1U);
+    const auto first = Voter::newest_append(voter.go(), 1);
+    ASSERT_FALSE(first.empty());
+    voter.hear(
+        1, {appended, first[1], first[5], first[2], 1, 0});  // the round is answered, the entry is not held
+    EXPECT_FALSE(voter.quorum.beat());
+    EXPECT_EQ(voter.quorum.committed(), 0U);
+    voter.hear(1, {appended, first[1], first[5], first[2], 1, 1});
+    EXPECT_EQ(voter.quorum.committed(), 1U);
+    EXPECT_FALSE(voter.quorum.beat()) << "no round that began behind it was answered";
+    voter.answer(1, Voter::newest_append(voter.go(), 1));
+    ASSERT_TRUE(voter.quorum.beat());
+    EXPECT_EQ(voter.quorum.beat()->committed, 1U);
+    ASSERT_EQ(voter.committed.size(), 1U);
+    EXPECT_EQ(voter.committed[0].body, "");
+}
+
+TEST(Quorum, EntriesOfOlderTermsCountOnlyWithOneOfTheOwn) {
+    Voter voter({3, 0}, {{1, 1, ""}, {2, 2, "of term 2"}});
+    voter.lead();
+    EXPECT_EQ(voter.quorum.term(), 4U);
+    EXPECT_EQ(voter.quorum.last(), 3U);
+    voter.go();
+    voter.hear(1, {appended, 4, 1, 1, 1, 2});  // two of three hold entry 2
+    EXPECT_EQ(voter.quorum.committed(), 0U) << "by its copies alone";
+    voter.hear(1, {appended, 4, 1, 2, 1, 3});
+    EXPECT_EQ(voter.quorum.committed(), 3U);
+}
+
+TEST(Quorum, AnAnswerToAnOlderRoundDoesNotConfirmANewerOne) {
+    Voter voter;
+    voter.lead();
+    voter.settle();
+    voter.pass(160ms);
+    const Time first_at = voter.now;
+    const auto first = Voter::newest_append(voter.go(), 1);
+    const Time before = voter.quorum.beat()->at;
+    voter.pass(160ms);
+    const auto second = Voter::newest_append(voter.go(), 1);
+    ASSERT_GT(second[5], first[5]);
+    EXPECT_EQ(voter.quorum.beat()->at, before);
+    voter.answer(1, first);
+    EXPECT_GT(voter.quorum.beat()->at, before);
+    EXPECT_LE(voter.quorum.beat()->at, first_at);
+    const Time by_first = voter.quorum.beat()->at;
+    voter.answer(1, first);
+    voter.answer(2, first);
+    EXPECT_EQ(voter.quorum.beat()->at, by_first);
+    voter.answer(2, second);
+    EXPECT_GT(voter.quorum.beat()->at, first_at);
+    // To a round that was never begun: no answer.
+    const auto ignored = voter.quorum.ignored();
+    const Time by_second = voter.quorum.beat()->at;
+    voter.pass(160ms);
+    auto forged = second;
+    forged[5] += 1000;
+    voter.answer(1, forged);
+    EXPECT_EQ(voter.quorum.beat()->at, by_second);
+    EXPECT_EQ(voter.quorum.ignored(), ignored + 1);
+    // Of another term: none either.
+    forged = Voter::newest_append(voter.go(), 1);
+    forged[1] -= 1;
+    voter.answer(1, forged);
+    EXPECT_EQ(voter.quorum.beat()->at, by_second);
+}
+
+TEST(Quorum, TheNextReadyWaitsForTheDiskAndOwnEntriesCountOnlyThen) {
+    Quorum::Settings with;
+    with.voters = 1;
+    Quorum quorum(with, {}, {}, {});
+    quorum.tick(start);
+    ASSERT_TRUE(quorum.leads());
+    Quorum::Ready ready = quorum.ready();
+    ASSERT_EQ(ready.append.size(), 1U);
+    ASSERT_TRUE(ready.hard);
+    EXPECT_EQ(quorum.propose(start, "two"), 2U);
+    EXPECT_TRUE(quorum.ready().empty());
+    EXPECT_EQ(quorum.committed(), 0U);
+    EXPECT_FALSE(quorum.beat());
+    quorum.persisted(start + 5ms);
+    EXPECT_EQ(quorum.committed(), 1U) << "the second was not in what is on disk";
+    ASSERT_TRUE(quorum.beat());
+    EXPECT_EQ(quorum.beat()->at, start + 5ms);
+    ready = quorum.ready();
+    EXPECT_EQ(ready.append.size(), 1U);
+    EXPECT_EQ(ready.committed.size(), 1U);
+    quorum.persisted(start + 6ms);
+    EXPECT_EQ(quorum.ready().committed.size(), 1U);
+    quorum.persisted(start + 7ms);  // nothing was asked
+    EXPECT_TRUE(quorum.ready().empty());
+}
+
+TEST(Quorum, ProposalsAreBounded) {
+    Quorum::Settings with;
+    with.most_waiting = 4000;
+    Voter voter({}, {}, {}, with);
+    EXPECT_EQ(voter.quorum.propose(voter.now, "x"), 0U) << "it does not lead";
+    voter.lead();
+    voter.go();
+    EXPECT_EQ(voter.quorum.propose(voter.now, ""), 0U);
+    EXPECT_EQ(voter.quorum.propose(voter.now, std::string(most_entry + 1, 'x')), 0U);
+    Number last = 0;
+    int taken = 0;
+    while (const Number number = voter.quorum.propose(voter.now, std::string(100, 'x'))) {
+        last = number;
+        ASSERT_LT(++taken, 40);
+    }
+    EXPECT_GT(taken, 30);
+    // Once they count there is room again.
+    voter.settle();
+    EXPECT_EQ(voter.quorum.committed(), last);
+    EXPECT_EQ(voter.quorum.propose(voter.now, std::string(100, 'x')), last + 1);
+}
+
+TEST(Quorum, MessagesAreBoundedAndOneThatIsSilentGetsNoEntries) {
+    Quorum::Settings with;
+    with.most_message = 1000;
+    with.window = 3000;
+    Voter voter({}, {}, {}, with);
+    voter.lead();
+    voter.settle();
+    voter.go();
+    for (int i = 0; i < 100; ++i) ASSERT_NE(voter.quorum.propose(voter.now, std::string(300, 'x')), 0U);
+    std::size_t to_one = 0, to_two = 0;
+    for (const auto& [to, message] : voter.go()) {
+        EXPECT_LT(message.size(), 1200U);
+        (to == 1 ? to_one : to_two) += message.size();
+    }
+    EXPECT_GT(to_one, 3000U);
+    EXPECT_LT(to_one, 4500U) << "no more than the window";
+    EXPECT_LT(to_two, 300U) << "has answered nothing";
+    to_one = 0;
+    for (int i = 0; i < 5; ++i) {  // heartbeats repeat none of it
+        voter.pass(160ms);
+        for (const auto& [to, message] : voter.go()) to_one += to == 1 ? message.size() : 0;
+    }
+    EXPECT_LT(to_one, 500U);
+    voter.pass(1000ms);
+    EXPECT_FALSE(voter.quorum.leads()) << "nobody answers";
+}
+
+TEST(Quorum, ALeaderThatNobodyAnswersStepsDownWithinAnElectionTimeOut) {
+    QuorumWorld world(world_of(5, 4));
+    ASSERT_TRUE(has_leader(world));
+    const int leader = *world.leader();
+    const std::uint64_t term = world.quorum(leader).term();
+    for (int to = 0; to < 5; ++to) {
+        if (to != leader) world.cut(to, leader);  // its heartbeats still reach all: one-way
+    }
+    world.run_for(1100ms);
+    EXPECT_FALSE(world.quorum(leader).leads());
+    EXPECT_EQ(world.quorum(leader).term(), term);
+    ASSERT_TRUE(world.run_until([&] { return world.leader() && *world.leader() != leader; }, 10s));
+    world.heal();
+    EXPECT_TRUE(world.run_until([&] { return world.agreed(); }, 10s));
+    EXPECT_EQ(told(world), "");
+}
+
+// A voter that was cut off for long comes back: the leader and its term stay.
+std::uint64_t terms_begun_by_a_return(QuorumMutant mutant) {
+    auto with = world_of(3, 8);
+    with.mutant = mutant;
+    QuorumWorld world(with);
+    if (!has_leader(world)) return 99;
+    world.run_for(1s);
+    const int leader = *world.leader(), other = (leader + 1) % 3;
+    const std::uint64_t term = world.quorum(leader).term();
+    for (int i = 0; i < 3; ++i) {
+        if (i != other) world.cut(i, other);  // it hears nothing and is heard
+    }
+    world.run_for(8s);
+    world.cut_off(other, false);
+    world.run_for(3s);
+    EXPECT_EQ(told(world), "");
+    std::uint64_t newest = 0;
+    for (int i = 0; i < 3; ++i) newest = std::max(newest, world.quorum(i).term());
+    return newest - term;
+}
+
+TEST(Quorum, AVoterThatWasCutOffDisturbsNobody) {
+    EXPECT_EQ(terms_begun_by_a_return(QuorumMutant::none), 0U);
+}
+
+TEST(QuorumMutants, PreVotesGivenAwayDisturbTheLeader) {
+    // Granted by the harness to who is cut off only where answers reach it: the one-way cut the other way.
+    auto with = world_of(3, 8);
+    with.mutant = QuorumMutant::forged_pre_votes;
+    QuorumWorld world(with);
+    ASSERT_TRUE(has_leader(world));
+    const int leader = *world.leader(), other = (leader + 1) % 3;
+    const std::uint64_t term = world.quorum(leader).term();
+    world.cut(leader, other);  // it hears the third alone
+    world.run_for(8s);
+    EXPECT_GT(world.quorum(other).term(), term);
+    with.mutant = QuorumMutant::none;
+    QuorumWorld sound(with);
+    ASSERT_TRUE(has_leader(sound));
+    const int same = *sound.leader();
+    const std::uint64_t first = sound.quorum(same).term();
+    sound.cut(same, (same + 1) % 3);
+    sound.run_for(8s);
+    EXPECT_EQ(sound.quorum((same + 1) % 3).term(), first);
+    EXPECT_EQ(sound.leader(), same);
+}
+
+TEST(Quorum, AStalledLeaderWithAnOldClockTellsNoBeatThatIsNotSo) {
+    QuorumWorld world(world_of(3, 21));
+    ASSERT_TRUE(has_leader(world));
+    const int leader = *world.leader();
+    world.run_for(500ms);
+    const Time stalled = world.now();
+    world.stall(leader, 6s);
+    ASSERT_TRUE(world.run_until(
+        [&] {
+            for (int i = 0; i < 3; ++i) {
+                if (i != leader && world.quorum(i).leads() && world.quorum(i).beat()) return true;
+            }
+            return false;
+        },
+        5s));
+    const auto next = world.leader();
+    ASSERT_NE(world.propose(*next, "while it is stalled"), 0U);
+    ASSERT_TRUE(world.run_until([&] { return world.committed_at("while it is stalled").has_value(); }, 1s));
+    EXPECT_TRUE(world.quorum(leader).leads()) << "it knows of nothing yet";
+    const Time end = stalled + 6s;
+    while (world.now() < end + 100ms) {
+        world.run_for(5ms);
+        if (world.quorum(leader).leads()) {
+            EXPECT_LE(world.quorum(leader).beat()->at, stalled);
+        }
+    }
+    ASSERT_TRUE(world.run_until([&] { return world.agreed(); }, 5s));
+    EXPECT_EQ(told(world), "");
+}
+
+TEST(Quorum, AClockThatGoesBackOrJumpsEndsNoLog) {
+    Voter voter;
+    voter.lead();
+    voter.settle();
+    voter.now -= 500ms;
+    voter.quorum.tick(voter.now);
+    EXPECT_TRUE(voter.quorum.leads());
+    voter.now -= 3600s;  // what it would tell is behind what it told: another may
+    voter.quorum.tick(voter.now);
+    EXPECT_FALSE(voter.quorum.leads());
+    voter.go();
+    voter.lead();
+    EXPECT_EQ(voter.quorum.term(), 2U);
+    EXPECT_FALSE(voter.quorum.beat());
+    voter.go();
+    voter.now += 3600s;
+    voter.quorum.tick(voter.now);
+    EXPECT_FALSE(voter.quorum.leads()) << "nobody has answered for an hour";
+}
+
+TEST(Quorum, AVoterThatIsTooFarBehindGetsTheSnapshotInPieces) {
+    auto with = world_of(3, 5);
+    QuorumWorld world(with);
+    ASSERT_TRUE(has_leader(world));
+    const int leader = *world.leader(), behind = (leader + 1) % 3;
+    world.crash(behind);
+    for (int i = 0; i < 30; ++i) ASSERT_NE(world.propose(leader, "p" + std::to_string(i)), 0U);
+    ASSERT_TRUE(world.run_until([&] { return world.everybody_has("p29"); }, 2s));
+    world.compact(leader);
+    EXPECT_EQ(world.quorum(leader).first(), 32U);
+    std::size_t pieces = 0;
+    world.on_send = [&](int, int to, std::string& message) {
+        pieces += to == behind && numbers_of(message)[0] == piece;
+    };
+    world.restart(behind);
+    ASSERT_TRUE(world.run_until([&] { return world.agreed(); }, 5s));
+    EXPECT_EQ(world.tally(behind).snapshots, 1U);
+    EXPECT_EQ(pieces, 3U) << "304 bytes in pieces of 128";
+    EXPECT_EQ(world.quorum(behind).first(), 32U);
+    EXPECT_NE(world.propose(leader, "behind it"), 0U);
+    ASSERT_TRUE(world.run_until([&] { return world.everybody_has("behind it"); }, 1s));
+    EXPECT_EQ(told(world), "");
+}
+
+TEST(Quorum, ALateSnapshotTakesNothingAwayThatIsHeld) {
+    Voter voter({2, 1}, {{1, 1, ""}, {2, 2, "a"}, {3, 2, "b"}, {4, 2, "c"}});
+    voter.quorum.tick(voter.now);
+    const std::string state = "state at 2";
+    voter.hear(1, {piece, 2, 2, 2, 1, 0, 0, 0, state.size(), checksum_of(state), 0}, {state});
+    voter.go();
+    EXPECT_FALSE(voter.installed);
+    EXPECT_EQ(voter.quorum.last(), 4U) << "3 and 4 may have counted with it";
+    EXPECT_EQ(voter.quorum.committed(), 2U);
+    // One whose last entry is not held puts away what contradicts it.
+    voter.hear(1, {piece, 3, 4, 3, 1, 0, 0, 0, state.size(), checksum_of(state), 0}, {state});
+    voter.go();
+    ASSERT_TRUE(voter.installed);
+    EXPECT_EQ(voter.installed->number, 4U);
+    EXPECT_EQ(voter.quorum.first(), 5U);
+    EXPECT_EQ(voter.quorum.last(), 4U);
+    // And one that does not fit its hash is none.
+    const auto ignored = voter.quorum.ignored();
+    voter.hear(1, {piece, 3, 9, 3, 1, 0, 0, 0, state.size(), checksum_of(state) + 1, 0}, {state});
+    voter.go();
+    EXPECT_EQ(voter.quorum.last(), 4U);
+    EXPECT_EQ(voter.quorum.ignored(), ignored + 1);
+}
+
+TEST(Quorum, EveryByteOfEveryMessageSpoiltIsIgnoredAndAnUnknownVersionIsCounted) {
+    auto with = world_of(3, 31);
+    with.compact_every = 5;
+    QuorumWorld world(with);
+    std::map<std::uint64_t, std::string> kinds;
+    world.on_send = [&](int, int, std::string& message) { kinds.emplace(numbers_of(message)[0], message); };
+    ASSERT_TRUE(has_leader(world));
+    const int leader = *world.leader(), behind = (leader + 1) % 3;
+    world.crash(behind);
+    for (int i = 0; i < 12; ++i) ASSERT_NE(world.propose(leader, "p" + std::to_string(i)), 0U);
+    world.run_for(500ms);
+    world.restart(behind);
+    ASSERT_TRUE(world.run_until([&] { return world.agreed(); }, 5s));
+    world.on_send = nullptr;
+    ASSERT_EQ(kinds.size(), 8U);
+    const std::uint64_t term = world.quorum(behind).term();
+    std::uint64_t ignored = world.quorum(behind).ignored(), unknown = world.quorum(behind).unknown_versions();
+    for (const auto& [kind, message] : kinds) {
+        for (std::size_t i = 0; i < message.size(); ++i) {
+            std::string spoilt = message;
+            spoilt[i] = static_cast<char>(spoilt[i] ^ (1 << (i % 8)));
+            world.deliver(behind, leader, spoilt);
+            i == 0 ? ++unknown : ++ignored;
+        }
+        for (std::size_t i = 0; i < message.size(); ++i) {
+            world.deliver(behind, leader, message.substr(0, i));
+            ++ignored;
+        }
+        for (const int from : {-1, 3, 99, behind}) {
+            world.deliver(behind, from, message);
+            ++ignored;
+        }
+    }
+    // Whole by its checksum, and saying what cannot be.
+    for (const std::vector<std::uint64_t>& numbers : std::vector<std::vector<std::uint64_t>>{
+             {},
+             {99, term},
+             {append},
+             {append, term, 0, 0, 0, 0, 0, 0, 0, 1, term, 5},  // an entry without its bytes
+             {append, term, 7, 0, 0, 0, 0, 0, 0, 0},           // behind an entry of no term
+             {append, term, 7, term + 1, 0, 0, 0, 0, 0, 0},    // of a later term than its sender's
+             {append, term + 5, 0, 0, 0, 0, 0, 0, 0, 2, term + 5, 0, term + 1, 0},  // terms that go back
+             {append, term, 0, 0, 0, 0, 0, 0, 0, 1u << 20},                         // more than there are
+             {append, term, ~0ULL, 1, 0, 0, 0, 0, 0, 0},                            // beyond all numbers
+             {append, term, 0, 0, 0, 0, 2, 0, 0, 0},         // neither with nor without a beat
+             {piece, term, 5, term, 1, 0, 0, 0, 10, 1, 11},  // behind its end
+             {piece, term, 5, term, 1, 0, 0, 0, most_snapshot + 1, 1, 0},
+             {vote, term, 1, 1},
+             {pre_vote_ask, 0, 0, 0}}) {
+        world.deliver(behind, leader, write_flat(1, numbers, {}));
+        ++ignored;
+    }
+    EXPECT_EQ(world.quorum(behind).ignored(), ignored);
+    EXPECT_EQ(world.quorum(behind).unknown_versions(), unknown);
+    EXPECT_TRUE(world.agreed());
+    EXPECT_EQ(told(world), "");
+}
+
+RC_GTEST_PROP(QuorumFlat, WhatIsWrittenIsReadAndArbitraryBytesAreNothing, ()) {
+    const auto numbers = *rc::gen::arbitrary<std::vector<std::uint64_t>>();
+    const auto bytes = *rc::gen::arbitrary<std::string>();
+    const std::string written = write_flat(1, numbers, {bytes}, 7);
+    Flat flat;
+    RC_ASSERT(read_flat(1, written, flat, 7) == FlatState::good);
+    RC_ASSERT(flat.numbers == numbers);
+    RC_ASSERT(flat.bytes == bytes);
+    RC_ASSERT(read_flat(1, written, flat, 8) == FlatState::garbage);
+    RC_ASSERT(read_flat(2, written, flat, 7) == FlatState::unknown_version);
+    RC_ASSERT(read_flat(1, "\1" + bytes, flat, 7) == FlatState::garbage);
+    // Whole by its checksum, and CBOR of any other kind or depth.
+    std::string other(1, '\1'), rest;
+    write_fixed(rest, bytes.size(), 4);
+    rest += bytes;
+    write_fixed(other, checksum_of(rest, 7), 8);
+    RC_ASSERT(read_flat(1, other + rest, flat, 7) != FlatState::unknown_version);
+    const std::string deep(100'000, '\x81');
+    rest.clear();
+    write_fixed(rest, deep.size(), 4);
+    rest += deep;
+    other.assign(1, '\1');
+    write_fixed(other, checksum_of(rest, 7), 8);
+    RC_ASSERT(read_flat(1, other + rest, flat, 7) == FlatState::garbage);
+}
+
+// ---- seeded runs under faults ----
+
+struct Chaos {
+    std::uint64_t committed = 0, snapshots = 0, steps = 0, terms = 0;
+    bool agreed = false;
+    std::string wrong;
+};
+
+// Losses, repeats and delays all the time; cuts one way and both, crashes and stalls now and then; then all
+// is whole, and all agree soon.
+Chaos play(int voters, std::uint64_t seed, QuorumMutant mutant = QuorumMutant::none,
+           const std::function<bool(const QuorumWorld&)>& seen = nullptr) {
+    std::mt19937_64 random(seed * 77 + voters);
+    const auto below = [&random](int most) {
+        return static_cast<int>(random() % static_cast<unsigned>(most));
+    };
+    auto with = world_of(voters, seed);
+    with.tick = 40ms;
+    with.jitter = std::chrono::milliseconds(5 + below(100));
+    with.disk_jitter = std::chrono::milliseconds(1 + below(60));
+    with.lost = 0.02 * below(6);
+    with.repeated = 0.02 * below(6);
+    with.late = 0.02 * below(4);
+    with.compact_every = below(3) == 0 ? 0 : 3 + below(20);
+    with.quorum.window = 300 + below(2000);
+    with.quorum.most_message = 100 + below(500);
+    with.mutant = mutant;
+    with.ahead = mutant == QuorumMutant::clock_ahead ? Span(2s) : Span{};
+    QuorumWorld world(with);
+    Chaos out;
+    int proposals = 0;
+    std::multimap<Time, std::function<void()>> later;
+    const Time end = world.now() + 12s;
+    while (world.now() < end && world.violations().empty()) {
+        world.run_for(std::chrono::milliseconds(20 + below(200)));
+        while (!later.empty() && later.begin()->first <= world.now()) {
+            const auto act = later.begin()->second;
+            later.erase(later.begin());
+            act();
+        }
+        const int one = below(voters), other = below(voters);
+        const Time until = world.now() + std::chrono::milliseconds(100 + below(4000));
+        switch (below(30)) {
+            case 0:
+                if (one == other) break;
+                world.cut(one, other);
+                later.emplace(until, [&world, one, other] { world.cut(one, other, false); });
+                break;
+            case 1:
+                world.cut_off(one);
+                later.emplace(until, [&world, one] { world.cut_off(one, false); });
+                break;
+            case 2:
+            case 3:
+                world.crash(one);
+                later.emplace(until, [&world, one] { world.restart(one); });
+                break;
+            case 4:
+                world.stall(one, std::chrono::milliseconds(50 + below(3000)));
+                break;
+            case 5:
+                if (const auto leader = world.leader()) {
+                    world.crash(*leader);
+                    later.emplace(until, [&world, who = *leader] { world.restart(who); });
+                }
+                break;
+            case 6:
+                if (const auto leader = world.leader())
+                    world.stall(*leader, std::chrono::milliseconds(500 + below(2500)));
+                break;
+            default:
+                for (int i = 0; i < voters; ++i) {
+                    if (!world.up(i) || !world.quorum(i).leads()) continue;  // also one that leads no more
+                    for (int n = below(4); n > 0; --n) world.propose(i, "p" + std::to_string(++proposals));
+                }
+        }
+    }
+    if (seen && seen(world)) out.wrong = "seen";
+    world.heal();
+    out.agreed = world.run_until([&] { return world.agreed(); }, 20s);
+    if (out.agreed)
+        out.agreed =
+            propose_until_committed(world, "last") && world.run_until([&] { return world.agreed(); }, 5s);
+    for (int i = 0; i < voters; ++i) {
+        out.snapshots += world.tally(i).snapshots;
+        out.committed = std::max(out.committed, world.quorum(i).committed());
+        out.terms = std::max(out.terms, world.quorum(i).term());
+    }
+    out.steps = world.steps();
+    out.wrong += told(world);
+    return out;
+}
+
+void play_seeds(int voters, std::uint64_t from, std::uint64_t to) {
+    Chaos all;
+    for (std::uint64_t seed = from; seed < to; ++seed) {
+        const Chaos one = play(voters, seed);
+        ASSERT_EQ(one.wrong, "") << "seed " << seed;
+        ASSERT_TRUE(one.agreed) << "seed " << seed;
+        all.committed += one.committed;
+        all.snapshots += one.snapshots;
+        all.terms += one.terms;
+        all.steps += one.steps;
+    }
+    // They were about something.
+    EXPECT_GT(all.committed, 5 * (to - from));
+    EXPECT_GT(all.snapshots, (to - from) / 5);
+    EXPECT_GT(all.terms, 2 * (to - from));
+    std::printf("%d voters, %d runs: %d entries, %d snapshots, %d terms, %d steps\n", voters,
+                static_cast<int>(to - from), static_cast<int>(all.committed), static_cast<int>(all.snapshots),
+                static_cast<int>(all.terms), static_cast<int>(all.steps));
+}
+
+TEST(QuorumRuns, ThreeVotersUnderFaults) { play_seeds(3, 1, 131); }
+TEST(QuorumRuns, ThreeVotersUnderFaultsOtherSeeds) { play_seeds(3, 131, 261); }
+TEST(QuorumRuns, FiveVotersUnderFaults) { play_seeds(5, 1, 101); }
+TEST(QuorumRuns, FiveVotersUnderFaultsOtherSeeds) { play_seeds(5, 101, 201); }
+TEST(QuorumRuns, SevenVotersUnderFaults) { play_seeds(7, 1, 41); }
+
+RC_GTEST_PROP(QuorumRuns, AnySeed, ()) {
+    const int voters = *rc::gen::element(3, 5);
+    const Chaos one = play(voters, *rc::gen::inRange<std::uint64_t>(1000, 1'000'000));
+    RC_ASSERT(one.wrong == "");
+    RC_ASSERT(one.agreed);
+}
+
+TEST(QuorumRuns, TheSameSeedIsTheSameRun) {
+    const Chaos one = play(5, 77), other = play(5, 77), third = play(5, 78);
+    EXPECT_EQ(one.steps, other.steps);
+    EXPECT_EQ(one.committed, other.committed);
+    EXPECT_EQ(one.terms, other.terms);
+    EXPECT_NE(one.steps, third.steps);
+}
+
+// ---- a fault at each numbered point in turn ----
+
+// Election, five proposals, the leader's crash, an election, three proposals, and the one that was down gets
+// a snapshot. How many points that had; the fault, if one is set, must change nothing in the end.
+std::uint64_t play_script(QuorumFault fault, std::uint64_t at, std::optional<QuorumPoint>* hit = nullptr) {
+    auto with = world_of(3, 2);
+    with.fault = fault;
+    with.fault_at = at;
+    with.jitter = 2ms;
+    QuorumWorld world(with);
+    const std::string where = "at point " + std::to_string(at);
+    EXPECT_TRUE(has_leader(world)) << where;
+    for (int i = 0; i < 5; ++i) EXPECT_TRUE(propose_until_committed(world, "a" + std::to_string(i))) << where;
+    const auto first = world.leader();
+    const int down = first ? *first : 0;
+    world.crash(down);
+    EXPECT_TRUE(world.run_until([&] { return world.leader() && world.quorum(*world.leader()).beat(); }, 15s))
+        << where;
+    for (int i = 0; i < 3; ++i) EXPECT_TRUE(propose_until_committed(world, "b" + std::to_string(i))) << where;
+    for (int i = 0; i < 3; ++i) world.compact(i);
+    world.restart(down);
+    EXPECT_TRUE(world.run_until([&] { return world.agreed(); }, 15s)) << where;
+    EXPECT_EQ(told(world), "") << where;
+    if (at == 0) {
+        EXPECT_EQ(world.tally(down).snapshots, 1U);
+    }
+    if (hit) *hit = world.hit();
+    return world.points();
+}
+
+void play_all_points(QuorumFault fault) {
+    const std::uint64_t points = play_script(QuorumFault::none, 0);
+    EXPECT_GT(points, 200U);
+    std::map<QuorumPoint, int> kinds;
+    for (std::uint64_t at = 1; at <= points && !testing::Test::HasFailure(); ++at) {
+        std::optional<QuorumPoint> hit;
+        play_script(fault, at, &hit);
+        ASSERT_TRUE(hit) << at;
+        ++kinds[*hit];
+    }
+    EXPECT_EQ(kinds.size(), 5U) << "sends, receipts, writes before and behind, commits";
+    std::printf("%d points: %d sends, %d receipts, %d writes, %d written, %d commits\n",
+                static_cast<int>(points), kinds[QuorumPoint::send], kinds[QuorumPoint::receive],
+                kinds[QuorumPoint::write], kinds[QuorumPoint::written], kinds[QuorumPoint::commit]);
+}
+
+TEST(QuorumPoints, DropAtEach) { play_all_points(QuorumFault::drop); }
+TEST(QuorumPoints, RepeatAtEach) { play_all_points(QuorumFault::repeat); }
+TEST(QuorumPoints, LateAtEach) { play_all_points(QuorumFault::late); }
+TEST(QuorumPoints, CrashAtEach) { play_all_points(QuorumFault::crash); }
+TEST(QuorumPoints, StallAtEach) { play_all_points(QuorumFault::stall); }
+
+// ---- what the checks catch ----
+
+// Some seed shows it, by this rule among others.
+void expect_caught(QuorumMutant mutant, const std::string& rule, int voters = 3) {
+    std::set<std::string> seen;
+    for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+        bool is_caught = false;
+        play(voters, seed, mutant, [&](const QuorumWorld& world) {
+            for (const auto& [name, text] : world.violations()) seen.insert(name);
+            return is_caught = world.violated(rule);
+        });
+        if (is_caught) return;
+    }
+    std::string others;
+    for (const std::string& name : seen) others += name + "; ";
+    ADD_FAILURE() << "not seen: " << rule << ". Seen: " << others;
+}
+
+TEST(QuorumMutants, AHardStateThatIsLostGivesTwoLeadersInATerm) {
+    expect_caught(QuorumMutant::hard_state_lost, "one leader a term");
+}
+TEST(QuorumMutants, AHardStateThatIsLostGivesTwoVotes) {
+    expect_caught(QuorumMutant::hard_state_lost, "one vote a term");
+}
+TEST(QuorumMutants, EntriesThatAreLostMakeALeaderThatLacksThem) {
+    expect_caught(QuorumMutant::entries_lost, "a leader has all that was committed");
+}
+TEST(QuorumMutants, WhatIsToldBeforeItIsOnDiskIsNotOnAMajority) {
+    expect_caught(QuorumMutant::told_before_persisted, "what is committed is on the disks of a majority");
+}
+
+// A leader that is cut off hears its old rounds' answers again and again, as they were or, if forged, as if
+// they were to the newest round, while the others elect another and commit.
+void hear_old_answers(QuorumWorld& world, bool is_forged) {
+    ASSERT_TRUE(has_leader(world));
+    const int leader = *world.leader(), other = (leader + 1) % 3;
+    std::string answered;
+    std::uint64_t newest = 0;
+    world.on_send = [&](int from, int, std::string& message) {
+        const auto n = numbers_of(message);
+        if (from == leader && n[0] == append) newest = std::max(newest, n[5]);
+        if (from == other && n[0] == appended) answered = message;
+    };
+    world.run_for(500ms);
+    ASSERT_FALSE(answered.empty());
+    world.cut_off(leader);
+    const std::string old = answered;
+    for (int i = 0; i < 60; ++i) {
+        world.run_for(50ms);
+        auto n = numbers_of(old);
+        if (is_forged) n[2] = newest;
+        world.deliver(leader, other, write_flat(1, n, {}));
+        for (int who = 0; who < 3; ++who) {
+            if (who != leader && world.quorum(who).leads()) world.propose(who, "p" + std::to_string(i));
+        }
+    }
+    EXPECT_GT(world.quorum(other).committed(), 10U);
+    EXPECT_EQ(world.quorum(leader).leads(), is_forged);
+}
+
+TEST(Quorum, OldRoundsAnswersHeardAgainKeepNobodyInTheLead) {
+    QuorumWorld world(world_of(3, 13));
+    hear_old_answers(world, false);
+    EXPECT_EQ(told(world), "");
+}
+TEST(QuorumMutants, AnOldRoundsAnswerTakenForANewerOnesMakesABeatThatIsNotSo) {
+    QuorumWorld world(world_of(3, 13));
+    hear_old_answers(world, true);
+    EXPECT_TRUE(world.violated("a beat names all that was committed before it"));
+}
+TEST(QuorumMutants, AnswersThatClaimMoreThanIsHeldCommitWhatIsNotOnAMajority) {
+    expect_caught(QuorumMutant::forged_match, "what is committed is on the disks of a majority");
+}
+TEST(QuorumMutants, AClockAheadMakesABeatThatIsNotSo) {
+    expect_caught(QuorumMutant::clock_ahead, "a beat is of the past");
+}
+
+// ---- on disk ----
+
+namespace fs = std::filesystem;
+
+struct Directory {
+    Directory() {
+        std::string name = (fs::temp_directory_path() / "quorum-XXXXXX").string();
+        path = ::mkdtemp(name.data()) ? name : "";
+    }
+    ~Directory() { fs::remove_all(path); }
+    std::string sub(const std::string& name) const { return path + "/" + name; }
+    std::string path;
+};
+
+std::string bytes_of(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    return std::string((std::istreambuf_iterator<char>(file)), {});
+}
+void set_bytes(const std::string& path, const std::string& bytes) {
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+// A copy to spoil.
+std::string copy_of(const Directory& directory, const std::string& from, const std::string& to) {
+    fs::remove_all(directory.sub(to));
+    fs::copy(directory.sub(from), directory.sub(to));
+    return directory.sub(to);
+}
+
+std::string text_of(const QuorumStore::Held& held) {
+    std::string text = "term " + std::to_string(held.hard.term) + " vote " + std::to_string(held.hard.vote) +
+                       " snapshot " + std::to_string(held.snapshot.number) + "/" +
+                       std::to_string(held.snapshot.term) + " " + held.snapshot.state;
+    for (const LogEntry& entry : held.entries) {
+        text += "\n" + std::to_string(entry.number) + "/" + std::to_string(entry.term) + " " + entry.body;
+    }
+    return text;
+}
+// What is held there in words, or the problem behind "wrong: ".
+std::string opened(const std::string& directory, int self = 0) {
+    QuorumStore::Held held;
+    std::string problem;
+    const auto store = QuorumStore::open({directory, self}, held, problem);
+    return store ? text_of(held) : "wrong: " + problem;
+}
+
+Quorum::Ready of_entries(Number from, std::uint64_t term, int count, std::size_t size = 20) {
+    Quorum::Ready ready;
+    for (int i = 0; i < count; ++i) {
+        const Number number = from + static_cast<Number>(i);
+        std::string body = "entry " + std::to_string(number) + " of term " + std::to_string(term) + " ";
+        body.resize(std::max(body.size(), size), 'y');
+        ready.append.push_back({number, term, body});
+    }
+    ready.hard = HardState{term, 1};
+    return ready;
+}
+
+struct Made {
+    explicit Made(const std::string& directory, std::size_t most_bytes = 1 << 20,
+                  std::size_t slack = 1 << 16) {
+        QuorumStore::Settings with;
+        with.directory = directory;
+        with.most_bytes = most_bytes;
+        with.slack = slack;
+        store = QuorumStore::open(with, held, problem);
+        EXPECT_TRUE(store) << problem;
+    }
+    QuorumStore::Held held;
+    std::string problem;
+    std::unique_ptr<QuorumStore> store;
+};
+
+RC_GTEST_PROP(QuorumStore, WhatWasWrittenIsThereWhenItIsOpenedAgain, ()) {
+    Directory directory;
+    QuorumStore::Held model;
+    auto store = std::make_unique<Made>(directory.sub("a"), 1 << 20, 2000);
+    const int writes = *rc::gen::inRange(1, 25);
+    for (int i = 0; i < writes; ++i) {
+        Quorum::Ready ready;
+        const auto next = [&] { return model.snapshot.number + model.entries.size() + 1; };
+        const int kind = *rc::gen::inRange(0, 10);
+        if (kind == 0) {
+            ready.install = LogSnapshot{next() + 4, model.hard.term + 1, std::string(50, 'i')};
+            model.snapshot = *ready.install;
+            model.entries.clear();
+        } else if (kind == 1 && !model.entries.empty()) {
+            const std::size_t upto = *rc::gen::inRange<std::size_t>(0, model.entries.size());
+            ready.compact =
+                LogSnapshot{model.entries[upto].number, model.entries[upto].term, std::string(40, 'c')};
+            model.snapshot = *ready.compact;
+            model.entries.erase(model.entries.begin(),
+                                model.entries.begin() + static_cast<std::ptrdiff_t>(upto) + 1);
+        }
+        if (kind > 6 && !model.entries.empty()) {
+            const std::size_t from = *rc::gen::inRange<std::size_t>(0, model.entries.size());
+            ready.truncate_from = model.entries[from].number;
+            model.entries.resize(from);
+        }
+        if (kind > 2) {
+            for (int n = *rc::gen::inRange(0, 5); n > 0; --n) {
+                ready.append.push_back({next(), model.hard.term + 1, *rc::gen::arbitrary<std::string>()});
+                model.entries.push_back(ready.append.back());
+            }
+        }
+        if (kind % 2 == 0) {
+            ready.hard = HardState{model.hard.term + 1, *rc::gen::inRange(-1, 3)};
+            model.hard = *ready.hard;
+        }
+        RC_ASSERT(store->store->write(ready));
+        if (*rc::gen::inRange(0, 4) == 0) {
+            store.reset();
+            store = std::make_unique<Made>(directory.sub("a"), 1 << 20, 2000);
+            RC_ASSERT(text_of(store->held) == text_of(model));
+        }
+    }
+    store.reset();
+    RC_ASSERT(opened(directory.sub("a")) == text_of(model));
+}
+
+TEST(QuorumStore, TheLastWriteCutAtEachByteIsThereOrNotAndOnceToldItsLossIsDamage) {
+    Directory directory;
+    {
+        Made made(directory.sub("a"));
+        ASSERT_TRUE(made.store->write(of_entries(1, 1, 3)));
+        ASSERT_TRUE(made.store->write(of_entries(4, 1, 2)));
+    }
+    const std::string before = opened(directory.sub("a"));
+    copy_of(directory, "a", "before");
+    const std::string old_bytes = bytes_of(directory.sub("before/log"));
+    {
+        Made made(directory.sub("a"));
+        Quorum::Ready ready = of_entries(5, 2, 3);
+        ready.truncate_from = 5;
+        ASSERT_TRUE(made.store->write(ready));
+    }
+    const std::string behind = opened(directory.sub("a"));
+    const std::string bytes = bytes_of(directory.sub("a/log"));
+    ASSERT_GT(bytes.size(), old_bytes.size() + 50);
+    ASSERT_NE(before, behind);
+    const std::size_t head = 24 + 32;  // kind and both notes
+    const auto spoilt = [&](const std::string& what) {
+        set_bytes(copy_of(directory, "a", "cut") + "/log", what);
+        return opened(directory.sub("cut"));
+    };
+    for (std::size_t size = old_bytes.size(); size <= bytes.size(); ++size) {
+        // Before it was flushed, the head is the old one.
+        const std::string cut = old_bytes.substr(0, head) + bytes.substr(head, size - head);
+        EXPECT_EQ(spoilt(cut), size == bytes.size() ? behind : before) << size;
+        // It goes on from there: the next write is found again.
+        if (size % 16 == 0) {
+            Made made(directory.sub("cut"));
+            ASSERT_TRUE(made.store->write(of_entries(made.held.entries.back().number + 1, 3, 1)));
+            made.store.reset();
+            EXPECT_NE(opened(directory.sub("cut")).find("of term 3"), std::string::npos) << size;
+        }
+        // Pages that were never filled.
+        EXPECT_EQ(spoilt(cut + std::string(300, '\0')), size == bytes.size() ? behind : before) << size;
+        // Flushed and told: then it is damage.
+        if (size == bytes.size()) continue;
+        const std::string told_of = spoilt(bytes.substr(0, size));
+        EXPECT_EQ(told_of.rfind("wrong: ", 0), 0U) << size << told_of;
+        EXPECT_NE(told_of.find("damaged at byte " + std::to_string(old_bytes.size())), std::string::npos)
+            << told_of;
+    }
+    // The note itself, torn at each byte: the other one stands.
+    for (std::size_t i = 24; i <= head; ++i) {
+        const std::string torn = bytes.substr(0, i) + old_bytes.substr(i, head - i) + bytes.substr(head);
+        EXPECT_EQ(spoilt(torn), behind) << i;
+    }
+    // Cut before what was flushed long ago, down to nothing.
+    for (std::size_t size = 0; size < old_bytes.size(); ++size) {
+        EXPECT_EQ(spoilt(old_bytes.substr(0, size)).rfind("wrong: ", 0), 0U) << size;
+    }
+}
+
+TEST(QuorumStore, EveryFlippedBitIsFoundOrChangesNothing) {
+    Directory directory;
+    {
+        Made made(directory.sub("a"));
+        ASSERT_TRUE(made.store->write(of_entries(1, 1, 4)));
+        Quorum::Ready compact;
+        compact.compact = LogSnapshot{2, 1, "the state at two"};
+        ASSERT_TRUE(made.store->write(compact));
+        ASSERT_TRUE(made.store->write(of_entries(5, 1, 2)));
+    }
+    const std::string whole = opened(directory.sub("a"));
+    std::size_t found = 0, harmless = 0;
+    for (const char* name : {"/log", "/snapshot"}) {
+        const std::string bytes = bytes_of(directory.sub("a") + name);
+        for (std::size_t i = 0; i < bytes.size() * 8; ++i) {
+            std::string spoilt = bytes;
+            spoilt[i / 8] = static_cast<char>(spoilt[i / 8] ^ (1 << (i % 8)));
+            set_bytes(copy_of(directory, "a", "flipped") + name, spoilt);
+            const std::string seen = opened(directory.sub("flipped"));
+            if (seen == whole) {
+                ++harmless;
+                EXPECT_TRUE(i / 8 >= 24 && i / 8 < 56 && std::string(name) == "/log")
+                    << "not in a note: " << i / 8;
+            } else {
+                ++found;
+                EXPECT_EQ(seen.rfind("wrong: ", 0), 0U) << name << " " << i / 8 << ": " << seen;
+            }
+        }
+    }
+    EXPECT_EQ(harmless, 32U * 8);
+    EXPECT_GT(found, 1000U);
+}
+
+TEST(QuorumStore, WhatIsWrittenAnewIsWholeOrNotAtAll) {
+    Directory directory;
+    {
+        Made made(directory.sub("a"));
+        ASSERT_TRUE(made.store->write(of_entries(1, 1, 6)));
+    }
+    const std::string before = opened(directory.sub("a"));
+    copy_of(directory, "a", "compacted");
+    copy_of(directory, "a", "installed");
+    {
+        Made made(directory.sub("compacted"));
+        Quorum::Ready ready;
+        ready.compact = LogSnapshot{4, 1, "state at four"};
+        ASSERT_TRUE(made.store->write(ready));
+    }
+    {
+        Made made(directory.sub("installed"));
+        Quorum::Ready ready = of_entries(10, 3, 1);
+        ready.install = LogSnapshot{9, 3, "state at nine"};
+        ASSERT_TRUE(made.store->write(ready));
+    }
+    const std::string compacted = opened(directory.sub("compacted"));
+    EXPECT_NE(compacted.find("snapshot 4/1 state at four\n5/1 "), std::string::npos) << compacted;
+    const std::string installed = opened(directory.sub("installed"));
+    EXPECT_NE(installed.find("snapshot 9/3 state at nine\n10/3 "), std::string::npos) << installed;
+    for (const char* of : {"compacted", "installed"}) {
+        // Ended while the snapshot, or the log, was being written beside the old one.
+        for (const char* name : {"snapshot", "log"}) {
+            const std::string bytes = bytes_of(directory.sub(of) + "/" + name);
+            for (std::size_t size = 0; size <= bytes.size(); ++size) {
+                const std::string cut = copy_of(directory, "a", "cut");
+                set_bytes(cut + "/" + name + ".part", bytes.substr(0, size));
+                EXPECT_EQ(opened(cut), before) << of << name << size;
+                EXPECT_FALSE(fs::exists(cut + "/" + name + ".part"));
+            }
+        }
+        // Ended between the two: the snapshot stands, with what the log has behind it, or alone.
+        const std::string between = copy_of(directory, "a", "between");
+        fs::copy(directory.sub(of) + "/snapshot", between + "/snapshot");
+        const std::string alone = "term 1 vote 1 snapshot 9/3 state at nine";
+        EXPECT_EQ(opened(between), std::string(of) == "compacted" ? compacted : alone);
+        EXPECT_EQ(opened(between), std::string(of) == "compacted" ? compacted : alone) << "and stays so";
+    }
+    // An old snapshot below a newer log, or none.
+    const std::string old = copy_of(directory, "installed", "old");
+    fs::copy(directory.sub("compacted/snapshot"), old + "/snapshot", fs::copy_options::overwrite_existing);
+    EXPECT_NE(opened(old).find("wrong: "), std::string::npos);
+    EXPECT_NE(opened(old).find("its snapshot is older than it"), std::string::npos) << opened(old);
+    fs::remove(old + "/snapshot");
+    EXPECT_NE(opened(old).find("its snapshot is gone"), std::string::npos) << opened(old);
+    fs::remove(directory.sub("compacted/log"));
+    EXPECT_NE(opened(directory.sub("compacted")).find("it is gone, and a snapshot is there"),
+              std::string::npos);
+}
+
+TEST(QuorumStore, AnothersDirectoryAndOneThatIsHeldAreRefused) {
+    Directory directory;
+    {
+        Made made(directory.sub("a"));
+        ASSERT_TRUE(made.store->write(of_entries(1, 1, 1)));
+        EXPECT_NE(opened(directory.sub("a")).find("held by another process"), std::string::npos);
+    }
+    EXPECT_NE(opened(directory.sub("a"), 1).find("it is that of voter 0, not 1"), std::string::npos)
+        << opened(directory.sub("a"), 1);
+    EXPECT_EQ(opened(directory.sub("a")).rfind("term 1", 0), 0U);
+    EXPECT_NE(opened(directory.sub("no/such")).find("cannot be made"), std::string::npos);
+}
+
+TEST(QuorumStore, TheLogIsBounded) {
+    Directory directory;
+    Made made(directory.sub("a"), 100'000, 5'000);
+    ASSERT_TRUE(made.store->write(of_entries(1, 1, 10, 100)));
+    std::size_t most = 0;
+    for (std::uint64_t term = 2; term < 200; ++term) {  // the last five again and again
+        Quorum::Ready ready = of_entries(6, term, 5, 100);
+        ready.truncate_from = 6;
+        ASSERT_TRUE(made.store->write(ready));
+        most = std::max(most, made.store->bytes());
+    }
+    EXPECT_LT(most, 9'000U) << "twice the entries, the slack and one write";
+    EXPECT_EQ(fs::file_size(directory.sub("a/log")), made.store->bytes());
+    // Nobody compacts: it is full, says so, and takes no more, until it is opened anew.
+    Number next = 11;
+    while (made.store->write(of_entries(next, 200, 10, 1000))) {
+        next += 10;
+        ASSERT_LT(next, 200U);
+    }
+    EXPECT_GT(next, 40U);
+    EXPECT_NE(made.store->problem().find("full"), std::string::npos);
+    EXPECT_FALSE(made.store->write(of_entries(next, 200, 1, 1)));
+    made.store.reset();
+    Made again(directory.sub("a"), 100'000, 5'000);
+    ASSERT_EQ(again.held.entries.size(), next - 1);
+    Quorum::Ready ready;
+    ready.compact = LogSnapshot{next - 1, 200, "all of it"};
+    EXPECT_TRUE(again.store->write(ready));
+    EXPECT_TRUE(again.store->write(of_entries(next, 200, 10, 1000)));
+}
+
+TEST(QuorumStore, AVoterGoesOnFromItsDisk) {
+    Directory directory;
+    Quorum::Settings with;
+    std::vector<std::string> applied;
+    Time now = start;
+    for (int life = 0; life < 4; ++life) {
+        Made made(directory.sub("a"));
+        EXPECT_EQ(made.held.hard.term, static_cast<std::uint64_t>(life));
+        Quorum quorum(with, made.held.hard, made.held.snapshot, made.held.entries);
+        applied.clear();
+        const auto go = [&] {
+            for (;;) {
+                const Quorum::Ready ready = quorum.ready();
+                if (ready.empty()) return;
+                ASSERT_TRUE(made.store->write(ready));
+                quorum.persisted(now += 1ms);
+                for (const LogEntry& entry : ready.committed) applied.push_back(entry.body);
+            }
+        };
+        quorum.tick(now += 20ms);
+        go();
+        for (int i = 0; i < 3; ++i) {
+            ASSERT_NE(quorum.propose(now, "life " + std::to_string(life)), 0U);
+            go();
+        }
+        EXPECT_EQ(quorum.committed(), 4U * (life + 1));
+        EXPECT_EQ(applied.size(), life < 2 ? 4U * (life + 1) : 4U * (life + 1) - 5);
+        EXPECT_EQ(applied.back(), "life " + std::to_string(life));
+        if (life == 1) {
+            quorum.compact({5, 0, "state at five"});
+            go();
+        }
+        if (life > 1) {
+            EXPECT_EQ(made.held.snapshot.state, "state at five");
+            EXPECT_EQ(made.held.snapshot.term, 2U);
+        }
+    }
+}
+
+TEST(QuorumStore, AProcessKilledAtAnyMomentHasWritten) {
+    Directory directory;
+    std::mt19937_64 random(5);
+    int kills_between = 0;
+    for (int round = 0; round < 25; ++round) {
+        const std::string path = directory.sub("r" + std::to_string(round));
+        int ends[2];
+        ASSERT_EQ(::pipe(ends), 0);
+        const pid_t child = ::fork();
+        ASSERT_GE(child, 0);
+        if (child == 0) {  // writes for ever, and tells of each write once it is there
+            QuorumStore::Held held;
+            std::string problem;
+            QuorumStore::Settings with;
+            with.directory = path;
+            with.slack = 3000;
+            const auto store = QuorumStore::open(with, held, problem);
+            for (Number next = 1; store; ++next) {
+                Quorum::Ready ready = of_entries(next, 1, 1, next % 7 * 200);
+                if (next % 10 == 0) ready.compact = LogSnapshot{next - 3, 1, std::to_string(next - 3)};
+                if (!store->write(ready) || ::write(ends[1], &next, sizeof(next)) != sizeof(next)) break;
+            }
+            ::_exit(1);
+        }
+        ::close(ends[1]);
+        Number told = 0, one = 0;
+        const int wanted = 1 + static_cast<int>(random() % 30);
+        for (int i = 0; i < wanted && ::read(ends[0], &one, sizeof(one)) == sizeof(one); ++i) told = one;
+        ::usleep(static_cast<useconds_t>(random() % 3000));
+        ::kill(child, SIGKILL);
+        int status = 0;
+        ASSERT_EQ(::waitpid(child, &status, 0), child);
+        ASSERT_TRUE(WIFSIGNALED(status)) << "it ended by itself";
+        while (::read(ends[0], &one, sizeof(one)) == sizeof(one)) told = one;
+        ::close(ends[0]);
+        QuorumStore::Held held;
+        std::string problem;
+        const auto store = QuorumStore::open({path}, held, problem);
+        ASSERT_TRUE(store) << problem;
+        const Number last = held.snapshot.number + held.entries.size();
+        EXPECT_GE(last, told);
+        EXPECT_LE(last, told + 1);
+        kills_between += last > told ? 1 : 0;
+        EXPECT_EQ(held.snapshot.state, held.snapshot.number ? std::to_string(held.snapshot.number) : "");
+        for (std::size_t i = 0; i < held.entries.size(); ++i) {
+            const Number number = held.snapshot.number + 1 + i;
+            EXPECT_EQ(held.entries[i].number, number);
+            EXPECT_EQ(held.entries[i].body, of_entries(number, 1, 1, number % 7 * 200).append[0].body);
+        }
+    }
+    std::printf("25 kills, %d of them behind a write that was not told yet\n", kills_between);
+}
+
+}  // namespace
+}  // namespace linnetlead
