--- /dev/null
+++ b/src/distribution/follower.cpp
@@ -0,0 +1,478 @@
+#include "follower.h"
+
+#include <algorithm>
+
+namespace linnetlead::distribution {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t most_beats = 8;
+constexpr std::size_t most_counts = 64;
+constexpr std::size_t checked_at_once = 4096;
+constexpr Span shortest_avoidance = 5s, longest_avoidance = 30s;
+
+bool same(const Ack& a, const Ack& b) {
+    const auto same_holding = [](const Holding& x, const Holding& y) {
+        return x.upto == y.upto && x.gateways == y.gateways;
+    };
+    const auto same_counted = [](const Counted& x, const Counted& y) {
+        return x.change == y.change && x.cannot == y.cannot && x.names == y.names;
+    };
+    return a.position == b.position && a.in_force == b.in_force && a.gateways == b.gateways &&
+           a.fenced == b.fenced &&
+           std::equal(a.holding.begin(), a.holding.end(), b.holding.begin(), b.holding.end(), same_holding) &&
+           std::equal(a.cannot.begin(), a.cannot.end(), b.cannot.begin(), b.cannot.end(), same_counted);
+}
+
+}  // namespace
+
+Follower::Follower(const Settings& settings, Outside outside)
+    : settings_(settings),
+      outside_(std::move(outside)),
+      random_(settings.seed),
+      history_(settings.kept),
+      tries_(settings.tries_at_once) {}
+
+// ---- the lease ----
+
+bool Follower::fenced(Time now) const {
+    // The beat's records are all here. What is settled and due has to be in force, also what the beat does
+    // not know of yet.
+    if (beat_.at == Time{} || now >= beat_.at + settings_.lease) return true;
+    const auto instant = history_.next_instant();
+    return instant && *instant <= now;
+}
+
+bool Follower::fenced(std::string_view key) const { return narrowed_.count(std::string(key)) != 0; }
+
+void Follower::hear(Time now, const Beat& beat) {
+    // What is older than the newest heard says nothing new, and a clock that is further ahead than clocks may
+    // be would prolong the lease beyond what it stands for.
+    const Beat& newest = beats_.empty() ? beat_ : beats_.back();
+    if (beat.term < beat_term_ || (beat.term == newest.term && beat.at <= newest.at)) return;
+    if (beat.committed < newest.committed) return;
+    if (beat.at > now + settings_.skew) {
+        outside_.event("clock", "a beat from a time that is more than the skew ahead: it is left out");
+        return;
+    }
+    if (history_.base() > beat.committed && beat.at > history_.in_force_at() + settings_.skew) {
+        // All that counted then is less than what is in force here since before: it never counted there.
+        whole_ = true;
+        return give_up(now, "the state held here is not of this fleet");
+    }
+    beat_term_ = beat.term;
+    if (beats_.size() == most_beats) beats_.pop_back();
+    beats_.push_back(beat);
+    stale_since_ = now;
+    stale_moves_ = 0;
+    take_usable();
+}
+
+void Follower::take_usable() {
+    while (!beats_.empty() && beats_.front().committed <= history_.position()) {
+        beat_ = beats_.front();
+        beats_.pop_front();
+        if (outside_.beat) outside_.beat(beat_);
+    }
+}
+
+void Follower::go_over(Time now) {
+    std::vector<std::string> keys;
+    const auto act = [&](const Record& record) {
+        const auto unfit = unfit_.find(record.number);
+        for (std::size_t i = 0; i < record.change.edits.size(); ++i) {
+            const std::string& key = record.change.edits[i].key;
+            keys.push_back(key);
+            const bool cannot =
+                unfit != unfit_.end() && std::binary_search(unfit->second.begin(), unfit->second.end(), i);
+            if (cannot) {
+                narrowed_.insert(key);
+            } else {
+                narrowed_.erase(key);
+            }
+        }
+    };
+    while (history_.go_over(now, act)) {
+        since_ = now;
+        ack_due_ = true;
+        unfit_.erase(unfit_.begin(), unfit_.upper_bound(history_.base()));
+        if (outside_.in_force) outside_.in_force(history_.revision(), keys, false);
+        keys.clear();
+    }
+}
+
+void Follower::tell_fenced(Time now) {
+    const bool is = fenced(now);
+    if (is == told_fenced_) return;
+    told_fenced_ = is;
+    if (outside_.fenced) outside_.fenced(is);
+}
+
+// ---- what comes ----
+
+void Follower::hear(Time now, const Records& records) {
+    for (const Record& record : records.records) {
+        switch (history_.add(record)) {
+            case History::Taken::known:
+                continue;
+            case History::Taken::gap:
+                return give_up(now, "records came with a gap");
+            case History::Taken::conflict:
+                return give_up(now, "a record came that contradicts one held here");
+            case History::Taken::added:
+                break;
+        }
+        ack_due_ = true;
+        if (record.kind == RecordKind::change && outside_.check) {
+            auto unfit = outside_.check(record.change);
+            std::sort(unfit.begin(), unfit.end());
+            if (!unfit.empty()) unfit_[record.number] = std::move(unfit);
+        }
+        if (outside_.record) outside_.record(record);
+        if (history_.pending_bytes() > settings_.most_pending) {
+            outside_.event("pending", "records that are not in force yet are over their bound");
+            return give_up(now, "records that are not in force yet are over their bound", longest_avoidance);
+        }
+    }
+    go_over(now);
+    take_usable();
+}
+
+void Follower::hear(Time now, const SnapshotPiece& piece) {
+    if (piece.piece == 0) {
+        pieces_.clear();
+        pieces_since_ = piece.since;
+    }
+    if (piece.piece != pieces_.size() || pieces_since_ != piece.since)
+        return give_up(now, "pieces of a snapshot came with a gap");
+    pieces_.push_back(pack_entries(piece.entries));
+    if (!piece.last) return;
+    const std::vector<std::string> pieces = std::move(pieces_);
+    pieces_.clear();
+    pieces_since_.reset();
+    // A relay that voted so far behind what is here has nothing to teach; going on would undo what is in
+    // force.
+    if (piece.since == 0 && !whole_ && piece.number < history_.base())
+        return give_up(now, "a snapshot came that is older than what is in force here");
+    switch (history_.adopt(piece, pieces)) {
+        case History::Adopted::yes:
+            break;
+        case History::Adopted::not_on_this:
+            return give_up(now, "a snapshot came that does not go on from what is held here");
+        case History::Adopted::wrong_hash:
+            whole_ = true;
+            return give_up(now, "a snapshot came whose hash is not that of its state");
+        case History::Adopted::spoilt:
+            whole_ = true;
+            beat_ = {};
+            narrowed_.clear();
+            unfit_.clear();
+            if (outside_.in_force) outside_.in_force(0, {}, true);
+            if (outside_.whole) outside_.whole();
+            return give_up(now, "a snapshot came whose entries contradict each other");
+    }
+    ++snapshots_;
+    if (piece.since == 0) ++whole_snapshots_;
+    whole_ = false;
+    since_ = now;
+    ack_due_ = true;
+    unfit_.erase(unfit_.begin(), unfit_.upper_bound(history_.base()));
+    // Where all is new, what could not be acted on is found anew; else among the keys that came.
+    std::vector<std::string> keys;
+    if (piece.since == 0) {
+        recheck();
+    } else {
+        std::vector<SnapshotPiece::Entry> entries;
+        for (const std::string& packed : pieces) {
+            entries.clear();
+            unpack_entries(packed, entries);
+            Change change;
+            for (auto& entry : entries) {
+                narrowed_.erase(entry.key);
+                keys.push_back(entry.key);
+                change.edits.push_back({std::move(entry.key), std::move(entry.value)});
+            }
+            if (!outside_.check || change.edits.empty()) continue;
+            for (const std::size_t place : outside_.check(change))
+                narrowed_.insert(change.edits.at(place).key);
+        }
+    }
+    if (outside_.in_force) outside_.in_force(history_.revision(), keys, piece.since == 0);
+    if (outside_.whole) outside_.whole();
+    go_over(now);
+    take_usable();
+}
+
+void Follower::recheck() {
+    narrowed_.clear();
+    if (!outside_.check) return;
+    Change change;
+    const auto flush = [&] {
+        if (change.edits.empty()) return;
+        for (const std::size_t place : outside_.check(change)) narrowed_.insert(change.edits.at(place).key);
+        change.edits.clear();
+    };
+    history_.store().each({}, [&](std::string_view key, std::string_view value) {
+        change.edits.push_back({std::string(key), std::string(value)});
+        if (change.edits.size() == checked_at_once) flush();
+    });
+    flush();
+}
+
+void Follower::heard(Time now, const Frame& frame) {
+    if (state_ != State::greeting && state_ != State::following) return;
+    last_heard_ = now;
+    if (std::holds_alternative<Welcome>(frame)) {
+        state_ = State::following;
+        failures_ = 0;
+        away_.erase(*at_);
+        acknowledge(now);
+    } else if (const auto* away = std::get_if<distribution::Away>(&frame)) {
+        const Span after = std::chrono::milliseconds(away->after_ms);
+        outside_.hang_up();
+        // Asked to wait, which is no failure: another may have room sooner.
+        lost(now, jittered(settings_.shortest_pause) + settings_.shortest_pause, after + jittered(after));
+    } else if (const auto* error = std::get_if<Error>(&frame)) {
+        give_up(now, std::string("the relay says: ") + words(error->refusal) + ", " + error->words,
+                shortest_avoidance);
+    } else if (const auto* records = std::get_if<Records>(&frame)) {
+        hear(now, *records);
+    } else if (const auto* lease = std::get_if<Lease>(&frame)) {
+        hear(now, lease->beat);
+    } else if (const auto* piece = std::get_if<SnapshotPiece>(&frame)) {
+        hear(now, *piece);
+    } else if (!std::holds_alternative<Answer>(frame)) {
+        give_up(now, "a frame came that no relay sends", longest_avoidance);
+    }
+    tell_fenced(now);
+}
+
+// ---- which relay ----
+
+Span Follower::jittered(Span most) {
+    if (most <= Span{}) return Span{};
+    return Span(std::uniform_int_distribution<Span::rep>(0, most.count())(random_));
+}
+
+// The connection is no more: the next try after the pause, and not at this relay for so long.
+void Follower::lost(Time now, Span pause, Span avoid) {
+    if (at_ && avoid > Span{}) away_[*at_].until = now + avoid;
+    state_ = State::waiting;
+    at_.reset();
+    pieces_.clear();
+    pieces_since_.reset();
+    next_try_ = now + pause;
+}
+
+void Follower::gone(Time now) {
+    if (state_ == State::waiting) return;
+    const bool followed = state_ == State::following;
+    Span avoid{};
+    if (at_) {
+        Away& away = away_[*at_];
+        const int failures = std::min(away.failures++, 4);
+        const Span most = std::min<Span>(shortest_avoidance * (1 << failures), longest_avoidance);
+        avoid = most + jittered(most);
+    }
+    if (!followed) ++failures_;
+    const Span most = std::min<Span>(settings_.shortest_pause * (1 << std::min(failures_, 10)),
+                                     std::max(settings_.longest_pause, settings_.shortest_pause));
+    lost(now, jittered(most), avoid);
+}
+
+void Follower::give_up(Time now, const std::string& why, Span avoid) {
+    outside_.event("follower", why);
+    outside_.hang_up();
+    ++failures_;
+    const Span most = std::min<Span>(settings_.shortest_pause * (1 << std::min(failures_, 10)),
+                                     std::max(settings_.longest_pause, settings_.shortest_pause));
+    lost(now, jittered(most), avoid > Span{} ? avoid / 2 + jittered(avoid / 2) : Span{});
+}
+
+void Follower::leave(Time now) {
+    outside_.hang_up();
+    lost(now, settings_.longest_pause + jittered(settings_.longest_pause), Span{});
+}
+
+std::optional<std::size_t> Follower::choose(Time now) {
+    const std::size_t all = settings_.relays.size();
+    if (all == 0) return std::nullopt;
+    // Of the nearest, any; then of so many more that who lose one relay spread over many others.
+    std::size_t begin = 0;
+    std::size_t size = std::clamp<std::size_t>(settings_.near, 1, all);
+    while (begin < all) {
+        const std::size_t end = std::min(all, begin + size);
+        std::vector<std::size_t> free;
+        for (std::size_t i = begin; i < end; ++i) {
+            const auto away = away_.find(i);
+            if (away == away_.end() || away->second.until <= now) free.push_back(i);
+        }
+        if (!free.empty())
+            return free[std::uniform_int_distribution<std::size_t>(0, free.size() - 1)(random_)];
+        begin = end;
+        size = std::max<std::size_t>(size * 2, 4);
+    }
+    return std::nullopt;
+}
+
+void Follower::try_next(Time now) {
+    tries_ =
+        std::min(settings_.tries_at_once,
+                 tries_ + std::chrono::duration<double>(now - tries_at_).count() * settings_.tries_per_s);
+    tries_at_ = now;
+    if (tries_ < 1) return;
+    const auto relay = choose(now);
+    if (!relay) return;
+    tries_ -= 1;
+    ++reconnects_;
+    at_ = relay;
+    state_ = State::trying;
+    last_heard_ = now;
+    home_at_ = now + settings_.home_after + jittered(settings_.home_after);
+    outside_.connect(settings_.relays[*relay]);
+}
+
+void Follower::connected(Time now) {
+    if (state_ != State::trying) return;
+    state_ = State::greeting;
+    last_heard_ = now;
+    stale_since_ = now;
+    Hello hello;
+    hello.role = settings_.role;
+    hello.name = settings_.name;
+    hello.position = history_.position();
+    hello.term = history_.position_term();
+    hello.base = history_.base();
+    hello.whole = whole_;
+    outside_.send(hello);
+}
+
+void Follower::tick(Time now) {
+    if (!began_) {
+        began_ = true;
+        tries_at_ = now;
+        // Many start at once.
+        next_try_ = now + jittered(settings_.shortest_pause);
+    }
+    go_over(now);
+    take_usable();
+    tell_fenced(now);
+    if (state_ == State::waiting) {
+        if (now >= next_try_) try_next(now);
+        return;
+    }
+    if (now - last_heard_ > settings_.silence) {
+        outside_.event("follower", "nothing came from the relay for too long");
+        outside_.hang_up();
+        return gone(now);
+    }
+    if (state_ != State::following) return;
+    const Span stale = settings_.staleness * (1 << std::min(stale_moves_, 3));
+    if (now - stale_since_ > stale && settings_.relays.size() > 1) {
+        ++stale_moves_;
+        outside_.event("follower", "the relay has had no beat for too long");
+        outside_.hang_up();
+        return lost(now, jittered(settings_.longest_pause), stale + jittered(stale));
+    }
+    if (now > home_at_ && *at_ >= settings_.near && history_.pending_changes() == 0 && !fenced(now)) {
+        home_at_ = now + settings_.home_after + jittered(settings_.home_after);
+        const bool any = [&] {
+            for (std::size_t i = 0; i < std::min(settings_.near, settings_.relays.size()); ++i) {
+                const auto away = away_.find(i);
+                if (away == away_.end() || away->second.until <= now) return true;
+            }
+            return false;
+        }();
+        if (any &&
+            tries_ + std::chrono::duration<double>(now - tries_at_).count() * settings_.tries_per_s >= 2) {
+            outside_.hang_up();
+            return lost(now, Span{}, Span{});
+        }
+    }
+    acknowledge(now);
+}
+
+std::optional<Time> Follower::wake_at() const { return history_.next_instant(); }
+
+// ---- acknowledgements ----
+
+Ack Follower::acknowledgement(Time now) const {
+    Ack ack;
+    if (outside_.behind) {
+        ack = outside_.behind();
+    } else if (settings_.role == Role::gateway) {
+        ack.gateways = 1;
+        ack.fenced = fenced(now) ? 1 : 0;
+        for (auto each = unfit_.rbegin(); each != unfit_.rend() && ack.cannot.size() < most_counts; ++each) {
+            if (each->first > history_.settled_upto() && !history_.is_withdrawn(each->first))
+                ack.cannot.push_back({each->first, 1, {settings_.name}});
+        }
+    }
+    ack.position = history_.position();
+    ack.in_force = history_.in_force();
+    return ack;
+}
+
+void Follower::acknowledge(Time now) {
+    const bool due = now - last_ack_at_ >= settings_.life_every;
+    if (!due && now - last_ack_at_ < settings_.ack_every) return;
+    if (!due && !ack_due_ && !outside_.behind) return;
+    Ack ack = acknowledgement(now);
+    if (!due && same(ack, last_ack_)) return;
+    last_ack_at_ = now;
+    ack_due_ = false;
+    outside_.send(ack);
+    last_ack_ = std::move(ack);
+}
+
+// ---- what is asked of it ----
+
+std::optional<std::optional<std::string>> Follower::pending(std::string_view key) const {
+    const Edit* edit = history_.pending(key);
+    if (!edit) return std::nullopt;
+    return edit->value;
+}
+
+bool Follower::anything_pending() const { return history_.pending_changes() > 0; }
+Number Follower::position() const { return history_.position(); }
+Number Follower::in_force() const { return history_.in_force(); }
+Number Follower::revision() const { return history_.revision(); }
+std::optional<Time> Follower::since() const { return since_; }
+const Beat& Follower::beat() const { return beat_; }
+Span Follower::longest_contradiction() const { return settings_.lease + settings_.skew; }
+
+std::optional<int> Follower::relay() const {
+    if (state_ != State::following) return std::nullopt;
+    return settings_.relays[*at_];
+}
+
+std::uint64_t Follower::reconnects() const { return reconnects_; }
+std::uint64_t Follower::snapshots() const { return snapshots_; }
+std::uint64_t Follower::whole_snapshots() const { return whole_snapshots_; }
+
+std::string Follower::save() const { return history_.save(true, {}); }
+
+bool Follower::restore(Time now, const std::string& saved) {
+    std::string extra;
+    if (!history_.restore(saved, extra)) return false;
+    beat_ = {};
+    beats_.clear();
+    unfit_.clear();
+    recheck();
+    if (outside_.check) {
+        history_.each_pending(false, [this](const Record& record) {
+            auto unfit = outside_.check(record.change);
+            std::sort(unfit.begin(), unfit.end());
+            if (!unfit.empty()) unfit_[record.number] = std::move(unfit);
+        });
+    }
+    if (history_.revision() > 0) since_ = history_.in_force_at();
+    if (outside_.in_force) outside_.in_force(history_.revision(), {}, true);
+    if (outside_.whole) outside_.whole();
+    go_over(now);
+    return true;
+}
+
+}  // namespace linnetlead::distribution
--- a/src/distribution/follower.h
+++ b/src/distribution/follower.h
@@ -3,15 +3,10 @@
 // chooses its relay, and moves to another by jittered, budgeted retries. No I/O and no clock.
 #pragma once
 
-#include <deque>
-#include <functional>
-#include <map>
 #include <random>
-#include <set>
-#include <vector>
+#include <unordered_set>
 
-#include "frames.h"
-#include "store.h"
+#include "history.h"
 
 namespace linnetlead::distribution {
 
@@ -31,7 +26,13 @@
         double tries_per_s = 0.7;  // budget of connections, and so many seconds' worth at once
         double tries_at_once = 3;
         Span ack_every = std::chrono::milliseconds(200);
+        Span life_every = std::chrono::milliseconds(2000);  // an acknowledgement at least so often
+        // Without a newer beat, though frames come: another relay may have one. With jitter, and doubled with
+        // each move in vain up to eight times.
+        Span staleness = std::chrono::milliseconds(4000);
+        Span home_after = std::chrono::seconds(120);  // at one that is not near; up to as long again
         std::size_t most_pending = 16 * 1024 * 1024;  // bytes of records not yet in force
+        History::Kept kept;                           // a relay: for those who follow it
     };
     struct Outside {
         std::function<void(int relay)> connect;  // answered by connected() or gone()
@@ -58,7 +59,8 @@
     void connected(Time now);
     void gone(Time now);  // the connection or the try at hand has ended
     void heard(Time now, const Frame& frame);
-    // No connection now, and none until this is over: for tests and for a relay that is asked to wait.
+    // The connection ends now, and the next is tried after the longest pause at the earliest: for tests and
+    // for a relay that is asked to wait.
     void leave(Time now);
 
     // May act in full: it holds all that counted at a time within the lease, and is in force with all of it
@@ -66,7 +68,8 @@
     bool fenced(Time now) const;
     // This gateway could not take the key's newest value: what it does for it is narrowed, all else goes on.
     bool fenced(std::string_view key) const;
-    const Store& store() const { return store_; }
+    const Store& store() const { return history_.store(); }
+    const History& history() const { return history_; }
     // What would be in force with this key if all that is held were: for what is narrowed by both. The
     // outer: nothing of it is pending.
     std::optional<std::optional<std::string>> pending(std::string_view key) const;
@@ -85,7 +88,56 @@
     bool restore(Time now, const std::string& saved);
 
 private:
-    Store store_;
+    enum class State { waiting, trying, greeting, following };
+    struct Away {
+        Time until{};
+        int failures = 0;
+    };
+    void go_over(Time now);
+    void take_usable();
+    void tell_fenced(Time now);
+    void try_next(Time now);
+    std::optional<std::size_t> choose(Time now);
+    Span jittered(Span most);
+    void lost(Time now, Span pause, Span avoid);
+    void give_up(Time now, const std::string& why, Span avoid = {});
+    void hear(Time now, const Records& records);
+    void hear(Time now, const Beat& beat);
+    void hear(Time now, const SnapshotPiece& piece);
+    void recheck();
+    Ack acknowledgement(Time now) const;
+    void acknowledge(Time now);
+
+    Settings settings_;
+    Outside outside_;
+    std::mt19937_64 random_;
+    History history_;
+    std::optional<Time> since_;
+    std::map<Number, std::vector<std::size_t>> unfit_;  // of changes pending, edits by place
+    std::unordered_set<std::string> narrowed_;
+
+    Beat beat_;                    // the newest that may be used
+    std::deque<Beat> beats_;       // behind it, of which not all records are here; 8 at most
+    std::uint64_t beat_term_ = 0;  // of the newest heard
+    bool told_fenced_ = true;
+
+    State state_ = State::waiting;
+    std::optional<std::size_t> at_;  // of Settings::relays
+    std::map<std::size_t, Away> away_;
+    Time next_try_{}, last_heard_{}, stale_since_{}, home_at_{};
+    int failures_ = 0, stale_moves_ = 0;
+    double tries_ = 0;
+    Time tries_at_{};
+    bool began_ = false;
+
+    std::vector<std::string> pieces_;  // of a snapshot, packed
+    std::optional<Number> pieces_since_;
+    bool whole_ = false;  // what is held is of no use
+
+    Ack last_ack_;
+    bool ack_due_ = false;
+    Time last_ack_at_{};
+    std::uint64_t reconnects_ = 0, snapshots_ = 0, whole_snapshots_ = 0;
 };
 
 }  // namespace linnetlead::distribution
--- a/src/distribution/frames.cpp
+++ b/src/distribution/frames.cpp
@@ -1,5 +1,6 @@
 #include "frames.h"
 
+#include "history.h"
 #include "keep/sealed.h"
 #include "wire_form.h"
 
@@ -35,42 +36,10 @@
 unsigned place(Kind kind) { return static_cast<unsigned>(kind); }
 unsigned place(Refusal refusal) { return static_cast<unsigned>(refusal); }
 
-std::string pack(const std::vector<SnapshotPiece::Entry>& entries) {
-    std::string text;
-    for (const auto& entry : entries) {
-        wire_form::put_text(text, entry.key);
-        wire_form::put_number(text, entry.value ? entry.value->size() + 1 : 0);
-        if (entry.value) text += *entry.value;
-        wire_form::put_number(text, entry.number);
-    }
-    return keep::compress(text);
-}
-
-bool unpack(std::string_view packed, std::vector<SnapshotPiece::Entry>& entries) {
-    const auto text = keep::decompress(packed, most_piece);
-    if (!text) return false;
-    for (std::string_view rest = *text; !rest.empty();) {
-        SnapshotPiece::Entry entry;
-        std::string_view key;
-        std::uint64_t size = 0;
-        if (!wire_form::take_text(rest, key, most_key) || key.empty() || !wire_form::take_number(rest, size))
-            return false;
-        entry.key = key;
-        if (size > 0) {
-            if (size - 1 > most_value || size - 1 > rest.size()) return false;
-            entry.value = std::string(rest.substr(0, size - 1));
-            rest.remove_prefix(size - 1);
-        }
-        if (!wire_form::take_number(rest, entry.number)) return false;
-        entries.push_back(std::move(entry));
-    }
-    return true;
-}
-
 json form_of(const Hello& hello) {
     return json::array({place(Kind::hello), static_cast<unsigned>(hello.version),
-                        static_cast<unsigned>(hello.role), hello.name, hello.position, hello.term,
-                        hello.base});
+                        static_cast<unsigned>(hello.role), hello.name, hello.position, hello.term, hello.base,
+                        hello.whole ? 1U : 0U});
 }
 
 json form_of(const Ack& ack) {
@@ -117,7 +86,7 @@
 json form_of(const SnapshotPiece& piece) {
     return json::array({place(Kind::piece), piece.number, piece.since, piece.term, piece.piece,
                         piece.last ? 1U : 0U, piece.hash, piece.known_since, piece.in_force_at.count(),
-                        blob(pack(piece.entries))});
+                        piece.in_force, piece.revision, blob(pack_entries(piece.entries))});
 }
 
 json form_of(const Answer& answer) {
@@ -192,6 +161,7 @@
             hello.position = fields.number();
             hello.term = fields.number();
             hello.base = fields.number();
+            hello.whole = fields.number(1) == 1;
             frame = std::move(hello);
             break;
         }
@@ -250,7 +220,9 @@
             piece.hash = fields.number();
             piece.known_since = fields.number();
             piece.in_force_at = fields.time();
-            good = unpack(fields.bytes(most_frame), piece.entries);
+            piece.in_force = fields.number();
+            piece.revision = fields.number();
+            good = unpack_entries(fields.bytes(most_frame), piece.entries);
             frame = std::move(piece);
             break;
         }
@@ -286,6 +258,38 @@
 
 }  // namespace
 
+std::string pack_entries(const std::vector<SnapshotPiece::Entry>& entries) {
+    std::string text;
+    for (const auto& entry : entries) {
+        wire_form::put_text(text, entry.key);
+        wire_form::put_number(text, entry.value ? entry.value->size() + 1 : 0);
+        if (entry.value) text += *entry.value;
+        wire_form::put_number(text, entry.number);
+    }
+    return keep::compress(text);
+}
+
+bool unpack_entries(std::string_view packed, std::vector<SnapshotPiece::Entry>& entries) {
+    const auto text = keep::decompress(packed, most_piece);
+    if (!text) return false;
+    for (std::string_view rest = *text; !rest.empty();) {
+        SnapshotPiece::Entry entry;
+        std::string_view key;
+        std::uint64_t size = 0;
+        if (!wire_form::take_text(rest, key, most_key) || key.empty() || !wire_form::take_number(rest, size))
+            return false;
+        entry.key = key;
+        if (size > 0) {
+            if (size - 1 > most_value || size - 1 > rest.size()) return false;
+            entry.value = std::string(rest.substr(0, size - 1));
+            rest.remove_prefix(size - 1);
+        }
+        if (!wire_form::take_number(rest, entry.number)) return false;
+        entries.push_back(std::move(entry));
+    }
+    return true;
+}
+
 std::string write(const Frame& frame) {
     if (const auto* records = std::get_if<Records>(&frame)) {
         if (records->written) return *records->written;
--- a/src/distribution/frames.h
+++ b/src/distribution/frames.h
@@ -24,6 +24,7 @@
     Number position = 0;     // the last record that it holds; 0: nothing
     std::uint64_t term = 0;  // of that record
     Number base = 0;  // its state in force is that of this number; all behind it up to `position` are records
+    bool whole = false;  // what it holds is of no use: the whole state, whatever the above say
 };
 // What a follower and those behind it hold: counts and a few names, whatever the size of what is behind it.
 struct Counted {
@@ -70,7 +71,9 @@
     Beat beat;
 };
 // The state at `number` for a follower that is too far behind: values changed behind `since`, whole once all
-// pieces are there; a follower adopts it then at once, and goes on with the records behind it.
+// pieces are there; a follower adopts it then at once, and goes on with the records behind it. The state may
+// go on while pieces are on their way: number, term, hash and what is in force are those of the last piece;
+// of a key that comes twice, the later counts.
 struct SnapshotPiece {
     Number number = 0, since = 0;  // since 0: the whole state, nothing of its own stays
     std::uint64_t term = 0;
@@ -84,6 +87,8 @@
     };
     std::vector<Entry> entries;  // zstd on the wire
     Time in_force_at{};          // of the last settlement within
+    Number in_force = 0;         // that settlement
+    Number revision = 0;         // the newest change within
     // Keys taken away since this number are all among the entries or known from before.
     Number known_since = 0;
 };
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -8,8 +8,7 @@
 #include <map>
 #include <random>
 
-#include "distribution/frames.h"
-#include "distribution/store.h"
+#include "distribution/follower.h"
 
 namespace linnetlead::distribution {
 namespace {
@@ -477,5 +476,697 @@
     }
 }
 
+// ---- the follower ----
+
+Record changed(Number number, std::vector<Edit> edits, std::uint64_t term = 1) {
+    Record record;
+    record.number = number;
+    record.term = term;
+    record.kind = RecordKind::change;
+    record.change = change("id" + std::to_string(number), std::move(edits));
+    return record;
+}
+Record settled(Number number, Number upto, Time instant, std::uint64_t term = 1) {
+    Record record;
+    record.number = number;
+    record.term = term;
+    record.kind = RecordKind::settle;
+    record.upto = upto;
+    record.instant = instant;
+    return record;
+}
+Record withdrawn(Number number, Number upto) {
+    Record record;
+    record.number = number;
+    record.term = 1;
+    record.kind = RecordKind::withdraw;
+    record.upto = upto;
+    return record;
+}
+Record begun(Number number, std::uint64_t term = 1) {
+    Record record;
+    record.number = number;
+    record.term = term;
+    return record;
+}
+
+// A follower, and a relay's part played by hand.
+struct Gateway {
+    explicit Gateway(Follower::Settings settings = {}) : follower(filled(std::move(settings)), outside()) {}
+    static Follower::Settings filled(Follower::Settings settings) {
+        if (settings.name.empty()) settings.name = "gateway-1";
+        if (settings.relays.empty()) settings.relays = {0, 1, 2, 3, 4, 5};
+        return settings;
+    }
+    Follower::Outside outside() {
+        Follower::Outside outside;
+        outside.connect = [this](int relay) { tries.push_back(relay); };
+        outside.hang_up = [this] { ++hang_ups; };
+        outside.send = [this](const Frame& frame) { sent.push_back(frame); };
+        outside.check = [this](const Change& given) {
+            std::vector<std::size_t> unfit;
+            for (std::size_t i = 0; i < given.edits.size(); ++i) {
+                if (given.edits[i].value && given.edits[i].value->substr(0, 3) == "bad") unfit.push_back(i);
+            }
+            return unfit;
+        };
+        outside.in_force = [this](Number number, const std::vector<std::string>& keys, bool whole) {
+            revisions.push_back(number);
+            wholes += whole ? 1 : 0;
+            keys_told += keys.size();
+        };
+        outside.event = [this](const std::string&, const std::string& text) { events.push_back(text); };
+        return outside;
+    }
+    // Until it is with a relay that has said welcome.
+    void join() {
+        for (int i = 0; i < 1000 && !follower.relay(); ++i) {
+            const std::size_t before = tries.size();
+            tick(40ms);
+            if (tries.size() == before) continue;
+            follower.connected(now);
+            hear(Welcome{"relay", 0});
+        }
+        ASSERT_TRUE(follower.relay());
+    }
+    void tick(Span span) {
+        now += span;
+        follower.tick(now);
+    }
+    void hear(const Frame& frame) { follower.heard(now, frame); }
+    void records(std::vector<Record> all) {
+        Records frame;
+        frame.records = std::move(all);
+        hear(frame);
+    }
+    void beat(Number committed, std::uint64_t term = 1) { hear(Lease{{term, now, committed}}); }
+    template <class Kind>
+    const Kind* last() const {
+        for (auto each = sent.rbegin(); each != sent.rend(); ++each) {
+            if (const auto* found = std::get_if<Kind>(&*each)) return found;
+        }
+        return nullptr;
+    }
+    template <class Kind>
+    std::size_t count() const {
+        return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [](const Frame& frame) {
+            return std::holds_alternative<Kind>(frame);
+        }));
+    }
+
+    Time now = start;
+    std::vector<int> tries;
+    int hang_ups = 0, wholes = 0;
+    std::size_t keys_told = 0;
+    std::vector<Frame> sent;
+    std::vector<Number> revisions;
+    std::vector<std::string> events;
+    Follower follower;
+};
+
+TEST(DistributionLease, ActsInFullOnlyByTheRule) {
+    // A gateway that holds records 1 (a change) and 2 (its settlement, at 1000 ms), then hears a beat.
+    struct Row {
+        const char* what;
+        int instant_ms, beat_ms;
+        Number committed;
+        int now_ms;
+        bool fenced;
+    };
+    const Row rows[] = {
+        {"the beat is young and all is in force", 100, 200, 2, 300, false},
+        {"up to the lease", 100, 200, 2, 2199, false},
+        {"not beyond", 100, 200, 2, 2200, true},
+        {"the beat knows of a record that is not here", 100, 200, 3, 300, true},
+        {"the beat knows of less than is here", 100, 200, 1, 300, false},
+        {"the settlement is not due", 1000, 200, 2, 999, false},
+        {"the settlement is due, and was not gone over to", 1000, 200, 2, 1000, true},
+        {"the beat comes from a clock ahead within the skew", 100, 640, 2, 300, false},
+        {"the beat comes from a clock that is further ahead", 100, 660, 2, 300, true},
+    };
+    for (const Row& row : rows) {
+        SCOPED_TRACE(row.what);
+        Gateway gateway;
+        gateway.join();
+        const Time zero = gateway.now;
+        gateway.now = zero + 110ms;
+        gateway.records({changed(1, {edit("tenant/1", "a")}),
+                         settled(2, 1, zero + std::chrono::milliseconds(row.instant_ms))});
+        gateway.now = zero + 300ms;
+        EXPECT_TRUE(gateway.follower.fenced(gateway.now)) << "before any beat";
+        gateway.hear(Lease{{1, zero + std::chrono::milliseconds(row.beat_ms), row.committed}});
+        EXPECT_EQ(gateway.follower.fenced(zero + std::chrono::milliseconds(row.now_ms)), row.fenced);
+    }
+}
+
+TEST(DistributionLease, BeatsOfAnOlderTermOrAnEarlierTimeNeverProlong) {
+    Gateway gateway;
+    gateway.join();
+    gateway.records({begun(1, 1), begun(2, 3)});
+    const Time at = gateway.now;
+    gateway.hear(Lease{{3, at, 2}});
+    const auto holds_until = [&](Time end) {
+        return !gateway.follower.fenced(end - Time(1)) && gateway.follower.fenced(end);
+    };
+    EXPECT_TRUE(holds_until(at + 2000ms));
+    for (const Beat& beat :
+         {Beat{2, at + 100ms, 2}, Beat{3, at, 2}, Beat{3, at - 50ms, 2}, Beat{1, at + 300ms, 9}}) {
+        gateway.hear(Lease{beat});
+        EXPECT_TRUE(holds_until(at + 2000ms));
+    }
+    gateway.hear(Lease{{4, at + 100ms, 2}});
+    EXPECT_TRUE(holds_until(at + 2100ms));
+}
+
+TEST(DistributionLease, ABeatThatCannotBeUsedYetCountsOnceItsRecordsAreHere) {
+    Gateway gateway;
+    gateway.join();
+    gateway.records({begun(1)});
+    const Time at = gateway.now;
+    gateway.beat(1);
+    gateway.tick(1000ms);
+    gateway.beat(2);
+    gateway.tick(500ms);
+    gateway.beat(3);
+    // The first goes on to hold; the others wait for their records.
+    EXPECT_FALSE(gateway.follower.fenced(at + 1999ms));
+    EXPECT_TRUE(gateway.follower.fenced(at + 2000ms));
+    gateway.records({begun(2)});
+    EXPECT_FALSE(gateway.follower.fenced(at + 2999ms));
+    EXPECT_TRUE(gateway.follower.fenced(at + 3000ms));
+    gateway.records({begun(3)});
+    EXPECT_FALSE(gateway.follower.fenced(at + 3499ms));
+}
+
+TEST(DistributionLease, AStalledProcessIsFencedWithoutATick) {
+    Gateway gateway;
+    gateway.join();
+    gateway.records({changed(1, {edit("tenant/1", "a")}), settled(2, 1, gateway.now + 900ms)});
+    gateway.beat(2);
+    EXPECT_FALSE(gateway.follower.fenced(gateway.now));
+    EXPECT_TRUE(gateway.follower.fenced(gateway.now + 901ms)) << "slept over the instant";
+    EXPECT_TRUE(gateway.follower.fenced(gateway.now + 60s)) << "slept over the lease";
+    EXPECT_EQ(gateway.follower.wake_at(), gateway.now + 900ms);
+    gateway.tick(900ms);
+    EXPECT_FALSE(gateway.follower.fenced(gateway.now));
+    EXPECT_EQ(gateway.follower.store().find("tenant/1"), "a");
+    EXPECT_EQ(gateway.follower.since(), gateway.now);
+    EXPECT_EQ(gateway.follower.longest_contradiction(), 2350ms);
+}
+
+TEST(DistributionFollower, GoesOverAtTheInstantAndAtOnceWhereItComesLate) {
+    Gateway gateway;
+    gateway.join();
+    gateway.records({changed(1, {edit("tenant/1", "a"), edit("tenant/2", "x")})});
+    EXPECT_TRUE(gateway.follower.anything_pending());
+    EXPECT_FALSE(gateway.follower.store().find("tenant/1"));
+    const auto pending = gateway.follower.pending("tenant/1");
+    ASSERT_TRUE(pending);
+    EXPECT_EQ(*pending, std::optional<std::string>("a"));
+    EXPECT_FALSE(gateway.follower.pending("tenant/3"));
+    gateway.records({settled(2, 1, gateway.now + 500ms)});
+    gateway.tick(499ms);
+    EXPECT_FALSE(gateway.follower.store().find("tenant/1"));
+    gateway.tick(1ms);
+    EXPECT_EQ(gateway.follower.store().find("tenant/1"), "a");
+    EXPECT_FALSE(gateway.follower.pending("tenant/1"));
+    EXPECT_FALSE(gateway.follower.anything_pending());
+    gateway.records({changed(3, {edit("tenant/1", std::nullopt)}), settled(4, 3, gateway.now - 5ms)});
+    EXPECT_FALSE(gateway.follower.store().find("tenant/1"));
+    EXPECT_EQ(gateway.follower.revision(), 3U);
+    EXPECT_EQ(gateway.follower.in_force(), 4U);
+    EXPECT_EQ(gateway.revisions, (std::vector<Number>{1, 3}));
+    EXPECT_EQ(gateway.keys_told, 3U);
+}
+
+TEST(DistributionFollower, WhatIsWithdrawnNeverComesIntoForceAndWhatIsSettledIsNotWithdrawn) {
+    Gateway gateway;
+    gateway.join();
+    gateway.records({changed(1, {edit("tenant/1", "a")}), changed(2, {edit("tenant/1", "b")}),
+                     changed(3, {edit("tenant/2", "c")}), withdrawn(4, 2)});
+    EXPECT_EQ(*gateway.follower.pending("tenant/1"), std::optional<std::string>("a"));
+    gateway.records({settled(5, 3, gateway.now + 10ms), withdrawn(6, 1)});
+    gateway.tick(10ms);
+    EXPECT_EQ(gateway.follower.store().find("tenant/1"), "a");
+    EXPECT_EQ(gateway.follower.store().find("tenant/2"), "c");
+    EXPECT_EQ(gateway.follower.store().changed("tenant/1"), 1U);
+    EXPECT_FALSE(gateway.follower.anything_pending());
+}
+
+TEST(DistributionFollower, AKeyThatItCannotTakeIsNarrowedUntilAChangeThatItCan) {
+    Gateway gateway;
+    gateway.join();
+    gateway.records({changed(1, {edit("tenant/1", "bad"), edit("tenant/2", "good")})});
+    gateway.tick(400ms);
+    ASSERT_EQ(gateway.last<Ack>()->cannot.size(), 1U);
+    EXPECT_EQ(gateway.last<Ack>()->cannot[0].change, 1U);
+    EXPECT_EQ(gateway.last<Ack>()->cannot[0].names, std::vector<std::string>{"gateway-1"});
+    EXPECT_FALSE(gateway.follower.fenced("tenant/1"));
+    gateway.records({settled(2, 1, gateway.now)});
+    EXPECT_TRUE(gateway.follower.fenced("tenant/1"));
+    EXPECT_FALSE(gateway.follower.fenced("tenant/2"));
+    gateway.records({changed(3, {edit("tenant/2", "x")}), settled(4, 3, gateway.now + 1ms)});
+    gateway.tick(400ms);
+    EXPECT_TRUE(gateway.follower.fenced("tenant/1"));
+    EXPECT_TRUE(gateway.last<Ack>()->cannot.empty());
+    gateway.records({changed(5, {edit("tenant/1", "well")}), settled(6, 5, gateway.now)});
+    EXPECT_FALSE(gateway.follower.fenced("tenant/1"));
+}
+
+TEST(DistributionFollower, OnAGapOrAContradictionItSaysHelloAnewWithItsTruePosition) {
+    const std::vector<std::vector<Record>> wrong{
+        {changed(4, {edit("tenant/1", "a")})},     // a gap
+        {changed(2, {edit("tenant/1", "a")}, 2)},  // a number of another term
+        {changed(3, {edit("tenant/1", "a")}, 0)},  // a term that goes back
+    };
+    for (const auto& records : wrong) {
+        Gateway gateway;
+        gateway.join();
+        gateway.records({begun(1), changed(2, {edit("tenant/2", "b")})});
+        gateway.records(records);
+        EXPECT_EQ(gateway.hang_ups, 1);
+        EXPECT_FALSE(gateway.follower.relay());
+        gateway.join();
+        EXPECT_EQ(gateway.last<Hello>()->position, 2U);
+        EXPECT_EQ(gateway.last<Hello>()->term, 1U);
+        EXPECT_EQ(gateway.last<Hello>()->base, 1U);
+        EXPECT_FALSE(gateway.last<Hello>()->whole);
+    }
+}
+
+std::vector<SnapshotPiece> pieces_of(const History& history, Number since, std::size_t most) {
+    std::vector<SnapshotPiece> pieces;
+    std::size_t place = 0;
+    do {
+        SnapshotPiece piece;
+        piece.since = since;
+        piece.piece = pieces.size();
+        place = history.store().slice(
+            place, since, most,
+            [&](std::string_view key, std::optional<std::string_view> value, Number number) {
+                piece.entries.push_back({std::string(key), std::nullopt, number});
+                if (value) piece.entries.back().value = std::string(*value);
+            });
+        pieces.push_back(std::move(piece));
+    } while (place != 0);
+    SnapshotPiece& last = pieces.back();
+    last.last = true;
+    last.number = history.base();
+    last.term = history.base_term();
+    last.hash = history.store().hash();
+    last.known_since = history.store().tombstones_since();
+    last.in_force_at = history.in_force_at();
+    last.in_force = history.in_force();
+    last.revision = history.revision();
+    return pieces;
+}
+
+// A history of so many changes over a few keys, each settled.
+History drawn_history(std::mt19937_64& random, int changes, Time from) {
+    History history(History::Kept{1000000, 1000000000});
+    Number number = 0;
+    for (int i = 0; i < changes; ++i) {
+        std::vector<Edit> edits;
+        for (int k = 0; k < 40; ++k) {
+            if (random() % 3 != 0) continue;
+            edits.push_back(edit("tenant/" + std::to_string(k), std::nullopt));
+            if (random() % 4 != 0)
+                edits.back().value = std::string(random() % 50, static_cast<char>('a' + random() % 26));
+        }
+        if (edits.empty()) edits.push_back(edit("tenant/0", "x"));
+        history.add(changed(++number, edits));
+        if (random() % 5 == 0) {
+            const Number back = number;
+            history.add(withdrawn(++number, back));
+        }
+        const Number upto = number;
+        if (random() % 4 == 0) history.add(begun(++number));
+        history.add(settled(++number, upto, from + std::chrono::milliseconds(10 * (i + 1))));
+    }
+    return history;
+}
+
+TEST(DistributionFollower, ASnapshotIsAdoptedWholeOrNotAtAllWhereverItIsInterrupted) {
+    std::mt19937_64 random(3);
+    History history = drawn_history(random, 40, start - 1000s);
+    while (history.go_over(start - 990s, [](const Record&) {})) continue;
+    for (const Number since : {Number{0}, Number{1}}) {
+        const auto pieces = pieces_of(history, since, 100);
+        ASSERT_GT(pieces.size(), 5U);
+        for (std::size_t cut = 0; cut <= pieces.size(); ++cut) {
+            Gateway gateway;
+            gateway.join();
+            // Its own state: of the first change.
+            std::vector<Record> own;
+            for (Number number = 1; gateway.follower.store().size() == 0 && number < 5; ++number)
+                gateway.records({*history.at(number)});
+            const std::uint64_t before = gateway.follower.store().hash();
+            ASSERT_NE(before, history.store().hash());
+            const std::size_t told = gateway.revisions.size();
+            for (std::size_t i = 0; i < cut; ++i) {
+                EXPECT_EQ(gateway.follower.store().hash(), before);
+                gateway.hear(pieces[i]);
+            }
+            if (cut < pieces.size()) {
+                gateway.follower.gone(gateway.now);
+                gateway.join();
+                EXPECT_EQ(gateway.follower.store().hash(), before);
+                EXPECT_EQ(gateway.revisions.size(), told);
+                // The rest of it means nothing on another connection.
+                if (cut > 0) {
+                    gateway.hear(pieces[cut]);
+                    EXPECT_EQ(gateway.follower.store().hash(), before);
+                    EXPECT_FALSE(gateway.follower.relay());
+                }
+            } else {
+                EXPECT_EQ(gateway.follower.store().hash(), history.store().hash());
+                EXPECT_EQ(gateway.follower.revision(), history.revision());
+                EXPECT_EQ(gateway.follower.position(), history.base());
+                EXPECT_EQ(gateway.follower.whole_snapshots(), since == 0 ? 1U : 0U);
+                EXPECT_EQ(gateway.revisions.size(), told + 1);
+            }
+        }
+    }
+}
+
+TEST(DistributionFollower, ASnapshotOfAWrongHashIsDroppedAndTheWholeStateAskedFor) {
+    std::mt19937_64 random(4);
+    History history = drawn_history(random, 10, start - 1000s);
+    while (history.go_over(start, [](const Record&) {})) continue;
+    Gateway gateway;
+    gateway.join();
+    gateway.records({*history.at(1)});
+    auto pieces = pieces_of(history, 0, 200);
+    pieces.back().hash ^= 1;
+    const std::uint64_t before = gateway.follower.store().hash();
+    for (const auto& piece : pieces) gateway.hear(piece);
+    EXPECT_EQ(gateway.follower.store().hash(), before);
+    EXPECT_EQ(gateway.follower.snapshots(), 0U);
+    ASSERT_FALSE(gateway.events.empty());
+    EXPECT_NE(gateway.events.back().find("hash"), std::string::npos);
+    EXPECT_EQ(gateway.hang_ups, 1);
+    gateway.join();
+    EXPECT_TRUE(gateway.last<Hello>()->whole);
+    pieces.back().hash ^= 1;
+    for (const auto& piece : pieces) gateway.hear(piece);
+    EXPECT_EQ(gateway.follower.store().hash(), history.store().hash());
+    gateway.follower.gone(gateway.now);
+    gateway.join();
+    EXPECT_FALSE(gateway.last<Hello>()->whole);
+}
+
+TEST(DistributionFollower, AnOlderSnapshotDoesNotUndoWhatIsInForce) {
+    std::mt19937_64 random(5);
+    History history = drawn_history(random, 10, start - 1000s);
+    while (history.base() < 5) history.go_over(start, [](const Record&) {});
+    const auto old = pieces_of(history, 0, 1000000);
+    while (history.go_over(start, [](const Record&) {})) continue;
+    Gateway gateway;
+    gateway.join();
+    for (const auto& piece : pieces_of(history, 0, 1000)) gateway.hear(piece);
+    for (const auto& piece : old) gateway.hear(piece);
+    EXPECT_EQ(gateway.follower.store().hash(), history.store().hash());
+    EXPECT_EQ(gateway.hang_ups, 1);
+}
+
+RC_GTEST_PROP(DistributionFollower, RecordsAndSnapshotsInAnyMeasureEndInTheSameState, ()) {
+    std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+    History history = drawn_history(random, 30, start);
+    const Number last = history.position();
+    Gateway gateway;
+    gateway.join();
+    Time now = gateway.now;
+    for (int step = 0; step < 200 && gateway.follower.position() < last; ++step) {
+        now += std::chrono::milliseconds(random() % 30);
+        gateway.now = now;
+        while (history.go_over(now, [](const Record&) {})) continue;
+        if (!gateway.follower.relay()) {
+            gateway.join();
+            now = gateway.now;
+        }
+        gateway.follower.tick(now);
+        const Number position = gateway.follower.position();
+        if (random() % 6 == 0 && history.base() > position) {
+            const Number since = random() % 3 == 0 ? 0 : gateway.follower.history().base();
+            for (const auto& piece : pieces_of(history, since, 1 + random() % 2000)) gateway.hear(piece);
+            RC_ASSERT(gateway.follower.store().hash() == history.store().hash());
+        } else {
+            std::vector<Record> records;
+            for (Number n = position + 1 - std::min<Number>(position, random() % 3);
+                 n <= last && random() % 4; ++n)
+                if (const Record* record = n > 0 ? history.at(n) : nullptr) records.push_back(*record);
+            if (!records.empty()) gateway.records(records);
+        }
+        RC_ASSERT(gateway.hang_ups == 0);
+    }
+    gateway.now = start + 1000s;
+    while (history.go_over(gateway.now, [](const Record&) {})) continue;
+    for (Number n = gateway.follower.position() + 1; n <= last; ++n) gateway.records({*history.at(n)});
+    gateway.follower.tick(gateway.now);
+    RC_ASSERT(gateway.follower.store().hash() == history.store().hash());
+    RC_ASSERT(gateway.follower.revision() == history.revision());
+    RC_ASSERT(gateway.follower.in_force() == history.in_force());
+    RC_ASSERT(!gateway.follower.anything_pending());
+}
+
+TEST(DistributionFollower, WhatWasSavedIsThereAgainAndIsNotActedOnBeforeABeat) {
+    Gateway gateway;
+    gateway.join();
+    gateway.records({changed(1, {edit("tenant/1", "a"), edit("tenant/2", "bad")}), settled(2, 1, gateway.now),
+                     changed(3, {edit("tenant/1", "b")}), settled(4, 3, gateway.now + 500ms),
+                     changed(5, {edit("tenant/3", "bad")})});
+    gateway.beat(5);
+    const std::string saved = gateway.follower.save();
+    Gateway again;
+    again.now = gateway.now + 100ms;
+    ASSERT_TRUE(again.follower.restore(again.now, saved));
+    EXPECT_EQ(again.follower.store().hash(), gateway.follower.store().hash());
+    EXPECT_EQ(again.follower.position(), 5U);
+    EXPECT_EQ(again.follower.revision(), 1U);
+    EXPECT_TRUE(again.follower.fenced("tenant/2"));
+    EXPECT_TRUE(again.follower.fenced(again.now));
+    EXPECT_EQ(again.wholes, 1);
+    again.join();
+    EXPECT_EQ(again.last<Hello>()->position, 5U);
+    EXPECT_EQ(again.last<Hello>()->base, 2U);
+    again.beat(5);
+    EXPECT_FALSE(again.follower.fenced(again.now));
+    again.tick(600ms);
+    EXPECT_EQ(again.follower.store().find("tenant/1"), "b");
+    ASSERT_EQ(again.last<Ack>()->cannot.size(), 1U);
+    EXPECT_EQ(again.last<Ack>()->cannot[0].change, 5U);
+}
+
+TEST(DistributionFollower, SavedStateThatIsCutOffOrChangedIsNotTaken) {
+    Gateway gateway;
+    gateway.join();
+    gateway.records({changed(1, {edit("tenant/1", "a")}), settled(2, 1, gateway.now),
+                     changed(3, {edit("tenant/1", "b")})});
+    const std::string saved = gateway.follower.save();
+    const auto refused = [&](const std::string& bytes) {
+        Gateway other;
+        const bool taken = other.follower.restore(other.now, bytes);
+        return !taken && other.follower.position() == 0 && other.follower.store().size() == 0 &&
+               other.wholes == 0;
+    };
+    for (std::size_t size = 0; size < saved.size(); ++size)
+        EXPECT_TRUE(refused(saved.substr(0, size))) << size;
+    for (std::size_t at = 0; at < saved.size(); ++at) {
+        std::string bytes = saved;
+        bytes[at] = static_cast<char>(bytes[at] ^ 0x41);
+        EXPECT_TRUE(refused(bytes)) << at;
+    }
+    EXPECT_TRUE(refused(saved + saved));
+    EXPECT_TRUE(refused("not a state at all"));
+}
+
+TEST(DistributionFollower, AStateOfAnotherFleetIsFoundOutByABeatAndGivenUp) {
+    Gateway gateway;
+    gateway.join();
+    gateway.records({changed(1, {edit("tenant/1", "a")}), settled(2, 1, gateway.now)});
+    const std::string saved = gateway.follower.save();
+    Gateway again;
+    again.now = gateway.now + 10s;
+    ASSERT_TRUE(again.follower.restore(again.now, saved));
+    again.join();
+    // Where it is now, only one record has ever counted.
+    again.beat(1);
+    EXPECT_TRUE(again.follower.fenced(again.now));
+    EXPECT_EQ(again.hang_ups, 1);
+    again.join();
+    EXPECT_TRUE(again.last<Hello>()->whole);
+    SnapshotPiece none;
+    none.last = true;
+    again.hear(none);
+    EXPECT_EQ(again.follower.store().size(), 0U);
+    again.records({begun(1)});
+    again.beat(1);
+    EXPECT_FALSE(again.follower.fenced(again.now));
+}
+
+TEST(DistributionFollower, RecordsThatWaitAreBounded) {
+    Follower::Settings settings;
+    settings.most_pending = 100'000;
+    Gateway gateway(settings);
+    gateway.join();
+    Number number = 0;
+    while (gateway.hang_ups == 0 && number < 100)
+        gateway.records({changed(++number, {edit("tenant/1", std::string(10'000, 'v'))})});
+    EXPECT_EQ(gateway.hang_ups, 1);
+    EXPECT_EQ(number, 10U);
+    EXPECT_FALSE(gateway.follower.relay());
+}
+
+TEST(DistributionFollower, AQuietOneSaysLittleAndABusyOneNoMoreThanItMay) {
+    Gateway gateway;
+    gateway.join();
+    for (int i = 0; i < 50 * 60; ++i) {
+        if (i % 10 == 0) gateway.beat(0);
+        gateway.tick(20ms);
+    }
+    EXPECT_GE(gateway.count<Ack>(), 29U);
+    EXPECT_LE(gateway.count<Ack>(), 31U);
+    gateway.sent.clear();
+    Number number = 0;
+    for (int i = 0; i < 50 * 10; ++i) {
+        gateway.records({begun(++number)});
+        gateway.beat(number);
+        gateway.tick(20ms);
+    }
+    EXPECT_GE(gateway.count<Ack>(), 45U);
+    EXPECT_LE(gateway.count<Ack>(), 51U);
+    EXPECT_GE(gateway.last<Ack>()->position, number - 11);
+}
+
+TEST(DistributionFollower, ItsTriesAreBudgetedAndSpreadAndTheNearComeFirst) {
+    std::map<int, int> first;
+    std::set<Time> at;
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        Follower::Settings settings;
+        settings.relays = {7, 3, 9, 1, 2, 4, 5, 6, 8, 0};
+        settings.near = 3;
+        settings.seed = seed;
+        Gateway gateway(settings);
+        std::vector<int> in_order;
+        for (int i = 0; i < 50 * 60; ++i) {
+            const std::size_t before = gateway.tries.size();
+            gateway.tick(20ms);
+            if (gateway.tries.size() == before) continue;
+            if (before == 0) at.insert(gateway.now);
+            gateway.follower.gone(gateway.now);  // refused
+        }
+        // 3 at once and 0.7 a second.
+        EXPECT_LE(gateway.tries.size(), 3U + 42U);
+        EXPECT_GE(gateway.tries.size(), 25U);
+        ++first[gateway.tries[0]];
+        // None twice in the first few; the others after the near ones.
+        EXPECT_EQ(std::set<int>(gateway.tries.begin(), gateway.tries.begin() + 3), (std::set<int>{3, 7, 9}));
+        EXPECT_EQ(std::set<int>(gateway.tries.begin(), gateway.tries.begin() + 5).size(), 5U);
+    }
+    EXPECT_EQ(first.size(), 3U);
+    for (const auto& [relay, count] : first) EXPECT_GT(count, 40) << relay;
+    EXPECT_GE(at.size(), 8U);
+}
+
+TEST(DistributionFollower, AskedToGoAwayItComesBackNoSoonerThanItWasTold) {
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        Follower::Settings settings;
+        settings.relays = {0, 1};
+        settings.seed = seed;
+        Gateway gateway(settings);
+        std::map<int, Time> told;
+        int came_back = 0;
+        for (int i = 0; i < 50 * 60; ++i) {
+            const std::size_t before = gateway.tries.size();
+            gateway.tick(20ms);
+            if (gateway.tries.size() == before) continue;
+            const int relay = gateway.tries.back();
+            if (told.count(relay)) {
+                EXPECT_GE(gateway.now - told[relay], 5000ms);
+                ++came_back;
+            }
+            gateway.follower.connected(gateway.now);
+            gateway.hear(Away{5000, Refusal::full});
+            told[relay] = gateway.now;
+        }
+        EXPECT_EQ(told.size(), 2U);
+        EXPECT_GE(came_back, 8);
+    }
+}
+
+TEST(DistributionFollower, ASilentRelayOrOneWithoutBeatsIsLeftForAnother) {
+    Gateway silent;
+    silent.join();
+    const int left = *silent.follower.relay();
+    for (int i = 0; i < 3000 / 20 && silent.hang_ups == 0; ++i) silent.tick(20ms);
+    EXPECT_EQ(silent.hang_ups, 1);
+    silent.join();
+    EXPECT_NE(*silent.follower.relay(), left);
+
+    Gateway stale;
+    stale.join();
+    const int without = *stale.follower.relay();
+    const Beat old{1, stale.now, 0};
+    Time since{};
+    for (int i = 0; i < 500 && stale.hang_ups == 0; ++i) {
+        stale.hear(Lease{old});  // frames come, but nothing newer
+        stale.tick(20ms);
+        since += 20ms;
+    }
+    EXPECT_EQ(stale.hang_ups, 1);
+    EXPECT_GT(since, 4000ms);
+    stale.join();
+    EXPECT_NE(*stale.follower.relay(), without);
+    // Where no relay has one, moves become rare.
+    int moves = 0;
+    for (int i = 0; i < 50 * 300; ++i) {
+        if (!stale.follower.relay()) {
+            stale.join();
+            ++moves;
+        }
+        stale.hear(Lease{old});
+        stale.tick(20ms);
+    }
+    EXPECT_LE(moves, 12);
+    EXPECT_GE(moves, 5);
+}
+
+TEST(DistributionFollower, GoesHomeToANearRelayWhenAllIsQuiet) {
+    Follower::Settings settings;
+    settings.near = 1;
+    Gateway gateway(settings);
+    gateway.tick(Span{});
+    gateway.tick(400ms);
+    ASSERT_EQ(gateway.tries, std::vector<int>{0});
+    gateway.follower.gone(gateway.now);
+    gateway.join();
+    EXPECT_NE(*gateway.follower.relay(), 0);
+    Time stayed{};
+    while (gateway.follower.relay() && stayed < 600s) {
+        gateway.beat(0);
+        gateway.tick(100ms);
+        stayed += 100ms;
+    }
+    EXPECT_GE(stayed, 119s);
+    EXPECT_LE(stayed, 241s);
+    gateway.join();
+    EXPECT_EQ(*gateway.follower.relay(), 0);
+}
+
+TEST(DistributionFollower, AFrameThatNoRelaySendsEndsTheConnection) {
+    for (const Frame& frame : {Frame(Hello{}), Frame(Ack{}), Frame(Submit{}), Frame(Ask{}), Frame(Voter{})}) {
+        Gateway gateway;
+        gateway.join();
+        gateway.hear(frame);
+        EXPECT_EQ(gateway.hang_ups, 1);
+        EXPECT_FALSE(gateway.follower.relay());
+    }
+    Gateway gateway;
+    gateway.join();
+    gateway.hear(Error{Refusal::lying, "why"});
+    EXPECT_EQ(gateway.hang_ups, 1);
+    EXPECT_NE(gateway.events.back().find("never sent"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace linnetlead::distribution
