Hollow gateways, hundreds in a process, and bench/scale that measures them

The growth target is 7,400 gateways; a machine bears that many only without their calls. linnetlead_hollow hosts the control code of gateways on one loop with real sockets: the accord as gateway::Agreement drives it, the registry's watch into the core with its module, the counter's client at a set pace; each role by itself. A second mode of it is what they talk to: a registry with differences, a counter, quoters that answer at once. Commands come over a pipe, answers are JSON; what connections carry is read from the kernel (TCP_INFO). bench/scale asks them: bytes with headers, messages, processor time, memory and descriptors of each role, how long until a version is in force, and the time that a real gateway adds to requests in an open loop against the same sent straight, with three real gateways under load beside. It ends itself over 60 processes or 11 GiB. The settings' JSON of the town is a file of its own now, since the hollow ones need the same.

--- /dev/null
+++ b/bench/scale.cpp
@@ -0,0 +1,702 @@
+// Measures what the control of a gateway costs at fleet size: hollow gateways, hundreds in a process, with
+// the real control code on real sockets, beside three real gateways under load; and the time that a real
+// gateway adds to requests. One line a figure; --results appends each as JSON.
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <cerrno>
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include "bar.h"
+#include "resp/parser.h"
+#include "standin/hollow/child.h"
+#include "standin/peer.h"
+#include "standin/server.h"
+#include "standin/site.h"
+#include "standin/town.h"
+
+namespace {
+
+using namespace linnetlead;
+using namespace std::chrono_literals;
+using nlohmann::json;
+using standin::HollowChild;
+using Clock = std::chrono::steady_clock;
+
+struct Options {
+    bool brief = false;
+    std::string program = LINNETLEAD_PROGRAM, hollow = LINNETLEAD_HOLLOW, results, only;
+    std::uint64_t seed = 1;
+    int repeats = 5, size = 0;
+};
+Options options;
+
+double seconds(Clock::duration time) { return std::chrono::duration<double>(time).count(); }
+
+double load_average() {
+    double load = 0;
+    std::ifstream("/proc/loadavg") >> load;
+    return load;
+}
+
+// A figure: told in a line, and kept.
+void tell(const std::string& run, json figures) {
+    figures["run"] = run;
+    figures["seed"] = options.seed;
+    figures["load_average"] = load_average();
+    const std::time_t now = std::time(nullptr);
+    char at[32];
+    std::strftime(at, sizeof(at), "%FT%TZ", std::gmtime(&now));
+    figures["at"] = at;
+    std::cout << figures.dump() << std::endl;
+    if (!options.results.empty()) std::ofstream(options.results, std::ios::app) << figures.dump() << '\n';
+}
+
+// ---- The bounds of a run --------------------------------------------------------------------------------
+
+// Counts this process and all below it while the measurement runs, and ends it when there are too many, or
+// they hold too much memory.
+class Guard {
+public:
+    static constexpr int most_processes = 60;
+    static constexpr double most_gib = 11;
+    Guard() : thread_([this] { watch(); }) {}
+    ~Guard() {
+        stop_ = true;
+        thread_.join();
+    }
+    int processes() const { return processes_; }
+    double gib() const { return gib_; }
+
+private:
+    void watch() {
+        for (; !stop_; std::this_thread::sleep_for(200ms)) {
+            look();
+            if (processes_ <= most_processes && gib_ <= most_gib) continue;
+            std::fprintf(stderr,
+                         "over the bounds of a run: %d processes (%d at most), %.1f GiB (%.0f at most)\n",
+                         processes_.load(), most_processes, gib_.load(), most_gib);
+            std::_Exit(3);
+        }
+    }
+    void look() {
+        std::map<pid_t, std::pair<pid_t, double>> all;  // by pid: parent and GiB
+        DIR* const folder = opendir("/proc");
+        while (const dirent* const entry = readdir(folder)) {
+            const pid_t pid = std::atoi(entry->d_name);
+            if (pid <= 0) continue;
+            std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+            std::string
+                text;  // by lines: a process that ends meanwhile is an end of the file, and no exception
+            std::getline(stat, text);
+            if (text.find(") ") == std::string::npos) continue;
+            std::istringstream fields(text.substr(text.rfind(") ") + 2));
+            std::string skipped;
+            pid_t parent = 0;
+            double pages = 0;
+            fields >> skipped >> parent;
+            for (int i = 0; i < 19; ++i) fields >> skipped;
+            fields >> pages;
+            all[pid] = {parent, pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 30)};
+        }
+        closedir(folder);
+        int processes = 0;
+        double gib = 0;
+        for (const auto& [pid, of] : all) {
+            pid_t at = pid;
+            for (int depth = 0; at > 1 && at != getpid() && depth < 64; ++depth) {
+                const auto parent = all.find(at);
+                at = parent == all.end() ? 0 : parent->second.first;
+            }
+            if (at != getpid()) continue;
+            ++processes;
+            gib += of.second;
+        }
+        processes_ = processes;
+        gib_ = gib;
+    }
+    std::atomic<bool> stop_{false};
+    std::atomic<int> processes_{0};
+    std::atomic<double> gib_{0};
+    std::thread thread_;
+};
+
+// Three real gateways under load, in a thread of their own. What the auditor finds broken fails the run.
+class Beside {
+public:
+    Beside() {
+        standin::TownSettings settings;
+        settings.program = options.program;
+        settings.gateways = 3;
+        settings.calls_per_s = 120;
+        settings.seed = options.seed;
+        town_ = std::make_unique<standin::Town>(settings);
+        for (int i = 0; i < 8; ++i) town_->add_worker("w" + std::to_string(i), "std", {}).figures.cores = 4;
+        town_->start();
+        town_->load(true);
+        thread_ = std::thread([this] {
+            while (!stop_) town_->run_for(100ms);
+            town_->load(false);
+            town_->run_for(6s);
+        });
+    }
+    ~Beside() {
+        stop_ = true;
+        thread_.join();
+        // Late answers on a machine that is busy with other things are told, and fail nothing here.
+        tell("beside", {{"gateways", 3},
+                        {"asked", town_->audit.asked},
+                        {"served", town_->audit.served},
+                        {"broken", town_->audit.broken()}});
+        bench::bar("real gateways beside: calls without an answer",
+                   static_cast<double>(town_->audit.unanswered), 0);
+    }
+
+private:
+    std::unique_ptr<standin::Town> town_;
+    std::atomic<bool> stop_{false};
+    std::thread thread_;
+};
+
+// ---- The hollow processes -------------------------------------------------------------------------------
+
+std::string address_of(const json& part) { return "127.0.0.1:" + std::to_string(part.at("port").get<int>()); }
+
+struct Fleet {
+    std::vector<std::unique_ptr<HollowChild>> hosts;
+    int gateways = 0;
+
+    // So many gateways in all, `each` in a process at most.
+    Fleet(int of, int each, const std::vector<std::string>& arguments) : gateways(of) {
+        for (int first = 0; first < of; first += each) {
+            std::vector<std::string> all{"gateways",
+                                         "--gateways",
+                                         std::to_string(std::min(each, of - first)),
+                                         "--first",
+                                         std::to_string(first),
+                                         "--of",
+                                         std::to_string(of),
+                                         "--seed",
+                                         std::to_string(options.seed * 10000)};
+            all.insert(all.end(), arguments.begin(), arguments.end());
+            hosts.push_back(std::make_unique<HollowChild>(options.hollow, all));
+        }
+    }
+    std::vector<json> ask(const std::string& line) {
+        for (auto& host : hosts) host->tell(line);
+        std::vector<json> answers;
+        for (auto& host : hosts) answers.push_back(host->answer());
+        return answers;
+    }
+    void introduce() {
+        std::string peers = "peers";
+        for (const json& told : ask("ports")) {
+            for (const json& port : told.at("ports")) peers += ' ' + std::to_string(port.get<int>());
+        }
+        ask(peers);
+    }
+    double sum(const std::vector<json>& answers, const json::json_pointer& what) const {
+        double sum = 0;
+        for (const json& one : answers) sum += one.value(what, 0.0);
+        return sum;
+    }
+    // Until it is true of the answers to `figures`; nothing: it did not come true.
+    std::optional<double> until(const std::function<bool(const json&)>& condition, Clock::duration within) {
+        const auto begun = Clock::now();
+        while (Clock::now() - begun < within) {
+            const auto all = ask("figures");
+            if (std::all_of(all.begin(), all.end(), condition)) return seconds(Clock::now() - begun);
+            std::this_thread::sleep_for(100ms);
+        }
+        return std::nullopt;
+    }
+};
+
+// Bytes of headers: IP and UDP, or IP and TCP without options. A segment of the loopback may be longer than
+// one of a network: there are at least as many as bytes fill ones of 1,448.
+constexpr double udp_headers = 28, tcp_headers = 40, most_segment = 1448;
+
+// What `role` costs a gateway of this fleet over such a time.
+json cost_of(Fleet& fleet, const std::string& role, Clock::duration window) {
+    const auto before = fleet.ask("figures");
+    const auto begun = Clock::now();
+    std::this_thread::sleep_for(window);
+    const auto after = fleet.ask("figures");
+    const double time = seconds(Clock::now() - begun), gateways = fleet.gateways;
+    const auto rate = [&](const std::string& path) {
+        const json::json_pointer at(path);
+        return (fleet.sum(after, at) - fleet.sum(before, at)) / time / gateways;
+    };
+    json cost{{"gateways", fleet.gateways},
+              {"processes", fleet.hosts.size()},
+              {"window_s", time},
+              {"core", rate("/cpu_s")},
+              {"kib", fleet.sum(after, json::json_pointer("/resident_kib")) / gateways},
+              {"descriptors", fleet.sum(after, json::json_pointer("/descriptors")) / gateways},
+              {"how", "sockets"}};
+    double sent = 0, received = 0, messages = 0;
+    if (role == "accord") {
+        sent = rate("/accord/bytes_sent") + udp_headers * rate("/accord/sent");
+        received = rate("/accord/bytes_received") + udp_headers * rate("/accord/received");
+        messages = rate("/accord/sent");
+        cost["held_back_s"] = rate("/accord/held_back");
+    } else {
+        const std::string flow = "/tcp/" + role;
+        const auto with_headers = [&](const std::string& way) {
+            const double bytes = rate(flow + "/bytes_" + way);
+            return bytes + tcp_headers * std::max(rate(flow + "/segments_" + way), bytes / most_segment);
+        };
+        sent = with_headers("sent");
+        received = with_headers("received");
+        messages = rate(flow + "/segments_sent");
+        if (role == "counter") cost["calls_s"] = rate("/counter/answered");
+        if (role == "counter") cost["failed_s"] = rate("/counter/failed");
+    }
+    cost["sent_bytes_s"] = sent;
+    cost["received_bytes_s"] = received;
+    cost["messages_s"] = messages;
+    return cost;
+}
+
+// The part of all gateways that had it by then, in ms since `from`.
+json spread_of(std::vector<double> at, double from, int gateways) {
+    std::sort(at.begin(), at.end());
+    const auto part = [&](double share) -> json {
+        const auto place = static_cast<std::size_t>(std::ceil(share * gateways)) - 1;
+        return place < at.size() ? json(at[place] - from) : json();
+    };
+    return {{"half_ms", part(0.5)}, {"most_ms", part(0.99)}, {"all_ms", part(1)}, {"held", at.size()}};
+}
+
+// ---- The accord -----------------------------------------------------------------------------------------
+
+std::string operators_text(int version, const std::string& more = {}) {
+    return "accord(version = " + std::to_string(version) + ")\npool(\"p" + std::to_string(version) +
+           "\", ids = [\"quoter-000001\"])\n" + more;
+}
+
+void run_accord() {
+    std::vector<int> sizes = options.brief ? std::vector<int>{74} : std::vector<int>{30, 74, 300, 740};
+    if (options.size > 0) sizes = {options.size};
+    for (const int size : sizes) {
+        constexpr int each = 150;
+        Fleet fleet(size, each, {"--accord"});
+        fleet.introduce();
+        fleet.ask("start");
+        const auto calm = fleet.until(
+            [&](const json& one) { return one.at("fenced") == 0 && one.at("least_present") == size; }, 40s);
+        json cost = cost_of(fleet, "accord", options.brief ? 4s : 15s);
+        cost["all_present_after_s"] = calm ? json(*calm) : json();
+        tell("accord", cost);
+        if (size == 300)
+            bench::bar("accord at 300: sent, kB/s with headers", cost["sent_bytes_s"].get<double>() / 1000,
+                       6);
+        if (size == 300) bench::bar("accord at 300: % of a core", cost["core"].get<double>() * 100, 1.3);
+        const int changes = options.brief ? 2 : options.repeats;
+        for (int version = 1; version <= changes; ++version) {
+            const json asked = fleet.hosts.front()->ask("propose 0 " + std::to_string(version) + ' ' +
+                                                        json(operators_text(version)).dump());
+            std::vector<double> at;
+            const auto begun = Clock::now();
+            do {
+                std::this_thread::sleep_for(200ms);
+                at.clear();
+                for (const json& one : fleet.ask("in_force " + std::to_string(version))) {
+                    for (const json& when : one.at("at_ms")) at.push_back(when.get<double>());
+                }
+            } while (at.size() < static_cast<std::size_t>(size) && Clock::now() - begun < 20s);
+            json spread = spread_of(at, asked.at("at_ms").get<double>(), size);
+            spread["gateways"] = size;
+            spread["problem"] = asked.at("problem");
+            spread["how"] = "sockets";
+            tell("accord change", spread);
+            if (at.size() < static_cast<std::size_t>(size)) break;
+        }
+    }
+}
+
+// ---- The list -------------------------------------------------------------------------------------------
+
+void run_list() {
+    struct Size {
+        int workers, gateways;
+    };
+    const std::vector<Size> sizes = options.brief
+                                        ? std::vector<Size>{{100, 100}, {1000, 20}}
+                                        : std::vector<Size>{{100, 200}, {1000, 60}, {10000, 8}, {30000, 4}};
+    for (const Size& size : sizes) {
+        HollowChild around(options.hollow, {"surroundings"});
+        around.ask("fill " + std::to_string(size.workers) + " 14");
+        const json places = around.ask("figures");
+        const std::string registry = address_of(places.at("registry"));
+        Fleet bare(size.gateways, size.gateways, {"--registry", registry});
+        const double bare_kib = cost_of(bare, "list", 100ms).at("kib");
+        Fleet fleet(size.gateways, size.gateways, {"--list", "--registry", registry});
+        const double cpu_before = fleet.sum(fleet.ask("figures"), json::json_pointer("/cpu_s"));
+        fleet.ask("start");
+        const auto known = fleet.until(
+            [&](const json& one) { return one.at("list").at("least_workers") == size.workers; }, 40s);
+        const double cpu_start = fleet.sum(fleet.ask("figures"), json::json_pointer("/cpu_s")) - cpu_before;
+        json quiet = cost_of(fleet, "list", options.brief ? 3s : 12s);
+        quiet["workers"] = size.workers;
+        quiet["all_known_after_s"] = known ? json(*known) : json();
+        quiet["start_core_s"] = cpu_start / size.gateways;
+        quiet["whole_bytes"] =
+            around.ask("figures").at("registry").at("body_bytes").get<double>() / size.gateways;
+        quiet["list_kib"] = quiet.at("kib").get<double>() - bare_kib;
+        tell("list quiet", quiet);
+        if (!known) continue;
+        // A worker restarts each 5.1 s and 17,000 times a day whatever is listed here: three changes of the
+        // list each time, one of them for a while.
+        std::atomic<bool> stop{false};
+        std::uint64_t changes = 0;
+        std::thread churn([&] {
+            for (int i = 0; !stop; ++i) {
+                around.ask("worker " + std::to_string(i / 2 % size.workers) + (i % 2 ? " in" : " out"));
+                ++changes;
+                std::this_thread::sleep_for(1700ms);
+            }
+        });
+        json churned = cost_of(fleet, "list", options.brief ? 3s : 20s);
+        stop = true;
+        churn.join();
+        churned["workers"] = size.workers;
+        churned["changes_s"] = 1 / 1.7;
+        tell("list churn", churned);
+    }
+}
+
+// ---- The counter ----------------------------------------------------------------------------------------
+
+void run_counter() {
+    const std::vector<double> paces =
+        options.brief ? std::vector<double>{113} : std::vector<double>{3.4, 11.3, 34, 113, 340};
+    for (const double pace : paces) {
+        HollowChild around(options.hollow, {"surroundings"});
+        const json places = around.ask("figures");
+        const int gateways = pace > 200 ? 10 : 40;
+        Fleet fleet(gateways, gateways, {"--counting", "--counter", address_of(places.at("counter"))});
+        fleet.ask("start");
+        fleet.ask("pace " + std::to_string(pace));
+        std::this_thread::sleep_for(1s);
+        json cost = cost_of(fleet, "counter", options.brief ? 3s : 10s);
+        cost["pace"] = pace;
+        tell("counter", cost);
+        // Known to be missed: it is what the bar is there to show.
+    }
+}
+
+// ---- The time added to requests -------------------------------------------------------------------------
+
+class Histogram {
+public:
+    void add(double time_s) { counts_(std::max(time_s, least)); }
+    // Of all that were added; 0: none were.
+    double quantile(double part) const {
+        const double all = boost::histogram::algorithm::sum(counts_);
+        double seen = 0;
+        for (auto&& bin : boost::histogram::indexed(counts_, boost::histogram::coverage::all)) {
+            seen += *bin;
+            if (seen >= part * all && all > 0) return bin.bin().center();
+        }
+        return 0;
+    }
+    double count() const { return boost::histogram::algorithm::sum(counts_); }
+
+private:
+    static constexpr double least = 1e-6;
+    using Log = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    // Steps of 0.8%.
+    decltype(boost::histogram::make_histogram(Log{2000, least, 10.0})) counts_ =
+        boost::histogram::make_histogram(Log{2000, least, 10.0});
+};
+
+// Requests at planned times, whatever has become of those before: each is timed from its planned time. Half
+// go to one port and half to the other, planned apart, by one thread over kept connections.
+class OpenLoop {
+public:
+    struct Target {
+        std::vector<std::uint16_t> ports;
+        Histogram histogram;
+        std::uint64_t sent = 0, served = 0, others = 0, missing = 0;
+    };
+    OpenLoop(double per_s, std::uint64_t seed) : per_s_(per_s), random_(seed) {}
+    // `counts`: whether a request planned at this time (s since the start) is counted.
+    void run(Target& through, Target& straight, double length_s, const std::function<bool(double)>& counts) {
+        prctl(PR_SET_TIMERSLACK, 1);
+        targets_ = {&through, &straight};
+        begun_ = Clock::now();
+        std::exponential_distribution<double> gap(per_s_);
+        double next[2] = {gap(random_), gap(random_)};
+        const double end = length_s;
+        while (std::min(next[0], next[1]) < end) {
+            const int which = next[0] <= next[1] ? 0 : 1;
+            wait_until(next[which]);
+            ask(which, next[which], counts(next[which]));
+            next[which] += gap(random_);
+        }
+        constexpr double longest = 4.5;  // behind the calls' deadline
+        const auto waits = [](const Connection& one) { return one.waits && one.fd >= 0; };
+        while (now() < end + longest && std::any_of(connections_.begin(), connections_.end(), waits))
+            wait_until(now() + 0.02);
+        for (Connection& one : connections_) {
+            if (one.waits && one.counts) ++targets_[one.target]->missing;
+            if (one.fd >= 0) ::close(one.fd);
+        }
+        connections_.clear();
+        polled_.clear();
+    }
+
+private:
+    struct Connection {
+        int fd = -1;
+        std::size_t target = 0;
+        bool waits = false, counts = false;
+        double planned = 0;
+        std::string id, got;
+    };
+    double now() const { return seconds(Clock::now() - begun_); }
+    void wait_until(double at) {
+        for (double left = at - now(); left > 0; left = at - now()) {
+            timespec time{static_cast<time_t>(left), static_cast<long>((left - std::floor(left)) * 1e9)};
+            if (ppoll(polled_.data(), polled_.size(), &time, nullptr) > 0) read_all();
+        }
+    }
+    void read_all() {
+        for (std::size_t i = 0; i < polled_.size(); ++i) {
+            if (polled_[i].revents == 0) continue;
+            Connection& one = connections_[i];
+            char text[4096];
+            const ssize_t size = recv(one.fd, text, sizeof(text), MSG_DONTWAIT);
+            if (size < 0 && errno == EAGAIN) continue;
+            if (size <= 0) {
+                if (std::exchange(one.waits, false) && one.counts) ++targets_[one.target]->others;
+                ::close(one.fd);
+                one.fd = polled_[i].fd = -1;
+                continue;
+            }
+            one.got.append(text, static_cast<std::size_t>(size));
+            if (resp::parse(one.got, message_) != resp::Parsed::whole) continue;
+            const double took = now() - one.planned;
+            const bool good = message_.items.front().type != resp::Type::error &&
+                              message_.items.front().text.substr(0, 16) == one.id;
+            Target& target = *targets_[one.target];
+            if (std::exchange(one.waits, false) && one.counts) {
+                ++(good ? target.served : target.others);
+                target.histogram.add(took);  // of errors too: they are answers
+            }
+            one.got.clear();
+        }
+    }
+    void ask(int which, double planned, bool counts) {
+        const auto target = static_cast<std::size_t>(which);
+        std::size_t place = 0;
+        while (place < connections_.size() && (connections_[place].target != target ||
+                                               connections_[place].waits || connections_[place].fd < 0)) {
+            ++place;
+        }
+        if (place == connections_.size()) {
+            connections_.emplace_back();
+            Connection& made = connections_.back();
+            made.target = target;
+            made.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            const auto& ports = targets_[target]->ports;
+            const sockaddr_storage to = standin::address_of(ports[place % ports.size()]);
+            if (connect(made.fd, reinterpret_cast<const sockaddr*>(&to), sizeof(sockaddr_in)) != 0)
+                throw std::runtime_error("cannot connect");
+            polled_.push_back({made.fd, POLLIN, 0});
+        }
+        Connection& one = connections_[place];
+        char id[17], account[17];
+        std::snprintf(id, sizeof(id), "%016llx", static_cast<unsigned long long>(++last_id_ + (1ULL << 50)));
+        std::snprintf(
+            account, sizeof(account), "%016llx",
+            static_cast<unsigned long long>(std::uniform_int_distribution<int>(1, 640000)(random_)));
+        std::string text;
+        resp::write_array(text, 4);
+        resp::write_bulk(text, "Q.ASK");
+        resp::write_bulk(text, account);
+        resp::write_bulk(text, id);
+        resp::write_bulk(text, "c=quote-read,t=basico,d=4000,units=1,spread=1,first=0");
+        one.waits = true;
+        one.counts = counts;
+        one.planned = planned;
+        one.id = id;
+        if (counts) ++targets_[target]->sent;
+        if (send(one.fd, text.data(), text.size(), MSG_NOSIGNAL) < 0 && counts) ++targets_[target]->others;
+    }
+
+    double per_s_;
+    std::mt19937_64 random_;
+    std::vector<Target*> targets_;
+    Clock::time_point begun_;
+    std::vector<Connection> connections_;
+    std::vector<pollfd> polled_;
+    std::uint64_t last_id_ = 0;
+    resp::Message message_;
+};
+
+// A real gateway before quoters that answer at once, its list in another process.
+struct Rig {
+    std::unique_ptr<HollowChild> quoters, registry;
+    std::unique_ptr<standin::Process> gateway;
+    std::vector<std::uint16_t> quoter_ports;
+    std::string operators_path;
+
+    Rig(int workers, int zones) {
+        quoters = std::make_unique<HollowChild>(options.hollow,
+                                                std::vector<std::string>{"surroundings", "--quoters", "32"});
+        const json there = quoters->ask("figures");
+        std::string ports;
+        for (const json& port : there.at("quoters").at("ports")) {
+            quoter_ports.push_back(port.get<std::uint16_t>());
+            ports += (ports.empty() ? "" : ",") + std::to_string(quoter_ports.back());
+        }
+        registry = std::make_unique<HollowChild>(options.hollow,
+                                                 std::vector<std::string>{"surroundings", "--ports", ports});
+        registry->ask("fill " + std::to_string(workers) + ' ' + std::to_string(zones));
+        const json places = registry->ask("figures");
+        topazcrank::Settings site = standin::settings_of(standin::Mix{}, 1, 0);
+        site.list_on_request = true;
+        const json config{{"name", "n0"},
+                          {"listen", "127.0.0.1:0"},
+                          {"discovery", address_of(places.at("registry"))},
+                          {"counter", address_of(places.at("counter"))},
+                          {"seed", std::to_string(options.seed)},
+                          {"limits", {{"memory_mb", 192}, {"sockets", 4096}}},
+                          {"settings", standin::settings_json(site, false)}};
+        operators_path = standin::temporary_path("star");
+        standin::write_file(operators_path, text(0));
+        gateway = std::make_unique<standin::Process>(options.program, config.dump(),
+                                                     std::vector<std::string>{"--operators", operators_path});
+        gateway->listening();
+    }
+    ~Rig() { unlink(operators_path.c_str()); }
+    // The operators' file; each differs.
+    static std::string text(int number) {
+        std::string all;
+        for (int i = 0; i < 20; ++i) {  // 29 are the most
+            all += "pool(\"p" + std::to_string(i) + "\", ids = [\"quoter-" +
+                   std::to_string(100000 + number * 20 + i) + "\"])\n";
+        }
+        return all;
+    }
+};
+
+void run_latency() {
+    const int workers = options.brief ? 1000 : 10000;
+    const double length = options.brief ? 4 : 10;
+    struct Condition {
+        std::string name;
+        int zones;
+    };
+    const std::vector<Condition> conditions =
+        options.brief ? std::vector<Condition>{{"quiet", 14}, {"zone", 14}}
+                      : std::vector<Condition>{{"quiet", 14}, {"zone", 14}, {"zone", 3}, {"changes", 14}};
+    for (const Condition& condition : conditions) {
+        for (const double per_s : options.brief ? std::vector<double>{162} : std::vector<double>{162, 486}) {
+            Rig rig(workers, condition.zones);
+            OpenLoop warm(per_s, options.seed + 1000), loop(per_s, options.seed);
+            OpenLoop::Target through, straight, unused_through, unused;
+            through.ports = unused_through.ports = {rig.gateway->port};
+            straight.ports = unused.ports = rig.quoter_ports;
+            const double cpu_before = rig.gateway->cpu_seconds();
+            std::atomic<bool> stop{false};
+            const auto begun = Clock::now();
+            // The list is there, and the gateway's view of its workers has settled.
+            warm.run(unused_through, unused, options.brief ? 2 : 3, [](double) { return false; });
+            std::thread events([&, start = Clock::now()] {
+                for (int i = 0; !stop; ++i) {
+                    if (condition.name == "zone") {
+                        std::this_thread::sleep_until(start + std::chrono::seconds(i));
+                        if (!stop) rig.registry->ask(i % 2 ? "zone 0 in" : "zone 0 out");
+                    } else if (condition.name == "changes") {
+                        std::this_thread::sleep_until(start + std::chrono::milliseconds(50) * i);
+                        if (stop) break;
+                        standin::write_file(rig.operators_path, Rig::text(i + 1));
+                        rig.gateway->signal(SIGHUP);
+                    } else {
+                        std::this_thread::sleep_for(50ms);
+                    }
+                }
+            });
+            // While the zone is out: in the even seconds.
+            loop.run(through, straight, length,
+                     [&](double at) { return condition.name != "zone" || static_cast<int>(at) % 2 == 0; });
+            stop = true;
+            events.join();
+            const double time = seconds(Clock::now() - begun);
+            const json at_quoters = rig.quoters->ask("figures");
+            json figures{{"condition", condition.name},
+                         {"zones", condition.zones},
+                         {"workers", workers},
+                         {"per_s", per_s},
+                         {"sent", through.sent},
+                         {"served", through.served},
+                         {"others", through.others + straight.others},
+                         {"missing", through.missing + straight.missing},
+                         {"gateway_core", (rig.gateway->cpu_seconds() - cpu_before) / time},
+                         {"gateway_kib", rig.gateway->resident_kib()},
+                         {"probes_s", at_quoters.at("quoters").at("probes").get<double>() / time},
+                         {"how", "sockets"}};
+            for (const double part : {0.5, 0.9, 0.99, 0.999}) {
+                char name[16];
+                std::snprintf(name, sizeof(name), "p%g", part * 100);
+                const double a = through.histogram.quantile(part), b = straight.histogram.quantile(part);
+                figures[std::string(name) + "_through_ms"] = a * 1000;
+                figures[std::string(name) + "_straight_ms"] = b * 1000;
+                figures[std::string(name) + "_added_ms"] = (a - b) * 1000;
+            }
+            tell("latency", figures);
+            bench::bar("requests without an answer", static_cast<double>(through.missing + straight.missing),
+                       0);
+        }
+    }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    CLI::App app{"measures the control of gateways at fleet size, and the time that a gateway adds"};
+    app.add_flag("--short", options.brief, "ends within a minute");
+    app.add_option("--program", options.program, "the gateway");
+    app.add_option("--hollow", options.hollow, "linnetlead_hollow");
+    app.add_option("--results", options.results, "a file to which each figure is appended, as JSON");
+    app.add_option("--seed", options.seed);
+    app.add_option("--repeats", options.repeats, "of short runs");
+    app.add_option("--size", options.size, "gateways, where a run has several sizes");
+    bool alone = false;
+    app.add_flag("--alone", alone, "without real gateways under load beside");
+    const std::vector<std::pair<std::string, void (*)()>> runs{
+        {"accord", run_accord}, {"list", run_list}, {"counter", run_counter}, {"latency", run_latency}};
+    std::vector<std::string> names;
+    for (const auto& [name, run] : runs) names.push_back(name);
+    app.add_option("--only", options.only)->check(CLI::IsMember(names));
+    CLI11_PARSE(app, argc, argv);
+    {
+        Guard guard;
+        std::unique_ptr<Beside> beside;
+        if (!alone) beside = std::make_unique<Beside>();
+        for (const auto& [name, run] : runs) {
+            if (options.only.empty() || options.only == name) run();
+        }
+    }
+    std::printf("%s\n", bench::good ? "good" : "MISSED");
+    return bench::good ? 0 : 1;
+}
--- /dev/null
+++ b/standin/hollow/gateway.cpp
@@ -0,0 +1,208 @@
+#include "gateway.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "standin/server.h"
+
+namespace linnetlead::standin {
+
+using core::Handle;
+using core::Span;
+using core::Time;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* own_counts = "hollow/";
+constexpr core::Gateway::Limits limits{64, 1024 * 1024, 0};
+
+sockaddr_storage read(const std::string& text) {
+    sockaddr_storage address{};
+    net::read_address(text, address);
+    return address;
+}
+
+}  // namespace
+
+// Sees what the counter answers, and leaves it to the core, as calls' own counts would be.
+class HollowGateway::Tap final : public core::Accounts {
+public:
+    explicit Tap(Figures& figures) : figures_(figures) {}
+
+private:
+    void taken(Time, Handle, topazcrank::Request&) override {}
+    void sending(Handle, double) override {}
+    void sent_on(Time, Handle, double) override {}
+    void settled(Handle, double) override {}
+    void refused(Time, Handle) override {}
+    void over(Handle) override {}
+    bool counted(Time, const std::string& name, topazcrank::CountStatus status, double) override {
+        const bool own = name.compare(0, std::char_traits<char>::length(own_counts), own_counts) == 0;
+        if (own) ++(status == topazcrank::CountStatus::ok ? figures_.counted_well : figures_.counted);
+        return false;
+    }
+    Figures& figures_;
+};
+
+// A proposal being read on a thread of libuv's. It outlives its owner, should that go first.
+struct HollowGateway::Reading {
+    uv_work_t work{};
+    HollowGateway* owner = nullptr;
+    settings::Site site;
+    accord::Version version;
+    std::string text;
+    bool good = false;
+};
+
+HollowGateway::HollowGateway(net::Loop& loop, const gateway::Config& config, HollowRoles roles,
+                             gateway::Log& log)
+    : loop_(loop),
+      config_(config),
+      roles_(roles),
+      gateway_(config_.site, config_.seed, limits, loop),
+      client_(loop, gateway_, read(config_.counter), config_.site.settings.count_timeout),
+      tap_(std::make_unique<Tap>(figures_)),
+      suspensions_(gateway_),
+      registry_(
+          loop, suspensions_, config_.discovery, config_.known.version, config_.seed,
+          config_.site.settings.list_on_request ? net::RegistryWatch::asked : net::RegistryWatch::pushed),
+      link_(loop, [this](int from, std::string_view datagram) {
+          ++figures_.datagrams_heard;
+          figures_.datagram_bytes_heard += datagram.size();
+          if (agreement_) agreement_->heard(from, datagram);
+      }) {
+    gateway_.attach(*this, client_);
+    gateway_.attach(tap_.get());
+    if (!roles_.accord) return;
+    link_.listen(address_of(0));
+    port_ = link_.port();
+    gateway::AgreementSettings settings;
+    settings.wanted = true;
+    agreement_ = std::make_unique<gateway::Agreement>(
+        settings, config_, loop, &link_, gateway_, client_, suspensions_, log,
+        gateway::Agreement::Outside{
+            [this](accord::Version version, const std::string& text) { check(version, text); },
+            [this](accord::Version version, const std::string&) {
+                in_force_ = version.number;
+                in_force_at_.emplace(version.number, loop_.now());
+            },
+            [](bool) {}, [] {}, [] {}});
+}
+
+HollowGateway::~HollowGateway() { close(); }
+
+void HollowGateway::peers(const std::vector<sockaddr_storage>& all) {
+    link_.peers(all, static_cast<std::size_t>(config_.site.settings.self), nullptr);
+}
+
+void HollowGateway::start() {
+    if (agreement_) agreement_->start();
+    if (roles_.list) registry_.start();
+}
+
+void HollowGateway::pace(double calls_per_s) {
+    loop_.disarm(std::exchange(timer_, {}));
+    calls_per_s_ = roles_.counter ? calls_per_s : 0;
+    next_count_ = loop_.now();
+    if (calls_per_s_ > 0) count();
+}
+
+// The wheel's ticks are coarse: all that has come due goes out.
+void HollowGateway::count() {
+    const Span gap{static_cast<std::int64_t>(1e9 / calls_per_s_)};
+    for (; next_count_ <= loop_.now(); next_count_ += gap) {
+        // As long as the names that the core makes, over customers that come again.
+        constexpr std::uint64_t customers = 4096;
+        char name[64];
+        std::snprintf(name, sizeof(name), "%s%016llx/%u", own_counts,
+                      static_cast<unsigned long long>((figures_.counted_well + figures_.counted) *
+                                                      2654435761U % customers),
+                      static_cast<unsigned>(next_count_ / 1s % 100000));
+        client_.add(name, 1, 3s);
+    }
+    timer_ = loop_.arm(next_count_, [this] { count(); });
+}
+
+void HollowGateway::close() {
+    if (std::exchange(closed_, true)) return;
+    loop_.disarm(std::exchange(timer_, {}));
+    for (Reading* one : std::exchange(reading_, {})) one->owner = nullptr;
+    if (agreement_) agreement_->close();
+    gateway_.attach(static_cast<core::Accounts*>(nullptr));
+    client_.close();
+    registry_.close();
+    link_.close();
+}
+
+std::string HollowGateway::propose(std::uint64_t version, const std::string& text) {
+    return agreement_ ? agreement_->propose(version, text) : "it takes no part in an accord";
+}
+
+// Read beside the loop, as a gateway does.
+void HollowGateway::check(accord::Version version, const std::string& text) {
+    auto* const made = new Reading;
+    made->work.data = made;
+    made->owner = this;
+    made->site = config_.site;
+    made->version = version;
+    made->text = text;
+    reading_.push_back(made);
+    uv_queue_work(
+        loop_.uv(), &made->work,
+        [](uv_work_t* work) {
+            auto& self = *static_cast<Reading*>(work->data);
+            try {
+                self.good = gateway::read_operators(self.text, "proposal", &self.site).agreement.version ==
+                            self.version.number;
+            } catch (const std::exception&) {
+                self.good = false;
+            }
+        },
+        [](uv_work_t* work, int) {
+            const std::unique_ptr<Reading> self(static_cast<Reading*>(work->data));
+            if (!self->owner) return;
+            auto& all = self->owner->reading_;
+            all.erase(std::remove(all.begin(), all.end(), self.get()), all.end());
+            self->owner->agreement_->checked(self->version, self->good);
+        });
+}
+
+std::optional<Time> HollowGateway::in_force_at(std::uint64_t version) const {
+    const auto at = in_force_at_.lower_bound(version);
+    return at == in_force_at_.end() ? std::nullopt : std::optional(at->second);
+}
+
+HollowGateway::Figures HollowGateway::figures() const {
+    Figures all = figures_;
+    all.workers = suspensions_.known();
+    if (agreement_) {
+        const auto& traffic = agreement_->accord().traffic();
+        all.datagrams_sent = traffic.sent;
+        all.datagram_bytes_sent = traffic.bytes;
+        all.held_back = traffic.held_back;
+        all.present = agreement_->accord().present();
+    }
+    return all;
+}
+
+// ---- The workers: nothing is sent to them, and probes go unanswered -------------------------------------
+
+Handle HollowGateway::start(Handle call, const core::WorkerId&, const core::Payload&, const Limits&) {
+    core::AttemptEnd end;
+    end.ending = core::Ending::given_up;
+    loop_.arm(loop_.now(), [this, call, end] { gateway_.attempt_ended(call, end); });
+    return {};
+}
+
+void HollowGateway::probe(const core::WorkerId&) { ++figures_.probes; }
+
+void HollowGateway::told(const std::vector<core::Listed>& entries, bool) {
+    ++figures_.lists;
+    figures_.entries += entries.size();
+}
+
+}  // namespace linnetlead::standin
--- /dev/null
+++ b/standin/hollow/host.cpp
@@ -0,0 +1,179 @@
+#include "host.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "standin/model.h"
+#include "standin/server.h"
+#include "standin/site.h"
+
+namespace linnetlead::standin {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::Span let_go_after = 1s;
+
+}  // namespace
+
+HollowHost::HollowHost(net::Loop& loop, const Settings& settings)
+    : loop_(loop),
+      settings_(settings),
+      log_("hollow"),
+      gateways_(static_cast<std::size_t>(settings.gateways)) {
+    const auto role = [this](const std::string& address, const char* name) {
+        sockaddr_storage at{};
+        if (net::read_address(address, at))
+            census_.role_of(ntohs(reinterpret_cast<const sockaddr_in&>(at).sin_port), name);
+    };
+    role(settings_.registry, "list");
+    role(settings_.counter, "counter");
+    for (std::size_t i = 0; i < gateways_.size(); ++i) make(i);
+}
+
+HollowHost::~HollowHost() = default;
+
+gateway::Config HollowHost::config_of(int number) const {
+    topazcrank::Settings site = settings_of(Mix{}, settings_.of, number);
+    site.list_on_request = settings_.list_on_request;
+    const json config{{"name", "h" + std::to_string(number)},
+                      {"discovery", settings_.registry},
+                      {"counter", settings_.counter},
+                      {"seed", std::to_string(settings_.seed + static_cast<std::uint64_t>(number))},
+                      {"settings", settings_json(site, settings_.roles.accord)}};
+    return gateway::read_config(config.dump());
+}
+
+void HollowHost::make(std::size_t place) {
+    gateways_[place] = std::make_unique<HollowGateway>(
+        loop_, config_of(settings_.first + static_cast<int>(place)), settings_.roles, log_);
+}
+
+void HollowHost::close() {
+    for (auto& one : gateways_) one->close();
+}
+
+json HollowHost::figures() {
+    json state = census_.figures();
+    HollowGateway::Figures sum;
+    int fenced = 0, least_present = settings_.of;
+    std::size_t least_workers = ~std::size_t{0};
+    std::map<std::uint64_t, int> in_force;
+    for (const auto& one : gateways_) {
+        const HollowGateway::Figures of = one->figures();
+        sum.datagrams_sent += of.datagrams_sent;
+        sum.datagram_bytes_sent += of.datagram_bytes_sent;
+        sum.datagrams_heard += of.datagrams_heard;
+        sum.datagram_bytes_heard += of.datagram_bytes_heard;
+        sum.held_back += of.held_back;
+        sum.counted += of.counted;
+        sum.counted_well += of.counted_well;
+        sum.lists += of.lists;
+        sum.entries += of.entries;
+        sum.probes += of.probes;
+        least_workers = std::min(least_workers, of.workers);
+        least_present = std::min(least_present, of.present);
+        fenced += one->fenced() ? 1 : 0;
+        ++in_force[one->in_force()];
+    }
+    state["gateways"] = gateways_.size();
+    state["restarts"] = restarts_;
+    state["fenced"] = fenced;
+    state["least_present"] = least_present;
+    state["in_force"] = json::object();
+    for (const auto& [version, count] : in_force) state["in_force"][std::to_string(version)] = count;
+    state["accord"] = {{"sent", sum.datagrams_sent},
+                       {"bytes_sent", sum.datagram_bytes_sent},
+                       {"received", sum.datagrams_heard},
+                       {"bytes_received", sum.datagram_bytes_heard},
+                       {"held_back", sum.held_back}};
+    state["counter"] = {{"answered", sum.counted_well}, {"failed", sum.counted}};
+    state["list"] = {{"told", sum.lists},
+                     {"entries", sum.entries},
+                     {"probes", sum.probes},
+                     {"least_workers", least_workers}};
+    return state;
+}
+
+json HollowHost::carry(const std::string& line) {
+    std::istringstream words(line);
+    std::string what;
+    words >> what;
+    const auto gateway_of = [&](int number) -> HollowGateway* {
+        const int place = number - settings_.first;
+        return place >= 0 && place < settings_.gateways ? gateways_[static_cast<std::size_t>(place)].get()
+                                                        : nullptr;
+    };
+    if (what == "figures") return figures();
+    if (what == "ports") {
+        json ports = json::array();
+        for (const auto& one : gateways_) ports.push_back(one->port());
+        return {{"ports", ports}};
+    }
+    if (what == "peers") {
+        peers_.clear();
+        for (int port = 0; words >> port;) peers_.push_back(address_of(static_cast<std::uint16_t>(port)));
+        if (peers_.size() != static_cast<std::size_t>(settings_.of))
+            return {{"error", "ports of all gateways of the tier are wanted"}};
+        for (auto& one : gateways_) one->peers(peers_);
+        return {{"peers", peers_.size()}};
+    }
+    if (what == "start") {
+        // Spread over a second, as gateways that know of each other nothing but their numbers would be.
+        for (std::size_t i = 0; i < gateways_.size(); ++i) {
+            loop_.arm(loop_.now() + core::Span{1s} * static_cast<int>(i) / settings_.gateways, [this, i] {
+                gateways_[i]->start();
+                gateways_[i]->pace(settings_.pace);
+            });
+        }
+        started_ = true;
+        return {{"started", gateways_.size()}};
+    }
+    if (what == "propose") {
+        int number = 0;
+        std::uint64_t version = 0;
+        std::string rest;
+        words >> number >> version;
+        std::getline(words, rest);
+        const json text = json::parse(rest, nullptr, false);
+        HollowGateway* const one = gateway_of(number);
+        if (!one || !text.is_string()) return {{"error", "propose NUMBER VERSION \"TEXT\""}};
+        const std::string problem = one->propose(version, text.get<std::string>());
+        return {{"at_ms", loop_.now() / 1ms}, {"problem", problem}};
+    }
+    if (what == "in_force") {
+        std::uint64_t version = 0;
+        words >> version;
+        json at = json::array();
+        for (const auto& one : gateways_) {
+            if (const auto since = one->in_force_at(version)) at.push_back(*since / 1ms);
+        }
+        return {{"at_ms", at}, {"gateways", gateways_.size()}};
+    }
+    if (what == "pace") {
+        if (!(words >> settings_.pace)) return {{"error", "pace CALLS_PER_S"}};
+        for (auto& one : gateways_) one->pace(settings_.pace);
+        return {{"pace", settings_.pace}};
+    }
+    if (what == "restart") {
+        int number = -1;
+        words >> number;
+        if (!gateway_of(number) || settings_.roles.accord)
+            return {{"error", "restart NUMBER, where there is no accord: its port would be another"}};
+        const auto place = static_cast<std::size_t>(number - settings_.first);
+        gateways_[place]->close();
+        gone_.push_back(std::move(gateways_[place]));
+        loop_.arm(loop_.now() + let_go_after, [this] { gone_.pop_front(); });
+        make(place);
+        gateways_[place]->start();
+        gateways_[place]->pace(settings_.pace);
+        ++restarts_;
+        return {{"restarts", restarts_}};
+    }
+    return {{"error", "no such command: " + what}};
+}
+
+}  // namespace linnetlead::standin
--- /dev/null
+++ b/standin/hollow/host.h
@@ -0,0 +1,52 @@
+// Hollow gateways of one process, and the commands by which a measurement drives and asks them: a line each,
+// answered by a line of JSON.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "census.h"
+#include "gateway.h"
+
+namespace linnetlead::standin {
+
+class HollowHost {
+public:
+    struct Settings {
+        int gateways = 1;
+        int first = 0;  // their numbers in the tier: `first` and those behind it
+        int of = 1;     // gateways of the tier, in all processes
+        std::uint64_t seed = 1;
+        HollowRoles roles;
+        std::string registry, counter;  // addresses; empty: there is none
+        bool list_on_request = true;
+        double pace = 0;  // calls of the counter a second, of each
+    };
+    HollowHost(net::Loop& loop, const Settings& settings);
+    ~HollowHost();
+    // `ports`, `peers PORT...` (of all the tier), `start`, `figures`, `propose NUMBER VERSION TEXT` (JSON
+    // text), `in_force VERSION`, `pace CALLS_PER_S`, `restart NUMBER`.
+    nlohmann::json carry(const std::string& line);
+    void close();
+
+private:
+    gateway::Config config_of(int number) const;
+    void make(std::size_t place);
+    nlohmann::json figures();
+
+    net::Loop& loop_;
+    Settings settings_;
+    gateway::Log log_;
+    Census census_;
+    std::vector<std::unique_ptr<HollowGateway>> gateways_;
+    std::deque<std::unique_ptr<HollowGateway>> gone_;  // closed, until the loop has let go
+    std::vector<sockaddr_storage> peers_;
+    std::uint64_t restarts_ = 0;
+    bool started_ = false;
+};
+
+}  // namespace linnetlead::standin
--- a/standin/town.cpp
+++ b/standin/town.cpp
@@ -13,6 +13,7 @@
 #include "plans/store.h"
 #include "server.h"
 #include "settings/words.h"
+#include "site.h"
 
 namespace linnetlead::standin {
 
@@ -590,46 +591,6 @@
 
 std::string Town::config_of(int number) const {
     const topazcrank::Settings s = settings_of(settings_.mix, settings_.gateways, number);
-    constexpr const char* repeats[] = {"retryable", "dedup", "fragile"};
-    json classes = json::array();
-    for (const auto& cls : s.classes) {
-        classes.push_back({{"name", cls.name},
-                           {"idempotency", repeats[static_cast<int>(cls.repeat)]},
-                           {"key_scope", "all"},
-                           {"dedup_window", cls.key_window.count()},
-                           {"aim", cls.aim.count()},
-                           {"deadline", cls.deadline.count()},
-                           {"worth", cls.worth},
-                           {"late_worth", cls.late_worth}});
-    }
-    const auto& plan = s.plans.front();
-    const json settings{
-        {"balancers", s.gateways},
-        {"me", s.self},
-        {"zone", s.zone},
-        {"quantum", s.tick.count()},
-        {"discovery", "pushed"},
-        {"classes", classes},
-        {"tariffs", {{{"name", plan.name}, {"units_per_s", plan.rate}, {"most_at_once", plan.burst}}}},
-        {"extra",
-         {{"may_count", true}, {"count_limit", s.count_timeout.count()}, {"units_top", s.most_units}}},
-        {"limits",
-         {{"cancel", true},
-          {"may_probe", true},
-          {"retry_after", true},
-          {"max_retry_after", s.most_retry_after.count()},
-          {"max_attempts", s.most_attempts},
-          {"peers", settings_.peers},
-          {"conn_idle", 30000000000},
-          {"connect_timeout", 250000000}}},
-        {"report", {{"how", "probe"}, {"fields", {"concurrent", "depth"}}}},
-        {"guarantees",
-         {{"answer_slack", 16000000},
-          {"cold_from", s.cold_from},
-          {"ramp_time", s.ramp_time.count()},
-          {"fall_multiple", s.fall_multiple},
-          {"fall", s.fall_time.count()},
-          {"stop_sending_within", 500000000}}}};
     const auto port_of = [](const auto& server) { return "127.0.0.1:" + std::to_string(server.port); };
     json config{{"name", "n" + std::to_string(number)},
                 {"listen", gateways_[static_cast<std::size_t>(number)].address},
@@ -640,7 +601,7 @@
                 {"seed", std::to_string(settings_.seed + static_cast<std::uint64_t>(number))},
                 {"limits", {{"memory_mb", settings_.memory_mb}, {"sockets", 1024}}},
                 {"known", json::parse(listed(number))},
-                {"settings", settings}};
+                {"settings", settings_json(s, settings_.peers)}};
     if (peers_) {
         config["peer_listen"] = peers_->listen_of(number);
         config["peers"] = peers_->peers_of(number);
