--- a/src/gateway/usage.h
+++ b/src/gateway/usage.h
@@ -25,6 +25,9 @@
     void take_book(std::shared_ptr<const plans::PlanBook> book);
     // While it is not known whether another book holds: Accounts::narrow.
     void narrow(bool on, std::shared_ptr<const plans::PlanBook> other);
+    // Accounts::look_up_in and hold_reserves.
+    void look_up_in(const plans::TermSource* terms) { accounts_.look_up_in(terms); }
+    void hold_reserves(bool on) { accounts_.hold_reserves(on); }
     nlohmann::json state();
     // At the program's end: everything is kept, and the epoch is closed.
     void close();
--- a/src/operators/document.cpp
+++ b/src/operators/document.cpp
@@ -197,6 +197,49 @@
         }
       }
     },
+    "routes": {
+      "type": "array", "maxItems": 10000,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["name", "pool"],
+        "properties": {
+          "name": {"$ref": "#/definitions/name"},
+          "pool": {"$ref": "#/definitions/name"}
+        }
+      }
+    },
+    "relays": {
+      "type": "array", "maxItems": 40,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": ["name", "region", "zone", "address"],
+        "properties": {
+          "name": {"$ref": "#/definitions/name"},
+          "region": {"$ref": "#/definitions/name"},
+          "zone": {"$ref": "#/definitions/name"},
+          "address": {"type": "string", "minLength": 1},
+          "listen": {"type": "string", "minLength": 1},
+          "votes": {"type": "boolean"}
+        }
+      }
+    },
+    "distributions": {
+      "type": "array", "maxItems": 1,
+      "items": {
+        "type": "object", "additionalProperties": false, "required": [],
+        "properties": {
+          "relays": {"$ref": "#/definitions/names"},
+          "region": {"$ref": "#/definitions/name"},
+          "zone": {"$ref": "#/definitions/name"},
+          "snapshot": {"type": "string", "minLength": 1},
+          "log": {"type": "string", "minLength": 1},
+          "lease": {"$ref": "#/definitions/time"},
+          "skew": {"$ref": "#/definitions/time"},
+          "lead": {"$ref": "#/definitions/time"},
+          "patience": {"$ref": "#/definitions/time"},
+          "wait_for_all": {"type": "boolean"},
+          "most_cannot": {"$ref": "#/definitions/share"}
+        }
+      }
+    },
     "moves": {
       "type": "array", "maxItems": 1,
       "items": {
@@ -404,30 +447,36 @@
 
 Result read_document(std::string_view text, const std::string& file) {
     Result result = read_script(text, file);
-    const Value* document = std::get_if<Value>(&result);
-    if (!document) return result;
-    valijson::Schema checks;
-    valijson::SchemaParser parser;
-    const valijson::adapters::NlohmannJsonAdapter adapted_schema(schema_json());
-    parser.populateSchema(adapted_schema, checks);
-    const nlohmann::json json = document->json();
+    Value* document = std::get_if<Value>(&result);
+    return document ? check_document(std::move(*document), file) : result;
+}
+
+Result check_document(Value document, const std::string& file) {
+    static const valijson::Schema& checks = *[] {
+        auto* made = new valijson::Schema;  // as long as the process
+        valijson::SchemaParser parser;
+        const valijson::adapters::NlohmannJsonAdapter adapted_schema(schema_json());
+        parser.populateSchema(adapted_schema, *made);
+        return made;
+    }();
+    const nlohmann::json json = document.json();
     const valijson::adapters::NlohmannJsonAdapter adapted(json);
     valijson::ValidationResults results;
     valijson::Validator validator;
-    if (validator.validate(checks, adapted, &results)) return result;
+    if (validator.validate(checks, adapted, &results)) return document;
     // The innermost of what it found; of several, the first in the file.
     valijson::ValidationResults::Error error, chosen;
     std::optional<Position> first;
     while (results.popError(error)) {
         if (error.context.size() < chosen.context.size()) continue;
-        const Position at = find_place(*document, error.context).at;
+        const Position at = find_place(document, error.context).at;
         const bool deeper = error.context.size() > chosen.context.size();
         if (first && !deeper && std::pair(at.line, at.column) >= std::pair(first->line, first->column))
             continue;
         chosen = error;
         first = at;
     }
-    return explain(*document, file, chosen);
+    return explain(document, file, chosen);
 }
 
 std::optional<Problem> read_text(const std::string& path, std::string& text) {
--- a/src/operators/document.h
+++ b/src/operators/document.h
@@ -15,6 +15,8 @@
 
 // Reads, runs and checks a script. The Value is a dict of the lists of declarations.
 Result read_document(std::string_view text, const std::string& file);
+// The second half of it: of a document that came otherwise.
+Result check_document(Value document, const std::string& file);
 // The text of a file, at most `most_bytes` and one more; a Problem where it cannot be read.
 std::optional<Problem> read_text(const std::string& path, std::string& text);
 
--- a/src/operators/script.cpp
+++ b/src/operators/script.cpp
@@ -153,7 +153,10 @@
                                            {"accord", "accords", {"version"}},
                                            {"health", "healths", {}},
                                            {"forms", "form_settings", {}},
-                                           {"schema", "schemas", {"name", "version"}}};
+                                           {"schema", "schemas", {"name", "version"}},
+                                           {"route", "routes", {"name"}},
+                                           {"relay", "relays", {"name"}},
+                                           {"distribution", "distributions", {}}};
     return all;
 }
 
--- a/src/plans/accounts.cpp
+++ b/src/plans/accounts.cpp
@@ -1,6 +1,7 @@
 #include "accounts.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace linnetlead::plans {
@@ -21,8 +22,42 @@
       lease(lease_block),
       reserves(site.gateways, site.most_units, std::move(count)),
       may_count_(site.may_count),
+      platform_plans_(site.plans.size()),
       positions_(site.plans) {
     for (const auto& plan : positions_) name_.push_back(ledger.plan(plan.name));
+    named_ = by_name({}, {});
+}
+
+// A plan of the book's own goes before the platform's of the same name.
+Accounts::ByName Accounts::by_name(const PlanBook& book, const std::vector<std::int32_t>& positions) const {
+    ByName made;
+    for (std::size_t i = 0; i < book.plans.size(); ++i) made.emplace(book.plans[i].name, positions[i]);
+    for (std::size_t i = 0; i < platform_plans_; ++i) {
+        made.emplace(positions_[i].name, static_cast<std::int32_t>(i));
+    }
+    return made;
+}
+
+std::int32_t Accounts::lesser(std::int32_t a, std::int32_t b) const {
+    const auto figures = [this](std::int32_t position) {
+        const auto& one = positions_[static_cast<std::size_t>(position)];
+        constexpr double no_quota = std::numeric_limits<double>::infinity();
+        return std::pair(one.rate > 0 ? one.rate : no_quota, one.burst);
+    };
+    return figures(b) < figures(a) ? b : a;
+}
+
+std::int32_t Accounts::position_of_account(AccountId account, Time now, std::int32_t named,
+                                           bool& narrowed) const {
+    const auto position = [named](const ByName& among, const std::optional<std::string>& plan) {
+        const auto at = plan ? among.find(*plan) : among.end();
+        return at == among.end() ? named : at->second;
+    };
+    const TermSource::Found found = terms_->find(account, now);
+    narrowed = narrow_ || found.narrowed;
+    if (found.unsure) return lesser(named, least_);
+    const std::int32_t made = position(named_, found.plan);
+    return narrowed ? lesser(made, position(other_ ? other_named_ : named_, found.next)) : made;
 }
 
 std::int32_t Accounts::position_of(const topazcrank::PlanSettings& plan,
@@ -59,6 +94,9 @@
         positions_.push_back(plan);
         name_.push_back(ledger.plan(plan.name));
     }
+    named_ = by_name(*book, position);
+    least_ = 0;
+    for (const auto& [name, at] : named_) least_ = lesser(least_, at);
     position_ = std::move(position);
     reserved_ = std::move(reserved);
     if (may_count_) reserves.take(book->reserves);
@@ -84,6 +122,7 @@
         name_.push_back(ledger.plan(plan.name));
     }
     other_ = on ? std::move(other) : nullptr;
+    other_named_ = other_ ? by_name(*other_, position) : ByName();
     other_position_ = std::move(position);
     return true;
 }
@@ -91,24 +130,23 @@
 void Accounts::taken(Time now, core::Handle call, topazcrank::Request& request) {
     const auto account = read_account(request.customer);
     const std::int32_t named = request.plan;
-    if (book_ && account) {
+    bool narrowed = narrow_;
+    if (terms_ && account) {
+        request.plan = position_of_account(*account, now, named, narrowed);
+    } else if (book_ && account) {
         if (const auto plan = book_->plan_at(*account, now)) {
             request.plan = position_[static_cast<std::size_t>(*plan)];
         }
     }
-    if (other_ && account) {
+    if (other_ && account && !terms_) {
         const auto plan = other_->plan_at(*account, now);
-        const std::int32_t other = plan ? other_position_[static_cast<std::size_t>(*plan)] : named;
-        const auto figures = [this](std::int32_t position) {
-            const auto& one = positions_[static_cast<std::size_t>(position)];
-            return std::pair(one.rate, one.burst);
-        };
-        if (figures(other) < figures(request.plan)) request.plan = other;
+        request.plan = lesser(request.plan, plan ? other_position_[static_cast<std::size_t>(*plan)] : named);
     }
     if (call.index >= open_.size()) open_.resize(call.index + 1);
     Open& open = open_[call.index] = {account.value_or(Ledger::no_account), request.plan, false, 0, {}, {}};
     ++open_calls_;
-    const auto paid = account && !narrow_ ? reserves.pay(now, *account, request.units) : std::nullopt;
+    const auto paid =
+        account && !narrowed && !reserves_held_ ? reserves.pay(now, *account, request.units) : std::nullopt;
     if (!paid) return;
     open.paid = *paid;
     const int most_open = reserves.find(paid->purse)->reserve().open;
--- a/src/plans/accounts.h
+++ b/src/plans/accounts.h
@@ -13,6 +13,20 @@
 
 namespace linnetlead::plans {
 
+// Where accounts' terms are looked up one by one, there being too many for a book. The plans that they name
+// are the book's or the platform's; without a plan that is known, a call is under the one that it names.
+class TermSource {
+public:
+    struct Found {
+        std::optional<std::string> plan;  // in force; none: nothing is said of the account now
+        std::optional<std::string> next;  // once all that is known is in force
+        bool unsure = false;              // what holds of it cannot be read here
+        bool narrowed = false;            // as under Accounts::narrow(), of this call
+    };
+    virtual ~TermSource() = default;
+    virtual Found find(AccountId account, Time now) const = 0;
+};
+
 class Accounts final : public core::Accounts {
 public:
     // `site`: with the plans that the decision module has from the platform's settings. `count`: for the
@@ -26,6 +40,11 @@
     // While it is not known which of two books holds, an account has the lesser of its two plans and pays
     // from no reserve. `other`: nothing where there is only the one. `more` as above.
     bool narrow(bool on, std::shared_ptr<const PlanBook> other, std::vector<topazcrank::PlanSettings>& more);
+    // Terms come from there and not from the book; it outlives this. An account of which it is unsure has
+    // the least of the plans that are known here.
+    void look_up_in(const TermSource* terms) { terms_ = terms; }
+    // Nobody pays from a reserve.
+    void hold_reserves(bool on) { reserves_held_ = on; }
     const PlanBook* book() const { return book_.get(); }
 
     void taken(Time now, core::Handle call, topazcrank::Request& request) override;
@@ -52,6 +71,12 @@
         Reserves::Paid paid;
         UseKey key;
     };
+    using ByName = std::unordered_map<std::string, std::int32_t>;
+    ByName by_name(const PlanBook& book, const std::vector<std::int32_t>& positions) const;
+    // `narrowed`: whether it is.
+    std::int32_t position_of_account(AccountId account, Time now, std::int32_t named, bool& narrowed) const;
+    // The lesser of two, by rate, then burst.
+    std::int32_t lesser(std::int32_t a, std::int32_t b) const;
     std::int32_t reserve_name(std::int32_t plan, const Reserves::Paid& paid);
     std::int32_t position_of(const topazcrank::PlanSettings& plan,
                              std::vector<topazcrank::PlanSettings>& more);
@@ -59,7 +84,11 @@
     bool may_count_;
     std::shared_ptr<const PlanBook> book_;
     std::vector<std::int32_t> position_;  // in the module, of each plan of the book
-    bool narrow_ = false;
+    ByName named_, other_named_;          // the plans of either book and the platform's, by name
+    std::size_t platform_plans_;
+    std::int32_t least_ = 0;
+    const TermSource* terms_ = nullptr;
+    bool narrow_ = false, reserves_held_ = false;
     std::shared_ptr<const PlanBook> other_;
     std::vector<std::int32_t> other_position_;
     std::vector<topazcrank::PlanSettings> positions_;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -148,7 +148,26 @@
     return made;
 }
 
+std::optional<std::string> Router::route_of(const std::string& name) const {
+    const auto at = settings_.routes.find(name);
+    if (at != settings_.routes.end()) return at->second;
+    return more_routes_ ? more_routes_(name) : std::nullopt;
+}
+
+std::size_t Router::routed(const topazcrank::Request& request) const {
+    if (fenced_ || (settings_.routes.empty() && !more_routes_)) return 0;
+    auto pool = route_of(request.customer);
+    if (!pool) pool = route_of(site_.classes[static_cast<std::size_t>(request.cls)].name);
+    const std::size_t number = pool ? number_of(*pool) : 0;
+    return move_ && number == target_ ? 0 : number;  // what goes there, the move decides
+}
+
 std::uint32_t Router::choose(Time now, topazcrank::Request& request) {
+    if (const std::size_t pool = routed(request)) {
+        if (move_ && others_serve_) request.fallback = ~bit(target_);
+        request.pools = bit(pool);
+        return mark(for_nothing);
+    }
     if (!move_) return mark(for_nothing);
     // All but the new pool: what is not for the move, and what the move leaves.
     const Pools rest = others_serve_ ? ~bit(target_) : topazcrank::all_pools;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -37,8 +38,13 @@
 
     // At start, and whenever the operators' file has changed.
     void configure(Time now, RoutingSettings settings);
+    // The pool that an account's or a class's calls go to first, where there are too many routes for the
+    // settings. Nothing: they go to all.
+    using RouteOf = std::function<std::optional<std::string>(std::string_view name)>;
+    void look_up_in(RouteOf routes) { more_routes_ = std::move(routes); }
     void tick(Time now);
-    // Acts on what the versions before and after allow alike: nothing goes to a move's new pool.
+    // Acts on what the versions before and after allow alike: nothing goes to a move's new pool, and no
+    // route is followed.
     void fence(bool on) { fenced_ = on; }
     // These get what no other can take.
     void set_aside(const std::unordered_set<core::WorkerId>& workers);
@@ -68,6 +74,9 @@
     // A mark: the move's generation, and what the call was meant for or its attempt went to.
     enum Meant : std::uint32_t { for_nothing, for_source, for_target };
     std::uint32_t choose(Time now, topazcrank::Request& request);
+    // The number of the pool that the call goes to first; 0: there is no route.
+    std::size_t routed(const topazcrank::Request& request) const;
+    std::optional<std::string> route_of(const std::string& name) const;
     std::uint32_t mark(Meant meant) const { return generation_ << 2 | meant; }
 
     void count(const std::string& name, double amount, Span life) override;
@@ -89,6 +98,7 @@
     Outside outside_;
     std::mt19937_64 random_;
     RoutingSettings settings_;
+    RouteOf more_routes_;                                // none: all are in the settings
     std::unordered_map<core::WorkerId, Known> workers_;  // as long as the list
     std::unique_ptr<Move> move_;
     std::uint32_t generation_ = 0;
--- a/src/routing/settings.cpp
+++ b/src/routing/settings.cpp
@@ -38,6 +38,11 @@
            apart(a.cells, b.cells);
 }
 
+bool is_account(const std::string& text) {
+    constexpr std::size_t digits = 16;
+    return text.size() == digits && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
 class Reader {
 public:
     Reader(const Value& document, const settings::Site* site) : document_(document), site_(site) {}
@@ -50,6 +55,9 @@
         if (const Value* moves = document_.find("moves")) {
             for (const Value& move : moves->items) settings.moves.push_back(read_move(move, settings.pools));
         }
+        if (const Value* routes = document_.find("routes")) {
+            for (const Value& route : routes->items) read_route(route, settings);
+        }
         return settings;
     }
 
@@ -97,6 +105,25 @@
         return *at;
     }
 
+    void read_route(const Value& from, RoutingSettings& settings) {
+        const Value& name = *from.find("name");
+        const Value& pool = *from.find("pool");
+        const bool is_class =
+            site_ && std::any_of(site_->settings.classes.begin(), site_->settings.classes.end(),
+                                 [&](const auto& cls) { return cls.name == name.text; });
+        if (site_ && !is_class && !is_account(name.text)) {
+            throw Wrong{name.at,
+                        "a route is an account's, 16 hex digits, or a class's, not '" + name.text + "'"};
+        }
+        if (std::none_of(settings.pools.begin(), settings.pools.end(),
+                         [&](const Pool& one) { return one.name == pool.text; })) {
+            throw Wrong{pool.at, "there is no pool '" + pool.text + "'"};
+        }
+        if (!settings.routes.emplace(name.text, pool.text).second) {
+            throw Wrong{name.at, "there is a route of '" + name.text + "' already"};
+        }
+    }
+
     MoveSettings read_move(const Value& from, const std::vector<Pool>& pools) {
         MoveSettings move;
         move.name = from.find("name")->text;
--- a/src/routing/settings.h
+++ b/src/routing/settings.h
@@ -1,6 +1,7 @@
 // What the operators' document says of pools and moves, checked for what a schema cannot say.
 #pragma once
 
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,6 +24,8 @@
 struct RoutingSettings {
     std::vector<Pool> pools;
     std::vector<MoveSettings> moves;  // one at most
+    // The pool that calls go to first, by their account (16 hex digits) or else by their class's name.
+    std::map<std::string, std::string> routes;
 };
 
 // `site`: the platform's settings, whose classes, plans, kinds and zones are the only ones; none: not
--- /dev/null
+++ b/tests/resources_test.cpp
@@ -0,0 +1,325 @@
+// Keyed resources: operators' files made into them and back, differences, tenants' terms looked up at the
+// call, and routes of single accounts and classes.
+#include "operators/resources.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <fstream>
+#include <map>
+
+#include "plans/accounts.h"
+#include "plans/tenants.h"
+#include "routing/router.h"
+#include "standin/peer.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace plans;
+using operators::Problem;
+using operators::Resources;
+using operators::Value;
+
+const std::string file =
+    "zebra = pool(\"zebra\", kinds = [\"c2-std\"], zones = [\"dc-2\"], cells = [3, 1])\n"
+    "any = pool(\"any\", zones = [\"dc-1\"])\n"
+    "small = plan(\"small\", rate = per_second(10.5), burst = 20)\n"
+    "plan(\"large\", rate = per_second(40), burst = 80, open = 7)\n"
+    "account(\"00000000b4d65521\", plan = small, until = instant(\"2026-12-01T10:00:00Z\"))\n"
+    "account(\"00000000b4d65521\", plan = \"large\", since = instant(\"2026-12-01T10:00:00.250Z\"))\n"
+    "capacity(per_second(400), plans = percent(60))\n"
+    "reserve(\"tender\", account = \"00000000b4d65521\", units = 900, lend = False,\n"
+    "        since = instant(\"2026-12-15T10:00:00Z\"), until = instant(\"2026-12-15T10:30:00Z\"))\n"
+    "route(\"quote-read\", pool = any)\n"
+    "move(\"over\", source = \"zebra\", target = \"any\", stages = [stage(percent(5), hold = seconds(2))])\n";
+
+Value document(const std::string& text) {
+    auto made = operators::read_document(text, "f");
+    if (const auto* problem = std::get_if<Problem>(&made)) throw std::runtime_error(problem->line());
+    return std::get<Value>(std::move(made));
+}
+std::shared_ptr<const PlanBook> book_of(const Value& from) {
+    auto made = read_book(from, "f", nullptr);
+    if (const auto* problem = std::get_if<Problem>(&made)) throw std::runtime_error(problem->line());
+    return std::get<std::shared_ptr<const PlanBook>>(std::move(made));
+}
+
+TEST(Resources, AFileGoesToKeysAndBackWithoutLossAndInOrder) {
+    const Resources made = operators::resources_of(document(file));
+    std::string keys;
+    for (const auto& [key, value] : made) keys += key + ' ';
+    EXPECT_EQ(keys,
+              "capacity/ move/over plan/large plan/small pool/any pool/zebra reserve/tender "
+              "route/quote-read ");
+    EXPECT_EQ(made.at("pool/zebra"), R"({"cells":[3,1],"kinds":["c2-std"],"rank":1,"zones":["dc-2"]})");
+    EXPECT_EQ(made.at("plan/small"), R"({"burst":20,"rate":{"unit":"rate","value":10.5}})");
+    for (const auto& [key, value] : made) {
+        EXPECT_EQ(operators::check_resource(key, value), "") << key;
+        EXPECT_EQ(operators::canonical(value), value) << key;
+    }
+    auto back = operators::document_of(made);
+    ASSERT_TRUE(std::holds_alternative<Value>(back)) << std::get<Problem>(back).line();
+    const Value& again = std::get<Value>(back);
+    EXPECT_EQ(operators::resources_of(again), made);
+    const auto routing = routing::read_routing(again, "f", nullptr);
+    const auto& settings = std::get<routing::RoutingSettings>(routing);
+    ASSERT_EQ(settings.pools.size(), 2u);
+    EXPECT_EQ(settings.pools[0].name, "zebra") << "a worker belongs to the first pool of the file";
+    EXPECT_EQ(settings.moves[0].stages[0].hold, 2s);
+    EXPECT_EQ(settings.routes.at("quote-read"), "any");
+    const auto before = book_of(document(file)), after = book_of(again);
+    EXPECT_EQ(after->reserves, before->reserves);
+    EXPECT_EQ(after->capacity, 400);
+    // The order of plans is the keys'; their figures and tags are the same.
+    for (const auto& plan : before->plans) {
+        const auto at = std::find_if(after->plans.begin(), after->plans.end(),
+                                     [&](const auto& one) { return one.name == plan.name; });
+        ASSERT_NE(at, after->plans.end());
+        EXPECT_EQ(at->tag, plan.tag);
+    }
+}
+
+TEST(Resources, TermsOfAFileAndOfItsListsAreTenants) {
+    const std::string list = standin::temporary_path("csv");
+    std::ofstream(list) << "00000000b4d65522,small\n00000000b4d65523,large,2026-12-01T10:00:00Z\n";
+    const auto book = book_of(document(file + "accounts(\"" + list + "\")\n"));
+    const Resources tenants = tenants_of(*book);
+    ASSERT_EQ(tenants.size(), 3u);
+    EXPECT_EQ(tenants.at("tenant/00000000b4d65522"), R"({"terms":[{"plan":"small"}]})");
+    EXPECT_EQ(tenants.at("tenant/00000000b4d65521"),
+              R"({"terms":[{"plan":"small","until":1796119200},{"plan":"large","since":1796119200.25}]})");
+    for (const AccountId account : {0xb4d65521, 0xb4d65522, 0xb4d65523}) {
+        for (const char* at : {"2026-11-01T10:00:00Z", "2026-12-01T10:00:00Z", "2026-12-01T10:00:00.250Z"}) {
+            const Time now = *read_instant(at);
+            const auto plan = book->plan_at(account, now);
+            const auto found = plan_at(tenants.at(tenant_key(account)), now);
+            EXPECT_EQ(found.has_value(), plan.has_value()) << account << ' ' << at;
+            if (!plan || !found) continue;
+            EXPECT_EQ(*found, book->plans[static_cast<std::size_t>(*plan)].name);
+        }
+    }
+    unlink(list.c_str());
+}
+
+TEST(Resources, WhatIsNoValueOfItsKindIsToldSo) {
+    for (const auto& [key, value] : std::map<std::string, std::string>{
+             {"plan/a", "{}"},
+             {"plan/b", "[1"},
+             {"plan/c", R"({"burst":1,"rate":3})"},
+             {"plan/d", R"({"burst":1,"name":"d","rate":{"unit":"rate","value":1}})"},
+             {"pool/e", R"({"kinds":[]})"},
+             {"pool/f", R"({"kinds":["a"],"rank":"first"})"},
+             {"route/g", R"({"pool":7})"},
+             {"capacity/h", R"({"rate":{"unit":"rate","value":1}})"},
+             {"pool/" + std::string(41, 'x'), R"({"kinds":["a"]})"}}) {
+        EXPECT_NE(operators::check_resource(key, value), "") << key;
+    }
+    for (const char* value :
+         {"", "7", "{}", R"({"terms":[]})", R"({"terms":[{}]})", R"({"terms":[{"plan":"a","until":-1}]})",
+          R"({"terms":[{"plan":"a","rate":3}]})", R"({"terms":[{"plan":"a"},{"plan":"b"}]})",
+          R"({"terms":[{"plan":"a","since":5,"until":5}]})",
+          R"({"terms":[{"plan":"a","until":9},{"plan":"b","since":8}]})",
+          R"({"terms":[{"plan":"a"}],"x":1})"}) {
+        EXPECT_TRUE(std::holds_alternative<std::string>(read_tenant(value))) << value;
+        EXPECT_EQ(plan_at(value, 1s), std::nullopt) << value;
+    }
+    EXPECT_EQ(tenant_of("tenant/0000000200000000"), std::nullopt);
+    EXPECT_EQ(tenant_of("plan/0000000000000001"), std::nullopt);
+    EXPECT_EQ(tenant_of("tenant/0000000000000001"), 1u);
+}
+
+RC_GTEST_PROP(Resources, ADifferenceMakesTheOneOfTheOtherAndNothingElse, ()) {
+    const auto drawn = [] {
+        Resources made;
+        const auto text = [](std::initializer_list<std::string> of) {
+            return *rc::gen::elementOf(std::vector<std::string>(of));
+        };
+        for (int i = *rc::gen::inRange(0, 6); i > 0; --i) {
+            made[text({"pool/a", "pool/b", "plan/a", "plan/b", "tenant/1"})] = text({"1", "2", "3"});
+        }
+        return made;
+    };
+    const Resources before = drawn(), after = drawn();
+    Resources made = before;
+    for (const auto& edit : operators::difference(before, after)) {
+        const auto was = made.find(edit.key);
+        const bool changes = edit.value ? was == made.end() || was->second != *edit.value : was != made.end();
+        RC_ASSERT(changes);
+        edit.value ? static_cast<void>(made[edit.key] = *edit.value)
+                   : static_cast<void>(made.erase(edit.key));
+    }
+    RC_ASSERT(made == after);
+}
+
+// ---- Terms looked up at the call ------------------------------------------------------------------------
+
+struct Looked final : TermSource {
+    std::map<AccountId, Found> all;
+    mutable int looks = 0;
+    Found find(AccountId account, Time) const override {
+        ++looks;
+        const auto at = all.find(account);
+        return at == all.end() ? Found{} : at->second;
+    }
+};
+
+struct Desk {
+    Desk() : accounts(site(), 1h, {}, 0, {}) {
+        std::vector<topazcrank::PlanSettings> more;
+        EXPECT_TRUE(accounts.take(book_of(document(file.substr(0, file.find("account(")))), more));
+        EXPECT_EQ(more.size(), 2u);
+        names = {"basico", "prueba", more[0].name, more[1].name};
+        accounts.look_up_in(&terms);
+    }
+    static topazcrank::Settings site() {
+        topazcrank::Settings made;
+        made.plans.resize(2);
+        made.plans[0].name = "basico";  // no quota
+        made.plans[1].name = "prueba";
+        made.plans[1].rate = 5;
+        return made;
+    }
+    std::string plan_of(AccountId account, int named = 0) {
+        topazcrank::Request request;
+        request.plan = named;
+        char hex[17];
+        std::snprintf(hex, sizeof(hex), "%016llx", static_cast<unsigned long long>(account));
+        request.customer = hex;
+        accounts.taken(1s, {0, 1}, request);
+        return names[static_cast<std::size_t>(request.plan)];
+    }
+    Looked terms;
+    Accounts accounts;
+    std::vector<std::string> names;
+};
+
+TEST(TermSource, AnAccountIsUnderThePlanThatIsFoundAtItsCall) {
+    Desk desk;
+    desk.terms.all = {
+        {1, {"large", {}, false, false}}, {2, {"prueba", {}, false, false}}, {3, {"gone", {}, false, false}}};
+    EXPECT_EQ(desk.plan_of(1), "large");
+    EXPECT_EQ(desk.plan_of(2), "prueba") << "the platform's, by name";
+    EXPECT_EQ(desk.plan_of(3, 1), "prueba") << "of a plan that is not there, what the call names";
+    EXPECT_EQ(desk.plan_of(4), "basico") << "nothing is known of it";
+    EXPECT_EQ(desk.terms.looks, 4) << "one look a call";
+    desk.terms.all[4] = {"small", {}, false, false};
+    EXPECT_EQ(desk.plan_of(4), "small");
+}
+
+TEST(TermSource, FencedAnAccountHasTheLesserOfWhatHoldsAndOfWhatMayCome) {
+    Desk desk;
+    desk.terms.all = {{1, {"large", "small", false, true}},
+                      {2, {"small", "large", false, true}},
+                      {3, {"large", {}, false, true}},
+                      {4, {{}, "small", false, true}},
+                      {5, {"large", "small", false, false}}};
+    EXPECT_EQ(desk.plan_of(1), "small");
+    EXPECT_EQ(desk.plan_of(2), "small");
+    EXPECT_EQ(desk.plan_of(3), "large") << "its terms may be taken away, and its calls name no quota";
+    EXPECT_EQ(desk.plan_of(3, 1), "prueba") << "the same, and they name a lesser one";
+    EXPECT_EQ(desk.plan_of(4), "small");
+    EXPECT_EQ(desk.plan_of(5), "large") << "not fenced";
+    std::vector<topazcrank::PlanSettings> more;
+    auto next = std::make_shared<PlanBook>();
+    next->plans.resize(1);
+    next->plans[0].name = "large";
+    next->plans[0].rate = 2;
+    ASSERT_TRUE(desk.accounts.narrow(true, next, more));
+    ASSERT_EQ(more.size(), 1u);
+    desk.names.push_back("large, as it may come to be");
+    desk.terms.all[5].next = "large";
+    EXPECT_EQ(desk.plan_of(5), "large, as it may come to be");
+    ASSERT_TRUE(desk.accounts.narrow(false, nullptr, more));
+    EXPECT_EQ(desk.plan_of(5), "large");
+}
+
+TEST(TermSource, WhoseTermsCannotBeReadHasTheLeastPlanThereIs) {
+    Desk desk;
+    desk.terms.all = {{1, {"large", {}, true, false}}};
+    EXPECT_EQ(desk.plan_of(1), "prueba");
+}
+
+// ---- Routes ---------------------------------------------------------------------------------------------
+
+struct Routed {
+    Routed() : router(site(), 1, {}) {
+        std::vector<topazcrank::ServerEntry> list(2);
+        list[0].id = "s";
+        list[0].kind = "c2-std";
+        list[0].zone = "dc-2";
+        list[0].cell = 1;
+        list[1].id = "f";
+        list[1].zone = "dc-1";
+        router.configure(0s, settings(file.substr(0, file.find("move("))));
+        router.listed(0s, topazcrank::ListKind::full, list);
+        pools = {{list[0].pools, "zebra"}, {list[1].pools, "any"}, {topazcrank::all_pools, "all"}};
+    }
+    static routing::RoutingSettings settings(const std::string& text) {
+        const Value from = document(text);
+        auto made = routing::read_routing(from, "f", nullptr);
+        return std::get<routing::RoutingSettings>(std::move(made));
+    }
+    static topazcrank::Settings site() {
+        topazcrank::Settings made;
+        made.classes.resize(2);
+        made.classes[0].name = "quote-read";
+        made.classes[1].name = "slot-hold";
+        made.plans.resize(1);
+        return made;
+    }
+    std::string first(const std::string& account, int cls) {
+        topazcrank::Request request;
+        request.customer = account;
+        request.cls = cls;
+        router.route(0s, request);
+        fallback = request.fallback;
+        return pools.count(request.pools) ? pools[request.pools] : "several";
+    }
+    routing::Router router;
+    std::map<topazcrank::Pools, std::string> pools;
+    topazcrank::Pools fallback = 0;
+};
+
+TEST(Routes, AnAccountsCallsGoFirstToItsPoolElseToItsClasss) {
+    Routed routed;
+    EXPECT_EQ(routed.first("0000000000000001", 0), "any") << "the class's, of the file";
+    EXPECT_EQ(routed.fallback, topazcrank::all_pools);
+    EXPECT_EQ(routed.first("0000000000000001", 1), "all");
+    routed.router.look_up_in([](std::string_view name) -> std::optional<std::string> {
+        if (name == "0000000000000001") return "zebra";
+        if (name == "0000000000000002") return "no such pool";
+        return std::nullopt;
+    });
+    EXPECT_EQ(routed.first("0000000000000001", 0), "zebra");
+    EXPECT_EQ(routed.first("0000000000000002", 0), "all");
+    EXPECT_EQ(routed.first("0000000000000003", 0), "any");
+    routed.router.fence(true);
+    EXPECT_EQ(routed.first("0000000000000001", 0), "all") << "fenced, nothing follows from routes";
+    routed.router.fence(false);
+    // A move's new pool gets what the move gives it.
+    routed.router.configure(0s, Routed::settings(file));
+    EXPECT_EQ(routed.first("0000000000000003", 0), "zebra") << "routed to the new pool, but for the move";
+    EXPECT_EQ(routed.first("0000000000000001", 0), "zebra");
+}
+
+TEST(Routes, MistakesAreToldAtTheirPlace) {
+    settings::Site site;
+    site.settings = Routed::site();
+    const auto problem = [&](const std::string& text) {
+        const auto made = routing::read_routing(document(text), "f", &site);
+        const auto* wrong = std::get_if<Problem>(&made);
+        return wrong ? wrong->line() : "";
+    };
+    const std::string pool = "pool(\"a\", ids = [\"x\"])\n";
+    EXPECT_EQ(problem(pool + "route(\"quote-read\", pool = \"b\")\n"), "f:2:28: there is no pool 'b'");
+    EXPECT_EQ(problem(pool + "route(\"quotes\", pool = \"a\")\n"),
+              "f:2:7: a route is an account's, 16 hex digits, or a class's, not 'quotes'");
+    EXPECT_EQ(problem(pool + "route(\"slot-hold\", pool = \"a\")\nroute(\"slot-hold\", pool = \"a\")\n"),
+              "f:3:7: there is a route of 'slot-hold' already");
+    EXPECT_EQ(problem(pool + "route(\"00000000b4d65521\", pool = \"a\")\n"), "");
+}
+
+}  // namespace
+}  // namespace linnetlead
