Distribution: relays, with counts, settlements, changes on their way in and the fan-out

Need: the mechanism's middle: who orders, passes on, counts and settles.

A relay that votes drives the quorum and keeps the history that its committed entries make up; one that does not vote keeps a follower's. Counts go up as sums, from voters to the leader beside the quorum's messages. Changes are checked against the tip, known again by id (the last 4,096, also after a restart), and answered once they count. A follower has a position and a window and no queue; one that is behind gets the latest of each key, from slices that may be taken while the state goes on. Lies, garbage and frames of the wrong side end one connection with an error of its own. The follower now also leaves a connection on which records that counted do not come, which the relay's tests showed. Relay's additions: save() and restore() for one that does not vote, position(), revision(), compact_after, quorum and answer_within among the settings; voters are named by their relay's number outside.

--- /dev/null
+++ b/src/distribution/counts.h
@@ -0,0 +1,40 @@
+// What all behind a relay hold, out of what each of its followers acknowledged: sums, and a few names.
+#pragma once
+
+#include <map>
+
+#include "frames.h"
+
+namespace linnetlead::distribution {
+
+class Counts {
+public:
+    static constexpr std::size_t most_holding = 64, most_changes = 64;
+
+    // One that follows here, by a number of the caller's. A gateway counts as itself.
+    void put(std::uint64_t source, const Ack& ack);
+    void drop(std::uint64_t source);
+    void clear();
+
+    std::uint32_t gateways() const { return total().gateways; }
+    std::uint32_t fenced() const { return total().fenced; }
+    // Gateways that hold all records up to this one.
+    std::uint32_t holding(Number upto) const;
+    // Gateways that cannot take some of the change's keys.
+    Counted cannot(Number change) const;
+    // To be sent on by who holds all up to `position`: of changes behind `behind`.
+    Ack ack(Number position, Number behind) const;
+
+private:
+    struct Total {
+        std::uint32_t gateways = 0, fenced = 0;
+        std::map<Number, std::uint32_t> holding;  // up to exactly here
+        std::map<Number, Counted> cannot;
+    };
+    const Total& total() const;
+
+    std::map<std::uint64_t, Ack> sources_;
+    mutable std::optional<Total> total_;
+};
+
+}  // namespace linnetlead::distribution
--- /dev/null
+++ b/src/distribution/fan_out.cpp
@@ -0,0 +1,390 @@
+#include "fan_out.h"
+
+#include <algorithm>
+
+namespace linnetlead::distribution {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t batch_bytes = 128 * 1024, batch_records = 512, kept_batches = 16;
+constexpr std::size_t piece_bytes = 64 * 1024;
+constexpr std::size_t pieces_at_once = 32;        // of all followers, between two ticks
+constexpr std::size_t other_sessions = 64;        // that do not follow, or have not said so yet
+constexpr std::uint32_t most_gateways = 1000000;  // that a relay may say to be behind it
+constexpr Span greets_within = 5s, silence = 7s, idle = 60s, keepalive = 1s;
+
+}  // namespace
+
+FanOut::FanOut(const Relay::Settings& settings, const Relay::Outside& outside, const History& history,
+               Asked asked)
+    : settings_(settings),
+      outside_(outside),
+      history_(history),
+      asked_(std::move(asked)),
+      random_(settings.seed ^ 0x66616e6f7574ULL),
+      pieces_left_(pieces_at_once),
+      joins_(std::max(1.0, settings.joins_per_s / 4)) {}
+
+void FanOut::put(Session session, const Frame& frame, std::size_t bytes) {
+    ++traffic_.frames_down;
+    traffic_.bytes_down += bytes;
+    outside_.to_follower(session, frame);
+}
+void FanOut::put(Session session, const Frame& frame) { put(session, frame, write(frame).size()); }
+
+std::size_t FanOut::followers() const {
+    return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto& each) {
+        return each.second.greeted && each.second.role != Role::tool;
+    }));
+}
+
+// ---- coming and going ----
+
+void FanOut::opened(Time now, Session session) {
+    if (sessions_.size() >= settings_.most_followers + other_sessions) {
+        turn_away(now, session);
+        return;
+    }
+    Follows follows;
+    follows.opened = follows.last_heard = now;
+    sessions_[session] = std::move(follows);
+}
+
+void FanOut::forget(Session session) {
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end()) return;
+    if (found->second.snapshot) --snapshots_;
+    counts_.drop(session);
+    sessions_.erase(found);
+}
+
+void FanOut::closed(Session session) { forget(session); }
+
+void FanOut::refuse(Session session, Refusal refusal, const std::string& text) {
+    outside_.event("refused", std::string(words(refusal)) + (text.empty() ? "" : ": " + text));
+    put(session, Error{refusal, text});
+    forget(session);
+    outside_.hang_up(session);
+}
+
+void FanOut::turn_away(Time now, Session session) {
+    // As long as letting in those who were turned away lately takes, spread.
+    const double elapsed = std::chrono::duration<double>(now - joins_at_).count();
+    turned_away_lately_ = std::max(0.0, turned_away_lately_ - elapsed * settings_.joins_per_s) + 1;
+    joins_ = std::min(std::max(1.0, settings_.joins_per_s / 4), joins_ + elapsed * settings_.joins_per_s);
+    joins_at_ = now;
+    const double most_ms = std::clamp(1000 * turned_away_lately_ / settings_.joins_per_s, 500.0, 30000.0);
+    ++traffic_.turned_away;
+    put(session,
+        Away{std::uniform_int_distribution<std::int64_t>(250, static_cast<std::int64_t>(most_ms))(random_),
+             Refusal::full});
+    forget(session);
+    outside_.hang_up(session);
+}
+
+void FanOut::wrong(Time, Session session, Refusal refusal) {
+    if (sessions_.count(session) != 0) refuse(session, refusal, "bytes that are no frame");
+}
+
+bool FanOut::answer(Session session, const Answer& answer) {
+    if (sessions_.count(session) == 0) return false;
+    put(session, answer);
+    return true;
+}
+
+// ---- what followers say ----
+
+void FanOut::heard(Time now, Session session, const Frame& frame) {
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end()) return;
+    Follows& follows = found->second;
+    follows.last_heard = now;
+    ++traffic_.frames_up;
+    traffic_.bytes_up += write(frame).size();
+    if (const auto* hello = std::get_if<Hello>(&frame)) return hear(now, session, follows, *hello);
+    if (!follows.greeted) return refuse(session, Refusal::malformed, "the first frame has to be hello");
+    if (const auto* ack = std::get_if<Ack>(&frame)) return hear(now, session, follows, *ack);
+    // Who does not take its answers gets no more of them.
+    const bool slow = outside_.unsent(session) > settings_.window;
+    if (const auto* submit = std::get_if<Submit>(&frame)) {
+        if (slow) return refuse(session, Refusal::busy, "answers are not taken");
+        return asked_.submit(now, session, *submit);
+    }
+    if (const auto* ask = std::get_if<Ask>(&frame)) {
+        if (slow) return refuse(session, Refusal::busy, "answers are not taken");
+        return asked_.state(now, session, *ask);
+    }
+    refuse(session, Refusal::malformed, "a frame that no follower sends");
+}
+
+void FanOut::hear(Time now, Session session, Follows& follows, const Hello& hello) {
+    if (follows.greeted) return refuse(session, Refusal::malformed, "hello twice");
+    if (hello.version != protocol_version)
+        return refuse(session, Refusal::malformed,
+                      "version " + std::to_string(hello.version) + " of the protocol is not spoken here");
+    if (hello.base > hello.position) return refuse(session, Refusal::malformed, "a base behind its position");
+    follows.role = hello.role;
+    follows.name = hello.name;
+    if (hello.role != Role::tool) {
+        const double elapsed = std::chrono::duration<double>(now - joins_at_).count();
+        if (elapsed > 0) {
+            const double gained = elapsed * settings_.joins_per_s;
+            joins_ = std::min(std::max(1.0, settings_.joins_per_s / 4), joins_ + gained);
+            turned_away_lately_ = std::max(0.0, turned_away_lately_ - gained);
+            joins_at_ = now;
+        }
+        if (followers() >= settings_.most_followers || (joins_ < 1 && hello.role == Role::gateway))
+            return turn_away(now, session);
+        joins_ -= 1;
+    }
+    follows.greeted = true;
+    const Relay::Place& self = settings_.relays.at(static_cast<std::size_t>(settings_.self));
+    put(session, Welcome{self.name, self.region});
+    if (hello.role == Role::tool) return;
+    follows.position = follows.hello = follows.most = hello.position;
+    follows.hello_term = hello.term;
+    follows.base = hello.base;
+    follows.whole = follows.wants_snapshot = hello.whole;
+    if (hello.role == Role::gateway) {
+        Ack ack;
+        ack.gateways = 1;
+        ack.fenced = 1;
+        counts_.put(session, ack);
+    }
+    if (!hello.whole) reached(now, session, follows);
+    send(now, session, follows);
+    if (beat_.at != Time{} && !follows.whole) put(session, Lease{beat_});
+}
+
+// What it said to hold is compared with the history once that is known here.
+void FanOut::reached(Time, Session session, Follows& follows) {
+    if (follows.hello == 0 || follows.hello > history_.position()) return;
+    const auto term = history_.term_of(follows.hello);
+    if (term && *term != follows.hello_term) return never_counted(session, follows);
+    follows.hello = 0;
+}
+
+void FanOut::never_counted(Session session, Follows& follows) {
+    outside_.event("follower", follows.name + " holds what never counted here: it gets the whole state");
+    follows.whole = follows.wants_snapshot = true;
+    follows.hello = 0;
+    // What it says of itself is nothing of this history.
+    counts_.drop(session);
+}
+
+std::string FanOut::lie(const Follows& follows, const Ack& ack) const {
+    const auto text = [](const char* what, Number number) { return what + std::to_string(number); };
+    if (ack.position > follows.most) return text("it has never been sent record ", ack.position);
+    if (ack.in_force > ack.position) return text("it does not hold settlement ", ack.in_force);
+    if (const Record* record = history_.at(ack.in_force)) {
+        if (record->kind != RecordKind::settle) return text("there is no settlement ", ack.in_force);
+    }
+    const std::uint32_t most = follows.role == Role::gateway ? 1 : most_gateways;
+    if (ack.gateways > most || (follows.role == Role::gateway && ack.gateways != 1))
+        return text("it is not so many gateways: ", ack.gateways);
+    if (ack.fenced > ack.gateways) return text("more are fenced than there are: ", ack.fenced);
+    std::uint64_t held = 0;
+    for (const Holding& each : ack.holding) {
+        held += each.gateways;
+        if (each.upto > ack.position) return text("those behind it hold more than it does: ", each.upto);
+    }
+    if (held > ack.gateways) return text("more hold something than there are: ", held);
+    if (follows.role == Role::gateway && !ack.holding.empty()) return "nobody is behind a gateway";
+    for (const Counted& each : ack.cannot) {
+        if (each.cannot > ack.gateways) return text("more cannot take it than there are: ", each.cannot);
+        if (each.change > ack.position) return text("it does not hold change ", each.change);
+        const Record* record = history_.at(each.change);
+        if (record && record->kind != RecordKind::change) return text("there is no change ", each.change);
+    }
+    return {};
+}
+
+void FanOut::hear(Time, Session session, Follows& follows, const Ack& ack) {
+    if (follows.role == Role::tool) return refuse(session, Refusal::malformed, "a tool holds nothing");
+    // While it holds another state than this history's, what it says is of that one.
+    if (follows.whole) return;
+    if (follows.whole_awaits) {
+        if (ack.in_force < follows.whole_sent || ack.position > follows.position) return;
+        follows.whole_awaits = false;
+        follows.most = follows.position;
+    }
+    const std::string what = lie(follows, ack);
+    if (!what.empty()) return refuse(session, Refusal::lying, follows.name + ": " + what);
+    if (const Record* settlement = history_.at(ack.in_force))
+        follows.base = std::max(follows.base, std::min(settlement->upto, settlement->number));
+    counts_.put(session, ack);
+}
+
+// ---- what they are sent ----
+
+const FanOut::Batch& FanOut::batch(Number from) {
+    for (const Batch& batch : batches_) {
+        if (batch.from == from) return batch;
+    }
+    Records records;
+    std::size_t bytes = 0;
+    for (Number number = from; number <= history_.position() && records.records.size() < batch_records;
+         ++number) {
+        bytes += history_.bytes(number, number);
+        if (!records.records.empty() && bytes > batch_bytes) break;
+        records.records.push_back(*history_.at(number));
+    }
+    Batch made;
+    made.from = from;
+    made.to = records.records.back().number;
+    records.written = std::make_shared<const std::string>(write(records));
+    made.bytes = records.written->size();
+    made.frame = std::move(records);
+    batches_.push_back(std::move(made));
+    if (batches_.size() > kept_batches) batches_.pop_front();
+    return batches_.back();
+}
+
+void FanOut::send(Time now, Session session, Follows& follows) {
+    if (!follows.greeted || follows.role == Role::tool) return;
+    if (follows.hello != 0 && !follows.whole) {
+        reached(now, session, follows);
+        if (follows.hello != 0) return;  // it is ahead of this relay
+    }
+    while (true) {
+        if (follows.snapshot) return send_pieces(session, follows);
+        const Number next = follows.position + 1;
+        if (!follows.wants_snapshot) {
+            if (next > history_.position()) return;
+            // Behind what is kept, or by so much that the latest of each key is less.
+            follows.wants_snapshot =
+                next < history_.first() ||
+                (next <= history_.base() && history_.bytes(next, history_.base()) > settings_.window);
+        }
+        if (follows.wants_snapshot) {
+            // What it has not taken yet goes first: the later it begins, the less is sent twice.
+            if (outside_.unsent(session) > settings_.window / 2 || !begin_snapshot(follows)) return;
+            continue;
+        }
+        if (outside_.unsent(session) > settings_.window) return;
+        const Batch& records = batch(next);
+        follows.position = records.to;
+        follows.most = std::max(follows.most, records.to);
+        put(session, records.frame, records.bytes);
+    }
+}
+
+bool FanOut::begin_snapshot(Follows& follows) {
+    if (static_cast<double>(snapshots_) >= settings_.snapshots_at_once) return false;
+    ++snapshots_;
+    follows.wants_snapshot = false;
+    Snapshot& snapshot = follows.snapshot.emplace();
+    snapshot.known_since = history_.store().tombstones_since();
+    if (!follows.whole && follows.base <= history_.base() && follows.base >= snapshot.known_since)
+        snapshot.since = follows.base;
+    return true;
+}
+
+void FanOut::send_pieces(Session session, Follows& follows) {
+    Snapshot& snapshot = *follows.snapshot;
+    while (pieces_left_ > 0 && outside_.unsent(session) <= settings_.snapshot_window) {
+        // Keys taken away meanwhile may no longer be known: from the beginning.
+        if (history_.store().tombstones_since() != snapshot.known_since) {
+            const bool whole = snapshot.since < history_.store().tombstones_since();
+            snapshot = Snapshot{whole ? 0 : snapshot.since, history_.store().tombstones_since(), 0, 0};
+        }
+        --pieces_left_;
+        SnapshotPiece piece;
+        piece.since = snapshot.since;
+        piece.piece = snapshot.piece++;
+        snapshot.place = history_.store().slice(
+            snapshot.place, snapshot.since, piece_bytes,
+            [&piece](std::string_view key, std::optional<std::string_view> value, Number number) {
+                piece.entries.push_back({std::string(key), std::nullopt, number});
+                if (value) piece.entries.back().value = std::string(*value);
+            });
+        const bool last = snapshot.place == 0;
+        if (last) {
+            piece.last = true;
+            piece.number = history_.base();
+            piece.term = history_.base_term();
+            piece.hash = history_.store().hash();
+            piece.known_since = history_.store().tombstones_since();
+            piece.in_force_at = history_.in_force_at();
+            piece.in_force = history_.in_force();
+            piece.revision = history_.revision();
+            follows.position = follows.base = piece.number;
+            follows.most = std::max(follows.most, piece.number);
+            if (follows.whole) {
+                follows.whole_awaits = true;
+                follows.whole_sent = piece.in_force;
+            }
+            follows.whole = false;
+            follows.hello = 0;
+            follows.snapshot.reset();
+            --snapshots_;
+            ++traffic_.snapshots;
+        }
+        piece.written = std::make_shared<const std::string>(write(piece));
+        const std::size_t bytes = piece.written->size();
+        put(session, piece, bytes);
+        if (last) return;
+    }
+}
+
+void FanOut::send(Time now) {
+    for (auto each = sessions_.begin(); each != sessions_.end();) {
+        // It may go while it is sent to.
+        const auto next = std::next(each);
+        send(now, each->first, each->second);
+        each = next;
+    }
+}
+
+void FanOut::replaced(Time now) {
+    batches_.clear();
+    for (auto& [session, follows] : sessions_) {
+        if (!follows.snapshot) continue;
+        follows.snapshot.reset();
+        --snapshots_;
+        follows.wants_snapshot = true;
+    }
+    send(now);
+}
+
+void FanOut::beat(Time now, const Beat& beat) {
+    beat_ = beat;
+    beat_sent_ = now;
+    const Frame frame = Lease{beat};
+    const std::size_t bytes = write(frame).size();
+    for (const auto& [session, follows] : sessions_) {
+        if (!follows.greeted || follows.role == Role::tool) continue;
+        // On what is none of this history nobody acts; an empty one tells that this relay is there.
+        if (outside_.unsent(session) > settings_.window) continue;
+        if (follows.whole) {
+            put(session, Lease{});
+        } else {
+            put(session, frame, bytes);
+        }
+    }
+}
+
+void FanOut::tick(Time now) {
+    pieces_left_ = pieces_at_once;
+    std::vector<Session> silent;
+    for (auto& [session, follows] : sessions_) {
+        const Span quiet = now - follows.last_heard;
+        const Span most = !follows.greeted ? greets_within : follows.role == Role::tool ? idle : silence;
+        if (quiet > most) silent.push_back(session);
+        // All that counted, by a beat from after it came, is less than what it says to hold.
+        if (follows.greeted && follows.hello > beat_.committed && !follows.whole &&
+            beat_.at > follows.opened + settings_.follower.skew)
+            never_counted(session, follows);
+    }
+    for (const Session session : silent) {
+        forget(session);
+        outside_.hang_up(session);
+    }
+    send(now);
+    // So that nobody takes this relay for gone where no newer beat comes.
+    if (now - beat_sent_ > keepalive) beat(now, beat_);
+}
+
+}  // namespace linnetlead::distribution
--- a/src/distribution/follower.cpp
+++ b/src/distribution/follower.cpp
@@ -33,7 +33,9 @@
       outside_(std::move(outside)),
       random_(settings.seed),
       history_(settings.kept),
-      tries_(settings.tries_at_once) {}
+      tries_(settings.tries_at_once) {
+    if (!outside_.event) outside_.event = [](const std::string&, const std::string&) {};
+}
 
 // ---- the lease ----
 
@@ -63,6 +65,7 @@
         return give_up(now, "the state held here is not of this fleet");
     }
     beat_term_ = beat.term;
+    if (beats_.empty()) owed_since_ = now;
     if (beats_.size() == most_beats) beats_.pop_back();
     beats_.push_back(beat);
     stale_since_ = now;
@@ -125,6 +128,7 @@
                 break;
         }
         ack_due_ = true;
+        owed_since_ = now;
         if (record.kind == RecordKind::change && outside_.check) {
             auto unfit = outside_.check(record.change);
             std::sort(unfit.begin(), unfit.end());
@@ -148,6 +152,7 @@
     if (piece.piece != pieces_.size() || pieces_since_ != piece.since)
         return give_up(now, "pieces of a snapshot came with a gap");
     pieces_.push_back(pack_entries(piece.entries));
+    owed_since_ = now;
     if (!piece.last) return;
     const std::vector<std::string> pieces = std::move(pieces_);
     pieces_.clear();
@@ -338,7 +343,7 @@
     if (state_ != State::trying) return;
     state_ = State::greeting;
     last_heard_ = now;
-    stale_since_ = now;
+    stale_since_ = owed_since_ = now;
     Hello hello;
     hello.role = settings_.role;
     hello.name = settings_.name;
@@ -376,6 +381,9 @@
         outside_.hang_up();
         return lost(now, jittered(settings_.longest_pause), stale + jittered(stale));
     }
+    // It may wait for its turn, but not for what was lost on the way.
+    if (!beats_.empty() && now - owed_since_ > 2 * settings_.staleness)
+        return give_up(now, "records that counted have not come for too long");
     if (now > home_at_ && *at_ >= settings_.near && history_.pending_changes() == 0 && !fenced(now)) {
         home_at_ = now + settings_.home_after + jittered(settings_.home_after);
         const bool any = [&] {
--- a/src/distribution/follower.h
+++ b/src/distribution/follower.h
@@ -124,7 +124,7 @@
     State state_ = State::waiting;
     std::optional<std::size_t> at_;  // of Settings::relays
     std::map<std::size_t, Away> away_;
-    Time next_try_{}, last_heard_{}, stale_since_{}, home_at_{};
+    Time next_try_{}, last_heard_{}, stale_since_{}, owed_since_{}, home_at_{};
     int failures_ = 0, stale_moves_ = 0;
     double tries_ = 0;
     Time tries_at_{};
--- a/src/distribution/frames.cpp
+++ b/src/distribution/frames.cpp
@@ -294,6 +294,9 @@
     if (const auto* records = std::get_if<Records>(&frame)) {
         if (records->written) return *records->written;
     }
+    if (const auto* piece = std::get_if<SnapshotPiece>(&frame)) {
+        if (piece->written) return *piece->written;
+    }
     const std::string body =
         accord::write_cbor(std::visit([](const auto& each) { return form_of(each); }, frame));
     std::string out;
--- a/src/distribution/frames.h
+++ b/src/distribution/frames.h
@@ -91,6 +91,7 @@
     Number revision = 0;         // the newest change within
     // Keys taken away since this number are all among the entries or known from before.
     Number known_since = 0;
+    std::shared_ptr<const std::string> written;  // as in Records
 };
 struct Answer {
     std::uint64_t request = 0;
--- /dev/null
+++ b/src/distribution/intake.cpp
@@ -0,0 +1,126 @@
+#include "intake.h"
+
+#include "wire_form.h"
+
+namespace linnetlead::distribution {
+
+namespace {
+
+std::size_t size_of(const Change& change) {
+    std::size_t size = 64;
+    for (const Edit& edit : change.edits)
+        size += 16 + edit.key.size() + (edit.value ? edit.value->size() : 0);
+    return size;
+}
+
+}  // namespace
+
+Intake::Tip Intake::tip(const std::string& key, const History& history) const {
+    const auto proposed = proposed_keys_.find(key);
+    if (proposed != proposed_keys_.end()) return proposed->second;
+    if (const Edit* edit = history.pending(key))
+        return {history.pending_number(key), edit->value.has_value()};
+    return {history.store().changed(key), history.store().find(key).has_value()};
+}
+
+Intake::Verdict Intake::check(const Change& change, const History& history, Number last) const {
+    Verdict verdict;
+    const auto refuse = [&verdict](Refusal refusal, std::string what) {
+        verdict.refusal = refusal;
+        verdict.words = std::move(what);
+        return verdict;
+    };
+    if (const Refusal wrong = distribution::check(change); wrong != Refusal::none) return refuse(wrong, {});
+    for (const auto* ids : {&ids_, &proposed_ids_}) {
+        const auto known = ids->find(change.id);
+        if (known == ids->end()) continue;
+        if (known->second.digest != digest(change)) return refuse(Refusal::taken, change.id);
+        verdict.number = known->second.number;
+        verdict.waits = ids == &proposed_ids_;
+        return verdict;
+    }
+    for (const Edit& edit : change.edits) {
+        if (!edit.value || !settings_.readable) continue;
+        std::string why = settings_.readable(edit);
+        if (!why.empty()) return refuse(Refusal::unreadable, edit.key + ": " + why);
+    }
+    if (change.base > last) return refuse(Refusal::ahead, std::to_string(last) + " is the newest");
+    for (const Edit& edit : change.edits) {
+        const Tip at = tip(edit.key, history);
+        // Of a key that was taken away long ago it is not known when.
+        const bool unknown = at.number == 0 && change.base < history.store().tombstones_since();
+        if (change.base != 0 && (at.number > change.base || unknown)) return refuse(Refusal::stale, edit.key);
+        if (!edit.value && !at.there) return refuse(Refusal::absent, edit.key);
+    }
+    if (history.pending_changes() + proposed_.size() >= settings_.most_changes ||
+        history.pending_bytes() + proposed_bytes_ + size_of(change) > settings_.most_bytes)
+        return refuse(Refusal::busy, {});
+    return verdict;
+}
+
+void Intake::proposed(const Change& change, Number number) {
+    Proposed& mine = proposed_[number];
+    mine.id = change.id;
+    mine.bytes = size_of(change);
+    proposed_bytes_ += mine.bytes;
+    proposed_ids_[change.id] = {digest(change), number};
+    for (const Edit& edit : change.edits) {
+        mine.keys.push_back(edit.key);
+        proposed_keys_[edit.key] = {number, edit.value.has_value()};
+    }
+}
+
+void Intake::committed(const Record& record) {
+    while (!proposed_.empty() && proposed_.begin()->first <= record.number) {
+        const auto& [number, mine] = *proposed_.begin();
+        for (const std::string& key : mine.keys) {
+            const auto found = proposed_keys_.find(key);
+            if (found != proposed_keys_.end() && found->second.number <= number) proposed_keys_.erase(found);
+        }
+        proposed_ids_.erase(mine.id);
+        proposed_bytes_ -= mine.bytes;
+        proposed_.erase(proposed_.begin());
+    }
+    if (record.kind != RecordKind::change) return;
+    if (!ids_.emplace(record.change.id, Known{digest(record.change), record.number}).second) return;
+    order_.push_back(record.change.id);
+    while (order_.size() > known_ids) {
+        ids_.erase(order_.front());
+        order_.pop_front();
+    }
+}
+
+void Intake::forget_proposed() {
+    proposed_.clear();
+    proposed_ids_.clear();
+    proposed_keys_.clear();
+    proposed_bytes_ = 0;
+}
+
+std::string Intake::save() const {
+    std::string text;
+    for (const std::string& id : order_) {
+        const Known& known = ids_.at(id);
+        wire_form::put_text(text, id);
+        wire_form::put_number(text, known.digest);
+        wire_form::put_number(text, known.number);
+    }
+    return text;
+}
+
+bool Intake::restore(std::string_view saved) {
+    forget_proposed();
+    ids_.clear();
+    order_.clear();
+    while (!saved.empty()) {
+        std::string_view id;
+        Known known;
+        if (!wire_form::take_text(saved, id, most_id) || !wire_form::take_number(saved, known.digest) ||
+            !wire_form::take_number(saved, known.number) || order_.size() == known_ids)
+            return false;
+        if (ids_.emplace(std::string(id), known).second) order_.emplace_back(id);
+    }
+    return true;
+}
+
+}  // namespace linnetlead::distribution
--- /dev/null
+++ b/src/distribution/intake.h
@@ -0,0 +1,64 @@
+// Changes on their way in, at a relay that votes: checked against the tip (the state in force with all that
+// waits behind it), known again by their id, proposed, and answered once they count. No I/O and no clock.
+#pragma once
+
+#include <unordered_map>
+
+#include "history.h"
+
+namespace linnetlead::distribution {
+
+class Intake {
+public:
+    static constexpr std::size_t known_ids = 4096;
+    struct Settings {
+        std::size_t most_changes = 0;  // not yet settled
+        std::size_t most_bytes = 0;    // of them
+        std::function<std::string(const Edit&)> readable;
+    };
+    struct Verdict {
+        Refusal refusal = Refusal::none;
+        Number number = 0;   // it counts already, by this number
+        bool waits = false;  // it was proposed before by this number, and does not count yet
+        std::string words;
+    };
+    explicit Intake(Settings settings) : settings_(std::move(settings)) {}
+
+    // Refusal none without a number: may be proposed.
+    Verdict check(const Change& change, const History& history, Number last) const;
+    void proposed(const Change& change, Number number);
+    // By every relay that votes, in the log's order.
+    void committed(const Record& record);
+    // No longer the leader: what was proposed may come to count, or may not.
+    void forget_proposed();
+    bool anything_proposed() const { return !proposed_.empty(); }
+
+    std::string save() const;
+    bool restore(std::string_view saved);
+
+private:
+    struct Known {
+        std::uint64_t digest = 0;
+        Number number = 0;
+    };
+    struct Tip {
+        Number number = 0;
+        bool there = false;
+    };
+    struct Proposed {
+        std::string id;
+        std::vector<std::string> keys;
+        std::size_t bytes = 0;
+    };
+    Tip tip(const std::string& key, const History& history) const;
+
+    Settings settings_;
+    std::unordered_map<std::string, Known> ids_;
+    std::deque<std::string> order_;  // oldest first
+    std::map<Number, Proposed> proposed_;
+    std::unordered_map<std::string, Known> proposed_ids_;
+    std::unordered_map<std::string, Tip> proposed_keys_;
+    std::size_t proposed_bytes_ = 0;
+};
+
+}  // namespace linnetlead::distribution
--- a/src/distribution/relay.h
+++ b/src/distribution/relay.h
@@ -37,17 +37,23 @@
         std::size_t snapshot_window = 512 * 1024;
         double snapshots_at_once = 32;
         std::size_t most_changes = 256;  // submitted, not yet settled
+        // Of one that votes: how many decided entries its log holds before the state takes their place.
+        std::size_t compact_after = 4096;
+        Quorum::Settings quorum;  // its times and bounds; voters, self and seed are filled in
+        Span answer_within = std::chrono::seconds(10);  // a submitted change
     };
     struct Outside {
-        std::function<void(int voter, const std::string& message)> to_voter;  // may be lost
+        // By the relay's number. Quorum messages, and what voters pass on to the leader (changes, answers,
+        // counts), told apart within; may be lost.
+        std::function<void(int voter, const std::string& message)> to_voter;
         std::function<void(Session, const Frame&)> to_follower;
         std::function<std::size_t(Session)> unsent;  // bytes that the follower's connection has not taken
         std::function<void(Session)> hang_up;        // once what was sent has left
         std::function<void(int relay)> connect;      // as the Follower's: of one that does not vote
         std::function<void()> hang_up_above;
         std::function<void(const Frame&)> send_above;
-        // Entries, hard state and snapshot of Ready onto the disk; then persisted(). At most one is asked at
-        // a time.
+        // Entries, hard state and snapshots of Ready onto the disk; then persisted(), also from within. At
+        // most one is asked at a time, and only where there is something for the disk.
         std::function<void(const Quorum::Ready&)> persist;
         std::function<void(const std::string& what, const std::string& text)> event;
         // Can any gateway read this value? In words why not; empty: yes.
@@ -65,7 +71,7 @@
     void tick(Time now);  // every 20 ms or so, and at wake_at()
     std::optional<Time> wake_at() const;
     void persisted(Time now);
-    void heard_voter(Time now, int from, std::string_view message);
+    void heard_voter(Time now, int from, std::string_view message);  // by the relay's number
     // Followers.
     void opened(Time now, Session session);
     void heard(Time now, Session session, const Frame& frame);
@@ -76,12 +82,18 @@
     void gone_above(Time now);
     void heard_above(Time now, const Frame& frame);
 
-    bool leads() const;
-    std::optional<int> leader() const;
+    // What survives a restart of one that does not vote.
+    std::string save() const;
+    bool restore(Time now, const std::string& saved);
+
+    bool leads() const;                 // and has counted a record of its own term
+    std::optional<int> leader() const;  // by the relay's number; of one that does not vote: not known
     Number committed() const;
     Number settled() const;  // the newest settlement known here
     std::optional<Beat> beat() const;
     const Store& store() const;  // in force here
+    Number position() const;     // the last record held
+    Number revision() const;     // the newest change in force here
     std::size_t followers() const;
     std::uint32_t gateways() const;  // behind it, through all relays
     // For people: JSON.
--- /dev/null
+++ b/src/distribution/settling.h
@@ -0,0 +1,37 @@
+// When a change comes into force: the leader's rule. A change that all gateways hold, or for which its
+// patience is over, is settled with all before it; one that more than a share of them cannot take is held
+// back. No I/O and no clock.
+#pragma once
+
+#include "counts.h"
+#include "history.h"
+
+namespace linnetlead::distribution {
+
+class Settling {
+public:
+    struct Settings {
+        Span lead{}, skew{}, patience{};
+        bool wait_for_all = false;
+        double most_cannot = 0;
+    };
+    // So far apart at least, so that what piles up is settled together.
+    static constexpr Span apart = std::chrono::milliseconds(100);
+
+    explicit Settling(const Settings& settings) : settings_(settings) {}
+    // From now on this one leads: what is not settled is settled afresh.
+    void begin(Time now);
+    // The records to be proposed now, in this order. `counted`: the counts are those of all who are there.
+    std::vector<Record> decide(Time now, const History& history, const Counts& counts, bool counted);
+    // It was not proposed after all.
+    void undo(const Record& record);
+
+private:
+    Settings settings_;
+    std::map<Number, Time> seen_;  // changes that are not settled, since when
+    std::set<Number> held_back_;   // proposed
+    Number upto_ = 0;              // proposed
+    Time instant_{}, settled_at_{};
+};
+
+}  // namespace linnetlead::distribution
