Hollow gateways: each has a port of datagrams to itself

PeerLink shares its address, so that a process can take over; asked for any port, the kernel gives two such sockets the same one. At 300 gateways two pairs had one port, and half of each pair heard nothing: 299 of 300 took a version, and four were never seen by all. Each takes a port now that no socket had.

--- a/standin/hollow/gateway.cpp
+++ b/standin/hollow/gateway.cpp
@@ -1,9 +1,12 @@
 #include "gateway.h"
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstdio>
+#include <stdexcept>
 #include <utility>
 
 #include "standin/server.h"
@@ -20,6 +23,20 @@
 constexpr const char* own_counts = "hollow/";
 constexpr core::Gateway::Limits limits{64, 1024 * 1024, 0};
 
+// A port that no socket has. PeerLink shares its own with whom it is handed over to, and asked for any port
+// the kernel gives two such sockets the same.
+std::uint16_t free_datagram_port() {
+    const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    const sockaddr_storage any = address_of(0);
+    sockaddr_in at{};
+    socklen_t size = sizeof(at);
+    const bool bound = bind(fd, reinterpret_cast<const sockaddr*>(&any), sizeof(at)) == 0 &&
+                       getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0;
+    ::close(fd);
+    if (!bound) throw std::runtime_error("no free port for datagrams");
+    return ntohs(at.sin_port);
+}
+
 sockaddr_storage read(const std::string& text) {
     sockaddr_storage address{};
     net::read_address(text, address);
@@ -78,7 +95,7 @@
     gateway_.attach(*this, client_);
     gateway_.attach(tap_.get());
     if (!roles_.accord) return;
-    link_.listen(address_of(0));
+    if (link_.listen(address_of(free_datagram_port())) != 0) throw std::runtime_error("cannot listen");
     port_ = link_.port();
     gateway::AgreementSettings settings;
     settings.wanted = true;
--- a/standin/hollow/gateway.h
+++ b/standin/hollow/gateway.h
@@ -43,6 +43,7 @@
 
     // An operators' file's text, to be agreed on. In words why not; empty: it is proposed.
     std::string propose(std::uint64_t version, const std::string& text);
+    const gateway::Agreement* agreement() const { return agreement_.get(); }  // null: it takes no part
     bool fenced() const { return agreement_ && agreement_->fenced(); }
     // When it first had this version or a later one in force.
     std::optional<core::Time> in_force_at(std::uint64_t version) const;
--- a/standin/hollow/host.cpp
+++ b/standin/hollow/host.cpp
@@ -153,6 +153,13 @@
         }
         return {{"at_ms", at}, {"gateways", gateways_.size()}};
     }
+    if (what == "state") {
+        int number = -1;
+        words >> number;
+        HollowGateway* const one = gateway_of(number);
+        if (!one) return {{"error", "state NUMBER"}};
+        return {{"accord", one->agreement() ? one->agreement()->state() : json()}};
+    }
     if (what == "pace") {
         if (!(words >> settings_.pace)) return {{"error", "pace CALLS_PER_S"}};
         for (auto& one : gateways_) one->pace(settings_.pace);
--- a/standin/hollow/host.h
+++ b/standin/hollow/host.h
@@ -29,7 +29,7 @@
     HollowHost(net::Loop& loop, const Settings& settings);
     ~HollowHost();
     // `ports`, `peers PORT...` (of all the tier), `start`, `figures`, `propose NUMBER VERSION TEXT` (JSON
-    // text), `in_force VERSION`, `pace CALLS_PER_S`, `restart NUMBER`.
+    // text), `in_force VERSION`, `state NUMBER`, `pace CALLS_PER_S`, `restart NUMBER`.
     nlohmann::json carry(const std::string& line);
     void close();
 
--- a/tests/hollow_test.cpp
+++ b/tests/hollow_test.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -93,6 +94,17 @@
     EXPECT_THROW(one.ask("no such command"), std::runtime_error);
 }
 
+// Sockets that share their address are given the same port twice by the kernel when they ask for any.
+TEST(Hollow, NoTwoGatewaysHaveTheSamePort) {
+    constexpr int many = 300;
+    HollowChild one(LINNETLEAD_HOLLOW, {"gateways", "--gateways", std::to_string(many), "--of",
+                                        std::to_string(many), "--accord"});
+    const json told = one.ask("ports");
+    std::set<int> ports;
+    for (const json& port : told["ports"]) ports.insert(port.get<int>());
+    EXPECT_EQ(many, ports.size());
+}
+
 TEST(Hollow, AListTellsDifferencesToWhoKnowsALateVersion) {
     standin::WorkerList list({1234});
     list.fill(6, 3);
