Quorum: voters with real stores under faults

The runs under faults had a model of the disk, and the store was tested alone. Now the world of voters can have a real store for each, opened at each restart and held against the model.

--- a/standin/quorum_world.cpp
+++ b/standin/quorum_world.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "distribution/flat.h"
+#include "quorum_store/quorum_store.h"
 
 namespace linnetlead::standin {
 
@@ -24,6 +25,7 @@
 
 struct QuorumWorld::Voter {
     std::unique_ptr<Quorum> quorum;
+    std::unique_ptr<distribution::QuorumStore> store;
     std::uint64_t life = 1;
     Time stalled_until{};
     std::optional<Time> old_clock;  // read before a stall, used once behind it
@@ -113,6 +115,7 @@
     if (v.life > 1 && settings_.mutant == QuorumMutant::entries_lost) {
         for (int i = 0; i < 2 && !v.entries.empty(); ++i) v.entries.pop_back();
     }
+    if (!settings_.directory.empty()) open_store(voter);
     v.quorum = std::make_unique<Quorum>(with, v.hard, v.snapshot, v.entries);
     v.writing = false;
     v.applied = v.snapshot.number;
@@ -125,6 +128,7 @@
     Voter& v = *voters_[voter];
     if (!v.quorum) return;
     v.quorum.reset();
+    v.store.reset();
     ++v.life;
     v.stalled_until = {};
     v.old_clock.reset();
@@ -231,7 +235,7 @@
 void QuorumWorld::finish_write(int voter, Quorum::Ready ready) {
     Voter& v = *voters_[voter];
     const bool to_disk = ready.to_disk();
-    keep(v, ready);
+    keep(voter, ready);
     v.writing = false;
     if (to_disk) {
         switch (point(QuorumPoint::written)) {
@@ -270,11 +274,30 @@
     pump(voter);
 }
 
+// What the real one holds is what the model holds.
+void QuorumWorld::open_store(int voter) {
+    Voter& v = *voters_[voter];
+    distribution::QuorumStore::Settings with;
+    with.directory = settings_.directory + "/" + std::to_string(voter);
+    with.self = voter;
+    with.slack = 2000;
+    distribution::QuorumStore::Held held;
+    std::string problem;
+    v.store = distribution::QuorumStore::open(with, held, problem);
+    const auto same = [](const LogEntry& a, const LogEntry& b) {
+        return a.number == b.number && a.term == b.term && a.body == b.body;
+    };
+    if (!v.store || !(held.hard == v.hard) || held.snapshot.number != v.snapshot.number ||
+        held.snapshot.term != v.snapshot.term || held.snapshot.state != v.snapshot.state ||
+        !std::equal(held.entries.begin(), held.entries.end(), v.entries.begin(), v.entries.end(), same)) {
+        wrong("what was written is on the disk", "voter " + std::to_string(voter) + " " + problem);
+    }
+}
+
 // Onto the disk, as the store does.
-void QuorumWorld::keep(Voter& v, const Quorum::Ready& ready) {
-    const int voter = static_cast<int>(
-        std::find_if(voters_.begin(), voters_.end(), [&](const auto& one) { return one.get() == &v; }) -
-        voters_.begin());
+void QuorumWorld::keep(int voter, const Quorum::Ready& ready) {
+    Voter& v = *voters_[voter];
+    if (v.store && !v.store->write(ready)) wrong("what was written is on the disk", v.store->problem());
     const std::string who = "voter " + std::to_string(voter);
     if (ready.install) {
         v.snapshot = *ready.install;
--- a/standin/quorum_world.h
+++ b/standin/quorum_world.h
@@ -55,6 +55,8 @@
         std::size_t compact_every = 0;            // entries; 0: only when told
         QuorumMutant mutant = QuorumMutant::none;
         Span ahead{};
+        // Where each voter's disk is a real store, under this; empty: a model of one.
+        std::string directory;
         std::uint64_t fault_at = 0;  // the number of the point; 0: none
         QuorumFault fault = QuorumFault::none;
     };
@@ -110,7 +112,8 @@
     void tick(int voter);
     void pump(int voter);
     void finish_write(int voter, Quorum::Ready ready);
-    void keep(Voter& voter, const Quorum::Ready& ready);
+    void keep(int voter, const Quorum::Ready& ready);
+    void open_store(int voter);
     void send_all(int voter, std::vector<std::pair<int, std::string>> messages);
     void transmit(int from, int to, std::string message, bool is_faulted);
     void arrive(int to, int from, const std::string& message);
--- a/tests/quorum_test.cpp
+++ b/tests/quorum_test.cpp
@@ -760,7 +760,7 @@
 // Losses, repeats and delays all the time; cuts one way and both, crashes and stalls now and then; then all
 // is whole, and all agree soon.
 Chaos play(int voters, std::uint64_t seed, QuorumMutant mutant = QuorumMutant::none,
-           const std::function<bool(const QuorumWorld&)>& seen = nullptr) {
+           const std::function<bool(const QuorumWorld&)>& seen = nullptr, const std::string& directory = "") {
     std::mt19937_64 random(seed * 77 + voters);
     const auto below = [&random](int most) {
         return static_cast<int>(random() % static_cast<unsigned>(most));
@@ -776,6 +776,7 @@
     with.quorum.window = 300 + below(2000);
     with.quorum.most_message = 100 + below(500);
     with.mutant = mutant;
+    with.directory = directory;
     with.ahead = mutant == QuorumMutant::clock_ahead ? Span(2s) : Span{};
     QuorumWorld world(with);
     Chaos out;
@@ -1371,6 +1372,18 @@
     }
 }
 
+TEST(QuorumStore, VotersWithRealStoresUnderFaults) {
+    std::uint64_t snapshots = 0;
+    for (std::uint64_t seed = 500; seed < 540; ++seed) {
+        Directory directory;
+        const Chaos one = play(seed % 4 ? 3 : 5, seed, QuorumMutant::none, nullptr, directory.path);
+        ASSERT_EQ(one.wrong, "") << "seed " << seed;
+        ASSERT_TRUE(one.agreed) << "seed " << seed;
+        snapshots += one.snapshots;
+    }
+    EXPECT_GT(snapshots, 10U);
+}
+
 TEST(QuorumStore, AProcessKilledAtAnyMomentHasWritten) {
     Directory directory;
     std::mt19937_64 random(5);
