Distribution: the protocol as it was built; relays follow only those that vote

A relay's settings are refused where it would follow one that does not vote; after a whole state a relay lets go of followers that were sent more.

--- a/src/distribution/fan_out.cpp
+++ b/src/distribution/fan_out.cpp
@@ -340,12 +340,21 @@
 
 void FanOut::replaced(Time now) {
     batches_.clear();
+    std::vector<Session> ahead;
     for (auto& [session, follows] : sessions_) {
+        // It was sent what is no longer held here: it says anew where it is.
+        if (follows.greeted && follows.role != Role::tool && follows.hello == 0 &&
+            follows.position > history_.position())
+            ahead.push_back(session);
         if (!follows.snapshot) continue;
         follows.snapshot.reset();
         --snapshots_;
         follows.wants_snapshot = true;
     }
+    for (const Session session : ahead) {
+        forget(session);
+        outside_.hang_up(session);
+    }
     send(now);
 }
 
--- a/src/distribution/relay.cpp
+++ b/src/distribution/relay.cpp
@@ -587,6 +587,9 @@
         if (relay < 0 || static_cast<std::size_t>(relay) >= relays)
             return "it may follow a relay that there is not";
         if (relay == settings.self) return "a relay cannot follow itself";
+        // So that records make one way, and none in a circle.
+        if (!settings.relays[static_cast<std::size_t>(relay)].votes)
+            return "a relay may follow only those that vote";
     }
     if (follower.skew < Span{} || follower.lease <= Span{}) return "lease and skew have to be spans of time";
     if (settings.lead < follower.skew) return "the lead may not be below the skew";
--- a/tests/distribution_relay_test.cpp
+++ b/tests/distribution_relay_test.cpp
@@ -908,6 +908,69 @@
     EXPECT_FALSE(world.gateway(0).fenced("tenant/1"));
 }
 
+TEST(DistributionRelay, WhateverFollowersSayTheOthersAreServed) {
+    World world(1, 0);
+    world.add_gateway();
+    world.settle_down();
+    for (int i = 0; i < 5; ++i)
+        ASSERT_EQ(
+            world.submit(0, change("a" + std::to_string(i), {edit("tenant/1", std::to_string(i))})).refusal,
+            Refusal::none);
+    world.run(3s);
+    std::mt19937_64 random(11);
+    const auto number = [&]() -> Number {
+        return random() % 5 == 0 ? random() >> (random() % 64) : random() % 14;
+    };
+    const auto few = [&] { return static_cast<std::uint32_t>(random() % 4); };
+    std::map<Refusal, int> refusals;
+    int served = 0;
+    for (int i = 0; i < 600; ++i) {
+        Hello hello;
+        hello.name = "by hand";
+        hello.position = number();
+        hello.term = random() % 3;
+        hello.base = number();
+        hello.whole = random() % 8 == 0;
+        const Session session = world.open(0, static_cast<Role>(random() % 3), hello);
+        for (int frame = 0; frame < 4; ++frame) {
+            Ack ack;
+            ack.position = number();
+            ack.in_force = number();
+            ack.gateways = few();
+            ack.fenced = few();
+            if (random() % 3 == 0) ack.holding = {{number(), few()}, {number(), few()}};
+            if (random() % 3 == 0) ack.cannot = {{number(), few(), {"x"}}};
+            std::string bytes =
+                random() % 6 == 0 ? write(Submit{1, change("r" + std::to_string(i), {})}) : write(ack);
+            if (random() % 5 == 0) bytes[4 + random() % (bytes.size() - 4)] = static_cast<char>(random());
+            world.run(20ms);
+            world.up_bytes(session, bytes);
+        }
+        world.run(50ms);
+        if (const Error* error = world.got<Error>(session)) {
+            ++refusals[error->refusal];
+            EXPECT_FALSE(world.links[session].open);
+        } else {
+            ++served;
+        }
+        if (random() % 2) {
+            world.links[session].open = false;
+            world.up(0)->closed(world.now, session);
+        }
+        ASSERT_FALSE(world.gateway(0).fenced(world.now));
+    }
+    EXPECT_GT(refusals[Refusal::lying], 50);
+    EXPECT_GT(refusals[Refusal::malformed], 50);
+    EXPECT_GT(served, 5);
+    EXPECT_EQ(world.gateway(0).reconnects(), 1U);
+    const Answer last = world.submit(0, change("last", {edit("tenant/1", "last")}));
+    EXPECT_TRUE(world.until(8s, [&] { return world.gateway(0).revision() == last.number; }));
+    // Those who are silent go.
+    world.run(10s);
+    EXPECT_EQ(world.up(0)->followers(), 1U);
+    EXPECT_EQ(world.up(0)->gateways(), 1U);
+}
+
 // What gateways do under faults, looked at every 10 ms: each pair that acts in full by different revisions
 // may do so for W at most since the first of the two came to its revision.
 class Audit {
@@ -1236,6 +1299,7 @@
     });
     wrong([](auto& s) { s.follower.relays = {9}; });
     wrong([](auto& s) { s.follower.relays = {0}; });
+    wrong([](auto& s) { s.follower.relays = {1, 4}; });
     wrong([](auto& s) { s.follower.lease = Span{}; });
     wrong([](auto& s) { s.lead = 349ms; });
     wrong([](auto& s) { s.patience = -1ms; });
