Relays as a mode of the program, gateways that follow them, and linnetlead change

The distribution's parts decide without I/O; nothing carried them yet.

- net/frame_link, net/relay_server: frames over Stream.
A relay takes followers, voters and tools; garbage, half frames, silent voters and sessions that take nothing end their own connection.
Each voter opens a link to each other that loses what cannot be sent now, is opened anew with jitter, and where no byte leaves for 3 s.
- distribution() in a gateway's operators' file: Distribution follows the relays.
Pools, plans, moves, reserves and the capacity go through the readers of a file; tenants' terms and routes are looked up in the store at the call.
Fenced as under an accord: the lesser plan of what holds and may come, no reserve, no route, nothing to a move's new pool; by single keys where this gateway could not take them.
- linnetlead change apply, diff and state; check tells of relays; GET /v1/accord tells of the distribution.

--- a/src/gateway/commands.cpp
+++ b/src/gateway/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <map>
@@ -86,6 +87,18 @@
                     settings.agreement.health ? "on" : "off", settings.agreement.forms ? "on" : "off",
                     settings.agreement.schemas.size());
     }
+    const FleetSettings& fleet = settings.fleet;
+    if (!fleet.relays.empty()) {
+        const auto votes = std::count_if(fleet.relays.begin(), fleet.relays.end(),
+                                         [](const auto& one) { return one.votes; });
+        std::printf("%s: %zu relays, %lld of them vote\n", path.c_str(), fleet.relays.size(),
+                    static_cast<long long>(votes));
+    }
+    if (fleet.wanted) {
+        std::printf("%s: distributed: no two gateways contradict each other for longer than %lld ms\n",
+                    path.c_str(),
+                    static_cast<long long>((fleet.lease + fleet.skew) / std::chrono::milliseconds(1)));
+    }
     return 0;
 }
 
--- /dev/null
+++ b/src/gateway/distribution.cpp
@@ -0,0 +1,408 @@
+#include "distribution.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "keep/sealed.h"
+#include "points.h"
+
+namespace linnetlead::gateway {
+
+using core::Span;
+using core::Time;
+using distribution::Change;
+using distribution::Edit;
+using distribution::Number;
+using nlohmann::json;
+using operators::Resources;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view sealed_as = "linnetlead-distribution 1";
+
+std::string_view kind_of(std::string_view key) { return key.substr(0, key.find('/')); }
+std::string_view name_in(std::string_view key) { return key.substr(key.find('/') + 1); }
+
+// {"pool":NAME}
+std::optional<std::string> pool_in(std::string_view value) {
+    const json from = json::parse(value, nullptr, false);
+    if (!from.is_object() || !from.contains("pool") || !from["pool"].is_string()) return std::nullopt;
+    return from["pool"].get<std::string>();
+}
+
+}  // namespace
+
+bool is_few(std::string_view key) {
+    const std::string_view kind = kind_of(key);
+    return kind == "pool" || kind == "plan" || kind == "move" || kind == "reserve" || kind == "capacity";
+}
+
+std::variant<Distributed, std::string> read_few(const Resources& few, const settings::Site* site) {
+    const operators::Result document = operators::document_of(few);
+    if (const auto* problem = std::get_if<operators::Problem>(&document)) {
+        return problem->file + ": " + problem->what;
+    }
+    const auto& value = std::get<operators::Value>(document);
+    auto routing = routing::read_routing(value, "distributed", site);
+    if (const auto* problem = std::get_if<operators::Problem>(&routing)) return problem->what;
+    auto book = plans::read_book(value, "distributed", site);
+    if (const auto* problem = std::get_if<operators::Problem>(&book)) return problem->what;
+    return Distributed{std::get<routing::RoutingSettings>(std::move(routing)),
+                       std::get<std::shared_ptr<const plans::PlanBook>>(std::move(book))};
+}
+
+std::string readable(const Edit& edit) {
+    if (kind_of(edit.key) == "tenant") {
+        if (!plans::tenant_of(edit.key)) return "a tenant's key is tenant/ and 16 hex digits below 2^33";
+        if (!edit.value) return {};
+        const auto terms = plans::read_tenant(*edit.value);
+        const auto* problem = std::get_if<std::string>(&terms);
+        return problem ? *problem : "";
+    }
+    return edit.value ? operators::check_resource(edit.key, *edit.value) : "";
+}
+
+// A state being written on a thread of libuv's. It outlives its owner, should that go first.
+struct Distribution::Saving {
+    uv_work_t work{};
+    Distribution* owner = nullptr;
+    std::string path, state;
+    bool good = false;
+};
+
+distribution::Follower::Outside Distribution::outside_of() {
+    distribution::Follower::Outside outside;
+    outside.connect = [this](int relay) {
+        link_.connect(addresses_[static_cast<std::size_t>(relay)], connect_within);
+    };
+    outside.hang_up = [this] { link_.hang_up(); };
+    outside.send = [this](const distribution::Frame& frame) {
+        reach_point();
+        link_.send(frame);
+    };
+    outside.check = [this](const Change& change) {
+        reach_point();
+        return check(change);
+    };
+    outside.in_force = [this](Number number, const std::vector<std::string>& keys, bool whole) {
+        reach_point();
+        in_force(number, keys, whole);
+    };
+    outside.fenced = [this](bool fenced) {
+        reach_point();
+        fenced_ = fenced;
+        log_.write(loop_.now(), "distribution",
+                   {{"what", fenced ? "fenced" : "in accord"}, {"revision", follower_.revision()}});
+        narrow();
+    };
+    outside.event = [this](const std::string& what, const std::string& text) {
+        reach_point();
+        log_.write(loop_.now(), "distribution", {{"what", what}, {"text", text}});
+    };
+    return outside;
+}
+
+Distribution::Distribution(const FleetSettings& fleet, const Config& config, net::Loop& loop, Log& log,
+                           Outside outside)
+    : site_(config.site),
+      loop_(loop),
+      log_(log),
+      outside_(std::move(outside)),
+      path_(path_of(fleet.snapshot, "{gateway}", config.name)),
+      link_(loop, {[this] {
+                       follower_.connected(loop_.now());
+                       arm();
+                   },
+                   [this] {
+                       follower_.gone(loop_.now());
+                       arm();
+                   },
+                   [this](const distribution::Frame& frame) {
+                       reach_point();
+                       follower_.heard(loop_.now(), frame);
+                       arm();
+                   }}),
+      follower_(follower_of(fleet, config.name, config.site.settings.zone, config.seed, addresses_),
+                outside_of()) {
+    for (const auto& one : fleet.relays) names_.push_back(one.name);
+    if (names_.empty()) names_ = addresses_;
+    for (const auto& plan : site_.settings.plans) platform_plans_.insert(plan.name);
+}
+
+Distribution::~Distribution() { close(); }
+
+void Distribution::start() {
+    bool restored = false;
+    if (!path_.empty()) {
+        if (const auto bytes = keep::read_whole(path_)) {
+            std::string problem;
+            const auto state = keep::unseal(sealed_as, *bytes, problem);
+            restored = state && follower_.restore(loop_.now(), *state);
+            if (state && !restored) problem = "it is damaged";
+            if (!problem.empty()) {
+                log_.write(loop_.now(), "distribution", {{"what", "not restored"}, {"text", problem}});
+            }
+        }
+    }
+    if (!restored) in_force(0, {}, true);
+    // Until the fleet has been heard, what was kept is as old as may be.
+    fenced_ = true;
+    narrow();
+    tick();
+}
+
+void Distribution::close() {
+    loop_.disarm(std::exchange(timer_, {}));
+    link_.close();
+    if (saving_) std::exchange(saving_, nullptr)->owner = nullptr;
+}
+
+// ---- What is in force -----------------------------------------------------------------------------------
+
+void Distribution::read_few_anew() {
+    few_.clear();
+    follower_.store().each("", [this](std::string_view key, std::string_view value) {
+        if (is_few(key)) few_.emplace(key, value);
+    });
+    few_in_force_ = follower_.in_force();
+    few_revision_ = follower_.revision();
+}
+
+void Distribution::in_force(Number number, const std::vector<std::string>& keys, bool whole) {
+    const distribution::Store& store = follower_.store();
+    bool few = whole;
+    if (whole) read_few_anew();
+    for (const std::string& key : keys) {
+        if (!is_few(key)) continue;
+        few = true;
+        const auto value = store.find(key);
+        value ? static_cast<void>(few_[key] = *value) : static_cast<void>(few_.erase(key));
+    }
+    few_in_force_ = follower_.in_force();
+    few_revision_ = follower_.revision();
+    if (!follower_.anything_pending()) few_ahead_.clear();
+    if (few) {
+        const Time begun = loop_.now();
+        rebuild();
+        log_.write(begun, "distribution",
+                   {{"what", "settings"},
+                    {"revision", number},
+                    {"keys", few_.size()},
+                    {"stall_us", (loop_.now() - begun) / 1us}});
+    }
+    narrow();
+}
+
+void Distribution::rebuild() {
+    Resources good;
+    for (const auto& [key, value] : few_) {
+        if (!any_unsure_ || !follower_.fenced(key)) good.emplace(key, value);
+    }
+    auto made = read_few(good, &site_);
+    const auto* problem = std::get_if<std::string>(&made);
+    few_unsure_ = problem != nullptr;
+    if (problem) {
+        // The settings before stand, narrowed.
+        log_.write(loop_.now(), "distribution", {{"what", "not taken"}, {"text", *problem}});
+    } else {
+        outside_.settings(std::get<Distributed>(std::move(made)));
+    }
+}
+
+operators::Resources Distribution::next_few() const {
+    Resources next = few_;
+    for (const std::string& key : few_ahead_) {
+        const auto pending = follower_.pending(key);
+        if (!pending) continue;
+        *pending ? static_cast<void>(next[key] = **pending) : static_cast<void>(next.erase(key));
+    }
+    return next;
+}
+
+void Distribution::narrow() {
+    narrow_again_ = false;
+    Narrowed made;
+    made.all = fenced_;
+    made.routing = made.reserves = few_unsure_;
+    if (any_unsure_) {
+        for (const auto& [key, value] : few_) {
+            if (!follower_.fenced(key)) continue;
+            const std::string_view kind = kind_of(key);
+            made.routing = made.routing || kind == "pool" || kind == "move";
+            made.reserves = made.reserves || kind == "reserve" || kind == "capacity";
+        }
+    }
+    if (made.all && !few_ahead_.empty()) {
+        auto next = read_few(next_few(), &site_);
+        if (auto* good = std::get_if<Distributed>(&next)) made.next = std::move(good->book);
+    }
+    outside_.narrowed(made);
+}
+
+plans::TermSource::Found Distribution::find(plans::AccountId account, Time now) const {
+    const std::string key = plans::tenant_key(account);
+    Found found;
+    found.narrowed = follower_.fenced(now);
+    if (const auto value = follower_.store().find(key)) found.plan = plans::plan_at(*value, now);
+    if (any_unsure_) {
+        found.unsure = follower_.fenced(key) || (found.plan && follower_.fenced("plan/" + *found.plan));
+    }
+    if (!found.narrowed && !fenced_) return found;
+    const auto pending = follower_.pending(key);
+    found.next = !pending ? found.plan : *pending ? plans::plan_at(**pending, now) : std::nullopt;
+    return found;
+}
+
+std::optional<std::string> Distribution::route(std::string_view name) const {
+    const std::string key = "route/" + std::string(name);
+    const auto value = follower_.store().find(key);
+    if (!value || (any_unsure_ && follower_.fenced(key))) return std::nullopt;
+    return pool_in(*value);
+}
+
+// Which of these edits this gateway could not act on. Behind a snapshot all that is in force then is asked
+// for in slices, before in_force() says so: then each is judged beside the state that it is of.
+std::vector<std::size_t> Distribution::check(const Change& change) {
+    if (few_in_force_ != follower_.in_force() || few_revision_ != follower_.revision()) read_few_anew();
+    std::vector<std::size_t> cannot, few;
+    Resources next = next_few();
+    for (auto at = next.begin(); at != next.end();) {
+        at = follower_.fenced(at->first) ? next.erase(at) : std::next(at);
+    }
+    const Resources before = next;
+    for (std::size_t i = 0; i < change.edits.size(); ++i) {
+        const Edit& edit = change.edits[i];
+        if (!is_few(edit.key)) continue;
+        few_ahead_.insert(edit.key);
+        if (!readable(edit).empty()) {
+            cannot.push_back(i);
+            next.erase(edit.key);
+            continue;
+        }
+        few.push_back(i);
+        edit.value ? static_cast<void>(next[edit.key] = *edit.value)
+                   : static_cast<void>(next.erase(edit.key));
+    }
+    const auto fits = [this](const Resources& all) {
+        return std::holds_alternative<Distributed>(read_few(all, &site_));
+    };
+    if (!few.empty() && !fits(next) && (next == before || fits(before))) {
+        cannot.insert(cannot.end(), few.begin(), few.end());
+    }
+    const auto knows_plan = [&](const std::string& plan) {
+        return platform_plans_.count(plan) > 0 || next.count("plan/" + plan) > 0;
+    };
+    std::unordered_set<std::string> good;  // many tenants have the same terms
+    for (std::size_t i = 0; i < change.edits.size(); ++i) {
+        const Edit& edit = change.edits[i];
+        if (is_few(edit.key) || !edit.value || good.count(*edit.value) > 0) continue;
+        bool can = readable(edit).empty();
+        if (can && kind_of(edit.key) == "tenant") {
+            const auto terms = plans::read_tenant(*edit.value);
+            for (const auto& term : std::get<std::vector<plans::NamedTerm>>(terms)) {
+                can = can && knows_plan(term.plan);
+            }
+            if (can) good.insert(*edit.value);
+        } else if (can && kind_of(edit.key) == "route") {
+            const std::string name(name_in(edit.key));
+            const bool is_class = std::any_of(site_.settings.classes.begin(), site_.settings.classes.end(),
+                                              [&](const auto& cls) { return cls.name == name; });
+            const auto pool = pool_in(*edit.value);
+            can = pool && next.count("pool/" + *pool) > 0 && (is_class || plans::read_account(name));
+        }
+        if (!can) cannot.push_back(i);
+    }
+    std::sort(cannot.begin(), cannot.end());
+    if (!cannot.empty()) {
+        any_unsure_ = true;
+        log_.write(
+            loop_.now(), "distribution",
+            {{"what", "cannot act on"}, {"text", change.edits[cannot.front()].key}, {"keys", cannot.size()}});
+    }
+    narrow_again_ = true;
+    return cannot;
+}
+
+// ---- Time -----------------------------------------------------------------------------------------------
+
+// A settled instant is met when it comes, not at the next tick behind it.
+void Distribution::arm() {
+    const auto wake = follower_.wake_at();
+    if (!wake || wake == asked_wake_) return;
+    asked_wake_ = wake;
+    loop_.disarm(timer_);
+    const Time now = loop_.now();
+    timer_ = loop_.arm(std::min(now + tick_every, std::max(*wake, now)), [this] { tick(); });
+}
+
+void Distribution::tick() {
+    const Time now = loop_.now();
+    follower_.tick(now);
+    if (narrow_again_ && fenced_) narrow();
+    save();
+    asked_wake_.reset();
+    Time next = now + tick_every;
+    if (const auto wake = follower_.wake_at(); wake && *wake > now) next = std::min(next, *wake);
+    timer_ = loop_.arm(next, [this] { tick(); });
+}
+
+void Distribution::save() {
+    const Time now = loop_.now();
+    if (path_.empty() || saving_) return;
+    if (!gathering_) {
+        const std::pair held(follower_.position(), follower_.in_force());
+        if (held == saved_ || now < save_at_) return;
+        saved_ = held;
+        gathering_.emplace();
+        gathered_.clear();
+        gathering_since_ = now;
+    }
+    if (follower_.save_part(*gathering_, gathered_)) return;
+    gathering_.reset();
+    saving_ = new Saving;
+    saving_->work.data = saving_;
+    saving_->owner = this;
+    saving_->path = path_;
+    saving_->state = std::exchange(gathered_, {});
+    save_at_ = now + std::max<Span>(shortest_rest, rests * (now - gathering_since_));
+    reach_point();
+    uv_queue_work(
+        loop_.uv(), &saving_->work,
+        [](uv_work_t* work) {
+            auto& self = *static_cast<Saving*>(work->data);
+            self.good = keep::write_whole(self.path, keep::seal(sealed_as, self.state));
+        },
+        [](uv_work_t* work, int) {
+            const std::unique_ptr<Saving> self(static_cast<Saving*>(work->data));
+            if (!self->owner) return;
+            self->owner->saving_ = nullptr;
+            reach_point();
+            if (self->good) return;
+            self->owner->saved_ = {};  // tried again
+            self->owner->log_.write(self->owner->loop_.now(), "distribution",
+                                    {{"what", "not saved"}, {"text", self->path}});
+        });
+}
+
+// ---- For staff ------------------------------------------------------------------------------------------
+
+json Distribution::state() const {
+    const Time now = loop_.now();
+    json state{{"position", follower_.position()},
+               {"revision", follower_.revision()},
+               {"fenced", follower_.fenced(now)},
+               {"pending", follower_.anything_pending()},
+               {"keys", follower_.store().size()},
+               {"bytes", follower_.store().bytes()},
+               {"reconnects", follower_.reconnects()},
+               {"snapshots", follower_.snapshots()},
+               {"longest_contradiction_ms", follower_.longest_contradiction() / 1ms}};
+    if (const auto since = follower_.since()) state["since_ms"] = *since / 1ms;
+    const auto relay = follower_.relay();
+    state["relay"] = relay ? json(names_[static_cast<std::size_t>(*relay)]) : json();
+    return state;
+}
+
+}  // namespace linnetlead::gateway
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <stdexcept>
 
+#include "change_commands.h"
 #include "commands.h"
 #include "config.h"
 #include "desk.h"
@@ -23,6 +24,7 @@
 #include "net/worker_pool.h"
 #include "operators.h"
 #include "points.h"
+#include "relay_mode.h"
 #include "upgrade.h"
 
 namespace {
@@ -361,6 +363,38 @@
     with_file(one, other, "new", operators_file);
     one->add_option("--at", at, "the instant; else now");
     with_config(one);
+    std::string relay_name;
+    gateway::GivenChange change;
+    one = command(app, "relay", "run one relay of the fleet that a file declares",
+                  [&] { return gateway::run_relay(file, relay_name); });
+    with_file(one, file, "--config", operators_file);
+    with_file(one, relay_name, "--name", "which of its relays");
+    CLI::App* const changes = app.add_subcommand("change", "what relays distribute");
+    changes->require_subcommand(1);
+    const auto with_relays = [&](CLI::App* of) {
+        of->add_option("--relay", change.relays, "a relay's address; several are tried in turn")
+            ->required()
+            ->allow_extra_args(false);
+    };
+    one =
+        command(*changes, "apply", "give a change to a relay", [&] { return gateway::apply_change(change); });
+    with_file(one, change.file, "file", "an operators' file, or a JSON list of edits");
+    one->add_option("--old", change.old, "the operators' file before: what differs is the change");
+    one->add_option("--id", change.id, "names the change: given again it is the same one");
+    one->add_option("--base", change.base, "the revision that it was made against");
+    one->add_option("--within", change.within_s, "seconds for an answer");
+    one->add_flag("--in-parts", change.in_parts, "changes of their own where it is over one's bounds");
+    one->add_option("--config", change.config, "the configuration that the files have to fit")
+        ->envname("BALANCER_CONFIG");
+    with_relays(one);
+    one = command(*changes, "diff", "the edits that make one operators' file of another",
+                  [&] { return gateway::diff_changes(file, other, config); });
+    with_file(one, file, "old", operators_file);
+    with_file(one, other, "new", operators_file);
+    with_config(one);
+    one = command(*changes, "state", "what a relay says of itself",
+                  [&] { return gateway::show_relay(change.relays); });
+    with_relays(one);
     CLI::App* const usage = app.add_subcommand("usage", "a usage ledger");
     usage->require_subcommand(1);
     one = command(*usage, "show", "what was used", [&] { return gateway::show_usage(file, as_json); });
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -135,7 +135,8 @@
             std::get<std::shared_ptr<const plans::PlanBook>>(std::move(book)),
             plans::read_usage(std::get<operators::Value>(document)),
             read_registry(std::get<operators::Value>(document), path),
-            read_agreement(std::get<operators::Value>(document), path)};
+            read_agreement(std::get<operators::Value>(document), path),
+            read_fleet(std::get<operators::Value>(document), path)};
 }
 
 // A file being read on a thread of libuv's. It outlives its owner, should that go first.
@@ -220,6 +221,18 @@
         const std::string problem = agreement_->propose(settings.agreement.version, text);
         if (!problem.empty()) log_.write(timers_.now(), "operators", {{"file", path_}, {"problem", problem}});
     }
+    if (settings.fleet.wanted) {
+        distribution_ = std::make_unique<Distribution>(
+            settings.fleet, config, loop, log_,
+            Distribution::Outside{[this](Distributed made) {
+                                      router_.configure(timers_.now(), std::move(made.routing));
+                                      usage_->take_book(std::move(made.book));
+                                  },
+                                  [this](const Distribution::Narrowed& narrowed) { narrow(narrowed); }});
+        usage_->look_up_in(distribution_.get());
+        router_.look_up_in([this](std::string_view name) { return distribution_->route(name); });
+        distribution_->start();
+    }
     if (registry_) registry_->start();
     tick();
 }
@@ -262,6 +275,7 @@
     if (reading_) std::exchange(reading_, nullptr)->owner = nullptr;
     for (Reading* one : std::exchange(checking_, {})) one->owner = nullptr;
     if (agreement_) agreement_->close();
+    if (distribution_) distribution_->close();
     if (usage_) usage_->close();
     if (registry_) registry_->close();
     peers_.close();
@@ -381,12 +395,26 @@
     usage_->narrow(fenced, other == ready_.rend() ? nullptr : other->second->book);
 }
 
-std::string Operators::accord_state() const { return agreement_ ? agreement_->state().dump() : ""; }
+void Operators::narrow(const Distribution::Narrowed& narrowed) {
+    router_.fence(narrowed.all || narrowed.routing);
+    usage_->narrow(narrowed.all, narrowed.next);
+    usage_->hold_reserves(narrowed.reserves);
+}
+
+std::string Operators::accord_state() const {
+    if (agreement_) return agreement_->state().dump();
+    if (!distribution_) return "";
+    nlohmann::json state{{"way", "relays"}, {"distribution", distribution_->state()}};
+    state["fenced"] = state["distribution"]["fenced"];
+    return state.dump();
+}
 
 void Operators::take(const OperatorSettings& settings) {
     const core::Time now = timers_.now();
-    router_.configure(now, settings.routing);
-    if (usage_) usage_->take_book(settings.book);
+    if (!distribution_) {
+        router_.configure(now, settings.routing);
+        if (usage_) usage_->take_book(settings.book);
+    }
     if (agreement_) agreement_->schemas(settings.agreement.schemas);
     const bool needs_restart = !usage_ && settings.wants_accounts();
     nlohmann::json fields{{"file", path_}, {"taken", true}};
@@ -394,6 +422,9 @@
     if (registry_.operator bool() == settings.registry.kind.empty()) {
         fields["problem"] = "a registry is switched on and off by a restart";
     }
+    if ((distribution_ != nullptr) != settings.fleet.wanted) {
+        fields["problem"] = "a distribution is switched on and off by a restart";
+    }
     if (needs_restart) fields["problem"] = "plans and use are switched on by a restart";
     log_.write(now, "operators", std::move(fields));
 }
@@ -404,6 +435,7 @@
                          {"turned_away_in_a_crowd", gateway_.crowd().turned_away()}};
     if (usage_) state["usage"] = usage_->state();
     if (agreement_) state["accord"] = agreement_->state();
+    if (distribution_) state["distribution"] = distribution_->state();
     if (registry_) {
         const net::RegistryClient::State one = registry_->state();
         state["registry"] = {{"endpoint", one.endpoint},
--- a/src/gateway/operators.h
+++ b/src/gateway/operators.h
@@ -11,6 +11,7 @@
 #include "agreement.h"
 #include "config.h"
 #include "core/gateway.h"
+#include "distribution.h"
 #include "log.h"
 #include "net/peer_link.h"
 #include "net/registry_client.h"
@@ -26,8 +27,11 @@
     plans::UsageSettings usage;
     net::RegistryClient::Settings registry;
     AgreementSettings agreement;
+    FleetSettings fleet;
 
-    bool wants_accounts() const { return usage.wanted || !book->terms.empty() || !book->reserves.empty(); }
+    bool wants_accounts() const {
+        return usage.wanted || fleet.wanted || !book->terms.empty() || !book->reserves.empty();
+    }
 };
 // Reads and checks a file. `site`: the platform's settings that it has to fit; none: not checked. Throws
 // std::runtime_error with the one line "FILE:LINE:COLUMN: WHAT".
@@ -51,7 +55,7 @@
         if (agreement_) agreement_->leave();
     }
     void tell_state();
-    // What the tier agrees on, as JSON; empty: nothing is agreed.
+    // What the tier agrees on, or the relays have told, as JSON; empty: neither.
     std::string accord_state() const;
     // Workers come from a registry of the operators' own, and the platform's discovery is not asked.
     bool has_registry() const { return registry_ != nullptr; }
@@ -72,6 +76,7 @@
     void check(accord::Version version, const std::string& text);
     void in_force(accord::Version version, const std::string& text);
     void fence(bool fenced);
+    void narrow(const Distribution::Narrowed& narrowed);
 
     net::RegistryClient::Settings registry_of(const OperatorSettings& settings) const;
 
@@ -90,8 +95,9 @@
     bool fenced_ = false;
     std::unique_ptr<Usage> usage_;
     std::unique_ptr<net::RegistryClient> registry_;  // where the file says something of plans or use
-    Reading* reading_ = nullptr;                     // of the own file
-    std::unordered_set<Reading*> checking_;          // of proposals
+    std::unique_ptr<Distribution> distribution_;
+    Reading* reading_ = nullptr;             // of the own file
+    std::unordered_set<Reading*> checking_;  // of proposals
     bool read_again_ = false;
     core::Handle timer_;
 };
--- /dev/null
+++ b/src/gateway/relay_mode.cpp
@@ -0,0 +1,370 @@
+#include "relay_mode.h"
+
+#include <sys/resource.h>
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <stdexcept>
+#include <utility>
+
+#include "distribution.h"
+#include "fleet.h"
+#include "keep/sealed.h"
+#include "log.h"
+#include "net/relay_server.h"
+#include "points.h"
+#include "quorum_store/quorum_store.h"
+
+namespace linnetlead::gateway {
+
+using core::Span;
+using core::Time;
+using distribution::Frame;
+using distribution::QuorumStore;
+using distribution::Relay;
+using distribution::Session;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Span tick_every = 20ms;
+constexpr Span sweep_every = 1s;
+constexpr Span save_every = 2s;
+constexpr Span connect_within = 2s;
+constexpr std::string_view sealed_as = "linnetlead-relay 1";
+constexpr std::array<int, 3> handled{SIGTERM, SIGINT, SIGUSR1};
+
+void hold_back_signals(bool hold) {
+    sigset_t all;
+    sigemptyset(&all);
+    for (const int one : handled) sigaddset(&all, one);
+    sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &all, nullptr);
+}
+
+FleetSettings read_file(const std::string& path) {
+    std::string text;
+    if (const auto problem = operators::read_text(path, text)) throw std::runtime_error(problem->line());
+    const operators::Result document = operators::read_document(text, path);
+    if (const auto* problem = std::get_if<operators::Problem>(&document)) {
+        throw std::runtime_error(problem->line());
+    }
+    FleetSettings fleet = read_fleet(std::get<operators::Value>(document), path);
+    if (fleet.relays.empty()) throw std::runtime_error(path + ": there is no relay() in it");
+    if (!fleet.wanted) throw std::runtime_error(path + ": there is no distribution() in it");
+    return fleet;
+}
+
+int number_of(const FleetSettings& fleet, const std::string& path, const std::string& name) {
+    for (std::size_t i = 0; i < fleet.relays.size(); ++i) {
+        if (fleet.relays[i].name == name) return static_cast<int>(i);
+    }
+    throw std::runtime_error(path + ": there is no relay '" + name + "' in it");
+}
+
+class RelayProgram {
+public:
+    RelayProgram(const std::string& path, const std::string& name)
+        : fleet_(read_file(path)),
+          self_(number_of(fleet_, path, name)),
+          own_(fleet_.relays[static_cast<std::size_t>(self_)]),
+          seed_(std::random_device()() + (std::uint64_t{std::random_device()()} << 32)),
+          log_(name),
+          directory_(path_of(fleet_.directory, "{relay}", name)),
+          above_(loop_, {[this] {
+                             relay_->connected_above(loop_.now());
+                             arm();
+                         },
+                         [this] {
+                             relay_->gone_above(loop_.now());
+                             arm();
+                         },
+                         [this](const Frame& frame) {
+                             reach_point();
+                             relay_->heard_above(loop_.now(), frame);
+                             arm();
+                         }}),
+          voters_(loop_, self_, voters_of(), seed_ + 2, {}),
+          server_(loop_, limits(),
+                  {[this](Session session) { relay_->opened(loop_.now(), session); },
+                   [this](Session session, const Frame& frame) {
+                       reach_point();
+                       relay_->heard(loop_.now(), session, frame);
+                       arm();
+                   },
+                   [this](int from, const std::string& message) {
+                       reach_point();
+                       relay_->heard_voter(loop_.now(), from, message);
+                       arm();
+                   },
+                   [this](Session session, distribution::Refusal refusal) {
+                       relay_->wrong(loop_.now(), session, refusal);
+                   },
+                   [this](Session session) { relay_->closed(loop_.now(), session); }}) {
+        hold_back_signals(true);
+        try {
+            start(path);
+        } catch (...) {
+            close();  // nothing may be destroyed while the loop still holds it
+            throw;
+        }
+    }
+
+    int run() {
+        std::fprintf(stderr, "linnetlead: listening on port %d\n", server_.port());
+        loop_.run();
+        close();
+        return code_;
+    }
+
+private:
+    // Entries on their way to disk, on a thread of libuv's. The store is that thread's meanwhile.
+    struct Writing {
+        uv_work_t work{};
+        RelayProgram* owner = nullptr;
+        QuorumStore* store = nullptr;
+        distribution::Quorum::Ready ready;
+        bool good = false;
+    };
+    struct Saving {
+        uv_work_t work{};
+        RelayProgram* owner = nullptr;
+        std::string path, state;
+        bool good = false;
+    };
+
+    std::vector<std::string> voters_of() const {
+        std::vector<std::string> all;
+        for (const auto& one : fleet_.relays) all.push_back(one.votes ? one.address : "");
+        return all;
+    }
+    // What the system gives, but for what is not a session's.
+    static net::RelayServer::Limits limits() {
+        net::RelayServer::Limits made;
+        rlimit files{};
+        getrlimit(RLIMIT_NOFILE, &files);
+        constexpr std::size_t for_the_rest = 64;
+        const std::size_t given = files.rlim_cur;
+        made.most_sessions =
+            std::min(made.most_sessions, given > 2 * for_the_rest ? given - for_the_rest : given / 2);
+        return made;
+    }
+
+    void start(const std::string& path) {
+        Relay::Settings settings = relay_of(fleet_, self_, seed_);
+        if (const std::string problem = distribution::check(settings); !problem.empty()) {
+            throw std::runtime_error(path + ": " + problem);
+        }
+        Relay::Disk disk;
+        if (own_.votes) {
+            if (directory_.empty()) {
+                throw std::runtime_error(path +
+                                         ": a relay that votes keeps a log: distribution(directory = ...)");
+            }
+            QuorumStore::Held held;
+            std::string problem;
+            store_ = QuorumStore::open({directory_, self_}, held, problem);
+            if (!store_) throw std::runtime_error(problem);
+            disk = {held.hard, std::move(held.snapshot), std::move(held.entries)};
+        }
+        relay_ = std::make_unique<Relay>(settings, outside(), std::move(disk));
+        restore();
+        sockaddr_storage address{};
+        net::read_address(own_.listen, address);
+        if (const int error = server_.listen(address); error < 0) {
+            throw std::runtime_error("cannot listen on " + own_.listen + ": " + uv_strerror(error));
+        }
+        for (std::size_t i = 0; i < signals_.size(); ++i) {
+            uv_signal_init(loop_.uv(), &signals_[i]);
+            signals_[i].data = this;
+            uv_signal_start(
+                &signals_[i],
+                [](uv_signal_t* signal, int number) {
+                    auto& self = *static_cast<RelayProgram*>(signal->data);
+                    number == SIGUSR1 ? self.tell_state() : self.loop_.stop();
+                },
+                handled[i]);
+        }
+        has_signals_ = true;
+        hold_back_signals(false);
+        tick();
+    }
+
+    Relay::Outside outside() {
+        Relay::Outside made;
+        made.to_voter = [this](int voter, const std::string& message) {
+            reach_point();
+            voters_.send(voter, message);
+        };
+        made.to_follower = [this](Session session, const Frame& frame) {
+            reach_point();
+            server_.send(session, frame);
+        };
+        made.unsent = [this](Session session) { return server_.unsent(session); };
+        made.hang_up = [this](Session session) { server_.hang_up(session); };
+        made.connect = [this](int relay) {
+            above_.connect(fleet_.relays[static_cast<std::size_t>(relay)].address, connect_within);
+        };
+        made.hang_up_above = [this] { above_.hang_up(); };
+        made.send_above = [this](const Frame& frame) {
+            reach_point();
+            above_.send(frame);
+        };
+        made.persist = [this](const distribution::Quorum::Ready& ready) { write(ready); };
+        made.event = [this](const std::string& what, const std::string& text) {
+            log_.write(loop_.now(), "relay", {{"what", what}, {"text", text}});
+        };
+        made.readable = readable;
+        return made;
+    }
+
+    void write(const distribution::Quorum::Ready& ready) {
+        reach_point();
+        writing_ = new Writing;
+        writing_->work.data = writing_;
+        writing_->owner = this;
+        writing_->store = store_.get();
+        writing_->ready = ready;
+        uv_queue_work(
+            loop_.uv(), &writing_->work,
+            [](uv_work_t* work) {
+                auto& self = *static_cast<Writing*>(work->data);
+                self.good = self.store->write(self.ready);
+            },
+            [](uv_work_t* work, int) {
+                const std::unique_ptr<Writing> self(static_cast<Writing*>(work->data));
+                self->owner->written(self->good);
+            });
+    }
+    void written(bool good) {
+        writing_ = nullptr;
+        if (closed_) return;
+        reach_point();
+        if (good) {
+            relay_->persisted(loop_.now());
+            return arm();
+        }
+        // Nothing that was not written may be told; whoever starts this again opens the log anew.
+        std::fprintf(stderr, "linnetlead: %s\n", store_->problem().c_str());
+        code_ = 1;
+        loop_.stop();
+    }
+
+    // ---- one that does not vote: what it follows, for its next start ----
+
+    std::string state_path() const { return directory_.empty() ? "" : directory_ + "/state"; }
+    void restore() {
+        if (own_.votes || directory_.empty()) return;
+        mkdir(directory_.c_str(), 0755);
+        const auto bytes = keep::read_whole(state_path());
+        if (!bytes) return;
+        std::string problem;
+        const auto state = keep::unseal(sealed_as, *bytes, problem);
+        if (state && !relay_->restore(loop_.now(), *state)) problem = "it is damaged";
+        if (!problem.empty()) log_.write(loop_.now(), "relay", {{"what", "not restored"}, {"text", problem}});
+    }
+    void save(Time now) {
+        if (own_.votes || directory_.empty() || saving_ || now < save_at_) return;
+        if (relay_->position() == saved_) return;
+        saved_ = relay_->position();
+        saving_ = new Saving;
+        saving_->work.data = saving_;
+        saving_->owner = this;
+        saving_->path = state_path();
+        saving_->state = relay_->save();
+        // Saving takes a hundredth of the loop at most.
+        save_at_ = now + std::max<Span>(save_every, 100 * (loop_.now() - now));
+        uv_queue_work(
+            loop_.uv(), &saving_->work,
+            [](uv_work_t* work) {
+                auto& self = *static_cast<Saving*>(work->data);
+                self.good = keep::write_whole(self.path, keep::seal(sealed_as, self.state));
+            },
+            [](uv_work_t* work, int) {
+                const std::unique_ptr<Saving> self(static_cast<Saving*>(work->data));
+                RelayProgram& owner = *self->owner;
+                owner.saving_ = nullptr;
+                if (self->good || owner.closed_) return;
+                owner.saved_ = 0;  // tried again
+                owner.log_.write(owner.loop_.now(), "relay", {{"what", "not saved"}, {"text", self->path}});
+            });
+    }
+
+    // ---- time ----
+
+    // A settled instant is met when it comes.
+    void arm() {
+        const auto wake = relay_->wake_at();
+        if (!wake || wake == asked_wake_) return;
+        asked_wake_ = wake;
+        loop_.disarm(timer_);
+        const Time now = loop_.now();
+        timer_ = loop_.arm(std::min(now + tick_every, std::max(*wake, now)), [this] { tick(); });
+    }
+    void tick() {
+        const Time now = loop_.now();
+        relay_->tick(now);
+        if (now >= sweep_at_) {
+            sweep_at_ = now + sweep_every;
+            server_.tick(now);
+            voters_.tick(now);
+        }
+        save(now);
+        asked_wake_.reset();
+        Time next = now + tick_every;
+        if (const auto wake = relay_->wake_at(); wake && *wake > now) next = std::min(next, *wake);
+        timer_ = loop_.arm(next, [this] { tick(); });
+    }
+
+    void tell_state() {
+        log_.write(loop_.now(), "state",
+                   {{"relay", nlohmann::json::parse(relay_->state(loop_.now()), nullptr, false)},
+                    {"sessions", server_.sessions()},
+                    {"dropped_to_voters", voters_.dropped()}});
+    }
+
+    void close() {
+        closed_ = true;
+        loop_.disarm(std::exchange(timer_, {}));
+        server_.close();
+        above_.close();
+        voters_.close();
+        hold_back_signals(true);
+        for (uv_signal_t& signal : signals_) {
+            if (has_signals_) uv_close(reinterpret_cast<uv_handle_t*>(&signal), nullptr);
+        }
+        loop_.drain();  // also waits for what is being written
+    }
+
+    const FleetSettings fleet_;
+    const int self_;
+    const FleetSettings::Place own_;
+    const std::uint64_t seed_;
+    net::Loop loop_;
+    Log log_;
+    const std::string directory_;
+    net::FrameLink above_;
+    net::VoterLinks voters_;
+    net::RelayServer server_;
+    std::unique_ptr<QuorumStore> store_;  // of one that votes
+    std::unique_ptr<Relay> relay_;
+    Writing* writing_ = nullptr;
+    Saving* saving_ = nullptr;
+    distribution::Number saved_ = 0;
+    Time save_at_{}, sweep_at_{};
+    core::Handle timer_;
+    std::optional<Time> asked_wake_;
+    std::array<uv_signal_t, handled.size()> signals_{};
+    bool has_signals_ = false, closed_ = false;
+    int code_ = 0;
+};
+
+}  // namespace
+
+int run_relay(const std::string& file, const std::string& name) { return RelayProgram(file, name).run(); }
+
+}  // namespace linnetlead::gateway
--- /dev/null
+++ b/src/net/frame_link.h
@@ -0,0 +1,111 @@
+// Frames of the distribution over one connection that this side opens: a gateway's or a relay's to the relay
+// that it follows, a voter's to another, a tool's. And a voter's to all others.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/slots.h"
+#include "distribution/frames.h"
+#include "stream.h"
+
+namespace linnetlead::net {
+
+using distribution::Frame;
+using distribution::Refusal;
+
+// A connection that reads frames. What is none ends it, after a frame that says so.
+class FrameStream : public Stream {
+public:
+    FrameStream(Loop& loop, std::size_t most) : Stream(loop), reader_(most), heard_at_(loop.now()) {}
+    void tell(const Frame& frame) { to_write().append(distribution::write(frame)); }
+    core::Time heard_at() const { return heard_at_; }
+    // Since when nothing that was written has left; nothing: all has, or some does.
+    bool is_stuck(core::Span for_so_long);
+
+private:
+    virtual void on_frame(const Frame& frame) = 0;
+    virtual void on_wrong(Refusal refusal) = 0;
+    std::size_t on_bytes(std::string_view bytes) override;
+
+    distribution::FrameReader reader_;
+    core::Time heard_at_, stuck_since_{};
+    std::size_t unsent_ = 0;
+};
+
+// One connection at a time.
+class FrameLink {
+public:
+    struct Outside {
+        std::function<void()> connected;
+        std::function<void()> gone;  // it, or the try; not behind hang_up()
+        std::function<void(const Frame& frame)> heard;
+    };
+    FrameLink(Loop& loop, Outside outside) : loop_(loop), outside_(std::move(outside)) {}
+    ~FrameLink() { close(); }
+    FrameLink(const FrameLink&) = delete;
+    FrameLink& operator=(const FrameLink&) = delete;
+
+    // One that is there is given up. Ends in connected() or gone(), never within this call.
+    void connect(const std::string& address, core::Span within);
+    void hang_up();
+    // Nothing where there is no connection.
+    void send(const Frame& frame);
+    bool is_up() const { return up_; }
+    std::size_t unsent();
+    // Nothing of what was sent has left for so long.
+    bool is_stuck(core::Span for_so_long);
+    void close() { hang_up(); }
+
+private:
+    class Connection;
+    Connection* current();
+
+    Loop& loop_;
+    Outside outside_;
+    // As many as are still being closed, and one.
+    std::shared_ptr<core::Slots<Connection>> connections_;
+    core::Handle current_, timer_;
+    bool up_ = false;
+};
+
+// From one voter to each other: what cannot be sent now is lost.
+class VoterLinks {
+public:
+    struct Limits {
+        std::size_t most_unsent = 4 * 1024 * 1024;  // bytes to one voter; beyond, messages are dropped
+        core::Span connect_within = std::chrono::milliseconds(1000);
+        core::Span shortest_pause = std::chrono::milliseconds(100);  // doubles, with full jitter
+        core::Span longest_pause = std::chrono::milliseconds(1000);
+        core::Span stuck = std::chrono::seconds(3);  // without a byte leaving: opened anew
+        core::Span idle = std::chrono::seconds(2);   // then an empty message tells that it is there
+    };
+    // `addresses`: of the voters by their numbers. Opens as soon as there is something to say.
+    VoterLinks(Loop& loop, int self, std::vector<std::string> addresses, std::uint64_t seed, Limits limits);
+    void send(int voter, const std::string& message);
+    void tick(core::Time now);
+    void close();
+    std::uint64_t dropped() const { return dropped_; }
+
+private:
+    struct Link {
+        std::string address;
+        std::unique_ptr<FrameLink> link;
+        bool trying = false;
+        core::Time next{}, said_at{};
+        core::Span pause{};
+    };
+    void lost(Link& link);
+
+    Loop& loop_;
+    int self_;
+    Limits limits_;
+    std::vector<Link> links_;
+    std::mt19937_64 random_;
+    std::uint64_t dropped_ = 0;
+};
+
+}  // namespace linnetlead::net
--- /dev/null
+++ b/src/net/relay_server.h
@@ -0,0 +1,55 @@
+// The connections that a relay takes: of followers, other voters and tools. Half frames, garbage, sessions
+// that are silent or take nothing end their own connection.
+#pragma once
+
+#include <functional>
+
+#include "frame_link.h"
+#include "listener.h"
+
+namespace linnetlead::net {
+
+class RelayServer {
+public:
+    using Session = std::uint64_t;
+    struct Limits {
+        std::size_t most_sessions = 600;
+        std::size_t most_unsent = 8 * 1024 * 1024;     // bytes; a session with more ends
+        core::Span silence = std::chrono::seconds(5);  // of a voter, or of one that has said nothing whole
+        core::Span leaving = std::chrono::seconds(2);  // for what is sent last
+    };
+    struct Outside {
+        std::function<void(Session)> opened;  // with its first frame, which follows
+        std::function<void(Session, const Frame&)> heard;
+        std::function<void(int from, const std::string& message)> heard_voter;
+        std::function<void(Session, Refusal)> wrong;
+        std::function<void(Session)> closed;  // once for each that was opened
+    };
+    RelayServer(Loop& loop, Limits limits, Outside outside);
+    ~RelayServer();
+    RelayServer(const RelayServer&) = delete;
+    RelayServer& operator=(const RelayServer&) = delete;
+
+    // Returns libuv's error.
+    int listen(const sockaddr_storage& address);
+    int port() const { return listener_.port(); }
+    void send(Session session, const Frame& frame);
+    std::size_t unsent(Session session);
+    void hang_up(Session session);  // once what was sent has left
+    void tick(core::Time now);      // every second or so
+    void close();
+    std::size_t sessions() const;
+
+private:
+    class Connection;
+    Connection* find(Session session);
+
+    Loop& loop_;
+    Limits limits_;
+    Outside outside_;
+    Listener listener_;
+    core::Slots<Connection> connections_;
+    bool closed_ = false;
+};
+
+}  // namespace linnetlead::net
--- a/src/operators/document.cpp
+++ b/src/operators/document.cpp
@@ -230,7 +230,7 @@
           "region": {"$ref": "#/definitions/name"},
           "zone": {"$ref": "#/definitions/name"},
           "snapshot": {"type": "string", "minLength": 1},
-          "log": {"type": "string", "minLength": 1},
+          "directory": {"type": "string", "minLength": 1},
           "lease": {"$ref": "#/definitions/time"},
           "skew": {"$ref": "#/definitions/time"},
           "lead": {"$ref": "#/definitions/time"},
