Real relays and gateways under faults: cut links, stalls, SIGKILL, old state, garbage, points

The modes of the program had to be shown as processes, with the very failures between them.

- tests/distribution_process_test: three relays that vote in three regions and five gateways under load; plans that really limit at all gateways from one instant on; one cut off, one that hears nothing, a region cut off, a leader killed between given and settled, stopped and going on, all killed and started with old state, garbage and lies at a relay's port, a value that gateways cannot act on, crashes and stops at five numbered points of a relay's and a gateway's process.

--- a/standin/relay.cpp
+++ b/standin/relay.cpp
@@ -36,7 +36,7 @@
 
 private:
     std::size_t on_bytes(std::string_view bytes) override {
-        if (relay_.cut_) return 0;
+        if (relay_.cut_down_) return 0;
         Near* near = relay_.server_.connections.find(other);
         if (near && !near->closing()) near->to_write().append(bytes);
         return bytes.size();
@@ -44,7 +44,7 @@
     void on_end(int) override {
         Near* near = relay_.server_.connections.find(other);
         if (!near) return;
-        if (relay_.cut_) {
+        if (relay_.cut_down_) {
             near->over = true;
         } else if (!near->closing()) {
             near->finish();
@@ -62,7 +62,7 @@
 }
 
 std::size_t TcpRelay::Near::on_bytes(std::string_view bytes) {
-    if (relay_.cut_) return 0;
+    if (relay_.cut_up_) return 0;
     if (!other) open();
     End* end = relay_.ends_.find(other);
     if (end && !end->closing()) end->to_write().append(bytes);
@@ -72,7 +72,7 @@
 void TcpRelay::Near::on_end(int) {
     End* end = relay_.ends_.find(other);
     if (!end) return;
-    if (relay_.cut_) {
+    if (relay_.cut_up_) {
         end->over = true;
     } else if (!end->closing()) {
         end->close();  // as a client that goes
@@ -82,16 +82,16 @@
 TcpRelay::TcpRelay(net::Loop& loop, std::uint16_t to) : to_(to), server_(loop, *this) {}
 TcpRelay::~TcpRelay() = default;
 
-void TcpRelay::cut(bool on) {
-    cut_ = on;
-    if (on) return;
-    server_.connections.for_each([](Handle, Near& near) {
-        if (near.closing()) return;
+void TcpRelay::cut(bool up, bool down) {
+    cut_up_ = up;
+    cut_down_ = down;
+    server_.connections.for_each([up](Handle, Near& near) {
+        if (near.closing() || up) return;
         near.take_rest();
         if (near.over) near.close();
     });
-    ends_.for_each([](Handle, End& end) {
-        if (end.closing()) return;
+    ends_.for_each([down](Handle, End& end) {
+        if (end.closing() || down) return;
         end.take_rest();
         if (end.over) end.close();
     });
--- a/standin/relay.h
+++ b/standin/relay.h
@@ -29,8 +29,10 @@
     ~TcpRelay();
     std::uint16_t port() const { return server_.port; }
     std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
-    // Cut: what is written stays unread and unsent until it is whole again.
-    void cut(bool on);
+    // Cut: what is written stays unread and unsent until it is whole again. One way alone: `up` is from who
+    // connects.
+    void cut(bool on) { cut(on, on); }
+    void cut(bool up, bool down);
     // All connections are reset, as when a machine restarts.
     void reset();
     void close();
@@ -39,7 +41,7 @@
     class End;
     class Near;
     std::uint16_t to_;
-    bool cut_ = false;
+    bool cut_up_ = false, cut_down_ = false;
     core::Slots<End> ends_;
     Server<Near> server_;
 };
--- a/standin/town.cpp
+++ b/standin/town.cpp
@@ -622,10 +622,12 @@
 void Town::start_again(int number) {
     Gateway& gateway = gateways_[static_cast<std::size_t>(number)];
     std::vector<std::string> arguments;
-    if (!settings_.operators.empty()) {
+    const auto own = settings_.operators_of.find(number);
+    const std::string& operators = own == settings_.operators_of.end() ? settings_.operators : own->second;
+    if (!operators.empty()) {
         if (gateway.operators_path.empty()) {
             gateway.operators_path = temporary_path("star");
-            write_file(gateway.operators_path, settings_.operators);
+            write_file(gateway.operators_path, operators);
         }
         arguments = {"--operators", gateway.operators_path};
     }
--- a/standin/town.h
+++ b/standin/town.h
@@ -30,7 +30,8 @@
     Mix mix;
     std::uint64_t seed = 1;
     int memory_mb = 192;
-    std::string operators;  // the operators' file's text; empty: none
+    std::string operators;                    // the operators' file's text; empty: none
+    std::map<int, std::string> operators_of;  // of a gateway that has another
     // Each gateway has a second address, and an address of its own from the start, so that another process
     // can take over.
     bool second_address = false;
--- /dev/null
+++ b/tests/distribution_process_test.cpp
@@ -0,0 +1,444 @@
+// Real relays and gateways that follow them, under load, with links between them cut one way and both,
+// stalls, SIGKILL, restarts with old state, garbage, and faults at numbered points of the processes.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+#include "plans/tenants.h"
+#include "standin/relay_town.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace std::chrono_literals;
+using distribution::Change;
+using distribution::Number;
+using distribution::Refusal;
+using nlohmann::json;
+using standin::RelayTown;
+using standin::TownSettings;
+
+constexpr plans::AccountId account = 5000;
+const std::vector<RelayTown::Place> three{{"r0", "eu", "eu-a"}, {"r1", "us", "us-a"}, {"r2", "ap", "ap-a"}};
+const std::vector<std::string> five{"eu-a", "eu-a", "us-a", "ap-a", "ap-a"};
+
+std::string plan_value(double rate) {
+    return json{{"rate", {{"unit", "rate"}, {"value", rate}}}, {"burst", std::max(4.0, rate)}}.dump();
+}
+std::string on_plan(const std::string& plan) { return plans::write_tenant({{plan, {}, plans::forever}}); }
+
+struct Fleet : RelayTown {
+    explicit Fleet(const std::vector<Place>& relays = three, const std::vector<std::string>& zones = five,
+                   const std::string& more = ", lead = ms(400), patience = ms(500)")
+        : RelayTown(
+              [] {
+                  TownSettings settings;
+                  settings.program = LINNETLEAD_PROGRAM;
+                  settings.calls_per_s = 60;
+                  return settings;
+              }(),
+              relays, zones, more) {
+        for (int i = 0; i < 4; ++i) town.add_worker("w" + std::to_string(i), "std", {}).figures.cores = 4;
+    }
+    // A change that counts; its number. Given again under its id where the leader is not found yet.
+    Number give(int relay_number, std::vector<distribution::Edit> edits) {
+        Change change;
+        change.id = "c" + std::to_string(++given_);
+        change.edits = std::move(edits);
+        std::optional<distribution::Answer> answer;
+        for (const core::Time until = town.now() + 12s; town.now() < until; town.run_for(200ms)) {
+            answer = submit(relay_number, change, 3s);
+            if (answer && answer->refusal == Refusal::none) return answer->number;
+            if (answer && answer->refusal != Refusal::no_leader && answer->refusal != Refusal::busy) break;
+        }
+        ADD_FAILURE() << change.id << ": "
+                      << (answer ? words(answer->refusal) + (": " + answer->words) : "no answer") << '\n'
+                      << told();
+        return 0;
+    }
+    // What all say, for a failure.
+    std::string told() {
+        std::string text;
+        for (int i = 0; i < 3; ++i) text += relay_state(i).dump() + '\n' + relay_log(i);
+        for (const json& one : states()) text += one.dump() + '\n';
+        return text;
+    }
+    // The account on a plan of so many units a second, in one change.
+    Number limit_to(double rate, int at = 0) {
+        const std::string plan = "p" + std::to_string(++given_);
+        return give(at, {{"plan/" + plan, plan_value(rate)}, {plans::tenant_key(account), on_plan(plan)}});
+    }
+    // Of the account's calls in that time, how many units were first sent on a second.
+    double units_per_s(core::Span time) {
+        const double before = sent();
+        const core::Time begun = town.now();
+        town.run_for(time);
+        return (sent() - before) / std::chrono::duration<double>(town.now() - begun).count();
+    }
+    double sent() { return plans::units_of(town.seen[account].guessed); }
+    void finish() {
+        town.ask_much(account, 0);
+        town.load(false);
+        const standin::Audit& seen = town.audit;
+        town.run_until(
+            [&] { return seen.asked <= seen.served + seen.refused + seen.failed + seen.lost_with_gateway; },
+            6s);
+        town.run_for(200ms);
+        EXPECT_EQ(town.audit.broken(), "");
+        EXPECT_GT(town.audit.served, 0u);
+    }
+    int given_ = 0;
+};
+
+TEST(DistributionProcess, AChangeOfAFileTakesEffectAtAllGatewaysAtOnceAndLimitsForReal) {
+    Fleet fleet;
+    fleet.start();
+    fleet.town.load(true);
+    fleet.town.ask_much(account, 40);
+    const std::string account_text = plans::tenant_key(account).substr(7);
+    const auto file = [&](const std::string& name, int rate) {
+        const std::string at = fleet.path(name);
+        standin::write_file(at, "plan(\"held\", rate = per_second(" + std::to_string(rate) +
+                                    "), burst = 10)\naccount(\"" + account_text + "\", plan = \"held\")\n");
+        return at;
+    };
+    const std::string wide = file("wide.star", 400), tight = file("tight.star", 8);
+    ASSERT_EQ(fleet.command({"change", "apply", "--relay", fleet.address(1), wide}), 0);
+    const Number first = fleet.relay_state(1)["committed"];
+    ASSERT_TRUE(fleet.reach(1, fleet.all_gateways(), 8s)) << fleet.told();
+    ASSERT_TRUE(fleet.reach_fenced(false, fleet.all_gateways(), 3s));
+    EXPECT_GT(fleet.units_per_s(1500ms), 60) << "some 100 are asked for";
+    const core::Time given = fleet.town.now();
+    ASSERT_EQ(fleet.command({"change", "apply", "--relay", fleet.address(2), "--old", wide, tight}), 0);
+    ASSERT_TRUE(fleet.reach(first + 1, fleet.all_gateways(), 8s)) << fleet.told();
+    // As read from the logs, every 20 ms.
+    core::Time earliest = core::Time::max(), latest{};
+    int told = 0;
+    for (const auto& one : fleet.town.log()) {
+        if (one.at < given || one.line.find("\"what\":\"settings\"") == std::string::npos) continue;
+        earliest = std::min(earliest, one.at);
+        latest = std::max(latest, one.at);
+        ++told;
+    }
+    EXPECT_EQ(told, 5);
+    EXPECT_LE(latest - earliest, 150ms);
+    fleet.town.run_for(1s);
+    EXPECT_LT(fleet.units_per_s(2s), 30);
+    for (const json& state : fleet.states()) {
+        EXPECT_EQ(state["way"], "relays");
+        EXPECT_EQ(state["distribution"]["longest_contradiction_ms"], 2350);
+        EXPECT_EQ(state["distribution"]["pending"], false);
+    }
+    fleet.finish();
+}
+
+TEST(DistributionProcess, OneThatIsCutOffIsFencedServesOnAndCatchesUp) {
+    Fleet fleet;
+    fleet.start();
+    fleet.town.load(true);
+    const Number first = fleet.limit_to(300);
+    ASSERT_TRUE(fleet.reach(first, fleet.all_gateways(), 8s)) << fleet.told();
+    ASSERT_TRUE(fleet.reach_fenced(false, fleet.all_gateways(), 3s));
+    fleet.part({}, {4}, true);
+    // And one whose relays hear it, and that hears nothing.
+    for (int relay = 0; relay < 3; ++relay) fleet.gateway_link(3, relay).cut(false, true);
+    ASSERT_TRUE(fleet.reach_fenced(true, {3, 4}, 3500ms)) << "a lease behind the last beat";
+    const Number second = fleet.limit_to(5);
+    ASSERT_TRUE(fleet.reach(second, {0, 1, 2}, 8s))
+        << fleet.told() << "those that are cut off are not waited for";
+    ASSERT_TRUE(fleet.reach_fenced(false, {0, 1, 2}, 1s));
+    for (const int cut : {3, 4}) {
+        const json state = fleet.state(cut);
+        EXPECT_EQ(state["fenced"], true) << cut;
+        EXPECT_EQ(state["distribution"]["revision"], first) << cut;
+    }
+    const auto served = fleet.town.audit.served;
+    fleet.town.run_for(1s);
+    EXPECT_GT(fleet.town.audit.served, served + 25) << "a fence is no outage";
+    fleet.part({}, {4}, false);
+    for (int relay = 0; relay < 3; ++relay) fleet.gateway_link(3, relay).cut(false);
+    ASSERT_TRUE(fleet.reach(second, {3, 4}, 8s)) << fleet.told();
+    ASSERT_TRUE(fleet.reach_fenced(false, {3, 4}, 3s));
+    fleet.finish();
+}
+
+TEST(DistributionProcess, ARegionCutOffIsFencedAndTheOthersGoOnAndOneWayLinksHoldNothingUp) {
+    Fleet fleet;
+    fleet.start();
+    fleet.town.load(true);
+    const Number first = fleet.limit_to(300);
+    ASSERT_TRUE(fleet.reach(first, fleet.all_gateways(), 8s)) << fleet.told();
+    // r2 hears the others and is not heard, then is cut off whole with its region's gateways.
+    fleet.link(2, 0).cut(true);
+    fleet.link(2, 1).cut(true);
+    const Number second = fleet.limit_to(200);
+    ASSERT_TRUE(fleet.reach(second, fleet.all_gateways(), 8s)) << fleet.told();
+    fleet.link(2, 0).cut(false);
+    fleet.link(2, 1).cut(false);
+    fleet.part({2}, {3, 4}, true);
+    ASSERT_TRUE(fleet.reach_fenced(true, {3, 4}, 6s));
+    const Number third = fleet.limit_to(100, 1);
+    ASSERT_TRUE(fleet.reach(third, {0, 1, 2}, 8s)) << fleet.told();
+    Change lonely;
+    lonely.id = "lonely";
+    lonely.edits = {{"plan/lonely", plan_value(1)}};
+    const auto refused = fleet.submit(2, lonely, 15s);
+    ASSERT_TRUE(refused.has_value());
+    EXPECT_EQ(refused->refusal, Refusal::no_leader) << "one region of three orders nothing";
+    fleet.part({2}, {3, 4}, false);
+    const core::Time healed = fleet.town.now();
+    ASSERT_TRUE(fleet.reach(third, {3, 4}, 8s)) << fleet.told();
+    ASSERT_TRUE(fleet.reach_fenced(false, {3, 4}, 8s - (fleet.town.now() - healed)));
+    fleet.finish();
+}
+
+TEST(DistributionProcess, ALeaderKilledBetweenGivenAndSettledLosesNothing) {
+    Fleet fleet;
+    fleet.start();
+    fleet.town.load(true);
+    const Number first = fleet.limit_to(300);
+    ASSERT_TRUE(fleet.reach(first, fleet.all_gateways(), 8s)) << fleet.told();
+    const auto leader = fleet.leader();
+    ASSERT_TRUE(leader.has_value());
+    const Number second = fleet.limit_to(7, *leader);
+    fleet.kill_relay(*leader);
+    const core::Time killed = fleet.town.now();
+    ASSERT_TRUE(fleet.reach(second, fleet.all_gateways(), 8s)) << fleet.told();
+    ASSERT_TRUE(fleet.reach_fenced(false, fleet.all_gateways(), 8s - (fleet.town.now() - killed)));
+    fleet.start_relay(*leader);  // with what was on its disk
+    const Number third = fleet.limit_to(9, (*leader + 1) % 3);
+    ASSERT_TRUE(fleet.reach(third, fleet.all_gateways(), 8s)) << fleet.told();
+    ASSERT_TRUE(fleet.town.run_until(
+        [&] {
+            const json state = fleet.relay_state(*leader);
+            return state.is_object() && state["revision"] == third && state["fault"] == false;
+        },
+        5s));
+    fleet.finish();
+}
+
+TEST(DistributionProcess, WhatWasStoppedActsOnNothingOldWhenItGoesOn) {
+    Fleet fleet;
+    fleet.start();
+    const Number first = fleet.limit_to(300);
+    ASSERT_TRUE(fleet.reach(first, fleet.all_gateways(), 8s)) << fleet.told();
+    ASSERT_TRUE(fleet.reach_fenced(false, fleet.all_gateways(), 3s));
+    const auto leader = fleet.leader();
+    ASSERT_TRUE(leader.has_value());
+    fleet.town.gateway(2).signal(SIGSTOP);
+    fleet.relay(*leader).signal(SIGSTOP);
+    ASSERT_TRUE(fleet.town.run_until([&] { return fleet.leader().has_value(); }, 8s));
+    const Number second = fleet.limit_to(7, *fleet.leader());
+    ASSERT_TRUE(fleet.reach(second, {0, 1, 3, 4}, 10s)) << fleet.told();
+    const core::Time on = fleet.town.now();
+    fleet.town.gateway(2).signal(SIGCONT);
+    fleet.relay(*leader).signal(SIGCONT);
+    ASSERT_TRUE(fleet.reach(second, {2}, 8s)) << fleet.told();
+    ASSERT_TRUE(fleet.reach_fenced(false, {2}, 5s));
+    // First the fence, then what is new: nothing was acted on in full between.
+    EXPECT_TRUE(fleet.town.run_until([&] { return fleet.logged("\"settings\"", 2, on) > 0; }, 1s));
+    std::size_t fence = 0, settings = 0, line = 0;
+    for (const auto& one : fleet.town.log()) {
+        ++line;
+        if (one.gateway != 2 || one.at < on) continue;
+        if (fence == 0 && one.line.find("\"what\":\"fenced\"") != std::string::npos) fence = line;
+        if (settings == 0 && one.line.find("\"what\":\"settings\"") != std::string::npos) settings = line;
+    }
+    EXPECT_GT(fence, 0u);
+    EXPECT_LT(fence, settings);
+    const Number third = fleet.limit_to(9, *leader);
+    ASSERT_TRUE(fleet.reach(third, fleet.all_gateways(), 8s)) << fleet.told();
+    EXPECT_EQ(fleet.town.audit.broken(), "");
+}
+
+TEST(DistributionProcess, AllKilledAndStartedWithOldStateGoOnWhereTheyWere) {
+    Fleet fleet;
+    fleet.start();
+    fleet.town.load(true);
+    const Number first = fleet.limit_to(300);
+    ASSERT_TRUE(fleet.reach(first, fleet.all_gateways(), 8s)) << fleet.told();
+    fleet.town.run_for(1200ms);  // kept by now
+    fleet.town.kill(4);
+    const Number second = fleet.limit_to(7);
+    ASSERT_TRUE(fleet.reach(second, {0, 1, 2, 3}, 8s)) << fleet.told();
+    const core::Time again = fleet.town.now();
+    for (int i = 0; i < 3; ++i) fleet.kill_relay(i);
+    fleet.town.start_again(4);  // with the first revision, and nobody to hear
+    fleet.town.run_for(1500ms);
+    EXPECT_EQ(fleet.logged("\"revision\":" + std::to_string(first), 4, again), 1) << "from what was kept";
+    EXPECT_EQ(fleet.state(4)["fenced"], true);
+    EXPECT_EQ(fleet.state(4)["distribution"]["revision"], first);
+    for (int i = 0; i < 3; ++i) fleet.start_relay(i);
+    ASSERT_TRUE(fleet.reach(second, fleet.all_gateways(), 10s)) << fleet.told();
+    ASSERT_TRUE(fleet.reach_fenced(false, fleet.all_gateways(), 5s));
+    const Number third = fleet.limit_to(9, 1);
+    EXPECT_GT(third, second) << "one history";
+    ASSERT_TRUE(fleet.reach(third, fleet.all_gateways(), 8s)) << fleet.told();
+    EXPECT_EQ(fleet.state(4)["distribution"]["snapshots"], 0) << "differences, no wholes";
+    fleet.finish();
+}
+
+TEST(DistributionProcess, GarbageAndLiesEndTheirOwnConnectionAlone) {
+    Fleet fleet;
+    fleet.start();
+    fleet.town.load(true);
+    const Number first = fleet.limit_to(300);
+    ASSERT_TRUE(fleet.reach(first, fleet.all_gateways(), 8s)) << fleet.told();
+    const auto hello = [](distribution::Role role) {
+        distribution::Hello made;
+        made.role = role;
+        made.name = "liar";
+        return distribution::write(made);
+    };
+    distribution::Ack lie;
+    lie.position = 1000000;
+    lie.gateways = 5000;
+    const std::vector<std::pair<const char*, std::string>> all{
+        {"garbage", "GET / HTTP/1.1\r\nHost: x\r\n\r\n"},
+        {"a length over the bound", std::string("\xff\xff\xff\xff....", 8)},
+        {"no CBOR", std::string("\0\0\0\4\xff\xff\xff\xff", 8)},
+        {"no hello first", distribution::write(lie)},
+        {"a follower that holds what it was never sent",
+         hello(distribution::Role::gateway) + distribution::write(lie)},
+        {"another version",
+         [] {
+             distribution::Hello made;
+             made.version = 99;
+             return distribution::write(made);
+         }()},
+        {"from the wrong side",
+         hello(distribution::Role::gateway) + distribution::write(distribution::Welcome{})},
+    };
+    std::vector<standin::Peer> callers;
+    for (const auto& [what, bytes] : all) {
+        callers.push_back(standin::connect_to(fleet.port(0)));
+        callers.back().write(bytes);
+    }
+    standin::Peer half = standin::connect_to(fleet.port(0));
+    half.write(hello(distribution::Role::gateway).substr(0, 9));
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        EXPECT_TRUE(fleet.town.run_until([&] { return callers[i].is_over(); }, 5s)) << all[i].first;
+        // An error frame of its own says why.
+        distribution::FrameReader reader;
+        std::string_view bytes = callers[i].got;
+        distribution::Frame frame;
+        Refusal refusal{};
+        bool told = false;
+        while (reader.take(bytes, frame, refusal) == distribution::FrameReader::State::frame) {
+            told = told || std::holds_alternative<distribution::Error>(frame);
+        }
+        EXPECT_TRUE(told) << all[i].first;
+    }
+    const Number second = fleet.limit_to(100);
+    ASSERT_TRUE(fleet.reach(second, fleet.all_gateways(), 8s)) << fleet.told();
+    const auto refusal_of = [&](std::vector<distribution::Edit> edits, Number base = 0) {
+        Change change;
+        change.id = "bad" + std::to_string(++fleet.given_);
+        change.base = base;
+        change.edits = std::move(edits);
+        const auto answer = fleet.submit(1, change);
+        return answer ? answer->refusal : Refusal::none;
+    };
+    EXPECT_EQ(refusal_of({}), Refusal::malformed);
+    EXPECT_EQ(refusal_of({{"cat/tom", "{}"}}), Refusal::unknown_kind);
+    EXPECT_EQ(refusal_of({{"plan/none", std::nullopt}}), Refusal::absent);
+    EXPECT_EQ(refusal_of({{"plan/bad", "{}"}}), Refusal::unreadable);
+    EXPECT_EQ(refusal_of({{"plan/big", std::string(distribution::most_value + 1, 'x')}}), Refusal::over_size);
+    EXPECT_EQ(refusal_of({{plans::tenant_key(account), on_plan("basico")}}, 1), Refusal::stale);
+    EXPECT_EQ(refusal_of({{"plan/new", plan_value(1)}}, second + 1000), Refusal::ahead);
+    EXPECT_TRUE(fleet.town.run_until([&] { return half.is_over(); }, 12s)) << "a frame that never ends";
+    fleet.finish();
+}
+
+TEST(DistributionProcess, AValueThatNoGatewayCanActOnIsHeldBackAndTheRestGoesOn) {
+    Fleet fleet;
+    fleet.start();
+    const Number first = fleet.limit_to(300);
+    ASSERT_TRUE(fleet.reach(first, fleet.all_gateways(), 8s)) << fleet.told();
+    // It can be read, but nobody knows the plan.
+    const Number bad = fleet.give(0, {{plans::tenant_key(account), on_plan("nowhere")}});
+    const Number good = fleet.limit_to(100, 1);
+    ASSERT_TRUE(fleet.reach(good, fleet.all_gateways(), 8s)) << fleet.told();
+    bool told = false;
+    for (int i = 0; i < 3; ++i) {
+        const std::string log = fleet.relay_log(i);
+        told = told || (log.find("\"withdraw\"") != std::string::npos &&
+                        log.find("change " + std::to_string(bad) + ":") != std::string::npos &&
+                        log.find("among them n") != std::string::npos);
+    }
+    EXPECT_TRUE(told) << "with names\n" << fleet.told();
+    for (const json& state : fleet.states()) EXPECT_EQ(state["fenced"], false);
+}
+
+// A crash or a stop at a numbered point of one relay's process or of one gateway's: a frame or a vote sent or
+// heard, entries on their way to disk or there. A spread of them; every number is played in virtual time.
+struct Fault {
+    const char* process;
+    int point;
+    const char* fault;
+};
+class DistributionPoints : public testing::TestWithParam<Fault> {};
+
+TEST_P(DistributionPoints, TheOthersGoOnAndItComesBack) {
+    const Fault fault = GetParam();
+    const bool crashes = std::string(fault.fault) == "crash", is_relay = fault.process[0] == 'r';
+    const std::vector<std::string> with{"LINNETLEAD_POINT=" + std::to_string(fault.point) + ":" +
+                                        fault.fault};
+    Fleet fleet(three, {"eu-a", "us-a", "ap-a"});
+    (is_relay ? fleet.environment : fleet.town.environment)[0] = with;
+    fleet.start();
+    fleet.town.load(true);
+    const Number first = fleet.limit_to(300, 1);
+    ASSERT_TRUE(fleet.reach(first, is_relay ? fleet.all_gateways() : std::vector<int>{1, 2}, 10s))
+        << fleet.told();
+    standin::Process& process = is_relay ? fleet.relay(0) : fleet.town.gateway(0);
+    ASSERT_TRUE(
+        fleet.town.run_until([&] { return crashes ? process.has_ended() : process.is_stopped(); }, 15s))
+        << "the point was not reached";
+    const auto leader = [&] {
+        std::optional<int> found;
+        fleet.town.run_until([&] { return (found = fleet.leader()).has_value(); }, 8s);
+        return found.value_or(1);
+    };
+    const Number second = fleet.limit_to(50, leader());
+    ASSERT_TRUE(fleet.reach(second, is_relay ? fleet.all_gateways() : std::vector<int>{1, 2}, 10s))
+        << fleet.told();
+    fleet.environment.clear();
+    fleet.town.environment.clear();
+    if (!crashes) {
+        process.signal(SIGCONT);
+    } else if (is_relay) {
+        fleet.kill_relay(0);
+        fleet.start_relay(0);
+    } else {
+        fleet.town.kill(0);
+        fleet.town.start_again(0);
+    }
+    const Number third = fleet.limit_to(70, 1);
+    ASSERT_TRUE(fleet.reach(third, fleet.all_gateways(), 10s)) << fleet.told();
+    ASSERT_TRUE(fleet.reach_fenced(false, fleet.all_gateways(), 5s));
+    ASSERT_TRUE(fleet.town.run_until(
+        [&] {
+            const json state = fleet.relay_state(0);
+            return state.is_object() && state["revision"] == third;
+        },
+        5s));
+    fleet.town.load(false);
+    fleet.town.run_for(500ms);
+    EXPECT_EQ(fleet.town.audit.answered_twice + fleet.town.audit.ran_again + fleet.town.audit.two_out +
+                  fleet.town.audit.wrong_value,
+              0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Spread, DistributionPoints,
+                         testing::Values(Fault{"relay", 6, "crash"}, Fault{"relay", 45, "crash"},
+                                         Fault{"relay", 90, "stall"}, Fault{"gateway", 9, "crash"},
+                                         Fault{"gateway", 16, "stall"}),
+                         [](const auto& of) {
+                             return std::string(of.param.process) + of.param.fault +
+                                    std::to_string(of.param.point);
+                         });
+
+}  // namespace
+}  // namespace linnetlead
