--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -304,25 +304,20 @@
     return true;
 }
 
-Points at_each_point(const std::function<std::string(const std::function<void(Fleet&)>&)>& play,
-                     const std::vector<Fault>& faults, std::uint64_t stride, std::uint64_t first) {
+Points at_each_point(const std::function<std::string(const Inject&)>& play, const std::vector<Fault>& faults,
+                     std::uint64_t stride, std::uint64_t first) {
     Points all;
     std::vector<std::string> names;
-    const std::string calm = play([&](Fleet& fleet) {
-        fleet.inject([&names](const Point& point) {
-            names.push_back(point.what + " of " + std::to_string(point.gateway));
-            return Fault::none;
-        });
+    const std::string calm = play([&names](const Point& point) {
+        names.push_back(point.what + " of " + std::to_string(point.gateway));
+        return Fault::none;
     });
     all.points = names.size();
     if (!calm.empty()) all.failures.push_back("without a fault: " + calm);
     for (std::uint64_t number = first; number <= all.points; number += stride) {
         for (const Fault fault : faults) {
-            const std::string wrong = play([&](Fleet& fleet) {
-                fleet.inject([number, fault](const Point& point) {
-                    return point.number == number ? fault : Fault::none;
-                });
-            });
+            const std::string wrong = play(
+                [number, fault](const Point& point) { return point.number == number ? fault : Fault::none; });
             ++all.runs;
             if (wrong.empty()) continue;
             all.failures.push_back("point " + std::to_string(number) + " (" +
@@ -333,4 +328,12 @@
     return all;
 }
 
+Points at_each_point(const std::function<std::string(const std::function<void(Fleet&)>&)>& play,
+                     const std::vector<Fault>& faults, std::uint64_t stride, std::uint64_t first) {
+    const auto on_fleet = [&play](const Inject& inject) {
+        return play([&inject](Fleet& fleet) { fleet.inject(inject); });
+    };
+    return at_each_point(on_fleet, faults, stride, first);
+}
+
 }  // namespace linnetlead::standin
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -158,7 +158,12 @@
     std::uint64_t points = 0, runs = 0;
     std::vector<std::string> failures;  // "seed 1, point 17 (send of 2), crash: WHAT"
 };
-// `play` builds a fleet, hands it to `prepare` before anything happens, plays, and says what is wrong.
+// `play` builds what it plays, has `inject` told of its points before anything happens, plays, and says what
+// is wrong.
+using Inject = std::function<Fault(const Point&)>;
+Points at_each_point(const std::function<std::string(const Inject& inject)>& play,
+                     const std::vector<Fault>& faults, std::uint64_t stride = 1, std::uint64_t first = 1);
+// The same of a fleet, which is handed to `prepare`.
 Points at_each_point(const std::function<std::string(const std::function<void(Fleet&)>& prepare)>& play,
                      const std::vector<Fault>& faults, std::uint64_t stride = 1, std::uint64_t first = 1);
 
--- /dev/null
+++ b/standin/regions.cpp
@@ -0,0 +1,1422 @@
+#include "regions.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace linnetlead::standin {
+
+using namespace std::chrono_literals;
+using namespace distribution;
+
+namespace {
+
+constexpr Time began = std::chrono::hours(500000);
+constexpr Span relay_tick = 20ms, gateway_tick = 40ms, condition_every = 10ms;
+constexpr Span first_repeat = 200ms, longest_repeat = 3200ms;  // of what a system sends again
+constexpr Span gives_up = 10s;                                 // of a system whose bytes are not acknowledged
+constexpr int most_tries = 4;  // of a system to connect, doubling from a second on
+constexpr Span answer_within = 3s, ask_again = 300ms;
+constexpr std::size_t header = 40, segment = 1448;
+constexpr std::size_t most_lines = 400, most_saved = 4;
+constexpr int small_fleet = 60;  // gateways: audited after each event
+
+std::string text(std::uint64_t number) { return std::to_string(number); }
+
+// What of a record tells it from another without going through thousands of edits.
+bool is_same(const Record& a, const Record& b) {
+    if (a.term != b.term || a.kind != b.kind || a.upto != b.upto || a.instant != b.instant) return false;
+    if (a.change.id != b.change.id || a.change.edits.size() != b.change.edits.size()) return false;
+    const std::size_t some = std::min<std::size_t>(16, a.change.edits.size());
+    for (std::size_t i = 0; i < some; ++i) {
+        const Edit &one = a.change.edits[i], &other = b.change.edits[i];
+        if (one.key != other.key || one.value != other.value) return false;
+    }
+    return true;
+}
+
+// A leader's first entry is empty.
+std::optional<Record> record_of(const LogEntry& entry) {
+    std::optional<Record> record = entry.body.empty() ? Record() : read_body(entry.body);
+    if (!record) return record;
+    record->number = entry.number;
+    record->term = entry.term;
+    return record;
+}
+
+// Adds what it lives to a sum; of nested ones the outermost.
+class Stopwatch {
+public:
+    Stopwatch(bool on, double& sum) : sum_(on && depth_ == 0 ? &sum : nullptr) {
+        if (sum_) begun_ = std::chrono::steady_clock::now();
+        ++depth_;
+    }
+    Stopwatch(const Stopwatch&) = delete;
+    ~Stopwatch() {
+        --depth_;
+        if (sum_) *sum_ += std::chrono::duration<double>(std::chrono::steady_clock::now() - begun_).count();
+    }
+
+private:
+    static thread_local int depth_;
+    double* sum_;
+    std::chrono::steady_clock::time_point begun_;
+};
+thread_local int Stopwatch::depth_ = 0;
+
+}  // namespace
+
+Regions::Regions(RegionsSettings settings)
+    : settings_(std::move(settings)), clock_(began), random_(settings_.seed), last_fault_(began) {
+    const auto regions = static_cast<std::size_t>(settings_.regions);
+    std::uniform_real_distribution<double> far(seconds(settings_.least_across),
+                                               seconds(settings_.most_across));
+    across_.assign(regions, std::vector<Span>(regions));
+    for (std::size_t i = 0; i < regions; ++i) {
+        for (std::size_t j = 0; j < i; ++j) across_[i][j] = across_[j][i] = span_of(far(random_));
+    }
+    std::uniform_real_distribution<double> off(-0.5, 0.5), late(0, seconds(settings_.start_within));
+    const auto add = [&](Kind kind, int zone) {
+        nodes_.emplace_back();
+        nodes_.back().kind = kind;
+        nodes_.back().zone = zone;
+        nodes_.back().rate = settings_.rate;
+        nodes_.back().off = span_of(off(random_) * seconds(settings_.between_clocks));
+        return static_cast<int>(nodes_.size()) - 1;
+    };
+    for (int i = 0; i < settings_.relays; ++i) {
+        add(Kind::relay, i % settings_.zones);
+        places_.push_back(
+            {"r" + std::to_string(i), i % settings_.zones % settings_.regions, i < settings_.voters});
+    }
+    for (int i = 0; i < settings_.gateways; ++i) gateways_.push_back(add(Kind::gateway, i % settings_.zones));
+    settled_[0].hash = model_.hash();
+    settled_[0].acted = began;
+    for (int i = 0; i < settings_.relays; ++i) start(i);
+    for (const int one : gateways_) clock_.arm(began + span_of(late(random_)), [this, one] { start(one); });
+    look();
+}
+
+Regions::~Regions() = default;
+
+Relay& Regions::relay(int number) { return *node(number).relay; }
+Follower& Regions::gateway(int number) { return *node(number).follower; }
+bool Regions::is_up(const Node& one) const { return one.kind == Kind::outsider || one.relay || one.follower; }
+bool Regions::runs(int number) const {
+    const Node& one = node(number);
+    return is_up(one) && !one.dying && !stalled(one);
+}
+Time Regions::time_of(int number) const { return clock_.now() + node(number).off; }
+
+std::optional<int> Regions::leader() const {
+    std::optional<int> found;
+    std::uint64_t term = 0;
+    for (int i = 0; i < settings_.voters; ++i) {
+        if (!runs(i) || !node(i).relay->leads()) continue;
+        const auto beat = node(i).relay->beat();
+        const std::uint64_t its = beat ? beat->term : 0;
+        if (!found || its > term) {
+            found = i;
+            term = its;
+        }
+    }
+    return found;
+}
+
+std::set<int> Regions::in_region(int region) const {
+    std::set<int> found;
+    for (int i = 0; i < static_cast<int>(nodes_.size()); ++i) {
+        if (region_of(i) == region) found.insert(i);
+    }
+    return found;
+}
+
+std::set<int> Regions::in_zone(int zone) const {
+    std::set<int> found;
+    for (int i = 0; i < static_cast<int>(nodes_.size()); ++i) {
+        if (zone_of(i) == zone) found.insert(i);
+    }
+    return found;
+}
+
+int Regions::add_gateway(int zone) {
+    const int number = static_cast<int>(nodes_.size());
+    std::uniform_real_distribution<double> off(-0.5, 0.5);
+    nodes_.emplace_back();
+    Node& one = nodes_.back();
+    one.zone = zone;
+    one.rate = settings_.rate;
+    one.off = span_of(off(random_) * seconds(settings_.between_clocks));
+    gateways_.push_back(number);
+    start(number);
+    return number;
+}
+
+void Regions::remove(int number) {
+    crash(number);
+    node(number).is_removed = true;
+}
+
+void Regions::note(int number, const std::string& what, const std::string& words) {
+    ++told[what];
+    if (event) event(number, what, words);
+    if (lines.size() == most_lines) lines.pop_front();
+    char at[32];
+    std::snprintf(at, sizeof at, "%.3f ", seconds(clock_.now() - began));
+    const char* kind = is_relay(number) ? "r" : "g";
+    lines.push_back(at + (kind + std::to_string(number)) + " " + what + ": " + words);
+}
+
+template <typename What>
+void Regions::act(int number, const What& what) {
+    {
+        const Stopwatch watch(settings_.timed, is_relay(number) ? relay_seconds : gateway_seconds);
+        what();
+    }
+    after(number);
+}
+
+// ---- processes ----
+
+void Regions::start(int number, Back back) {
+    Node& one = node(number);
+    if (is_up(one) || one.is_removed) return;
+    one.is_machine_down = one.dying = false;
+    one.life = ++lives_;
+    one.born = clock_.now();
+    one.stalled_until = {};
+    one.committed = one.in_force = one.revision = 0;
+    if (one.kind == Kind::relay) {
+        start_relay(number);
+    } else {
+        start_gateway(number, back);
+        ++holders_[0];
+        after(number);
+    }
+    std::uniform_real_distribution<double> late(0, seconds(gateway_tick));
+    one.next_tick = clock_.now() + span_of(late(random_));
+    one.tick = clock_.arm(one.next_tick, [this, number] { tick(number); });
+}
+
+void Regions::start_relay(int number) {
+    Node& one = node(number);
+    Relay::Settings made;
+    made.relays = places_;
+    made.self = number;
+    made.seed = settings_.seed * 7919 + one.life;
+    made.follower.role = Role::relay;
+    made.follower.name = places_[static_cast<std::size_t>(number)].name;
+    made.follower.seed = made.seed + 1;
+    const int region = region_of(number);
+    for (int i = 0; i < settings_.voters; ++i) {
+        if (i != number) made.follower.relays.push_back(i);
+    }
+    std::stable_sort(made.follower.relays.begin(), made.follower.relays.end(), [&](int a, int b) {
+        const auto from = static_cast<std::size_t>(region);
+        return across_[from][static_cast<std::size_t>(region_of(a))] <
+               across_[from][static_cast<std::size_t>(region_of(b))];
+    });
+    if (settings_.with_relay) settings_.with_relay(made, number);
+    Relay::Outside outside;
+    outside.to_voter = [this, number](int to, const std::string& message) { to_voter(number, to, message); };
+    outside.to_follower = [this, number](Session session, const Frame& frame) {
+        const std::size_t waits = unsent(session);
+        most_unsent = std::max(most_unsent, waits);
+        if (waits > settings_.most_unsent)
+            breaks("bounds", text(waits) + " bytes wait for a follower of " + text(number));
+        if (const auto* records = std::get_if<Records>(&frame)) {
+            for (const Record& record : records->records) seen(number, record);
+        }
+        send(session, false, frame);
+    };
+    outside.unsent = [this](Session session) { return unsent(session); };
+    outside.hang_up = [this](Session session) { end(session, false); };
+    outside.connect = [this, number](int above) { node(number).above = connect(number, above); };
+    outside.hang_up_above = [this, number] { hang_up_above(number); };
+    outside.send_above = [this, number](const Frame& frame) { send(node(number).above, true, frame); };
+    outside.persist = [this, number](const Quorum::Ready& ready) { write(number, ready); };
+    outside.event = [this, number](const std::string& what, const std::string& words) {
+        note(number, what, words);
+    };
+    outside.readable = [this](const Edit& edit) { return readable ? readable(edit) : std::string(); };
+    one.relay = std::make_unique<Relay>(made, std::move(outside), one.disk);
+}
+
+void Regions::start_gateway(int number, Back back) {
+    Node& one = node(number);
+    Follower::Settings made;
+    made.name = "g" + std::to_string(number);
+    made.seed = settings_.seed * 104729 + one.life;
+    const auto distance = [&](int relay) {
+        if (zone_of(relay) == one.zone) return Span(-2);
+        if (region_of(relay) == region_of(number)) return Span(-1);
+        return across_[static_cast<std::size_t>(region_of(number))]
+                      [static_cast<std::size_t>(region_of(relay))];
+    };
+    for (int i = 0; i < settings_.relays; ++i) made.relays.push_back(i);
+    std::stable_sort(made.relays.begin(), made.relays.end(),
+                     [&](int a, int b) { return distance(a) < distance(b); });
+    made.near = static_cast<std::size_t>(std::count_if(
+        made.relays.begin(), made.relays.end(), [&](int relay) { return zone_of(relay) == one.zone; }));
+    made.near = std::max<std::size_t>(1, made.near);
+    if (settings_.with_gateway) settings_.with_gateway(made, number);
+    Follower::Outside outside;
+    outside.connect = [this, number](int above) { node(number).above = connect(number, above); };
+    outside.hang_up = [this, number] { hang_up_above(number); };
+    outside.send = [this, number](const Frame& frame) { send(node(number).above, true, frame); };
+    outside.check = [this, number](const Change& change) {
+        return cannot ? cannot(number, change) : std::vector<std::size_t>();
+    };
+    outside.in_force = [this, number](Number, const std::vector<std::string>&, bool) {
+        reach(number, "adopt");
+    };
+    outside.fenced = [](bool) {};
+    outside.record = [this, number](const Record& record) { seen(number, record); };
+    outside.beat = [](const Beat&) {};
+    outside.whole = [] {};
+    outside.event = [this, number](const std::string& what, const std::string& words) {
+        note(number, what, words);
+    };
+    one.follower = std::make_unique<Follower>(made, std::move(outside));
+    if (back != Back::nothing && !one.saved.empty())
+        one.follower->restore(time_of(number), back == Back::old ? one.saved.front() : one.saved.back());
+}
+
+void Regions::crash(int number, bool machine) {
+    Node& one = node(number);
+    if (!is_up(one)) return;
+    clock_.disarm(one.tick);
+    if (one.follower && --holders_[one.in_force] == 0) holders_.erase(one.in_force);
+    if (one.writing && random_() % 2 == 0) apply(one.disk, *one.writing);
+    one.writing.reset();
+    one.is_machine_down = machine;
+    one.held_back.clear();
+    one.stalled_until = {};
+    std::vector<std::pair<Session, bool>> sides;
+    if (one.above != 0) sides.emplace_back(one.above, true);
+    for (const Session session : one.below) sides.emplace_back(session, false);
+    one.above = 0;
+    one.below.clear();
+    for (const auto& [session, below] : sides) {
+        if (machine) {
+            const auto at = links_.find(session);
+            if (at == links_.end()) continue;
+            (below ? at->second.below_open : at->second.above_open) = false;
+            if (!at->second.below_open && !at->second.above_open) drop(session);
+        } else {
+            end(session, below);
+        }
+    }
+    one.dying = false;
+    one.relay.reset();
+    one.follower.reset();
+}
+
+void Regions::stall(int number, Span time) {
+    Node& one = node(number);
+    one.stalled_until = std::max(one.stalled_until, clock_.now() + time);
+    clock_.arm(one.stalled_until, [this, number, life = one.life] {
+        Node& woken = node(number);
+        if (!is_up(woken) || woken.dying || woken.life != life || stalled(woken)) return;
+        audit();
+        for (const auto& held : std::exchange(woken.held_back, {})) held();
+        audit();
+        tick(number);
+    });
+}
+
+bool Regions::hold(int number, std::function<void()> held) {
+    Node& one = node(number);
+    if (!stalled(one)) return false;
+    one.held_back.push_back(std::move(held));
+    return true;
+}
+
+Fault Regions::reach(int number, const char* what) {
+    Node& one = node(number);
+    if (one.kind == Kind::outsider) return Fault::none;
+    if (one.dying) return Fault::crash;
+    ++points_;
+    const Fault fault = inject_ ? inject_({points_, number, what}) : Fault::none;
+    if (fault == Fault::none) return fault;
+    const bool lasts = fault == Fault::crash || fault == Fault::stall || fault == Fault::part;
+    last_fault_ = std::max(last_fault_, clock_.now() + (lasts ? fault_lasts : Span{}));
+    if (fault == Fault::crash) {
+        one.dying = true;  // nothing more of it gets out
+        clock_.arm(clock_.now(), [this, number, life = one.life] {
+            if (node(number).life == life) crash(number);
+        });
+        const Back back = comes_back ? comes_back(number) : Back::newest;
+        clock_.arm(clock_.now() + fault_lasts, [this, number, back] { start(number, back); });
+    } else if (fault == Fault::stall) {
+        stall(number, fault_lasts);
+    } else if (fault == Fault::part) {
+        isolate(number, true);
+        clock_.arm(clock_.now() + fault_lasts, [this, number] { isolate(number, false); });
+    }
+    return fault;
+}
+
+void Regions::tick(int number) {
+    Node& one = node(number);
+    if (!is_up(one) || one.dying || stalled(one)) return;
+    clock_.disarm(one.tick);
+    one.next_tick = {};
+    act(number, [&] {
+        if (one.relay) one.relay->tick(time_of(number));
+        if (one.follower) one.follower->tick(time_of(number));
+    });
+    if (!one.dying && !stalled(one)) arm(number);
+}
+
+void Regions::arm(int number) {
+    Node& one = node(number);
+    const Time own = time_of(number);
+    Time next = own + (one.relay ? relay_tick : gateway_tick);
+    const auto wake = one.relay ? one.relay->wake_at() : one.follower->wake_at();
+    if (wake) next = std::min(next, std::max(*wake, own + 100us));
+    const Time at = clock_.now() + (next - own);
+    if (one.next_tick != Time{} && one.next_tick <= at) return;
+    clock_.disarm(one.tick);
+    one.next_tick = at;
+    one.tick = clock_.arm(at, [this, number] { tick(number); });
+}
+
+void Regions::after(int number) {
+    Node& one = node(number);
+    if (!is_up(one) || one.dying) return;
+    if (one.relay) {
+        most_followers_seen = std::max(most_followers_seen, one.relay->followers());
+        if (one.relay->committed() > one.committed) {
+            one.committed = one.relay->committed();
+            reach(number, "commit");
+        }
+    } else if (one.follower && one.follower->in_force() != one.in_force) {
+        adopt(number);
+    }
+    if (!stalled(one) && !one.dying && one.kind != Kind::outsider && one.next_tick != Time{}) arm(number);
+    if (static_cast<int>(gateways_.size()) <= small_fleet) audit();
+}
+
+// ---- connections ----
+
+bool Regions::is_cut(int from, int to) const {
+    const Node &one = node(from), &other = node(to);
+    if (from == to) return false;
+    if (one.isolated > 0 || other.isolated > 0 || one.side != other.side) return true;
+    if (!region_cuts_.empty() && region_cuts_.count({region_of(from), region_of(to)}) > 0) return true;
+    return !cuts_.empty() && cuts_.count({from, to}) > 0;
+}
+
+void Regions::cut(int from, int to, bool cuts) {
+    if (cuts) {
+        cuts_.insert({from, to});
+    } else {
+        cuts_.erase({from, to});
+    }
+}
+
+void Regions::cut_regions(int from, int to, bool cuts) {
+    if (cuts) {
+        region_cuts_.insert({from, to});
+    } else {
+        region_cuts_.erase({from, to});
+    }
+}
+
+void Regions::isolate(int number, bool is_isolated) {
+    node(number).isolated = std::max(0, node(number).isolated + (is_isolated ? 1 : -1));
+}
+
+void Regions::part(const std::set<int>& side) {
+    for (const int one : side) node(one).side = 1;
+}
+
+void Regions::heal_links() {
+    cuts_.clear();
+    region_cuts_.clear();
+    for (Node& one : nodes_) one.side = 0;
+}
+
+void Regions::heal() {
+    heal_links();
+    for (Node& one : nodes_) one.isolated = 0;
+}
+
+Span Regions::delay(int from, int to) {
+    if (region_of(from) != region_of(to)) {
+        std::uniform_real_distribution<double> more(0, 0.05);
+        const Span far =
+            across_[static_cast<std::size_t>(region_of(from))][static_cast<std::size_t>(region_of(to))];
+        return far + span_of(more(random_) * seconds(far));
+    }
+    std::uniform_real_distribution<double> near(seconds(settings_.least_within),
+                                                seconds(settings_.most_within));
+    return span_of(near(random_));
+}
+
+// A frame by itself in its segments; every second of them, and the last, is acknowledged.
+void Regions::count(int from, int to, std::size_t bytes) {
+    const std::size_t segments = std::max<std::size_t>(1, (bytes + segment - 1) / segment);
+    const std::size_t there = bytes + segments * header, back = (segments + 1) / 2 * header;
+    Traffic &one = node(from).traffic, &other = node(to).traffic;
+    ++one.frames_out;
+    ++other.frames_in;
+    one.bytes_out += there;
+    other.bytes_in += there;
+    one.bytes_in += back;
+    other.bytes_out += back;
+}
+
+Session Regions::connect(int below, int above) {
+    const Session session = ++sessions_;
+    Link& link = links_[session];
+    link.below = below;
+    link.above = above;
+    link.below_life = node(below).life;
+    ++node(below).traffic.connects;
+    const auto attempt = std::make_shared<std::function<void(int)>>();
+    *attempt = [this, session, below, above,
+                again = std::weak_ptr<std::function<void(int)>>(attempt)](int tries) {
+        const auto at = links_.find(session);
+        if (at == links_.end() || !at->second.below_open) return;
+        node(below).traffic.bytes_out += header;
+        if (node(above).is_machine_down || is_cut(below, above) || is_cut(above, below)) {
+            if (tries == most_tries) return is_gone(session, true);
+            const auto next = again.lock();
+            clock_.arm(clock_.now() + 1s * (1 << tries), [next, tries] { (*next)(tries + 1); });
+            return;
+        }
+        clock_.arm(clock_.now() + delay(below, above), [this, session, below, above] {
+            const auto found = links_.find(session);
+            if (found == links_.end() || !found->second.below_open) return;
+            Link& arrived = found->second;
+            const Span back = delay(above, below);
+            node(below).traffic.bytes_out += header;
+            node(below).traffic.bytes_in += header;
+            node(above).traffic.bytes_out += header;
+            node(above).traffic.bytes_in += 2 * header;
+            if (!is_up(node(above)) || node(above).dying) {
+                clock_.arm(clock_.now() + back, [this, session] { is_gone(session, true); });
+                return;
+            }
+            arrived.above_life = node(above).life;
+            arrived.above_open = true;
+            node(above).below.insert(session);
+            Parcel open;
+            open.kind = Parcel::Kind::open;
+            open.due = arrived.up.last_due = clock_.now();
+            arrived.up.parcels.push_back(open);
+            arm(session, true);
+            open.due = arrived.down.last_due = clock_.now() + back;
+            arrived.down.parcels.push_back(open);
+            arm(session, false);
+        });
+    };
+    // Its own first try from the loop, so that who connects knows its session by then.
+    const Time from = std::max(clock_.now(), node(below).stalled_until);
+    clock_.arm(from, [attempt] { (*attempt)(0); });
+    return session;
+}
+
+void Regions::drop(Session session) {
+    const auto at = links_.find(session);
+    if (at == links_.end()) return;
+    clock_.disarm(at->second.up.timer);
+    clock_.disarm(at->second.down.timer);
+    links_.erase(at);
+}
+
+void Regions::end(Session session, bool below) {
+    const auto at = links_.find(session);
+    if (at == links_.end()) return;
+    Link& link = at->second;
+    bool& open = below ? link.below_open : link.above_open;
+    if (!open) return;
+    open = false;
+    Node& one = node(below ? link.below : link.above);
+    if (below && one.above == session) one.above = 0;
+    if (!below) one.below.erase(session);
+    if (!link.below_open && !link.above_open) return drop(session);
+    // What comes from now on is answered by a reset.
+    Parcel parcel;
+    parcel.kind = Parcel::Kind::end;
+    put(session, below, parcel, {});
+}
+
+void Regions::hang_up_above(int number) { end(node(number).above, true); }
+
+void Regions::is_gone(Session session, bool below) {
+    const auto at = links_.find(session);
+    if (at == links_.end()) return;
+    Link& link = at->second;
+    const int number = below ? link.below : link.above;
+    Node& one = node(number);
+    bool& open = below ? link.below_open : link.above_open;
+    const bool was_open = open && one.life == (below ? link.below_life : link.above_life);
+    if (was_open && hold(number, [this, session, below] { is_gone(session, below); })) return;
+    open = false;
+    if (below && one.above == session) one.above = 0;
+    if (!below) one.below.erase(session);
+    if (!link.below_open && !link.above_open) drop(session);
+    if (!was_open || !is_up(one) || one.dying) return;
+    act(number, [&] {
+        if (one.kind == Kind::outsider) {
+            if (one.closed) one.closed(session);
+        } else if (one.follower) {
+            one.follower->gone(time_of(number));
+        } else if (below) {
+            one.relay->gone_above(time_of(number));
+        } else {
+            one.relay->closed(time_of(number), session);
+        }
+    });
+}
+
+void Regions::reset(int number) {
+    Node& one = node(number);
+    std::vector<Session> all(one.below.begin(), one.below.end());
+    if (one.above != 0) all.push_back(one.above);
+    for (const Session session : all) {
+        for (const bool below : {true, false})
+            clock_.arm(clock_.now(), [this, session, below] { is_gone(session, below); });
+    }
+}
+
+std::size_t Regions::unsent(Session session) {
+    const auto at = links_.find(session);
+    if (at == links_.end()) return 0;
+    const Link& link = at->second;
+    const Node& below = node(link.below);
+    if (stalled(below) || below.is_machine_down || is_cut(link.above, link.below)) return link.down.bytes;
+    const Span ahead = link.down.busy_until - clock_.now();
+    return ahead <= Span{} ? 0 : static_cast<std::size_t>(seconds(ahead) * below.rate);
+}
+
+void Regions::send(Session session, bool up, const Frame& frame) {
+    const auto at = links_.find(session);
+    if (at == links_.end() || !(up ? at->second.below_open : at->second.above_open)) return;
+    const int from = up ? at->second.below : at->second.above;
+    const int to = up ? at->second.above : at->second.below;
+    if (node(from).dying) return;
+    if (stalled(node(from)))
+        return void(hold(from, [this, session, up, frame] { send(session, up, frame); }));
+    const Fault fault = reach(from, "send");
+    if (fault == Fault::crash) return;
+    if (fault == Fault::drop) {
+        for (const bool below : {true, false})
+            clock_.arm(clock_.now(), [this, session, below] { is_gone(session, below); });
+        return;
+    }
+    const auto bytes = std::make_shared<const std::string>(distribution::write(frame));
+    const auto leave = [this, session, up, from, to, bytes, fault] {
+        if (links_.find(session) == links_.end()) return;
+        std::uniform_real_distribution<double> chance;
+        for (int copy = fault == Fault::repeat ? 2 : 1; copy > 0; --copy) {
+            Span more = fault == Fault::late ? 700ms : Span{};
+            count(from, to, bytes->size());
+            if (settings_.lost > 0 && chance(random_) < settings_.lost) {
+                more += first_repeat;
+                count(from, to, std::min(bytes->size(), segment));
+            }
+            Parcel parcel;
+            parcel.bytes = bytes;
+            put(session, up, parcel, more);
+        }
+    };
+    if (!hold(from, leave)) leave();
+}
+
+void Regions::put(Session session, bool up, Parcel parcel, Span more) {
+    Link& link = links_.at(session);
+    Way& way = up ? link.up : link.down;
+    const int from = up ? link.below : link.above, to = up ? link.above : link.below;
+    const std::size_t size = parcel.bytes ? parcel.bytes->size() : 0;
+    const double rate = std::min(node(from).rate, node(to).rate);
+    way.busy_until = std::max(way.busy_until, clock_.now()) + span_of(static_cast<double>(size) / rate);
+    parcel.due = way.last_due = std::max(way.last_due, way.busy_until + delay(from, to) + more);
+    way.bytes += size;
+    way.parcels.push_back(std::move(parcel));
+    if (way.parcels.size() == 1) arm(session, up);
+}
+
+void Regions::arm(Session session, bool up) {
+    Link& link = links_.at(session);
+    Way& way = up ? link.up : link.down;
+    way.timer = clock_.arm(way.parcels.front().due, [this, session, up] { deliver(session, up, false); });
+}
+
+void Regions::deliver(Session session, bool up, bool is_again) {
+    const auto at = links_.find(session);
+    if (at == links_.end()) return;
+    Link& link = at->second;
+    Way& way = up ? link.up : link.down;
+    if (way.parcels.empty()) return;
+    const int from = up ? link.below : link.above, to = up ? link.above : link.below;
+    Node& there = node(to);
+    const auto again_at = [&](Time when) {
+        way.timer = clock_.arm(when, [this, session, up] { deliver(session, up, true); });
+    };
+    if (there.is_machine_down || is_cut(from, to)) {  // sent again until it is acknowledged
+        if (way.stuck_since == Time{}) {
+            way.stuck_since = clock_.now();
+            way.backoff = first_repeat;
+        }
+        if (clock_.now() - way.stuck_since > gives_up) {
+            way.parcels.clear();
+            way.bytes = 0;
+            return is_gone(session, up);
+        }
+        again_at(clock_.now() + way.backoff);
+        way.backoff = std::min(2 * way.backoff, longest_repeat);
+        return;
+    }
+    way.stuck_since = {};
+    const bool open = up ? link.above_open : link.below_open;
+    const std::uint64_t life = up ? link.above_life : link.below_life;
+    if (!open || !is_up(there) || there.life != life) {  // its system answers with a reset
+        way.parcels.clear();
+        way.bytes = 0;
+        clock_.arm(clock_.now() + delay(to, from), [this, session, up] { is_gone(session, up); });
+        return;
+    }
+    if (stalled(there)) return again_at(there.stalled_until);
+    if (there.dying) return;
+    int copies = 1;
+    if (way.parcels.front().kind == Parcel::Kind::bytes && !is_again) {
+        const Fault fault = reach(to, "receive");
+        if (fault == Fault::crash) return;  // closed with the process
+        if (fault == Fault::stall) return again_at(there.stalled_until);
+        if (fault == Fault::part) return again_at(clock_.now());
+        if (fault == Fault::late) return again_at(clock_.now() + 700ms);
+        if (fault == Fault::repeat) copies = 2;
+        if (fault == Fault::drop) {
+            way.parcels.clear();
+            way.bytes = 0;
+            for (const bool below : {true, false})
+                clock_.arm(clock_.now(), [this, session, below] { is_gone(session, below); });
+            return;
+        }
+    }
+    const Parcel parcel = std::move(way.parcels.front());
+    way.parcels.pop_front();
+    if (parcel.bytes) way.bytes -= parcel.bytes->size();
+    if (!way.parcels.empty()) arm(session, up);
+    if (parcel.kind == Parcel::Kind::end) return is_gone(session, !up);
+    if (parcel.kind == Parcel::Kind::bytes) {
+        for (; copies > 0; --copies) take(session, up, *parcel.bytes);
+        return;
+    }
+    act(to, [&] {
+        if (up) return there.relay->opened(time_of(to), session);
+        link.connected = true;
+        if (there.follower) there.follower->connected(time_of(to));
+        if (there.relay) there.relay->connected_above(time_of(to));
+    });
+}
+
+void Regions::take(Session session, bool up, const std::string& bytes) {
+    std::string_view left = bytes;
+    for (;;) {
+        // What the frame before brought about may have ended the connection.
+        const auto at = links_.find(session);
+        if (at == links_.end() || !(up ? at->second.above_open : at->second.below_open)) return;
+        Link& link = at->second;
+        const int from = up ? link.below : link.above, to = up ? link.above : link.below;
+        Node& one = node(to);
+        if (!is_up(one) || one.dying) return;
+        Frame frame;
+        Refusal refusal = Refusal::none;
+        FrameReader::State state;
+        {
+            const Stopwatch watch(settings_.timed && one.kind != Kind::outsider,
+                                  is_relay(to) ? relay_seconds : gateway_seconds);
+            state = (up ? link.up : link.down).reader.take(left, frame, refusal);
+        }
+        if (state == FrameReader::State::partial) return;
+        if (state == FrameReader::State::wrong) {
+            if (one.kind == Kind::outsider) return end(session, true);
+            if (up) return act(to, [&] { one.relay->wrong(time_of(to), session, refusal); });
+            note(to, "wrong", distribution::words(refusal));
+            end(session, true);
+            return act(to, [&] {
+                if (one.follower) one.follower->gone(time_of(to));
+                if (one.relay) one.relay->gone_above(time_of(to));
+            });
+        }
+        if (forge) forge(from, to, frame);
+        if (one.kind == Kind::outsider) {
+            if (one.heard) one.heard(session, frame);
+            continue;
+        }
+        act(to, [&] {
+            if (one.follower) return one.follower->heard(time_of(to), frame);
+            if (up) return one.relay->heard(time_of(to), session, frame);
+            one.relay->heard_above(time_of(to), frame);
+        });
+    }
+}
+
+// ---- voters ----
+
+void Regions::to_voter(int from, int to, const std::string& message) {
+    if (node(from).dying) return;
+    if (stalled(node(from)))
+        return void(hold(from, [this, from, to, message] { to_voter(from, to, message); }));
+    const Fault fault = reach(from, "send");
+    if (fault == Fault::crash || fault == Fault::drop) return;
+    if (fault == Fault::stall)
+        return void(hold(from, [this, from, to, message] { to_voter(from, to, message); }));
+    const auto bytes = std::make_shared<const std::string>(distribution::write(Voter{from, message}));
+    node(from).traffic.voter_bytes += bytes->size();
+    ++node(from).traffic.voter_frames;
+    std::uniform_real_distribution<double> chance;
+    for (int copy = 0; copy < (fault == Fault::repeat ? 2 : 1); ++copy) {
+        Span more = fault == Fault::late ? 700ms : copy * 400ms;
+        count(from, to, bytes->size());
+        const bool is_lost = chance(random_) < settings_.lost;
+        if (is_lost && !settings_.voters_by_streams) continue;
+        if (is_lost) more += first_repeat;
+        Time due = clock_.now() + delay(from, to) + more +
+                   span_of(static_cast<double>(bytes->size()) / settings_.rate);
+        if (settings_.voters_by_streams) {
+            Time& last = voter_due_[{from, to}];
+            due = last = std::max(due, last);
+        }
+        clock_.arm(due, [this, from, to, bytes] { deliver_voter(from, to, bytes, false); });
+    }
+}
+
+void Regions::deliver_voter(int from, int to, const std::shared_ptr<const std::string>& bytes,
+                            bool is_again) {
+    Node& one = node(to);
+    if (!is_up(one) || one.dying || is_cut(from, to)) return;
+    const auto again_at = [&](Time when) {
+        clock_.arm(when, [this, from, to, bytes] { deliver_voter(from, to, bytes, true); });
+    };
+    if (stalled(one)) return again_at(one.stalled_until);
+    int copies = 1;
+    if (!is_again) {
+        const Fault fault = reach(to, "receive");
+        if (fault == Fault::crash || fault == Fault::drop || fault == Fault::part) return;
+        if (fault == Fault::stall) return again_at(one.stalled_until);
+        if (fault == Fault::late) return again_at(clock_.now() + 700ms);
+        if (fault == Fault::repeat) copies = 2;
+    }
+    for (; copies > 0; --copies) {
+        act(to, [&] {
+            FrameReader reader;
+            std::string_view left = *bytes;
+            Frame frame;
+            Refusal refusal = Refusal::none;
+            if (reader.take(left, frame, refusal) != FrameReader::State::frame) return;
+            const Voter& voter = std::get<Voter>(frame);
+            if (one.relay && !one.dying) one.relay->heard_voter(time_of(to), voter.from, voter.message);
+        });
+    }
+}
+
+void Regions::write(int number, const Quorum::Ready& ready) {
+    if (node(number).dying) return;
+    for (const LogEntry& entry : ready.committed) {
+        const auto record = record_of(entry);
+        if (record) {
+            seen(number, *record);
+        } else {
+            breaks("history", "no record at " + text(entry.number));
+        }
+    }
+    if (stalled(node(number))) return void(hold(number, [this, number, ready] { write(number, ready); }));
+    Node& one = node(number);
+    one.writing = ready;
+    const Fault fault = reach(number, "write");
+    if (fault == Fault::crash) return;
+    std::uniform_real_distribution<double> takes(seconds(settings_.least_write),
+                                                 seconds(settings_.most_write));
+    const Span more = fault == Fault::late || fault == Fault::drop ? 700ms : 0ms;
+    if (fault == Fault::repeat) apply(one.disk, ready);
+    clock_.arm(clock_.now() + span_of(takes(random_)) + more,
+               [this, number, life = one.life] { written(number, life); });
+}
+
+void Regions::written(int number, std::uint64_t life) {
+    Node& one = node(number);
+    if (!is_up(one) || one.dying || one.life != life) return;
+    if (one.writing) apply(one.disk, *one.writing);
+    one.writing.reset();
+    if (hold(number, [this, number, life] { written(number, life); })) return;
+    act(number, [&] { one.relay->persisted(time_of(number)); });
+}
+
+void Regions::apply(Relay::Disk& disk, const Quorum::Ready& ready) {
+    if (ready.install) {
+        disk.snapshot = *ready.install;
+        disk.entries.clear();
+    }
+    auto& entries = disk.entries;
+    const auto cut_from = [&](Number number) {
+        while (!entries.empty() && entries.back().number >= number) entries.pop_back();
+    };
+    if (ready.truncate_from != 0) cut_from(ready.truncate_from);
+    if (!ready.append.empty()) cut_from(ready.append.front().number);  // the same write again
+    entries.insert(entries.end(), ready.append.begin(), ready.append.end());
+    if (ready.hard) disk.hard = *ready.hard;
+}
+
+// ---- from outside ----
+
+int Regions::outsider(int zone, std::function<void(Session, const Frame&)> heard,
+                      std::function<void(Session)> closed) {
+    nodes_.emplace_back();
+    Node& one = nodes_.back();
+    one.kind = Kind::outsider;
+    one.zone = zone;
+    one.rate = settings_.rate;
+    one.heard = std::move(heard);
+    one.closed = std::move(closed);
+    return static_cast<int>(nodes_.size()) - 1;
+}
+
+Session Regions::dial(int outsider, int relay) { return connect(outsider, relay); }
+void Regions::tell(Session session, const Frame& frame) { tell_bytes(session, distribution::write(frame)); }
+
+// Waits until it is connected.
+void Regions::tell_bytes(Session session, const std::string& bytes) {
+    const auto at = links_.find(session);
+    if (at == links_.end() || !at->second.below_open) return;
+    if (!at->second.connected) {
+        clock_.arm(clock_.now() + condition_every, [this, session, bytes] { tell_bytes(session, bytes); });
+        return;
+    }
+    Parcel parcel;
+    parcel.bytes = std::make_shared<const std::string>(bytes);
+    count(at->second.below, at->second.above, bytes.size());
+    put(session, true, parcel, {});
+}
+
+void Regions::hang_up(Session session) { end(session, true); }
+
+std::string Regions::give(Change change, std::optional<int> relay) {
+    const std::string id = change.id;
+    Given& one = given_[id];
+    one.change = std::move(change);
+    one.at = clock_.now();
+    offer(id, relay);
+    return id;
+}
+
+bool Regions::answered(const std::string& id) const { return given_.at(id).answer.has_value(); }
+
+void Regions::offer(const std::string& id, std::optional<int> relay) {
+    Given& one = given_.at(id);
+    if (one.answer) return;
+    const int tries = ++one.tries;
+    if (!relay) relay = static_cast<int>(random_() % static_cast<std::uint64_t>(settings_.relays));
+    const int zone = zone_of(*relay);
+    const auto again = [this, id, tries](Span in) {
+        clock_.arm(clock_.now() + in, [this, id, tries] {
+            if (given_.at(id).tries == tries) offer(id, {});
+        });
+    };
+    if (operators_.count(zone) == 0) {
+        operators_[zone] = outsider(
+            zone,
+            [this](Session session, const Frame& frame) {
+                const auto asked = asked_.find(session);
+                if (asked == asked_.end()) return;
+                const auto [for_id, try_number] = asked->second;
+                const auto* answer = std::get_if<Answer>(&frame);
+                const bool is_away = std::get_if<Away>(&frame) || std::get_if<Error>(&frame);
+                if (!answer && !is_away) return;
+                asked_.erase(asked);
+                end(session, true);
+                Given& given = given_.at(for_id);
+                if (given.answer) return;
+                const bool again_later =
+                    !answer || answer->refusal == Refusal::busy || answer->refusal == Refusal::no_leader;
+                if (const auto* error = std::get_if<Error>(&frame)) given.words = error->words;
+                if (!again_later) {
+                    given.answer = answer->refusal;
+                    given.number = answer->number;
+                    given.words = answer->words;
+                    given.answered = clock_.now();
+                } else {
+                    clock_.arm(clock_.now() + ask_again, [this, id = for_id, number = try_number] {
+                        if (given_.at(id).tries == number) offer(id, {});
+                    });
+                }
+            },
+            [this](Session session) {
+                const auto asked = asked_.find(session);
+                if (asked == asked_.end()) return;
+                const auto [for_id, number] = asked->second;
+                asked_.erase(asked);
+                clock_.arm(clock_.now() + ask_again, [this, id = for_id, number = number] {
+                    if (given_.at(id).tries == number) offer(id, {});
+                });
+            });
+    }
+    const Session session = dial(operators_[zone], *relay);
+    asked_[session] = {id, tries};
+    Hello hello;
+    hello.role = Role::tool;
+    hello.name = "operator";
+    tell(session, hello);
+    tell(session, Submit{session, one.change});
+    again(answer_within);
+}
+
+int Regions::with(Number change) {
+    const Number settlement = settlement_of(change);
+    if (settlement == 0) return 0;
+    int found = 0;
+    for (const int one : gateways_) {
+        if (runs(one) && node(one).in_force >= settlement && !fenced(one)) ++found;
+    }
+    return found;
+}
+
+std::pair<int, int> Regions::with_of(const std::string& id) {
+    const Given& given = given_.at(id);
+    const Number settlement = settlement_of(given.number);
+    std::pair<int, int> found;
+    for (const int one : gateways_) {
+        if (!runs(one) || node(one).born > given.at) continue;
+        ++found.second;
+        if (settlement != 0 && node(one).in_force >= settlement && !fenced(one)) ++found.first;
+    }
+    return found;
+}
+
+int Regions::running() const {
+    return static_cast<int>(
+        std::count_if(gateways_.begin(), gateways_.end(), [&](int one) { return runs(one); }));
+}
+
+Number Regions::settlement_of(Number change) const {
+    const auto at = settlement_of_.find(change);
+    return at == settlement_of_.end() ? 0 : at->second;
+}
+
+bool Regions::run_until(const std::function<bool()>& condition, Span within) {
+    const Time end = clock_.now() + within;
+    while (!condition()) {
+        if (clock_.now() >= end) return false;
+        clock_.run_to(std::min(end, clock_.now() + condition_every));
+    }
+    return true;
+}
+
+// ---- the auditor ----
+
+void Regions::breaks(const char* rule, const std::string& how) {
+    char at[32];
+    std::snprintf(at, sizeof at, "%.3f s: ", seconds(clock_.now() - began));
+    broken_.try_emplace(rule, at + how);
+}
+
+std::string Regions::broken_rules() const {
+    std::string all;
+    for (const auto& [rule, how] : broken_) all += rule + " (" + how + ") ";
+    return all;
+}
+
+Span Regions::stated_contradiction() {
+    for (const int one : gateways_) {
+        if (node(one).follower) return node(one).follower->longest_contradiction();
+    }
+    return {};
+}
+
+// There is one log: whoever shows a record of a number shows the same.
+void Regions::seen(int number, const Record& record) {
+    const auto at = log_.find(record.number);
+    if (at == log_.end()) {
+        log_.emplace(record.number, record);
+        follow_log();
+    } else if (!is_same(at->second, record)) {
+        breaks("history", "unlike records of number " + text(record.number) + " at " + text(number));
+    }
+}
+
+// What the records say, by the letter of record.h.
+void Regions::follow_log() {
+    for (auto at = log_.find(followed_ + 1); at != log_.end(); at = log_.find(followed_ + 1)) {
+        const Record& record = at->second;
+        followed_ = record.number;
+        const std::string number = text(record.number);
+        if (record.kind == RecordKind::change) {
+            open_.insert(record.number);
+            if (!ids_.insert(record.change.id).second)
+                breaks("history", "a change is there twice: " + record.change.id);
+        } else if (record.kind == RecordKind::withdraw) {
+            if (open_.erase(record.upto) == 0)
+                breaks("withdrawn",
+                       number + " withdraws what is in force or no change: " + text(record.upto));
+            withdrawn_[record.upto] = record.reason;
+        } else if (record.kind == RecordKind::settle) {
+            if (record.instant <= settled_.rbegin()->second.instant)
+                breaks("history", "the instant of " + number + " is not behind the one before");
+            Settled& one = settled_[record.number];
+            one.instant = record.instant;
+            one.revision = std::prev(settled_.find(record.number))->second.revision;
+            while (!open_.empty() && *open_.begin() <= record.upto) {
+                const Number change = *open_.begin();
+                open_.erase(open_.begin());
+                settlement_of_[change] = record.number;
+                one.revision = change;
+                for (const Edit& edit : log_.at(change).change.edits) {
+                    const auto had = model_.find(edit.key);
+                    const bool differs = had.has_value() != edit.value.has_value() ||
+                                         (had && *had != std::string_view(*edit.value));
+                    one.differs = one.differs || differs;
+                    if (differs)
+                        model_.set(edit.key,
+                                   edit.value ? std::optional<std::string_view>(*edit.value) : std::nullopt,
+                                   change);
+                }
+            }
+            one.hash = model_.hash();
+        }
+    }
+}
+
+// Its state in force is another than before.
+void Regions::adopt(int number) {
+    Node& one = node(number);
+    const Number before = one.in_force;
+    one.in_force = one.follower->in_force();
+    if (--holders_[before] == 0) holders_.erase(before);
+    ++holders_[one.in_force];
+    if (one.in_force < before)
+        breaks("backwards",
+               "gateway " + text(number) + " went from " + text(before) + " back to " + text(one.in_force));
+    const auto at = settled_.find(one.in_force);
+    if (at == settled_.end())
+        return breaks("history", "gateway " + text(number) + " is in force with " + text(one.in_force) +
+                                     ", which was never settled");
+    Settled& settled = at->second;
+    if (clock_.now() < settled.instant - settings_.between_clocks / 2 - 1ms)
+        breaks("early", "gateway " + text(number) + " went over to " + text(one.in_force) + " " +
+                            text(static_cast<std::uint64_t>((settled.instant - clock_.now()) / 1ms)) +
+                            " ms before its instant");
+    check_state(number);
+    if (fenced(number)) return;
+    for (auto back = at;; --back) {
+        if (back->second.acted) break;
+        back->second.acted = clock_.now();
+        if (back == settled_.begin()) break;
+    }
+    if (settings_.saves && !one.dying && reach(number, "write") != Fault::crash) {
+        if (one.saved.size() == most_saved) one.saved.erase(one.saved.begin());
+        one.saved.push_back(one.follower->save());
+    }
+}
+
+// No mixture: what a gateway acts on is the state of its settlement, to the last key.
+void Regions::check_state(int number) {
+    Node& one = node(number);
+    const auto at = settled_.find(one.in_force);
+    if (at == settled_.end()) return;
+    if (one.follower->store().hash() != at->second.hash)
+        breaks("mixture",
+               "gateway " + text(number) + " holds another state than that of " + text(one.in_force));
+    for (const auto& [change, reason] : withdrawn_) {
+        const auto& edits = log_.at(change).change.edits;
+        for (std::size_t i = 0; i < std::min<std::size_t>(4, edits.size()); ++i) {
+            if (one.follower->store().changed(edits[i].key) == change)
+                breaks("withdrawn", "gateway " + text(number) + " is in force with " + text(change) +
+                                        ", which was withdrawn");
+        }
+    }
+}
+
+// Two act in full on what differs where one that is not fenced acts on what another, not fenced, has gone on
+// from. Counted from when the other did, whether or not that one is fenced by now.
+void Regions::audit() {
+    if (holders_.empty()) return;
+    Number newest = 0;
+    for (auto at = settled_.rbegin(); at != settled_.rend(); ++at) {
+        if (!at->second.acted) continue;
+        newest = at->first;
+        break;
+    }
+    const bool some_unknown = holders_.rbegin()->first > newest;
+    if (!some_unknown && holders_.begin()->first >= newest) return;
+    for (const int number : gateways_) {
+        const Node& one = node(number);
+        if (!one.follower || one.in_force == newest || !runs(number) || fenced(number)) continue;
+        if (one.in_force > newest) {
+            const auto at = settled_.find(one.in_force);
+            for (auto back = at; back != settled_.end() && !back->second.acted; --back)
+                back->second.acted = clock_.now();
+            newest = one.in_force;
+            continue;
+        }
+        for (auto at = settled_.upper_bound(one.in_force); at != settled_.end(); ++at) {
+            if (!at->second.differs) continue;
+            if (!at->second.acted) break;
+            const Span time = clock_.now() - *at->second.acted + settings_.audit_every;
+            longest_contradiction = std::max(longest_contradiction, time);
+            if (time > stated_contradiction())
+                breaks("contradiction", "gateway " + text(number) + " acts in full on " + text(one.in_force) +
+                                            ", " + text(static_cast<std::uint64_t>(time / 1ms)) +
+                                            " ms after another went on to " + text(at->first));
+            break;
+        }
+    }
+}
+
+void Regions::look() {
+    audit();
+    // One gateway at each look, so that an edit behind the fleet's back is found too.
+    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+        const int number = gateways_[next_look_++ % gateways_.size()];
+        if (!node(number).follower || node(number).dying) continue;
+        check_state(number);
+        break;
+    }
+    clock_.arm(clock_.now() + settings_.audit_every, [this] { look(); });
+}
+
+bool Regions::agreed() { return disagreement().empty(); }
+
+std::string Regions::disagreement() {
+    const auto lead = leader();
+    if (!lead) return "nobody leads";
+    const Number newest = settled();
+    for (const auto& [id, one] : given_) {
+        if (!one.answer) return "not answered: " + id;
+        if (*one.answer != Refusal::none) continue;
+        if (settlement_of(one.number) == 0 && !withdrawn(one.number))
+            return "neither in force nor withdrawn: " + id;
+        if (const auto at = log_.find(one.number); at == log_.end() || at->second.change.id != id)
+            return "lost: " + id;
+    }
+    if (!open_.empty()) return "change " + text(*open_.begin()) + " is not settled";
+    for (const int number : gateways_) {
+        if (!runs(number)) continue;
+        const Node& one = node(number);
+        const std::string name = "gateway " + text(number);
+        if (one.in_force != newest)
+            return name + " is in force with " + text(one.in_force) + " of " + text(newest);
+        if (fenced(number)) return name + " is fenced";
+    }
+    for (int i = 0; i < settings_.relays; ++i) {
+        if (!runs(i)) continue;
+        const Relay& one = *node(i).relay;
+        const std::string name = "relay " + text(i);
+        if (one.settled() != newest) return name + " knows of " + text(one.settled()) + " of " + text(newest);
+    }
+    // Where all looks well: to the last key and record.
+    const std::uint64_t hash = model_.hash();
+    for (const int number : gateways_) {
+        if (runs(number) && node(number).follower->store().hash() != hash)
+            return "gateway " + text(number) + " holds another state";
+    }
+    for (int i = 0; i < settings_.relays; ++i) {
+        if (runs(i) && node(i).relay->store().hash() != hash)
+            return "relay " + text(i) + " holds another state";
+    }
+    for (int i = 0; i < settings_.voters; ++i) {
+        for (const LogEntry& entry : node(i).disk.entries) {
+            const auto at = log_.find(entry.number);
+            if (at == log_.end() || entry.number > followed_) continue;
+            const auto record = record_of(entry);
+            const bool same = record && is_same(at->second, *record);
+            if (!same && node(i).relay && node(i).relay->committed() >= entry.number)
+                breaks("history",
+                       "relay " + text(i) + " has another record " + text(entry.number) + " on its disk");
+        }
+    }
+    return "";
+}
+
+// ---- plays ----
+
+Change change_of(const std::string& id, const std::string& key, const std::string& value) {
+    Change change;
+    change.id = id;
+    change.edits.push_back({key, value});
+    return change;
+}
+
+Change change_of(const std::string& id, int first, int keys, std::size_t value_bytes) {
+    Change change;
+    change.id = id;
+    for (int i = 0; i < keys; ++i) {
+        char key[32];
+        std::snprintf(key, sizeof key, "tenant/%016x", first + i);
+        std::string value = id + "/" + std::to_string(i) + " ";
+        value.resize(value_bytes, 'v');
+        change.edits.push_back({key, value});
+    }
+    return change;
+}
+
+namespace {
+
+// 8 s after the last fault's end they agree, and nothing was broken on the way.
+std::string end_of(Regions& fleet) {
+    const Time end = std::max(fleet.now(), fleet.last_fault()) + 8s;
+    fleet.run_until([&] { return fleet.agreed(); }, end - fleet.now());
+    std::string wrong = fleet.disagreement();
+    if (!wrong.empty()) wrong = "no agreement: " + wrong + " ";
+    return wrong + fleet.broken_rules();
+}
+
+}  // namespace
+
+std::string play_script(const Inject& inject, std::uint64_t seed) {
+    RegionsSettings settings;
+    settings.regions = settings.voters = 3;
+    settings.zones = settings.relays = 4;
+    settings.gateways = 5;
+    settings.seed = seed;
+    settings.with_relay = [](Relay::Settings& made, int) {
+        made.most_cannot = 0.25;  // one of five goes on without, two are too many
+        made.kept_records = 3;    // so that who was away for a while needs a snapshot
+    };
+    Regions fleet(settings);
+    fleet.inject(inject);
+    const int first = fleet.gateways()[0], second = fleet.gateways()[1];
+    fleet.cannot = [first, second](int node, const Change& change) {
+        std::vector<std::size_t> places;
+        if (change.id == "b" && node == first) places.push_back(0);
+        if (change.id == "held" && (node == first || node == second)) places.push_back(0);
+        return places;
+    };
+    const auto wait = [&](const std::string& id) {
+        fleet.run_until(
+            [&] {
+                const auto& one = fleet.given().at(id);
+                return one.answer && fleet.with(one.number) >= fleet.running();
+            },
+            4s);
+    };
+    fleet.run_until([&] { return fleet.leader().has_value(); }, 5s);
+    fleet.give(change_of("a", 0, 3));
+    wait("a");
+    fleet.give(change_of("b", "tenant/b", "one cannot"));
+    fleet.run_for(300ms);
+    fleet.crash(3);
+    wait("b");
+    fleet.give(change_of("held", "tenant/held", "two cannot"));
+    fleet.run_for(1500ms);
+    fleet.start(3);
+    fleet.give(change_of("c", "tenant/twice", "first"));
+    fleet.run_for(100ms);
+    fleet.give(change_of("d", "tenant/twice", "second"));
+    wait("d");
+    std::string wrong = end_of(fleet);
+    // What must have come of it, whatever the fault.
+    const auto& given = fleet.given();
+    const auto number = [&](const char* id) { return given.at(id).number; };
+    for (const char* id : {"a", "b", "held", "c", "d"}) {
+        if (given.at(id).answer != Refusal::none)
+            wrong += std::string("not taken: ") + id + " " + given.at(id).words;
+    }
+    if (!wrong.empty()) return wrong;
+    // A gateway that was away while it was decided does not count, so that what two of five cannot take may
+    // come into force: then for the others, and those two are fenced for its key.
+    if (fleet.settlement_of(number("b")) == 0 && !fleet.withdrawn(number("b"))) wrong += "b is undecided; ";
+    const std::string newest = number("c") < number("d") ? "second" : "first";
+    if (fleet.model().find("tenant/twice") != std::optional<std::string_view>(newest))
+        wrong += "the key that was set twice has not the later value; ";
+    if (fleet.settlement_of(number("b")) != 0 && !fleet.gateway(first).fenced("tenant/b"))
+        wrong += "who cannot take b is not fenced for its key; ";
+    if (fleet.gateway(second).fenced("tenant/b")) wrong += "who can take b is fenced for its key; ";
+    return wrong;
+}
+
+RandomPlay play_random(std::uint64_t seed) {
+    std::mt19937_64 random(seed * 6364136223846793005ull + 1442695040888963407ull);
+    const auto draw = [&random](int from, int to) {
+        return from + static_cast<int>(random() % static_cast<std::uint64_t>(to - from + 1));
+    };
+    const auto chance = [&random](double share) {
+        return std::uniform_real_distribution<double>()(random) < share;
+    };
+    RegionsSettings settings;
+    settings.voters = chance(0.3) ? 5 : 3;
+    settings.regions = settings.voters;
+    settings.relays = settings.voters + draw(0, 3);
+    settings.zones = settings.regions + draw(0, 2);
+    settings.gateways = draw(4, 12);
+    settings.seed = seed;
+    settings.lost = chance(0.5) ? 0.01 : 0.05;
+    settings.voters_by_streams = chance(0.5);
+    settings.saves = chance(0.7);
+    const bool few_kept = chance(0.5);
+    settings.with_relay = [few_kept](Relay::Settings& made, int) {
+        made.most_cannot = 0.3;
+        if (few_kept) made.kept_records = 4;
+    };
+    Regions fleet(settings);
+    fleet.comes_back = [&](int) { return static_cast<Back>(draw(0, 2)); };
+    // Two changes in ten cannot be taken by some.
+    fleet.cannot = [seed](int node, const Change& change) {
+        std::vector<std::size_t> places;
+        const std::uint64_t drawn = std::hash<std::string>()(change.id) ^ (seed * 31);
+        if (drawn % 10 == 0 && node % 5 == 0) places.push_back(0);
+        if (drawn % 10 == 1 && node % 2 == 0) places.push_back(0);
+        return places;
+    };
+    RandomPlay play;
+    fleet.run_for(3s);
+    const double rate = chance(0.33) ? 0.0002 : 0.001;
+    fleet.inject([&](const Point&) {
+        if (!chance(rate)) return Fault::none;
+        ++play.faults;
+        return all_faults[random() % 6];
+    });
+    const int nodes = fleet.relays() + settings.gateways;
+    std::vector<std::string> ids;
+    for (int step = 0; step < 10; ++step) {
+        // Cuts of more than one node, for a while.
+        if (chance(0.25)) {
+            ++play.faults;
+            const int kind = draw(0, 4), a = draw(0, nodes - 1), b = draw(0, fleet.relays() - 1);
+            const int region = draw(0, settings.regions - 1), other = draw(0, settings.regions - 1);
+            const Span lasts = span_of(draw(3, 60) / 10.0);
+            if (kind == 0) fleet.cut(a, b, true);
+            if (kind == 1) fleet.cut(b, a, true);
+            if (kind == 2) fleet.part(fleet.in_region(region));
+            if (kind == 3 && region != other) fleet.cut_regions(region, other, true);
+            if (kind == 4) {
+                const Back back = static_cast<Back>(draw(0, 2));
+                fleet.crash(a, true);
+                fleet.at(fleet.now() + lasts, [&fleet, a, back] { fleet.start(a, back); });
+            } else {
+                fleet.at(fleet.now() + lasts, [&fleet] { fleet.heal_links(); });
+            }
+            fleet.fault_until(fleet.now() + lasts);
+        }
+        const std::string id = "change " + std::to_string(step);
+        Change change;
+        if (chance(0.2)) {
+            change = change_of(id, draw(0, 20), draw(2, 30));
+        } else {
+            change = change_of(id, "tenant/" + std::to_string(draw(0, 4)), id);
+        }
+        fleet.give(change);
+        ++play.changes;
+        fleet.run_for(span_of(draw(1, 30) / 10.0));
+    }
+    fleet.inject({});
+    fleet.run_until([&] { return fleet.now() >= fleet.last_fault(); }, 20s);
+    play.wrong = end_of(fleet);
+    play.longest = fleet.longest_contradiction;
+    play.stated = fleet.stated_contradiction();
+    play.points = fleet.points();
+    for (const auto& [id, one] : fleet.given()) {
+        if (one.answer && *one.answer != Refusal::none) ++play.refused;
+        if (one.answer && fleet.withdrawn(one.number)) ++play.withdrawn;
+    }
+    for (const int one : fleet.gateways()) {
+        if (fleet.runs(one)) play.snapshots += fleet.gateway(one).snapshots();
+    }
+    return play;
+}
+
+}  // namespace linnetlead::standin
--- /dev/null
+++ b/tests/distribution_fleet_test.cpp
@@ -0,0 +1,559 @@
+// The distribution of changes over a fleet in virtual time, with the real relays and followers: what it must
+// do, what it must never do under faults at each numbered point, and that the auditor sees each rule broken.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "standin/regions.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace distribution;
+using standin::change_of;
+using standin::Fault;
+using standin::Regions;
+using standin::RegionsSettings;
+using standin::seconds;
+
+// Three voters in a region each, one relay that does not vote, and some gateways.
+RegionsSettings small(int gateways = 5) {
+    RegionsSettings settings;
+    settings.regions = settings.voters = 3;
+    settings.zones = settings.relays = 4;
+    settings.gateways = gateways;
+    return settings;
+}
+
+bool is_in_force(Regions& fleet, const std::string& id) {
+    const auto& given = fleet.given().at(id);
+    return given.answer == Refusal::none && fleet.with(given.number) == fleet.running();
+}
+
+// Until all have it in force.
+double takes(Regions& fleet, const std::string& id, Span within = 8s) {
+    fleet.run_until([&] { return is_in_force(fleet, id); }, within);
+    EXPECT_TRUE(is_in_force(fleet, id)) << id << ": " << fleet.disagreement();
+    return seconds(fleet.now() - fleet.given().at(id).at);
+}
+
+void begin(Regions& fleet) {
+    const bool agreed = fleet.run_until([&] { return fleet.agreed(); }, 15s);
+    ASSERT_TRUE(agreed) << fleet.disagreement();
+}
+
+std::string lines_of(const Regions& fleet, std::size_t most = 40) {
+    std::string all;
+    const std::size_t from = fleet.lines.size() > most ? fleet.lines.size() - most : 0;
+    for (std::size_t i = from; i < fleet.lines.size(); ++i) all += fleet.lines[i] + "\n";
+    return all;
+}
+
+bool has_names(const std::string& words, int node) {
+    return words.find("g" + std::to_string(node)) != std::string::npos;
+}
+
+// ---- what it does ----
+
+TEST(DistributionFleet, AChangeIsInForceEverywhereWithinTheTime) {
+    Regions fleet(small());
+    begin(fleet);
+    fleet.give(change_of("a", "tenant/1", "one"));
+    EXPECT_LE(takes(fleet, "a"), 4.0);
+    for (const int one : fleet.gateways())
+        EXPECT_EQ(fleet.gateway(one).store().find("tenant/1"), std::optional<std::string_view>("one"));
+    EXPECT_EQ(fleet.broken_rules(), "");
+    EXPECT_LE(fleet.longest_contradiction, fleet.stated_contradiction());
+}
+
+TEST(DistributionFleet, AFaultAtNumberedPointsInTurnBreaksNothing) {
+    // The bench has every point; here those of an odd stride.
+    const auto all = standin::at_each_point(
+        [](const standin::Inject& inject) { return standin::play_script(inject); },
+        {Fault::drop, Fault::repeat, Fault::late, Fault::crash, Fault::stall, Fault::part}, 97, 5);
+    EXPECT_GE(all.points, 1000u);
+    EXPECT_GE(all.runs, 60u);
+    for (const std::string& failure : all.failures) ADD_FAILURE() << failure;
+}
+
+TEST(DistributionFleet, SeededRunsWithRandomFaultsNeverContradictForLongerThanStated) {
+    std::uint64_t faults = 0, changes = 0, snapshots = 0;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        const auto play = standin::play_random(seed);
+        EXPECT_EQ(play.wrong, "") << "seed " << seed;
+        EXPECT_LE(play.longest, play.stated) << "seed " << seed;
+        faults += play.faults;
+        changes += play.changes;
+        snapshots += play.snapshots;
+    }
+    EXPECT_GE(faults, 300u);
+    EXPECT_GE(changes, 600u);
+    EXPECT_GE(snapshots, 20u);
+}
+
+TEST(DistributionFleet, ARegionThatIsCutOffGoesOnFencedAndHasAllSoonAfterItsReturn) {
+    RegionsSettings settings = small(12);
+    settings.relays = settings.zones = 6;
+    Regions fleet(settings);
+    begin(fleet);
+    const int cut_off = *fleet.leader() == 0 ? 1 : 0;  // one that does not lead
+    std::vector<int> inside, outside;
+    for (const int one : fleet.gateways())
+        (fleet.region_of(one) == cut_off ? inside : outside).push_back(one);
+    ASSERT_GE(inside.size(), 3u);
+    ASSERT_GE(outside.size(), 3u);
+    fleet.part(fleet.in_region(cut_off));
+    fleet.run_for(3s);  // the lease is over
+    for (const int one : inside) EXPECT_TRUE(fleet.fenced(one)) << one;
+    for (const int one : outside) EXPECT_FALSE(fleet.fenced(one)) << one;
+    for (int i = 0; i < 6; ++i) fleet.give(change_of("c" + std::to_string(i), i * 3, 5), fleet.leader());
+    fleet.run_for(30s);
+    const Number newest = fleet.given().at("c5").number;
+    ASSERT_NE(newest, 0u);
+    for (const int one : outside) EXPECT_GE(fleet.gateway(one).revision(), newest);
+    for (const int one : inside) {
+        EXPECT_TRUE(fleet.fenced(one));
+        EXPECT_LT(fleet.gateway(one).revision(), newest);
+    }
+    fleet.heal();
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 8s)) << fleet.disagreement();
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
+TEST(DistributionFleet, TheLeadersRegionIsCutOffAndTheOthersGoOnWithoutIt) {
+    RegionsSettings settings = small(12);
+    settings.relays = settings.zones = 6;
+    Regions fleet(settings);
+    begin(fleet);
+    const int old_leader = *fleet.leader();
+    fleet.part(fleet.in_region(fleet.region_of(old_leader)));
+    fleet.run_for(100ms);
+    // Given on both sides: only the side of the majority can answer.
+    const int other = (old_leader + 1) % 3;
+    fleet.give(change_of("theirs", "tenant/1", "theirs"), other);
+    fleet.run_for(10s);
+    for (const int one : fleet.gateways())
+        EXPECT_EQ(fleet.fenced(one), fleet.region_of(one) == fleet.region_of(old_leader)) << one;
+    EXPECT_EQ(fleet.given().at("theirs").answer, Refusal::none);
+    fleet.heal();
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 8s)) << fleet.disagreement();
+    EXPECT_EQ(fleet.broken_rules(), "");
+    EXPECT_LE(fleet.longest_contradiction, fleet.stated_contradiction());
+}
+
+TEST(DistributionFleet, ARelayKilledBetweenGivenAndSettledHoldsNothingUp) {
+    for (int killed = 0; killed < 4; ++killed) {
+        Regions fleet(small(12));
+        begin(fleet);
+        fleet.give(change_of("a", "tenant/1", "one"), (killed + 1) % 4);
+        ASSERT_TRUE(fleet.run_until([&] { return fleet.answered("a"); }, 5s));
+        ASSERT_EQ(fleet.settlement_of(fleet.given().at("a").number), 0u) << "settled already";
+        fleet.crash(killed);
+        EXPECT_LE(takes(fleet, "a"), 8.0) << "relay " << killed;
+        EXPECT_EQ(fleet.broken_rules(), "") << killed;
+    }
+}
+
+TEST(DistributionFleet, ALeaderKilledAtEachStageOfAChangeLosesNothingThatWasAnswered) {
+    for (int stage = 0; stage < 4; ++stage) {
+        for (const bool machine : {false, true}) {
+            Regions fleet(small(8));
+            begin(fleet);
+            const int lead = *fleet.leader();
+            fleet.give(change_of("a", "tenant/1", "one"), 3);
+            if (stage >= 1) fleet.run_until([&] { return fleet.answered("a"); }, 5s);
+            const auto number = [&] { return fleet.given().at("a").number; };
+            if (stage >= 2) fleet.run_until([&] { return fleet.settlement_of(number()) != 0; }, 5s);
+            if (stage >= 3) fleet.run_until([&] { return fleet.with(number()) > 0; }, 5s);
+            if (stage == 0) fleet.run_for(60ms);
+            ASSERT_EQ(fleet.leader(), lead);
+            fleet.crash(lead, machine);
+            EXPECT_LE(takes(fleet, "a"), 8.0) << "stage " << stage;
+            fleet.start(lead);
+            EXPECT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 8s)) << fleet.disagreement();
+            EXPECT_EQ(fleet.broken_rules(), "") << "stage " << stage;
+        }
+    }
+}
+
+TEST(DistributionFleet, AThousandThatLoseTheirRelayAtOnceDoNotKnockOverTheNext) {
+    RegionsSettings settings;
+    settings.regions = settings.voters = 3;
+    settings.zones = 3;
+    settings.relays = 12;
+    settings.gateways = 1000;
+    settings.start_within = 2s;
+    settings.audit_every = 20ms;
+    std::vector<int> only;
+    // All of them on one relay, as after an outage of the others.
+    settings.with_relay = [](Relay::Settings& made, int relay) {
+        if (relay == 3) made.most_followers = 1000;
+        if (relay == 3) made.joins_per_s = 1000;
+    };
+    settings.with_gateway = [](Follower::Settings& made, int) {
+        std::rotate(made.relays.begin(), std::find(made.relays.begin(), made.relays.end(), 3),
+                    made.relays.end());
+        made.near = 1;
+    };
+    Regions fleet(settings);
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.relay(3).followers() >= 1000 && fleet.agreed(); }, 30s))
+        << fleet.disagreement() << "; " << fleet.relay(3).followers();
+    std::size_t most = 0, most_joined = 0;
+    std::vector<std::size_t> before(12);
+    fleet.crash(3);
+    const Time lost = fleet.now();
+    const auto is_back = [&] {
+        std::size_t all = 0;
+        for (int relay = 0; relay < 12; ++relay) {
+            if (relay == 3) continue;
+            most = std::max(most, fleet.relay(relay).followers());
+            all += fleet.relay(relay).followers();
+        }
+        return all >= 1000 && fleet.agreed();
+    };
+    // No relay lets in more than its bound in any second.
+    for (int second = 0; second < 30 && !is_back(); ++second) {
+        for (std::size_t i = 0; i < 12; ++i)
+            before[i] = i == 3 ? 0 : fleet.relay(static_cast<int>(i)).followers();
+        fleet.run_until(is_back, 1s);
+        for (std::size_t i = 0; i < 12; ++i) {
+            if (i == 3) continue;
+            const std::size_t now = fleet.relay(static_cast<int>(i)).followers();
+            most_joined = std::max(most_joined, now - std::min(now, before[i]));
+        }
+    }
+    EXPECT_TRUE(is_back()) << fleet.disagreement();
+    EXPECT_LE(most, 400u);
+    EXPECT_LE(most_joined, 205u);  // 100 a second, and a burst of as many
+    EXPECT_LE(seconds(fleet.now() - lost), 20.0);
+    EXPECT_EQ(fleet.broken_rules(), "");
+    for (int relay = 0; relay < 12; ++relay) EXPECT_EQ(fleet.runs(relay), relay != 3);
+}
+
+TEST(DistributionFleet, GatewaysJoinAndLeaveWhileItRuns) {
+    Regions fleet(small(4));
+    begin(fleet);
+    fleet.give(change_of("a", 0, 50));
+    takes(fleet, "a");
+    for (int i = 0; i < 20; ++i) fleet.add_gateway(i % 4);
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 8s)) << fleet.disagreement();
+    EXPECT_EQ(fleet.running(), 24);
+    const auto counted = [&] { return fleet.relay(*fleet.leader()).gateways(); };
+    EXPECT_TRUE(fleet.run_until([&] { return counted() == 24; }, 5s)) << counted();
+    fleet.give(change_of("b", "tenant/1", "to all"));
+    takes(fleet, "b");
+    for (int i = 0; i < 12; ++i) fleet.remove(fleet.gateways()[static_cast<std::size_t>(i * 2)]);
+    EXPECT_TRUE(fleet.run_until([&] { return counted() == 12; }, 10s)) << counted();
+    fleet.give(change_of("c", "tenant/1", "to who is there"));
+    EXPECT_LE(takes(fleet, "c"), 4.0);  // nobody waits for who left
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
+TEST(DistributionFleet, WhatTooManyCannotTakeIsHeldBackAndToldWithNames) {
+    RegionsSettings settings = small(10);
+    Regions fleet(settings);
+    begin(fleet);
+    const int one = fleet.gateways()[2], other = fleet.gateways()[7];
+    fleet.cannot = [&](int node, const Change& change) {
+        return change.id == "bad" && (node == one || node == other) ? std::vector<std::size_t>{0}
+                                                                    : std::vector<std::size_t>{};
+    };
+    fleet.give(change_of("bad", "tenant/1", "unreadable"));
+    fleet.give(change_of("good", "tenant/2", "fine"));
+    takes(fleet, "good");
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 8s)) << fleet.disagreement();
+    const Number bad = fleet.given().at("bad").number;
+    ASSERT_TRUE(fleet.withdrawn(bad));
+    std::string reason;
+    for (const auto& [number, record] : fleet.log()) {
+        if (record.kind == RecordKind::withdraw && record.upto == bad) reason = record.reason;
+    }
+    EXPECT_TRUE(has_names(reason, one)) << reason;
+    EXPECT_TRUE(has_names(reason, other)) << reason;
+    for (const int gateway : fleet.gateways()) {
+        EXPECT_EQ(fleet.gateway(gateway).store().find("tenant/1"), std::nullopt);
+        EXPECT_FALSE(fleet.gateway(gateway).fenced("tenant/1"));
+    }
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
+TEST(DistributionFleet, WhatFewCannotTakeIsFencedThereForItsKeysAlone) {
+    Regions fleet(small(11));
+    begin(fleet);
+    const int one = fleet.gateways()[3];
+    fleet.cannot = [&](int node, const Change& change) {
+        return change.id == "odd" && node == one ? std::vector<std::size_t>{1} : std::vector<std::size_t>{};
+    };
+    Change odd = change_of("odd", "tenant/1", "fine");
+    odd.edits.push_back({"tenant/2", "odd"});
+    fleet.give(odd);
+    takes(fleet, "odd");
+    for (const int gateway : fleet.gateways()) {
+        EXPECT_FALSE(fleet.gateway(gateway).fenced("tenant/1"));
+        EXPECT_EQ(fleet.gateway(gateway).fenced("tenant/2"), gateway == one);
+        EXPECT_FALSE(fleet.fenced(gateway));
+    }
+    // A value that it can take ends that.
+    fleet.give(change_of("mended", "tenant/2", "even"));
+    takes(fleet, "mended");
+    EXPECT_FALSE(fleet.gateway(one).fenced("tenant/2"));
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
+TEST(DistributionFleet, ATierThatWantsItWaitsUntilAllThatAreThereHoldAChange) {
+    for (const bool waits : {false, true}) {
+        RegionsSettings settings = small(6);
+        settings.with_relay = [waits](Relay::Settings& made, int) { made.wait_for_all = waits; };
+        Regions fleet(settings);
+        begin(fleet);
+        const int slow = fleet.gateways()[5];
+        fleet.stall(slow, 2200ms);  // its connection stays: it is there, and holds nothing new
+        fleet.give(change_of("a", "tenant/1", "one"));
+        ASSERT_TRUE(fleet.run_until([&] { return fleet.answered("a"); }, 3s));
+        const Time begun = fleet.given().at("a").at;
+        ASSERT_TRUE(
+            fleet.run_until([&] { return fleet.settlement_of(fleet.given().at("a").number) != 0; }, 8s));
+        const double settled = seconds(fleet.now() - begun);
+        if (waits) {
+            EXPECT_GE(settled, 2.1);
+        } else {
+            EXPECT_LE(settled, 2.0);
+        }
+        takes(fleet, "a");
+        EXPECT_EQ(fleet.broken_rules(), "");
+    }
+}
+
+TEST(DistributionFleet, ASlowFollowerGetsTheLatestOfEachKeyInsteadOfALongerQueue) {
+    RegionsSettings settings = small(5);
+    Regions fleet(settings);
+    begin(fleet);
+    const int slow = fleet.gateways()[4];
+    fleet.rate(slow, 20e3);
+    const auto before = fleet.traffic(slow).bytes_in;
+    std::size_t given = 0;
+    for (int i = 0; i < 40; ++i) {
+        fleet.give(change_of("c" + std::to_string(i), 0, 250, 200));
+        given += 250 * 225;
+        fleet.run_for(300ms);
+    }
+    ASSERT_GE(given, 2'000'000u);
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 60s)) << fleet.disagreement();
+    EXPECT_LE(fleet.most_unsent, 900'000u);
+    EXPECT_LT(fleet.traffic(slow).bytes_in - before, given * 3 / 4);
+    EXPECT_GE(fleet.gateway(slow).snapshots(), 1u);
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
+TEST(DistributionFleet, AOneWayCutIsTakenForWhatItIs) {
+    for (const bool up : {true, false}) {
+        Regions fleet(small(6));
+        begin(fleet);
+        const int one = fleet.gateways()[0];
+        const auto relay = fleet.gateway(one).relay();
+        ASSERT_TRUE(relay);
+        if (up) {
+            fleet.cut(one, *relay, true);
+        } else {
+            fleet.cut(*relay, one, true);
+        }
+        fleet.give(change_of("a", "tenant/1", "one"));
+        EXPECT_LE(takes(fleet, "a", 10s), 8.0) << (up ? "up" : "down");
+        fleet.heal();
+        EXPECT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 8s)) << fleet.disagreement();
+        EXPECT_EQ(fleet.broken_rules(), "");
+    }
+}
+
+TEST(DistributionFleet, AFollowerThatLiesAndGarbageAreAnsweredAndNothingElseStops) {
+    Regions fleet(small(6));
+    begin(fleet);
+    const int relay = *fleet.gateway(fleet.gateways()[0]).relay();
+    std::map<Session, std::vector<Refusal>> errors;
+    std::set<Session> closed;
+    const int liar = fleet.outsider(
+        fleet.zone_of(relay),
+        [&](Session session, const Frame& frame) {
+            if (const auto* error = std::get_if<Error>(&frame)) errors[session].push_back(error->refusal);
+        },
+        [&](Session session) { closed.insert(session); });
+    const auto hello = [](Number position) {
+        Hello made;
+        made.name = "liar";
+        made.position = made.base = position;
+        return made;
+    };
+    const Session acks = fleet.dial(liar, relay), holds = fleet.dial(liar, relay),
+                  garbage = fleet.dial(liar, relay), half = fleet.dial(liar, relay),
+                  wrong_side = fleet.dial(liar, relay);
+    fleet.tell(acks, hello(0));
+    Ack ack;
+    ack.position = 1'000'000;
+    ack.gateways = 1;
+    ack.holding.push_back({1'000'000, 1});
+    fleet.run_for(500ms);
+    fleet.tell(acks, ack);
+    fleet.tell(holds, hello(1'000'000));
+    fleet.tell_bytes(garbage, std::string("\xff\xff\xff\xff garbage", 12));
+    fleet.tell_bytes(half, write(hello(0)).substr(0, 9));
+    fleet.tell(wrong_side, hello(0));
+    fleet.run_for(300ms);
+    fleet.tell(wrong_side, Welcome{"I am a relay", 0});
+    fleet.run_for(1s);
+    EXPECT_EQ(errors[acks], std::vector<Refusal>{Refusal::lying});
+    ASSERT_EQ(errors[holds].size(), 1u);
+    EXPECT_EQ(errors[holds][0], Refusal::lying);
+    ASSERT_EQ(errors[garbage].size(), 1u);
+    EXPECT_TRUE(errors[garbage][0] == Refusal::malformed || errors[garbage][0] == Refusal::over_size);
+    ASSERT_EQ(errors[wrong_side].size(), 1u);
+    EXPECT_EQ(errors[wrong_side][0], Refusal::malformed);
+    for (const Session one : {acks, holds, garbage, wrong_side}) EXPECT_EQ(closed.count(one), 1u) << one;
+    fleet.hang_up(half);
+    fleet.give(change_of("a", "tenant/1", "one"), relay);
+    EXPECT_LE(takes(fleet, "a"), 4.0);
+    EXPECT_EQ(fleet.relay(*fleet.leader()).gateways(), 6u);  // none of those counts
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
+// ---- that the auditor sees each rule broken ----
+
+TEST(DistributionAuditor, SeesAContradictionOfOneWhoseLeaseIsLonger) {
+    RegionsSettings settings = small(6);
+    settings.with_gateway = [](Follower::Settings& made, int node) {
+        if (node == 9) made.lease = 60s;
+    };
+    Regions fleet(settings);
+    begin(fleet);
+    ASSERT_EQ(fleet.gateways().back(), 9);
+    fleet.isolate(9, true);
+    fleet.give(change_of("a", "tenant/1", "one"));
+    fleet.run_for(10s);
+    EXPECT_EQ(fleet.broken().count("contradiction"), 1u) << fleet.broken_rules();
+    EXPECT_GT(fleet.longest_contradiction, fleet.stated_contradiction());
+}
+
+TEST(DistributionAuditor, SeesAContradictionOfOneThatIsToldALongerLease) {
+    Regions fleet(small(6));
+    begin(fleet);
+    // Its relay goes on with its beats, and keeps the records from it.
+    fleet.forge = [&fleet](int, int to, Frame& frame) {
+        if (to != 9) return;
+        if (std::holds_alternative<Records>(frame)) frame = Lease{fleet.gateway(9).beat()};
+        if (auto* lease = std::get_if<Lease>(&frame)) lease->beat.committed = fleet.gateway(9).position();
+    };
+    fleet.give(change_of("a", "tenant/1", "one"));
+    fleet.run_for(10s);
+    EXPECT_EQ(fleet.broken().count("contradiction"), 1u) << fleet.broken_rules();
+}
+
+TEST(DistributionAuditor, SeesAnotherRecordUnderANumberThatIsTaken) {
+    Regions fleet(small(6));
+    begin(fleet);
+    fleet.forge = [](int, int to, Frame& frame) {
+        auto* records = std::get_if<Records>(&frame);
+        if (!records || to != 9) return;
+        for (Record& record : records->records) {
+            if (!record.change.edits.empty()) record.change.edits[0].value = "forged";
+        }
+    };
+    fleet.give(change_of("a", "tenant/1", "one"));
+    fleet.run_for(5s);
+    EXPECT_EQ(fleet.broken().count("history"), 1u) << fleet.broken_rules();
+    EXPECT_EQ(fleet.broken().count("mixture"), 1u) << fleet.broken_rules();
+}
+
+TEST(DistributionAuditor, SeesAHistoryThatBeginsAnewWhereAMajorityLostItsDisks) {
+    Regions fleet(small(6));
+    begin(fleet);
+    fleet.give(change_of("a", "tenant/1", "one"));
+    takes(fleet, "a");
+    for (const int voter : {0, 1}) fleet.crash(voter);
+    for (const int voter : {0, 1}) fleet.wipe(voter);
+    fleet.isolate(2, true);
+    for (const int voter : {0, 1}) fleet.start(voter);
+    fleet.run_for(3s);
+    fleet.give(change_of("b", "tenant/1", "another"), 0);
+    fleet.run_for(6s);
+    EXPECT_EQ(fleet.broken().count("history"), 1u) << fleet.broken_rules();
+}
+
+TEST(DistributionAuditor, SeesAStoreThatWasEditedBehindItsBack) {
+    Regions fleet(small(6));
+    begin(fleet);
+    fleet.give(change_of("a", "tenant/1", "one"));
+    takes(fleet, "a");
+    ASSERT_EQ(fleet.broken_rules(), "");
+    const_cast<Store&>(fleet.gateway(9).store()).set("tenant/1", "edited", 1);
+    fleet.run_for(1s);
+    EXPECT_EQ(fleet.broken().count("mixture"), 1u) << fleet.broken_rules();
+}
+
+TEST(DistributionAuditor, SeesOneThatGoesOverBeforeTheInstant) {
+    Regions fleet(small(6));
+    begin(fleet);
+    fleet.clock_off(9, 700ms);  // its clock is off by more than any may be
+    fleet.give(change_of("a", "tenant/1", "one"));
+    fleet.run_for(6s);
+    EXPECT_EQ(fleet.broken().count("early"), 1u) << fleet.broken_rules();
+}
+
+TEST(DistributionAuditor, SeesAWithdrawnChangeInForce) {
+    Regions fleet(small(6));
+    begin(fleet);
+    fleet.cannot = [](int, const Change& change) {
+        return change.id == "bad" ? std::vector<std::size_t>{0} : std::vector<std::size_t>{};
+    };
+    fleet.forge = [](int, int to, Frame& frame) {
+        auto* records = std::get_if<Records>(&frame);
+        if (!records || to != 9) return;
+        for (Record& record : records->records) {
+            if (record.kind == RecordKind::withdraw) record.kind = RecordKind::begin;
+        }
+    };
+    fleet.give(change_of("bad", "tenant/1", "bad"));
+    fleet.run_for(4s);
+    fleet.give(change_of("good", "tenant/2", "good"));
+    fleet.run_for(6s);
+    EXPECT_EQ(fleet.broken().count("withdrawn"), 1u) << fleet.broken_rules();
+}
+
+TEST(DistributionAuditor, SeesARevisionThatWasUndone) {
+    Regions fleet(small(6));
+    begin(fleet);
+    const std::string old = fleet.gateway(9).save();
+    fleet.give(change_of("a", "tenant/1", "one"));
+    takes(fleet, "a");
+    fleet.isolate(9, true);
+    fleet.gateway(9).restore(fleet.time_of(9), old);
+    fleet.run_for(500ms);
+    EXPECT_EQ(fleet.broken().count("backwards"), 1u) << fleet.broken_rules();
+}
+
+TEST(DistributionAuditor, SeesAQueueOverItsBound) {
+    RegionsSettings settings = small(6);
+    settings.with_relay = [](Relay::Settings& made, int) { made.window = 64 << 20; };
+    Regions fleet(settings);
+    begin(fleet);
+    fleet.rate(9, 1000);
+    for (int i = 0; i < 20; ++i) {
+        fleet.give(change_of("c" + std::to_string(i), 0, 1000, 250));
+        fleet.run_for(300ms);
+    }
+    EXPECT_EQ(fleet.broken().count("bounds"), 1u) << fleet.broken_rules() << fleet.most_unsent;
+}
+
+TEST(DistributionAuditor, SeesThatNotAllAgreeInTheEnd) {
+    Regions fleet(small(6));
+    begin(fleet);
+    fleet.isolate(9, true);
+    fleet.give(change_of("a", "tenant/1", "one"));
+    fleet.run_for(12s);
+    EXPECT_EQ(fleet.broken_rules(), "");
+    EXPECT_NE(fleet.disagreement().find("gateway 9"), std::string::npos) << fleet.disagreement();
+    fleet.isolate(9, false);
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 8s)) << fleet.disagreement();
+}
+
+}  // namespace
+}  // namespace linnetlead
