--- a/bench/distribution.cpp
+++ b/bench/distribution.cpp
@@ -239,7 +239,7 @@
             relays_cpu.add((fleet.relay_seconds - relays_before) / seconds(quiet) / fleet.relays());
             whole_cpu.add((own_seconds() - process) / seconds(quiet) / gateways);
             for (int change = 0; change < 2; ++change) {
-                const std::string id = "change " + std::to_string(change);
+                const std::string id = "change-" + std::to_string(change);
                 fleet.give(change_of(id, "tenant/" + std::to_string(change), "value"));
                 const Times times = follow(fleet, id);
                 answered.add(times.answered);
@@ -343,7 +343,7 @@
                 ++failures;
             }
             if (fleet.now() < end && fleet.now() >= change) {
-                const std::string id = "change " + std::to_string(changes++);
+                const std::string id = "change-" + std::to_string(changes++);
                 fleet.give(change_of(id, "tenant/" + std::to_string(random() % 300), id));
                 out.push_back(id);
                 change += standin::span_of(8.6 / faster);
--- a/standin/regions.cpp
+++ b/standin/regions.cpp
@@ -1392,7 +1392,7 @@
             }
             fleet.fault_until(fleet.now() + lasts);
         }
-        const std::string id = "change " + std::to_string(step);
+        const std::string id = "change-" + std::to_string(step);
         Change change;
         if (chance(0.2)) {
             change = change_of(id, draw(0, 20), draw(2, 30));
