Fleet over regions: a voter's disk takes compactions

Need: the quorum hands its compactions to the disk with ready(). Change: the stand-in's disk does as it says.

--- a/standin/regions.cpp
+++ b/standin/regions.cpp
@@ -861,6 +861,13 @@
     if (!ready.append.empty()) cut_from(ready.append.front().number);  // the same write again
     entries.insert(entries.end(), ready.append.begin(), ready.append.end());
     if (ready.hard) disk.hard = *ready.hard;
+    if (ready.compact && ready.compact->number > disk.snapshot.number) {
+        disk.snapshot = *ready.compact;
+        const auto stays = std::find_if(entries.begin(), entries.end(), [&](const LogEntry& entry) {
+            return entry.number > disk.snapshot.number;
+        });
+        entries.erase(entries.begin(), stays);
+    }
 }
 
 // ---- from outside ----
