--- a/src/distribution/follower.cpp
+++ b/src/distribution/follower.cpp
@@ -60,8 +60,8 @@
         outside_.event("clock", "a beat from a time that is more than the skew ahead: it is left out");
         return;
     }
-    if (history_.base() > beat.committed && beat.at > history_.in_force_at() + settings_.skew) {
-        // All that counted then is less than what is in force here since before: it never counted there.
+    if (beat.committed < history_.position() && beat.at > held_since_ + settings_.skew) {
+        // All that counted then is less than what came here before: that never counted there.
         whole_ = true;
         return give_up(now, "the state held here is not of this fleet");
     }
@@ -128,6 +128,7 @@
             case History::Taken::added:
                 break;
         }
+        held_since_ = now;
         ack_due_ = true;
         owed_since_ = now;
         if (record.kind == RecordKind::change && outside_.check) {
@@ -193,9 +194,12 @@
     ++snapshots_;
     if (piece.since == 0) ++whole_snapshots_;
     whole_ = false;
-    since_ = now;
+    since_ = held_since_ = now;
     ack_due_ = true;
     unfit_.erase(unfit_.begin(), unfit_.upper_bound(history_.base()));
+    unfit_.erase(unfit_.upper_bound(history_.position()), unfit_.end());
+    // What a beat said of more than is here now is no leave to act on less.
+    if (history_.position() < beat_.committed) beat_ = {};
     // Where all is new, what could not be acted on is found anew; else among the keys that came.
     std::vector<std::string> keys;
     if (piece.since == 0) {
@@ -489,6 +493,7 @@
     beat_ = {};
     beats_.clear();
     unfit_.clear();
+    held_since_ = now;
     recheck();
     if (outside_.check) {
         history_.each_pending(false, [this](const Record& record) {
--- a/src/distribution/follower.h
+++ b/src/distribution/follower.h
@@ -123,6 +123,7 @@
     Beat beat_;                    // the newest that may be used
     std::deque<Beat> beats_;       // behind it, of which not all records are here; 8 at most
     std::uint64_t beat_term_ = 0;  // of the newest heard
+    Time held_since_{};            // when the newest record came, or what stands in its place
     bool told_fenced_ = true;
 
     State state_ = State::waiting;
--- a/src/distribution/history.cpp
+++ b/src/distribution/history.cpp
@@ -78,9 +78,10 @@
             break;
         case RecordKind::settle:
             settled_upto_ = std::max(settled_upto_, std::min(added.upto, added.number - 1));
-            newest_settlement_ = added.number;
+            // A snapshot may hold settlements behind its number: what was not decided stopped that.
+            newest_settlement_ = std::max(newest_settlement_, added.number);
             newest_instant_ = std::max(newest_instant_, added.instant);
-            settlements_.push_back(added.number);
+            if (added.number > in_force_) settlements_.push_back(added.number);
             break;
         case RecordKind::withdraw: {
             // What is settled stays so.
