--- a/standin/regions.cpp
+++ b/standin/regions.cpp
@@ -388,6 +388,13 @@
     if (one.relay) {
         most_followers_seen = std::max(most_followers_seen, one.relay->followers());
         if (one.relay->committed() > one.committed) {
+            // What came to count may go on within a snapshot, and not as a record: it is on the disk.
+            const auto& entries = one.disk.entries;
+            const Number first = entries.empty() ? 0 : entries.front().number;
+            for (Number at = one.committed + 1; first > 0 && at <= one.relay->committed(); ++at) {
+                if (at < first || at - first >= entries.size()) continue;
+                if (const auto record = record_of(entries[at - first])) seen(number, *record);
+            }
             one.committed = one.relay->committed();
             reach(number, "commit");
         }
