Quorum store: each note goes over the older one, also the first after a start

The first write of a process could go over the newest note of how far the log was flushed; torn there, the older one protected a write less.

--- a/src/quorum_store/quorum_store.cpp
+++ b/src/quorum_store/quorum_store.cpp
@@ -128,7 +128,9 @@
     for (std::uint64_t turn = 0; turn < 2; ++turn) {
         const std::string_view note = std::string_view(*bytes).substr(notes_at + turn * note_size, note_size);
         const std::uint64_t end = read_fixed(note, 8);
-        if (note == note_of(end, turn)) flushed = std::max(flushed.value_or(0), end);
+        if (note != note_of(end, turn) || (flushed && end <= *flushed)) continue;
+        flushed = end;
+        notes_ = turn;  // the next goes over the other
     }
     if (!flushed) {
         problem = "it is damaged at its head: neither note of its length is whole";
@@ -335,6 +337,7 @@
     log_ = ::open(path("log").c_str(), O_RDWR | O_CLOEXEC);
     if (log_ < 0) return failed("it cannot be opened");
     end_ = out.size();
+    notes_ = 0;
     return true;
 }
 
--- a/tests/quorum_test.cpp
+++ b/tests/quorum_test.cpp
@@ -1195,6 +1195,31 @@
         const std::string torn = bytes.substr(0, i) + old_bytes.substr(i, head - i) + bytes.substr(head);
         EXPECT_EQ(spoilt(torn), behind) << i;
     }
+    // And with the newest note torn, the one before it still tells of the write before.
+    const auto noted = [&bytes](std::size_t at) { return read_fixed(std::string_view(bytes).substr(at), 8); };
+    const std::size_t newest = noted(24) == bytes.size() ? 24 : 40, other = newest == 24 ? 40 : 24;
+    ASSERT_EQ(noted(newest), bytes.size());
+    ASSERT_EQ(noted(other), old_bytes.size());
+    std::string torn_note = bytes;
+    torn_note[newest + 12] = static_cast<char>(torn_note[newest + 12] ^ 1);
+    EXPECT_EQ(spoilt(torn_note), behind);
+    EXPECT_EQ(spoilt(torn_note.substr(0, old_bytes.size())), before);
+    EXPECT_EQ(spoilt(torn_note.substr(0, old_bytes.size() - 1)).rfind("wrong: ", 0), 0U);
+    // Each write goes over the older note, also the first of a process.
+    std::uint64_t last = bytes.size();
+    copy_of(directory, "a", "again");
+    for (int life = 0; life < 3; ++life) {
+        {
+            Made made(directory.sub("again"));
+            ASSERT_TRUE(made.store->write(of_entries(made.held.entries.back().number + 1, 4, 1)));
+        }
+        const std::string now = bytes_of(directory.sub("again/log"));
+        const auto one = read_fixed(std::string_view(now).substr(24), 8);
+        const auto two = read_fixed(std::string_view(now).substr(40), 8);
+        EXPECT_EQ(std::max(one, two), now.size());
+        EXPECT_EQ(std::min(one, two), last);
+        last = now.size();
+    }
     // Cut before what was flushed long ago, down to nothing.
     for (std::size_t size = 0; size < old_bytes.size(); ++size) {
         EXPECT_EQ(spoilt(old_bytes.substr(0, size)).rfind("wrong: ", 0), 0U) << size;
@@ -1277,6 +1302,17 @@
         EXPECT_EQ(opened(between), std::string(of) == "compacted" ? compacted : alone);
         EXPECT_EQ(opened(between), std::string(of) == "compacted" ? compacted : alone) << "and stays so";
     }
+    // One whose last entry the log has otherwise: what is behind that is void as well.
+    const std::string other = copy_of(directory, "a", "other");
+    copy_of(directory, "a", "otherwise");
+    {
+        Made made(directory.sub("otherwise"));
+        Quorum::Ready ready;
+        ready.install = LogSnapshot{4, 3, "another four"};
+        ASSERT_TRUE(made.store->write(ready));
+    }
+    fs::copy(directory.sub("otherwise/snapshot"), other + "/snapshot");
+    EXPECT_EQ(opened(other), "term 1 vote 1 snapshot 4/3 another four");
     // An old snapshot below a newer log, or none.
     const std::string old = copy_of(directory, "installed", "old");
     fs::copy(directory.sub("compacted/snapshot"), old + "/snapshot", fs::copy_options::overwrite_existing);
