More of real relays and gateways: one without a vote, routes, command's exit codes, files' mistakes

The first set had no relay that passes on, nothing of routes at a real worker, and no wrong files.

A fourth relay without a vote with a gateway in its zone alone; a change given there is passed up. A list of edits routes an account to one worker of four; the same id given at another relay is the same change; exit codes 1 and 2. Mistakes of relay() and distribution() with their lines; whom a gateway follows; the readers' checks on distributed resources.

--- a/tests/distribution_process_test.cpp
+++ b/tests/distribution_process_test.cpp
@@ -2,9 +2,11 @@
 // stalls, SIGKILL, restarts with old state, garbage, and faults at numbered points of the processes.
 #include <gtest/gtest.h>
 
+#include <array>
 #include <csignal>
 #include <nlohmann/json.hpp>
 
+#include "gateway/distribution.h"
 #include "plans/tenants.h"
 #include "standin/relay_town.h"
 
@@ -130,6 +132,30 @@
         EXPECT_EQ(state["distribution"]["longest_contradiction_ms"], 2350);
         EXPECT_EQ(state["distribution"]["pending"], false);
     }
+    // A list of edits: the account's calls go first to one worker of four.
+    const std::string edits = fleet.path("edits.json");
+    standin::write_file(edits, R"([{"key":"pool/one","value":{"ids":["w0"]}},
+        {"key":"route/)" + account_text +
+                                   R"(","value":{"pool":"one"}},
+        {"key":")" + plans::tenant_key(account) +
+                                   R"(","value":null}])");
+    ASSERT_EQ(fleet.command({"change", "apply", "--relay", fleet.address(0), "--id", "routed", edits}), 0);
+    ASSERT_EQ(fleet.command({"change", "apply", "--relay", fleet.address(1), "--id", "routed", edits}), 0)
+        << "given again it is the same change";
+    const Number routed = fleet.relay_state(0)["committed"];
+    ASSERT_TRUE(fleet.reach(first + 2, fleet.all_gateways(), 8s)) << fleet.told();
+    ASSERT_TRUE(fleet.town.run_until([&] { return fleet.relay_state(0)["in_force"] >= routed; }, 8s));
+    const auto one = fleet.town.calls_of("w0"), other = fleet.town.calls_of("w1");
+    fleet.town.run_for(2s);
+    EXPECT_GT(fleet.town.calls_of("w0") - one, 2 * (fleet.town.calls_of("w1") - other));
+    standin::write_file(edits, R"([{"key":"plan/none","value":null}])");
+    EXPECT_EQ(fleet.command({"change", "apply", "--relay", fleet.address(0), edits}), 1) << "refused";
+    standin::write_file(edits, R"([{"key":"plan/none"}])");
+    EXPECT_EQ(fleet.command({"change", "apply", "--relay", fleet.address(0), edits}), 1) << "no edit";
+    const std::string nobody = "127.0.0.1:" + std::to_string(standin::free_port());
+    EXPECT_EQ(fleet.command({"change", "apply", "--relay", nobody, "--within", "1", tight}), 2)
+        << "no answer";
+    EXPECT_EQ(fleet.command({"change", "state", "--relay", nobody}), 2);
     fleet.finish();
 }
 
@@ -194,11 +220,16 @@
 }
 
 TEST(DistributionProcess, ALeaderKilledBetweenGivenAndSettledLosesNothing) {
-    Fleet fleet;
+    // One relay passes on without a vote, and a gateway is in its zone alone.
+    std::vector<RelayTown::Place> relays = three;
+    relays.push_back({"r3", "ap", "ap-b", false});
+    Fleet fleet(relays, {"eu-a", "eu-a", "us-a", "ap-a", "ap-b"});
     fleet.start();
     fleet.town.load(true);
-    const Number first = fleet.limit_to(300);
+    const Number first = fleet.limit_to(300, 3);  // which passes it up
     ASSERT_TRUE(fleet.reach(first, fleet.all_gateways(), 8s)) << fleet.told();
+    EXPECT_EQ(fleet.state(4)["distribution"]["relay"], "r3");
+    EXPECT_EQ(fleet.relay_state(3)["role"], "follows");
     const auto leader = fleet.leader();
     ASSERT_TRUE(leader.has_value());
     const Number second = fleet.limit_to(7, *leader);
@@ -371,6 +402,80 @@
     for (const json& state : fleet.states()) EXPECT_EQ(state["fenced"], false);
 }
 
+// ---- What needs no processes -----------------------------------------------------------------------------
+
+TEST(FleetFile, MistakesAreToldAtTheirPlace) {
+    const std::string relays =
+        "relay(\"a\", region = \"eu\", zone = \"eu-a\", address = \"127.0.0.1:7600\", votes = True)\n";
+    const auto problem = [](const std::string& text) -> std::string {
+        const auto document = operators::read_document(text, "f");
+        if (const auto* wrong = std::get_if<operators::Problem>(&document)) return wrong->line();
+        try {
+            gateway::read_fleet(std::get<operators::Value>(document), "f");
+        } catch (const std::exception& e) {
+            return e.what();
+        }
+        return "";
+    };
+    EXPECT_EQ(problem(relays + "distribution()\n"), "");
+    EXPECT_EQ(problem("pool(\"p\", ids = [\"w\"])\n"), "") << "off unless it is named";
+    for (const auto& [text, line] : std::vector<std::pair<std::string, std::string>>{
+             {"distribution()\n", "f:1:1: distribution() wants relays: relay(...) or relays = [...]"},
+             {"distribution(relays = [\"here\"])\n", "f:1:24: no address: 'here'"},
+             {relays + "distribution()\naccord(1)\n",
+              "f:3:1: accord() beside distribution(): what a tier agrees on comes either way, not both"},
+             {relays + "distribution()\npool(\"p\", ids = [\"w\"])\n",
+              "f:3:1: pool() beside distribution(): this comes from the relays; give it by 'linnetlead "
+              "change "
+              "apply'"},
+             {relays + "distribution(lead = ms(100))\n", "f:2:1: 'lead' must not lie below 'skew'"},
+             {relays + "distribution(lease = ms(10))\n", "f:2:22: 'lease' lies between 1000 ms and 60000 ms"},
+             {relays + relays, "f:2:1: there is a relay 'a' already"},
+             {relays + "relay(\"b\", region = \"eu\", zone = \"eu-b\", address = \"127.0.0.1:7601\", votes = "
+                       "True)\n",
+              "f:1:1: 1, 3, 5 or 7 relays have to vote, not 2"},
+             {relays + "relay(\"b\", region = \"us\", zone = \"eu-a\", address = \"127.0.0.1:7601\")\n",
+              "f:2:1: the zone 'eu-a' is in the region 'eu'"},
+             {"relay(\"a\", region = \"eu\", zone = \"eu-a\")\n",
+              "f:1:1: the argument 'address' is missing"}}) {
+        EXPECT_EQ(problem(text), line);
+    }
+}
+
+TEST(FleetFile, AGatewayFollowsItsZonesRelayThenItsRegionsThenAny) {
+    gateway::FleetSettings fleet;
+    for (const auto& [name, region, zone] : std::vector<std::array<const char*, 3>>{
+             {"a", "us", "us-a"}, {"b", "eu", "eu-a"}, {"c", "eu", "eu-b"}, {"d", "eu", "eu-b"}}) {
+        fleet.relays.push_back({name, region, zone, name, name, false});
+    }
+    std::vector<std::string> addresses;
+    auto follows = gateway::follower_of(fleet, "g", "eu-b", 1, addresses);
+    EXPECT_EQ(follows.relays, (std::vector<int>{2, 3, 1, 0}));
+    EXPECT_EQ(follows.near, 2u);
+    EXPECT_EQ(addresses, (std::vector<std::string>{"a", "b", "c", "d"}));
+    follows = gateway::follower_of(fleet, "g", "mars-a", 1, addresses);
+    EXPECT_EQ(follows.near, 4u) << "of an unknown zone, all are equally near";
+}
+
+TEST(Distributed, FewResourcesAreReadWithAllThatAFileIsCheckedFor) {
+    const std::string move =
+        R"({"source":"a","stages":[{"share":{"unit":"share","value":0.5}}],"target":"b"})";
+    operators::Resources few{
+        {"pool/a", R"({"kinds":["x"]})"}, {"pool/b", R"({"kinds":["y"]})"}, {"move/m", move}};
+    EXPECT_TRUE(std::holds_alternative<gateway::Distributed>(gateway::read_few(few, nullptr)));
+    few["pool/b"] = R"({"kinds":["x","y"]})";
+    auto made = gateway::read_few(few, nullptr);
+    ASSERT_TRUE(std::holds_alternative<std::string>(made));
+    EXPECT_NE(std::get<std::string>(made).find("overlap"), std::string::npos);
+    few.erase("pool/b");
+    made = gateway::read_few(few, nullptr);
+    EXPECT_EQ(std::get<std::string>(made), "there is no pool 'b'");
+    EXPECT_EQ(gateway::readable({"tenant/5", R"({"terms":[{"plan":"a"}]})"}),
+              "a tenant's key is tenant/ and 16 hex digits below 2^33");
+    EXPECT_EQ(gateway::readable({"tenant/0000000000000005", R"({"terms":[{"plan":"a"}]})"}), "");
+    EXPECT_EQ(gateway::readable({"plan/a", std::nullopt}), "") << "taken away";
+}
+
 // A crash or a stop at a numbered point of one relay's process or of one gateway's: a frame or a vote sent or
 // heard, entries on their way to disk or there. A spread of them; every number is played in virtual time.
 struct Fault {
