--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -1072,7 +1072,9 @@
     again.now = gateway.now + 10s;
     ASSERT_TRUE(again.follower.restore(again.now, saved));
     again.join();
-    // Where it is now, only one record has ever counted.
+    // Where it is now, only one record has ever counted. A beat tells it once it is from after the restart
+    // for certain, by any clock.
+    again.now += 400ms;
     again.beat(1);
     EXPECT_TRUE(again.follower.fenced(again.now));
     EXPECT_EQ(again.hang_ups, 1);
@@ -1087,6 +1089,32 @@
     EXPECT_FALSE(again.follower.fenced(again.now));
 }
 
+TEST(DistributionFollower, ABeatFromJustBeforeWhatCameIsNoSignOfAnotherFleet) {
+    // Records go down as they count, beats twice a second: one of a round before the newest records comes
+    // behind them, also where these are decided at once.
+    Gateway gateway;
+    gateway.join();
+    gateway.records({changed(1, {edit("tenant/1", "a")}), settled(2, 1, gateway.now)});
+    gateway.beat(2);
+    for (int i = 0; i < 20; ++i) {
+        gateway.tick(500ms);
+        gateway.beat(gateway.follower.position());
+    }
+    const Time round = gateway.now + 10ms;
+    gateway.tick(200ms);
+    gateway.records({changed(3, {edit("tenant/1", "b")}), withdrawn(4, 3), begun(5)});
+    EXPECT_EQ(gateway.follower.history().base(), 5U);
+    gateway.hear(Lease{{1, round, 2}});
+    EXPECT_EQ(gateway.hang_ups, 0);
+    EXPECT_FALSE(gateway.follower.fenced(gateway.now));
+    // A settlement that counted after its instant, likewise.
+    gateway.tick(200ms);
+    gateway.records({changed(6, {edit("tenant/1", "c")}), settled(7, 6, gateway.now - 1900ms)});
+    gateway.hear(Lease{{1, gateway.now - 100ms, 5}});
+    EXPECT_EQ(gateway.hang_ups, 0);
+    EXPECT_FALSE(gateway.follower.fenced(gateway.now));
+}
+
 TEST(DistributionFollower, RecordsThatWaitAreBounded) {
     Follower::Settings settings;
     settings.most_pending = 100'000;
