--- a/standin/hollow/census.cpp
+++ b/standin/hollow/census.cpp
@@ -71,6 +71,7 @@
     }
     return {{"cpu_s", seconds(used.ru_utime) + seconds(used.ru_stime)},
             {"resident_kib", resident * (sysconf(_SC_PAGESIZE) / 1024)},
+            {"peak_kib", used.ru_maxrss},
             {"descriptors", descriptors_},
             {"tcp", tcp}};
 }
--- a/standin/hollow/gateway.cpp
+++ b/standin/hollow/gateway.cpp
@@ -94,6 +94,14 @@
       }) {
     gateway_.attach(*this, client_);
     gateway_.attach(tap_.get());
+    if (roles_.fleet) {
+        // What is in force is read and checked as in a gateway; with calls left out there is nothing to apply
+        // it to.
+        distribution_ = std::make_unique<gateway::Distribution>(
+            *roles_.fleet, config_, loop, log,
+            gateway::Distribution::Outside{[](gateway::Distributed) {},
+                                           [](const gateway::Distribution::Narrowed&) {}});
+    }
     if (!roles_.accord) return;
     if (link_.listen(address_of(free_datagram_port())) != 0) throw std::runtime_error("cannot listen");
     port_ = link_.port();
@@ -118,6 +126,7 @@
 
 void HollowGateway::start() {
     if (agreement_) agreement_->start();
+    if (distribution_) distribution_->start();
     if (roles_.list) registry_.start();
 }
 
@@ -149,6 +158,7 @@
     loop_.disarm(std::exchange(timer_, {}));
     for (Reading* one : std::exchange(reading_, {})) one->owner = nullptr;
     if (agreement_) agreement_->close();
+    if (distribution_) distribution_->close();
     gateway_.attach(static_cast<core::Accounts*>(nullptr));
     client_.close();
     registry_.close();
--- a/standin/hollow/gateway.h
+++ b/standin/hollow/gateway.h
@@ -12,6 +12,7 @@
 #include "core/gateway.h"
 #include "gateway/agreement.h"
 #include "gateway/config.h"
+#include "gateway/distribution.h"
 #include "gateway/log.h"
 #include "gateway/operators.h"
 #include "mgmt/suspensions.h"
@@ -26,6 +27,7 @@
     bool accord = false;
     bool list = false;
     bool counter = false;
+    const gateway::FleetSettings* fleet = nullptr;  // the relays that it follows; null: none
 };
 
 class HollowGateway final : private core::Workers {
@@ -43,7 +45,9 @@
 
     // An operators' file's text, to be agreed on. In words why not; empty: it is proposed.
     std::string propose(std::uint64_t version, const std::string& text);
-    const gateway::Agreement* agreement() const { return agreement_.get(); }  // null: it takes no part
+    // Null: it takes no part.
+    const gateway::Agreement* agreement() const { return agreement_.get(); }
+    const gateway::Distribution* distribution() const { return distribution_.get(); }
     bool fenced() const { return agreement_ && agreement_->fenced(); }
     // When it first had this version or a later one in force.
     std::optional<core::Time> in_force_at(std::uint64_t version) const;
@@ -82,6 +86,7 @@
     net::RegistryWatch registry_;
     net::PeerLink link_;
     std::unique_ptr<gateway::Agreement> agreement_;
+    std::unique_ptr<gateway::Distribution> distribution_;
     std::vector<Reading*> reading_;
     int port_ = 0;
     double calls_per_s_ = 0;
--- a/standin/hollow/host.cpp
+++ b/standin/hollow/host.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <stdexcept>
 
+#include "operators/document.h"
 #include "standin/model.h"
 #include "standin/server.h"
 #include "standin/site.h"
@@ -31,14 +33,28 @@
     };
     role(settings_.registry, "list");
     role(settings_.counter, "counter");
+    if (!settings_.relays.empty()) read_relays();
+    for (const auto& relay : fleet_.relays) role(relay.address, "distribution");
     for (std::size_t i = 0; i < gateways_.size(); ++i) make(i);
 }
 
 HollowHost::~HollowHost() = default;
 
+void HollowHost::read_relays() {
+    std::string text;
+    if (const auto problem = operators::read_text(settings_.relays, text))
+        throw std::runtime_error(problem->line());
+    const operators::Result document = operators::read_document(text, settings_.relays);
+    if (const auto* problem = std::get_if<operators::Problem>(&document))
+        throw std::runtime_error(problem->line());
+    fleet_ = gateway::read_fleet(std::get<operators::Value>(document), settings_.relays);
+    settings_.roles.fleet = &fleet_;
+}
+
 gateway::Config HollowHost::config_of(int number) const {
     topazcrank::Settings site = settings_of(Mix{}, settings_.of, number);
     site.list_on_request = settings_.list_on_request;
+    site.zone = "zone-" + std::to_string(number % settings_.zones);
     const json config{{"name", "h" + std::to_string(number)},
                       {"discovery", settings_.registry},
                       {"counter", settings_.counter},
@@ -62,6 +78,8 @@
     int fenced = 0, least_present = settings_.of;
     std::size_t least_workers = ~std::size_t{0};
     std::map<std::uint64_t, int> in_force;
+    int followers = 0, connected = 0, unsure = 0;
+    std::uint64_t reconnects = 0, snapshots = 0, keys = 0, bytes = 0, least_revision = ~std::uint64_t{0};
     for (const auto& one : gateways_) {
         const HollowGateway::Figures of = one->figures();
         sum.datagrams_sent += of.datagrams_sent;
@@ -78,6 +96,16 @@
         least_present = std::min(least_present, of.present);
         fenced += one->fenced() ? 1 : 0;
         ++in_force[one->in_force()];
+        if (!one->distribution()) continue;
+        const json of_relays = one->distribution()->state();
+        ++followers;
+        connected += of_relays.at("relay").is_null() ? 0 : 1;
+        unsure += of_relays.at("fenced").get<bool>() ? 1 : 0;
+        reconnects += of_relays.at("reconnects").get<std::uint64_t>();
+        snapshots += of_relays.at("snapshots").get<std::uint64_t>();
+        keys += of_relays.at("keys").get<std::uint64_t>();
+        bytes += of_relays.at("bytes").get<std::uint64_t>();
+        least_revision = std::min(least_revision, of_relays.at("revision").get<std::uint64_t>());
     }
     state["gateways"] = gateways_.size();
     state["restarts"] = restarts_;
@@ -95,6 +123,10 @@
                      {"entries", sum.entries},
                      {"probes", sum.probes},
                      {"least_workers", least_workers}};
+    state["distribution"] = {{"followers", followers}, {"connected", connected},
+                             {"fenced", unsure},       {"reconnects", reconnects},
+                             {"snapshots", snapshots}, {"keys", keys},
+                             {"bytes", bytes},         {"least_revision", least_revision}};
     return state;
 }
 
@@ -158,7 +190,23 @@
         words >> number;
         HollowGateway* const one = gateway_of(number);
         if (!one) return {{"error", "state NUMBER"}};
-        return {{"accord", one->agreement() ? one->agreement()->state() : json()}};
+        return {{"accord", one->agreement() ? one->agreement()->state() : json()},
+                {"distribution", one->distribution() ? one->distribution()->state() : json()}};
+    }
+    if (what == "revision") {
+        // Who has this one in force, and since when; of who has gone beyond it, only that.
+        std::uint64_t number = 0;
+        words >> number;
+        json at = json::array();
+        int beyond = 0;
+        for (const auto& one : gateways_) {
+            if (!one->distribution()) continue;
+            const json told = one->distribution()->state();
+            const auto revision = told.at("revision").get<std::uint64_t>();
+            if (revision == number) at.push_back(told.at("since_ms"));
+            beyond += revision > number ? 1 : 0;
+        }
+        return {{"at_ms", at}, {"beyond", beyond}};
     }
     if (what == "pace") {
         if (!(words >> settings_.pace)) return {{"error", "pace CALLS_PER_S"}};
--- a/standin/hollow/host.h
+++ b/standin/hollow/host.h
@@ -24,22 +24,26 @@
         HollowRoles roles;
         std::string registry, counter;  // addresses; empty: there is none
         bool list_on_request = true;
-        double pace = 0;  // calls of the counter a second, of each
+        double pace = 0;     // calls of the counter a second, of each
+        std::string relays;  // an operators' file with relay()s and distribution(); empty: none are followed
+        int zones = 14;      // zone-0, zone-1, ...: gateway I is in that of I modulo so many
     };
     HollowHost(net::Loop& loop, const Settings& settings);
     ~HollowHost();
     // `ports`, `peers PORT...` (of all the tier), `start`, `figures`, `propose NUMBER VERSION TEXT` (JSON
-    // text), `in_force VERSION`, `state NUMBER`, `pace CALLS_PER_S`, `restart NUMBER`.
+    // text), `in_force VERSION`, `state NUMBER`, `revision NUMBER`, `pace CALLS_PER_S`, `restart NUMBER`.
     nlohmann::json carry(const std::string& line);
     void close();
 
 private:
+    void read_relays();
     gateway::Config config_of(int number) const;
     void make(std::size_t place);
     nlohmann::json figures();
 
     net::Loop& loop_;
     Settings settings_;
+    gateway::FleetSettings fleet_;
     gateway::Log log_;
     Census census_;
     std::vector<std::unique_ptr<HollowGateway>> gateways_;
--- a/standin/hollow/main.cpp
+++ b/standin/hollow/main.cpp
@@ -91,6 +91,8 @@
     gateways->add_option("--registry", settings.registry, "HOST:PORT");
     gateways->add_option("--counter", settings.counter, "HOST:PORT");
     gateways->add_option("--pace", settings.pace, "counter calls a second of each");
+    gateways->add_option("--relays", settings.relays, "a file with the relays that they follow");
+    gateways->add_option("--zones", settings.zones);
     gateways->add_flag("--accord", settings.roles.accord);
     gateways->add_flag("--list", settings.roles.list);
     gateways->add_flag("--counting", settings.roles.counter);
--- a/tests/hollow_test.cpp
+++ b/tests/hollow_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "standin/hollow/child.h"
+#include "standin/hollow/relays.h"
 #include "standin/hollow/surroundings.h"
 
 namespace linnetlead::tests {
@@ -94,6 +95,40 @@
     EXPECT_THROW(one.ask("no such command"), std::runtime_error);
 }
 
+TEST(Hollow, GatewaysFollowRelaysAndMoveWhenOneIsKilled) {
+    standin::HollowRelays relays(LINNETLEAD_PROGRAM, 3, 3);
+    ASSERT_TRUE(relays.wait_for_leader());
+    const auto first = relays.submit(0, standin::tenants_change(0, 20));
+    ASSERT_TRUE(first && first->refusal == distribution::Refusal::none)
+        << (first ? first->words : "no answer");
+    HollowChild host(LINNETLEAD_HOLLOW, {"gateways", "--gateways", "9", "--of", "9", "--relays",
+                                         relays.file(), "--zones", std::to_string(relays.zones())});
+    EXPECT_EQ(0, host.ask("figures")["distribution"]["connected"]);
+    host.ask("start");
+    const auto all_hold = [&](distribution::Number revision) {
+        const json told = host.ask("figures"), of = told["distribution"];
+        return of["connected"] == 9 && of["fenced"] == 0 && of["least_revision"] == revision;
+    };
+    EXPECT_TRUE(comes_true([&] { return all_hold(first->number); }));
+    EXPECT_EQ(180, host.ask("figures")["distribution"]["keys"]);
+    const json told = host.ask("figures");
+    EXPECT_GT(told["tcp"]["distribution"]["bytes_received"].get<int>(), 0);
+    EXPECT_EQ(9, told["tcp"]["distribution"]["connections"]);
+    const int victim = relays.leader().value_or(0);
+    const json before = relays.state(victim);
+    EXPECT_EQ(3, before["followers"].get<int>());  // the nearest are as many as zones
+    relays.kill(victim);
+    EXPECT_TRUE(relays.state(victim).is_null());
+    EXPECT_TRUE(relays.wait_for_leader());
+    EXPECT_TRUE(comes_true([&] { return all_hold(first->number); }));
+    const auto second = relays.submit((victim + 1) % 3, standin::tenants_change(5, 1));
+    ASSERT_TRUE(second && second->refusal == distribution::Refusal::none);
+    EXPECT_TRUE(comes_true([&] { return all_hold(second->number); }));
+    EXPECT_EQ(9, host.ask("revision " + std::to_string(second->number))["at_ms"].size());
+    EXPECT_EQ(0, host.ask("revision " + std::to_string(first->number))["at_ms"].size());
+    EXPECT_EQ(9, host.ask("revision " + std::to_string(first->number))["beyond"]);
+}
+
 // Sockets that share their address are given the same port twice by the kernel when they ask for any.
 TEST(Hollow, NoTwoGatewaysHaveTheSamePort) {
     constexpr int many = 300;
