--- a/bench/distribution.cpp
+++ b/bench/distribution.cpp
@@ -705,13 +705,13 @@
     if (wanted("points")) points(brief);
     if (wanted("spread")) spread(sizes, seeds);
     if (wanted("killed")) killed(most, seeds);
-    if (wanted("churn")) churn(most, brief ? 1 : 2, 1, brief ? 30s : 120s);
-    if (wanted("churn")) churn(most, brief ? 1 : 2, 10, brief ? 10s : 40s);
+    if (wanted("churn")) churn(most, brief ? 1 : std::min(seeds, 2), 1, brief ? 30s : 120s);
+    if (wanted("churn")) churn(most, brief ? 1 : std::min(seeds, 2), 10, brief ? 10s : 40s);
     if (wanted("burst")) burst(most, brief ? 1 : seeds);
     if (wanted("wide")) wide(74, brief ? 1 : seeds);
-    if (wanted("wide") && !brief) wide(740, 2);
+    if (wanted("wide") && !brief) wide(740, std::min(seeds, 2));
     if (wanted("failures")) failures(most, brief ? 1 : std::min(seeds, 3));
-    if (wanted("partition")) cut_off(most, brief ? 1 : 3, brief ? 30s : 300s);
+    if (wanted("partition")) cut_off(most, brief ? 1 : std::min(seeds, 3), brief ? 30s : 300s);
     if (!rows_file.empty()) std::ofstream(rows_file) << rows.dump(1) << "\n";
     return good ? 0 : 1;
 }
--- a/tests/distribution_fleet_test.cpp
+++ b/tests/distribution_fleet_test.cpp
@@ -79,7 +79,9 @@
 
 TEST(DistributionFleet, SeededRunsWithRandomFaultsNeverContradictForLongerThanStated) {
     std::uint64_t faults = 0, changes = 0, snapshots = 0;
-    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    std::vector<std::uint64_t> seeds = {77, 89, 248, 354, 396, 423};  // that found a fault once
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) seeds.push_back(seed);
+    for (const std::uint64_t seed : seeds) {
         const auto play = standin::play_random(seed);
         EXPECT_EQ(play.wrong, "") << "seed " << seed;
         EXPECT_LE(play.longest, play.stated) << "seed " << seed;
@@ -278,6 +280,31 @@
     EXPECT_EQ(fleet.broken_rules(), "");
 }
 
+TEST(DistributionFleet, BeatsThatLackAWithdrawalAreNoReasonToTakeTheStateForVoid) {
+    Regions fleet(small(10));
+    begin(fleet);
+    fleet.cannot = [](int, const Change& change) {
+        return change.id != "good" ? std::vector<std::size_t>{0} : std::vector<std::size_t>{};
+    };
+    fleet.give(change_of("good", "tenant/2", "fine"));
+    takes(fleet, "good");
+    const auto snapshots = [&] {
+        std::uint64_t sum = 0;
+        for (const int gateway : fleet.gateways()) sum += fleet.gateway(gateway).snapshots();
+        return sum;
+    };
+    const std::uint64_t before = snapshots();
+    for (int i = 0; i < 12; ++i) {
+        const std::string id = "bad" + std::to_string(i);
+        fleet.give(change_of(id, "tenant/1", id));
+        fleet.run_for(1300ms + i * 70ms);
+        EXPECT_TRUE(fleet.withdrawn(fleet.given().at(id).number)) << id;
+    }
+    EXPECT_EQ(snapshots(), before);
+    EXPECT_EQ(fleet.told["follower"], 0u) << lines_of(fleet);
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
 TEST(DistributionFleet, WhatFewCannotTakeIsFencedThereForItsKeysAlone) {
     Regions fleet(small(11));
     begin(fleet);
