Refused list calls keep their version, in a part of what all gateways may ask

Cause: RegistryWatch::apply forgot the version at a 503, and connect_later set doubtful_, so that each refusal made the next call ask for the whole list, after 0.08 to 1 s whatever the number of gateways. Ruled out: Retry-After (the answers carry none).

Change: what is asked for and when is decided by ListCalls (src/net/list_calls.h), without sockets and clock. - A refused watch (429, 503) is asked for again from its version. A whole list that is refused or falls silent is followed by the changes since the version that is held, without a wait: the watch behind them goes on and takes no new place. - Pauses after refusals grow, are spread over the number of gateways in the settings, and keep to a token bucket over calls that succeed in between: 25 a second for all, or a call each 3 s where that is more. Retry-After is kept to. - What has to stand in line gets 2 s instead of 1 s for its answer, a new watch at the cost of its wait, so that silence is noticed after 4 s as before. Pushed lists go by the same rules and clocks as before.

Tests: the model of fleets before a registry, with the real ListCalls in virtual time; five tests on sockets. Two tests are changed: a new watch waits 2000 and one that goes on 3000 (was 3000 for both); the eight failures are played with a third pace, where all but a refusal are followed by the whole list, as before.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -128,7 +128,8 @@
           suspensions_(gateway_),
           registry_(
               loop_, suspensions_, config.discovery, config.known.version, config.seed,
-              config.site.settings.list_on_request ? net::RegistryWatch::asked : net::RegistryWatch::pushed),
+              config.site.settings.list_on_request ? net::RegistryWatch::asked : net::RegistryWatch::pushed,
+              config.site.settings.gateways),
           acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}),
           drain_(loop_, acceptor_, longest_deadline(config), [this] { loop_.stop(); }),
           desk_({gateway_, pool_, suspensions_, drain_, class_names(config),
--- /dev/null
+++ b/src/net/list_calls.h
@@ -0,0 +1,74 @@
+// What one gateway asks the registry for, and when: no sockets, no clock of its own. The many gateways that
+// ask one registry share nothing but what their settings say, the number of them; so each takes its part of
+// what all may ask while calls are refused, or they would hold the registry down by their repeats alone.
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+#include "core/ports.h"
+
+namespace linnetlead::net {
+
+struct ListPace {
+    core::Span wait;           // of a call, for news
+    core::Span answer;         // any answer may take, beyond that
+    core::Span after_silence;  // until the next call
+    core::Span longest_pause;  // between calls that fail again and again
+    // Between calls that are refused again and again. 0: a refusal is a failure like any other, since the
+    // registry is one that this gateway alone asks.
+    core::Span longest_refusal{0};
+    bool told_at_start = false;  // whatever the registry holds then, so that the whole list is asked for
+};
+
+class ListCalls {
+public:
+    enum class Kind {
+        whole,    // the whole list, answered at once
+        changes,  // those from the version on, answered at once
+        watch,    // the same, answered as soon as there is one
+    };
+    // Of all gateways together, a second, while the registry refuses, unless longest_refusal wants more.
+    static constexpr double fleet_retries = 25;
+
+    // known_version: of the list that is held; below 0: none is.
+    // gateways: that ask the same registry. The seed spreads their calls.
+    ListCalls(std::int64_t known_version, std::uint64_t seed, const ListPace& pace, int gateways);
+
+    Kind next() const;
+    std::int64_t version() const { return version_; }
+    // How long the next call asks the registry to wait for news.
+    core::Span wait() const;
+    // And how long an answer's first byte is waited for.
+    core::Span answer_within() const;
+
+    // What became of the last call. A list goes on at once, by the next call; from others on, the pause
+    // until then is returned.
+    // Returns false, and is to be taken for nonsense, where the list cannot be of use.
+    bool listed(std::int64_t version, bool full);
+    core::Span broken();    // no connection, or one that ended
+    core::Span nonsense();  // answered with what is no list
+    core::Span silent();
+    // 429 or 503. retry_after: that the registry asked for, kept to as far as longest_refusal goes; or 0.
+    core::Span refused(core::Time now, core::Span retry_after);
+    // Another registry from now on, with versions of its own.
+    void moved();
+
+private:
+    bool is_shared() const { return pace_.longest_refusal > core::Span{0}; }
+    core::Span until_budget(core::Time now);
+
+    ListPace pace_;
+    std::int64_t version_;
+    bool doubtful_;                    // news may have been missed: since the start, or a call that failed
+    bool whole_denied_ = false;        // the last call: it was refused, or not answered
+    bool goes_on_ = false;             // the watch that answered last, with no place in line to wait for
+    int failures_ = 0, refusals_ = 0;  // in a row
+    // The part of a gateway in the budget of all is a call a turn, and a few at once.
+    core::Span turn_;
+    double budget_;
+    core::Time filled_at_{};
+    std::mt19937_64 random_;
+};
+
+}  // namespace linnetlead::net
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -1,6 +1,8 @@
 #include "registry_watch.h"
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
 #include <utility>
 
 namespace linnetlead::net {
@@ -14,13 +16,28 @@
 // From an answer's first byte to its last.
 constexpr Span longest_whole = 2s;
 constexpr Span longest_news = 500ms;
-constexpr Span retry_after = 80ms;  // a watch goes on if the next call comes within 200 ms
+constexpr int ok = 200, too_many = 429, unavailable = 503;
+
+// In seconds; a date, which the header may hold too, is none.
+Span retry_after(const http::ResponseReader& reader) {
+    const auto found = reader.headers().find("retry-after");
+    unsigned seconds = 0;
+    if (found != reader.headers().end()) {
+        const std::string& text = found->second;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+        if (error != std::errc() || end != text.data() + text.size()) seconds = 0;
+    }
+    return std::chrono::seconds(std::min(seconds, 3600u));
+}
 
 }  // namespace
 
 class RegistryWatch::Connection final : public Stream {
 public:
-    Connection(Loop& loop, RegistryWatch& watch) : Stream(loop), watch_(watch) { arm(watch_.pace_.answer); }
+    Connection(Loop& loop, RegistryWatch& watch) : Stream(loop), watch_(watch) {
+        reader_.keep_headers();
+        arm(watch_.pace_.answer);
+    }
 
     Handle self;
 
@@ -31,21 +48,16 @@
     }
     void ask() {
         to_write().append(watch_.request());
-        const bool whole = watch_.wants_whole();
-        const Span within = watch_.pace_.answer + (whole ? Span{0} : watch_.pace_.wait);
+        const bool whole = watch_.calls_.next() == ListCalls::Kind::whole;
+        const Span within = watch_.calls_.answer_within();
         whole_by_ = loop().now() + within + (whole ? longest_whole : longest_news);
         arm(within);
     }
-    void give_up() {
+    void go_on(Span pause) {
         close();
-        watch_.connect_later();
-    }
-    void fall_silent() {
-        close();
-        if (watch_.pace_.after_silence > Span{0}) return watch_.connect_later();
-        watch_.doubtful_ = true;
-        watch_.connect();
+        watch_.connect_after(pause);
     }
+    void fall_silent() { go_on(watch_.calls_.silent()); }
 
     void on_connected() override { ask(); }
     std::size_t on_bytes(std::string_view bytes) override {
@@ -60,23 +72,23 @@
         return bytes.size();
     }
     void take_response(http::ResponseReader::State state, bool clean) {
-        const bool good = state == http::ResponseReader::State::whole && clean &&
-                          watch_.apply(reader_.status(), reader_.body());
-        if (!good) {
-            give_up();
-        } else if (!reader_.keeps_open()) {
-            close();
-            watch_.connect();
-        } else {
-            ask();
+        if (state != http::ResponseReader::State::whole || !clean) return go_on(watch_.calls_.broken());
+        const int status = reader_.status();
+        if (status == too_many || status == unavailable) {
+            return go_on(watch_.calls_.refused(loop().now(), retry_after(reader_)));
         }
+        const auto list = status == ok ? http::read_list(reader_.body()) : std::nullopt;
+        if (!list || !watch_.apply(*list)) return go_on(watch_.calls_.nonsense());
+        if (reader_.keeps_open()) return ask();
+        close();
+        watch_.connect();
     }
     void on_end(int error) override {
         // A response without a length ends with its connection.
         std::size_t taken = 0;
         const bool whole = error == UV_EOF && reader_.take({}, taken) == http::ResponseReader::State::whole;
         if (whole) return take_response(http::ResponseReader::State::whole, true);
-        watch_.connect_later();
+        watch_.connect_after(watch_.calls_.broken());
     }
     void on_released() override {
         loop().disarm(timer_);
@@ -90,14 +102,12 @@
 };
 
 RegistryWatch::RegistryWatch(Loop& loop, core::Lists& lists, std::string address, std::int64_t known_version,
-                             std::uint64_t seed, const Pace& pace)
+                             std::uint64_t seed, const Pace& pace, int gateways)
     : loop_(loop),
       lists_(lists),
       address_(std::move(address)),
-      version_(known_version),
       pace_(pace),
-      doubtful_(pace.wait == pushed.wait),  // what the agent holds is told from the first moment on
-      random_(seed) {}
+      calls_(known_version, seed, pace, gateways) {}
 RegistryWatch::~RegistryWatch() = default;
 
 bool RegistryWatch::start() {
@@ -108,8 +118,7 @@
 
 bool RegistryWatch::move(std::string address) {
     address_ = std::move(address);
-    version_ = -1;
-    failures_ = 0;
+    calls_.moved();
     hang_up();
     return start();
 }
@@ -131,45 +140,31 @@
     connection.self = handle;
     if (connection.connect(to_) != 0) {
         connection.close();
-        connect_later();
+        connect_after(calls_.broken());
     }
 }
 
-void RegistryWatch::connect_later() {
+void RegistryWatch::connect_after(Span pause) {
     loop_.disarm(retry_);
-    doubtful_ = true;  // news may have been missed, and may be by a watch that goes on from here
-    // Guards a registry that comes back, or refuses, against all gateways at once and in step: the first
-    // pause keeps the watch, further ones double and are spread.
-    const int doubled = std::min(failures_++, 4);
-    const Span pause = std::min<Span>(pace_.longest_pause, retry_after * (1 << doubled));
-    const double part = doubled == 0 ? 1 : std::uniform_real_distribution<double>(0.5, 1)(random_);
-    retry_ = loop_.arm(loop_.now() + std::chrono::duration_cast<Span>(pause * part), [this] { connect(); });
+    if (pause == Span{0}) return connect();
+    retry_ = loop_.arm(loop_.now() + pause, [this] { connect(); });
 }
 
 std::string RegistryWatch::request() const {
     std::string target = "/api/targets";
-    if (!wants_whole()) {
-        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(pace_.wait).count();
-        target += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(ms);
+    if (calls_.next() != ListCalls::Kind::whole) {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(calls_.wait()).count();
+        target += "?index=" + std::to_string(calls_.version()) + "&wait=" + std::to_string(ms);
     }
     return http::write_get(target, address_);
 }
 
-// A response that is no list is answered by asking for the whole one.
-bool RegistryWatch::apply(int status, const std::string& body) {
-    constexpr int ok = 200;
-    const auto list = status == ok ? http::read_list(body) : std::nullopt;
-    if (!list || (!list->full && (version_ < 0 || list->version < version_))) {
-        version_ = -1;
-        return false;
-    }
-    version_ = list->version;
-    doubtful_ = false;
-    failures_ = 0;
-    if (list->full) {
-        lists_.listed(topazcrank::ListKind::full, list->entries);
-    } else if (!list->entries.empty()) {
-        lists_.listed(topazcrank::ListKind::changes, list->entries);
+bool RegistryWatch::apply(const http::List& list) {
+    if (!calls_.listed(list.version, list.full)) return false;
+    if (list.full) {
+        lists_.listed(topazcrank::ListKind::full, list.entries);
+    } else if (!list.entries.empty()) {
+        lists_.listed(topazcrank::ListKind::changes, list.entries);
     }
     return true;
 }
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -1,6 +1,8 @@
-// Watches the registry: one HTTP connection to discovery, always with a call that waits for news. After any
-// call that brought no list (silent, refused, broken, moved, no list, given up) the whole list is asked for,
-// without a wait, until it is here: a change binds 6 s after discovery had it and could be reached.
+// Watches the registry: one HTTP connection to discovery, always with a call that waits for news. What is
+// asked for and when, ListCalls says. After a call that failed (silent, broken, moved, no list, given up) the
+// whole list is asked for, without a wait; where that is refused, the changes from the version that is held.
+// A call that was refused (429, 503) is made again as it was, in a part of what all gateways may ask. So a
+// change binds 6 s after discovery had it and could be reached.
 //
 // Longest from a change to its being asked for by a call that is answered at once, while discovery is reached
 // again as soon as the call at hand has failed. In seconds; the answer's own time, 1 at most, comes on top.
@@ -8,41 +10,44 @@
 //   the call at hand                       asked for             pushed
 //   falls silent                           3 + 1 + 0.08          1 + 0.25
 //   drips its answer                       3 + 1 + 0.5 + 0.08    1 + 0.25 + 0.5
-//   is reset, answered with nonsense, 5xx  0.08                  0.08
-//   is refused, again and again            1                     0.16
+//   is reset, answered with nonsense       0.08                  0.08
+//   breaks, again and again                1                     0.16
+//   is refused, again and again:           1 (up to 25           0.16
+//                                          gateways), 4 (from 100)
 //   never comes up                         1 + 1                 0.25
-//   whole list that drips                  1 + 2 + 0.08          0.25 + 2
+//   falls silent again, without a wait     2 + 1                 0.25
+//   whole list that drips                  2 + 2 + 1             0.25 + 2
+//
+// While discovery lets in fewer calls than all gateways make, this is no bound: see "Lists that are refused"
+// in docs/measurements/acceptance.md.
 #pragma once
 
 #include <cstdint>
-#include <random>
 #include <string>
 
 #include "core/gateway.h"
 #include "http/message.h"
+#include "list_calls.h"
 #include "stream.h"
 
 namespace linnetlead::net {
 
 class RegistryWatch {
 public:
-    struct Pace {
-        core::Span wait;           // of a call, for news
-        core::Span answer;         // any answer may take, beyond that
-        core::Span after_silence;  // until the next call
-        core::Span longest_pause;  // between calls that fail again and again
-    };
+    using Pace = ListPace;
     // Where the list is pushed to an agent beside the gateway, asking costs nothing, and what the agent holds
     // counts as told however the watch stands; else every call costs the registry.
-    static constexpr Pace pushed{std::chrono::seconds(1), std::chrono::milliseconds(250), core::Span{0},
-                                 std::chrono::milliseconds(160)};
+    static constexpr Pace pushed{std::chrono::seconds(1), std::chrono::milliseconds(250),
+                                 core::Span{0},           std::chrono::milliseconds(160),
+                                 core::Span{0},           true};
     static constexpr Pace asked{std::chrono::seconds(3), std::chrono::seconds(1),
-                                std::chrono::milliseconds(80), std::chrono::seconds(1)};
+                                std::chrono::milliseconds(80), std::chrono::seconds(1),
+                                std::chrono::seconds(4)};
 
-    // Goes on from the version that is known; below 0: from none.
-    // The seed spreads what is asked after breaks, so that many gateways do not ask in step.
+    // Goes on from the version that is known; below 0: from none. gateways: that ask the same registry. The
+    // seed spreads what is asked after breaks, so that they do not ask in step.
     RegistryWatch(Loop& loop, core::Lists& lists, std::string address, std::int64_t known_version,
-                  std::uint64_t seed, const Pace& pace);
+                  std::uint64_t seed, const Pace& pace, int gateways = 1);
     ~RegistryWatch();
     // Returns false where the address is none.
     bool start();
@@ -55,23 +60,18 @@
 
     void hang_up();
     void connect();
-    void connect_later();
-    bool apply(int status, const std::string& body);
+    void connect_after(core::Span pause);
+    bool apply(const http::List& list);
     std::string request() const;
-    // A whole list is wanted, which is answered at once: nothing is known, or news may have been missed.
-    bool wants_whole() const { return version_ < 0 || doubtful_; }
 
     Loop& loop_;
     core::Lists& lists_;
     std::string address_;
     sockaddr_storage to_{};
-    std::int64_t version_;
+    const Pace pace_;
+    ListCalls calls_;
     core::Slots<Connection> connections_;
     core::Handle retry_;
-    Pace pace_;
-    bool doubtful_;     // since the start, or the last call that brought no list
-    int failures_ = 0;  // in a row
-    std::mt19937_64 random_;
     bool closed_ = false;
 };
 
