List calls: a turn's wait is counted once, and the budget has a test of its own

Change: a drawn wait settles its call. Tests: lists that come in between earn nothing; pauses grow, are spread, and stay in their bounds.

--- a/src/net/list_calls.cpp
+++ b/src/net/list_calls.cpp
@@ -103,11 +103,14 @@
 Span ListCalls::until_budget(Time now) {
     const double turns =
         std::chrono::duration<double>(now - filled_at_) / std::chrono::duration<double>(turn_);
-    budget_ = std::min(most_budget, budget_ + turns) - 1;
+    budget_ = std::min(most_budget, budget_ + std::max(0.0, turns)) - 1;
     filled_at_ = now;
     if (budget_ >= 0) return Span{0};
-    return scaled(turn_,
-                  -budget_ * std::uniform_real_distribution<double>(shortest_turn, longest_turn)(random_));
+    const Span until = scaled(
+        turn_, -budget_ * std::uniform_real_distribution<double>(shortest_turn, longest_turn)(random_));
+    filled_at_ += until;
+    budget_ = 0;  // by then
+    return until;
 }
 
 void ListCalls::moved() {
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -12,8 +12,8 @@
 //   drips its answer                       3 + 1 + 0.5 + 0.08    1 + 0.25 + 0.5
 //   is reset, answered with nonsense       0.08                  0.08
 //   breaks, again and again                1                     0.16
-//   is refused, again and again:           1 (up to 25           0.16
-//                                          gateways), 4 (from 100)
+//   is refused, again and again            1 (18 gateways) to    0.16
+//                                          4 (75 and more)
 //   never comes up                         1 + 1                 0.25
 //   falls silent again, without a wait     2 + 1                 0.25
 //   whole list that drips                  2 + 2 + 1             0.25 + 2
--- a/tests/list_calls_test.cpp
+++ b/tests/list_calls_test.cpp
@@ -259,6 +259,45 @@
 INSTANTIATE_TEST_SUITE_P(Each, RefusedLists, testing::Values(Scene::start, Scene::reset),
                          [](const auto& one) { return one.param == Scene::start ? "start" : "reset"; });
 
+// A whole list that comes at last, and a watch behind it that is refused, would be a circle of quick calls.
+TEST(ListCalls, AListThatCameIsNoLeaveToBeginAnew) {
+    for (const int gateways : {25, 50, 300}) {
+        ListCalls calls(41, 7, asked, gateways);
+        const double turn = std::min(gateways / ListCalls::fleet_retries, 3.0);
+        double now = 0;
+        int refused = 0;
+        while (now < 60) {
+            now += seconds(calls.refused(Time(span_of(now)), Span{0}));
+            ++refused;
+            ASSERT_TRUE(calls.listed(42, true));
+        }
+        EXPECT_LE(refused, 2 + 60 / turn * 1.1) << gateways;
+        EXPECT_GE(refused, 60 / turn / 1.4) << gateways;
+    }
+}
+
+TEST(ListCalls, PausesAfterRefusalsGrowAndAreSpread) {
+    for (const int gateways : {1, 10, 30, 100, 300}) {
+        std::vector<double> firsts;
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            ListCalls calls(41, seed, asked, gateways);
+            double now = 0, longest = 0;
+            for (int i = 0; i < 12; ++i) {
+                const double pause = seconds(calls.refused(Time(span_of(now)), Span{0}));
+                if (i == 0) firsts.push_back(pause);
+                EXPECT_GE(pause, 0.08);
+                EXPECT_LE(pause, std::clamp(gateways / 25.0 * 4 / 3, 1.0, 4.0)) << gateways;
+                longest = std::max(longest, pause);
+                now += pause;
+            }
+            EXPECT_GT(longest, 0.5) << gateways;
+        }
+        const auto [least, most] = std::minmax_element(firsts.begin(), firsts.end());
+        const double spread = std::min(gateways / 50.0, 1.5);
+        EXPECT_GE(*most - *least, (spread - 0.08) * 0.7) << gateways << " in step";
+    }
+}
+
 // ---- On sockets -----------------------------------------------------------------------------------------
 
 using std::chrono::steady_clock;
