Names of the faults at numbered points in the tests' list

gtest printed the parameters' bytes, pointers among them, so that the list of tests changed with each run.

Result: builds; the five tests are the same.

--- a/tests/distribution_process_test.cpp
+++ b/tests/distribution_process_test.cpp
@@ -483,6 +483,9 @@
     int point;
     const char* fault;
 };
+void PrintTo(const Fault& of, std::ostream* out) {
+    *out << of.process << ' ' << of.fault << " at " << of.point;
+}
 class DistributionPoints : public testing::TestWithParam<Fault> {};
 
 TEST_P(DistributionPoints, TheOthersGoOnAndItComesBack) {
