--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -720,12 +720,14 @@
 json change_spread(HollowRelays& relays, Fleet& fleet, const Beside* beside, int via, int keys,
                    const std::function<void()>& meanwhile = {}) {
     static int place = 0;
+    const json::json_pointer cpu("/cpu_s");
+    const double cpu_before = fleet.sum(fleet.ask("figures"), cpu);
     const double given = unix_ms();
     const auto answer = relays.submit(via, standin::tenants_change(place, keys));
     place = (place + keys) % 1000;
     json figures{{"keys", keys}, {"gateways", fleet.gateways}, {"how", "sockets"}};
     if (!answer || answer->refusal != distribution::Refusal::none) {
-        figures["problem"] = answer ? answer->words : "no answer";
+        figures["problem"] = answer ? distribution::words(answer->refusal) : "no answer";
         return figures;
     }
     figures["counted_ms"] = unix_ms() - given;
@@ -744,6 +746,7 @@
         }
     } while (static_cast<int>(at.size()) < fleet.gateways && beyond == 0 && Clock::now() - begun < 15s);
     figures.update(spread_of(at, given, fleet.gateways));
+    figures["core_s"] = (fleet.sum(fleet.ask("figures"), cpu) - cpu_before) / fleet.gateways;
     if (!beside) return figures;
     double last = 0;
     int held = 0;
@@ -945,14 +948,25 @@
         if (!relays.wait_for_leader()) continue;
         constexpr int at_once = 8000;
         bool good = true;
+        int again = 0;
         distribution::Number last = 0;
         const auto begun = Clock::now();
         for (int first = 0; first < keys && good; first += at_once) {
             const auto change = standin::tenants_change(first, std::min(at_once, keys - first));
-            const auto answer = relays.submit(0, change);
+            // Told to come again, it comes again: the same change by its id.
+            auto answer = relays.submit(0, change);
+            for (const auto until = Clock::now() + 30s;
+                 Clock::now() < until && (!answer || answer->refusal == distribution::Refusal::busy);) {
+                std::this_thread::sleep_for(50ms);
+                ++again;
+                answer = relays.submit(0, change);
+            }
             good = answer && answer->refusal == distribution::Refusal::none;
             if (good) last = answer->number;
-            if (!good) tell("state", {{"keys", keys}, {"problem", answer ? answer->words : "no answer"}});
+            if (!good)
+                tell("state", {{"keys", keys},
+                               {"given", first},
+                               {"problem", answer ? distribution::words(answer->refusal) : "no answer"}});
             relays.read_logs();
         }
         if (!good) continue;
@@ -976,6 +990,7 @@
         const double start_cpu = at_end.at("cpu_s").get<double>() - cpu;
         json figures{{"keys", keys},
                      {"given_s", given_s},
+                     {"told_to_come_again", again},
                      {"held_after_s", held ? json(*held) : json()},
                      {"start_core_s", start_cpu},
                      {"kib", at_end.at("resident_kib")},
