bench/capacity: first slopes of lists, quotas, accord, file and call path

Need: slopes for docs/CAPACITY.md with the real code. A plan's figures are settable in the stand-ins' mix, as before by default.

--- /dev/null
+++ b/bench/capacity.cpp
@@ -0,0 +1,753 @@
+// Measures the slopes behind docs/CAPACITY.md: what a gateway's parts cost for each worker, call, counter call,
+// member and record, with the real code.
+//
+//     capacity [--short] [--program FILE] [--rows FILE] [--only lists|calls|quotas|accord|health|forms|file|added]
+#include <malloc.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "accord/records.h"
+#include "keep/sealed.h"
+#include "rows.h"
+#include "stage.h"
+#include "standin/clinic.h"
+#include "standin/fleet.h"
+#include "standin/library.h"
+#include "standin/world.h"
+
+namespace {
+
+using namespace linnetlead;
+using namespace std::chrono_literals;
+using bench::framed;
+using bench::Measured;
+using bench::Rows;
+using bench::Stages;
+using bench::StageSettings;
+using nlohmann::json;
+using standin::Fleet;
+using standin::FleetSettings;
+using standin::seconds;
+
+double thread_seconds() {
+    timespec at{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
+    return static_cast<double>(at.tv_sec) + static_cast<double>(at.tv_nsec) * 1e-9;
+}
+
+// Bytes, also of what the allocator has mapped apart.
+double allocated() {
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+constexpr double udp_header = 28;  // of IP and UDP
+
+struct Options {
+    bool brief = false;
+    std::string program = LINNETLEAD_PROGRAM;
+    int seeds() const { return brief ? 1 : 5; }
+    std::string seeds_text() const { return brief ? "1" : "1 to 5"; }
+};
+
+// ---- Registry and lists ---------------------------------------------------------------------------------
+
+void play_lists(const Options& options, Rows& rows) {
+    std::vector<int> sizes{160, 1600, 16000};
+    if (!options.brief) sizes.push_back(160000);
+    Measured listening, memory, one, slice, large, whole, bytes;
+    double first_lost = 0, change_bytes = 0;
+    for (const int size : sizes) {
+        Stages stages;
+        StageSettings settings;
+        settings.program = options.program;
+        settings.workers = size;
+        settings.asked = false;
+        auto& stage = stages.add(settings);
+        const double took = stage.start();
+        stages.run_for(1500ms);
+        listening.add(size, took);
+        memory.add(size, stage.resident());
+        const auto cost_of = [&](const std::function<void()>& act, int times) {
+            double begun = stage.processor();
+            stages.run_for(400ms);
+            const double quiet = stage.processor() - begun;
+            begun = stage.processor();
+            for (int i = 0; i < times; ++i) {
+                act();
+                stages.run_for(20ms);
+            }
+            stages.run_for(size > 20000 ? 1500ms : 400ms);
+            const double span = 0.02 * times + (size > 20000 ? 1.5 : 0.4);
+            return std::max(1e-7, (stage.processor() - begun - quiet * span / 0.4) / times);
+        };
+        const auto port = stage.workers.server.port;
+        int at = 0;
+        one.add(size, cost_of([&] { stage.registry.change(at++ % size, 1, port); }, 40));
+        change_bytes = static_cast<double>(stage.registry.changes.size());
+        slice.add(size, cost_of([&] { stage.registry.change(0, std::min(size, 500), port); }, 5));
+        if (size >= 5000) large.add(size, cost_of([&] { stage.registry.change(0, 5000, port); }, 3));
+        const auto wholes = stage.registry.wholes;
+        const double cost = cost_of([&] { stage.registry.tell_whole(); }, 1);
+        const auto body = static_cast<double>(stage.registry.all.size());
+        bytes.add(size, framed(body) / size);
+        // One that cannot be read is asked for again and again.
+        const bool taken = stage.registry.wholes <= wholes + 1;
+        if (taken) {
+            whole.add(size, cost);
+        } else if (first_lost == 0) {
+            first_lost = size;
+            std::printf("a whole list of %d workers (%.1f MB) was asked for %llu times within 2 s\n", size, body / 1e6,
+                        static_cast<unsigned long long>(stage.registry.wholes - wholes));
+        }
+    }
+    const char* how = "real process beside a stand-in registry";
+    rows.add("registry.listening", "registry", "time", "from the start until it listens, all known", "s", "workers",
+             "linear", listening, how, "1");
+    rows.add("registry.memory", "registry", "memory", "the list in a gateway", "B", "workers", "linear", memory, how,
+             "1", {{"budget", "memory"}, {"adds", true}});
+    rows.add("registry.change-one", "registry", "processor", "a change of one worker, in a gateway", "s", "workers",
+             "power", one, how, "1");
+    rows.add("registry.change-500", "registry", "processor", "a change of 500 workers at once, in a gateway", "s",
+             "workers", "power", slice, how, "1");
+    if (large.sizes.size() > 1)
+        rows.add("registry.change-5000", "registry", "processor", "a change of 5,000 workers at once, in a gateway",
+                 "s", "workers", "power", large, how, "1");
+    if (whole.sizes.size() > 2)
+        rows.add("registry.whole", "registry", "processor", "a whole list, in a gateway", "s", "workers", "linear",
+                 whole, how, "1");
+    rows.add("registry.bytes", "registry", "state", "bytes of a worker in a whole list, in frames of 1,448", "B",
+             "workers", "flat", bytes, how, "1");
+    std::printf("a change of one worker has %.0f bytes of body\n", change_bytes);
+}
+
+// The most workers that a whole list may name: from discovery it is read up to a bound.
+void play_whole_lists(const Options& options, Rows& rows) {
+    double holds = 0, fails = 0;
+    for (const int size : {1600, 16000, 22000, 28000, 40000}) {
+        Stages stages;
+        StageSettings settings;
+        settings.program = options.program;
+        settings.workers = size;
+        settings.known = false;
+        settings.asked = true;
+        auto& stage = stages.add(settings);
+        stage.start();
+        stage.registry.requests = 0;
+        stages.run_until([&] { return stage.registry.requests > 4; }, 2s);
+        // A gateway that has read it watches; one that has not asks again and again.
+        const bool read = stage.registry.wholes <= 1;
+        std::printf("whole list of %d workers, %.2f MB: %s\n", size,
+                    static_cast<double>(stage.registry.all.size()) / 1e6, read ? "read" : "never read");
+        (read ? holds : fails) = read ? size : (fails == 0 ? size : fails);
+    }
+    json more{{"holds_at", static_cast<int>(holds)},
+              {"note", "an answer of discovery is read up to 4 MiB; beyond, the gateway asks again and again and learns "
+                       "nothing. Lists from Consul or etcd come in pages and are not bound by it."}};
+    if (fails > 0) more["fails_at"] = static_cast<int>(fails);
+    rows.add("registry.whole-read", "registry", "state", "a whole list that a gateway can read from discovery", "quoters",
+             "workers", "step", {}, "real process beside a stand-in registry", "1", more);
+}
+
+// What one gateway asks of the registry in quiet, while it refuses, and after.
+void play_watches(const Options& options, Rows& rows) {
+    Stages stages;
+    StageSettings settings;
+    settings.program = options.program;
+    settings.workers = 1600;
+    auto& stage = stages.add(settings);
+    stage.start();
+    stages.run_for(2s);
+    const double span = options.brief ? 6 : 30;
+    const auto over = [&](double time) {
+        const auto before = stage.registry.requests;
+        stages.run_for(standin::span_of(time));
+        return static_cast<double>(stage.registry.requests - before) / time;
+    };
+    const auto before = stage.registry.server.traffic();
+    const double quiet = over(span);
+    const auto after = stage.registry.server.traffic();
+    const double watch_bytes = (after.bytes() - before.bytes()) / span;
+    stage.registry.refuses = true;
+    stage.registry.server.connections.for_each([](core::Handle, auto& one) { one.close(); });
+    over(3);
+    const double refused = over(span / 2);
+    const auto wholes = stage.registry.wholes;
+    stage.registry.refuses = false;
+    over(4);
+    const double again = static_cast<double>(stage.registry.wholes - wholes);
+    const char* how = "real process beside a stand-in registry, waits of 3 s";
+    const auto flat = [&](double value) {
+        Measured of;
+        of.add(1, value);
+        return of;
+    };
+    const json times{{"times", 7400}, {"times_what", "gateways"}};
+    rows.add("registry.calls-quiet", "registry", "messages", "calls of all gateways at the registry in quiet", "/s",
+             "gateways", "flat", flat(quiet), how, "1", times);
+    rows.add("registry.calls-refused", "registry", "messages", "calls of all gateways while it refuses", "/s",
+             "gateways", "flat", flat(refused), how, "1", times);
+    rows.add("registry.wholes-after", "registry", "messages", "whole lists asked for by all after an outage", "lists",
+             "gateways", "flat", flat(again), how, "1", times);
+    rows.add("registry.bytes-quiet", "registry", "bytes", "of a gateway's watch in quiet", "B/s", "gateways", "flat",
+             flat(watch_bytes), how, "1", {{"budget", "wire"}, {"adds", true}});
+}
+
+// ---- The call path --------------------------------------------------------------------------------------
+
+void play_calls(const Options& options, Rows& rows) {
+    std::vector<int> sizes{100, 1000, 10000};
+    if (!options.brief) sizes.push_back(100000);
+    Stages stages;
+    for (const int size : sizes) {
+        StageSettings settings;
+        settings.program = options.program;
+        settings.workers = size;
+        settings.idle_ms = options.brief ? 5000 : 30000;
+        auto& stage = stages.add(settings);
+        stage.workers.takes = 100ms;
+        stage.start();
+    }
+    stages.run_for(1s);
+    std::vector<double> resting;
+    for (auto& one : stages.all) resting.push_back(one->resident());
+    for (auto& one : stages.all) one->load(162);
+    stages.run_for(options.brief ? 6s : 35s);
+    struct Before {
+        double processor = 0;
+        std::uint64_t served = 0, accepted = 0, calls = 0, counted = 0, probes = 0;
+        bench::Traffic counter;
+    };
+    std::vector<Before> before;
+    for (auto& one : stages.all)
+        before.push_back({one->processor(), one->served(), one->workers.accepted, one->workers.calls,
+                          one->counter.model.calls, one->workers.probes, one->counter.server.traffic()});
+    const double span = options.brief ? 6 : 30;
+    stages.run_for(standin::span_of(span));
+    Measured processor, fresh, held, memory, probes;
+    for (std::size_t i = 0; i < stages.all.size(); ++i) {
+        auto& one = *stages.all[i];
+        const double size = sizes[i];
+        const auto served = static_cast<double>(std::max<std::uint64_t>(1, one.served() - before[i].served));
+        const auto attempts = static_cast<double>(std::max<std::uint64_t>(1, one.workers.calls - before[i].calls));
+        processor.add(size, (one.processor() - before[i].processor) / served);
+        fresh.add(size, static_cast<double>(one.workers.accepted - before[i].accepted) / attempts);
+        held.add(size, static_cast<double>(one.workers.server.connections.size()));
+        probes.add(size, std::max(1e-9, static_cast<double>(one.workers.probes - before[i].probes) / attempts));
+        memory.add(size, one.resident() - resting[i]);
+        std::printf("  %.0f workers: %.0f calls/s served, %.3f attempts a call, %.2f counter calls a call\n", size,
+                    served / span, attempts / served,
+                    static_cast<double>(one.counter.model.calls - before[i].counted) / served);
+    }
+    for (auto& one : stages.all) one->stop_load();
+    stages.run_for(1s);
+    const char* how = "real process, 162 requests/s, workers answer after 0.1 s";
+    rows.add("path.processor", "path", "processor", "a request, by quoters known", "s", "workers", "power", processor,
+             how, "1",
+             {{"times", 162}, {"times_what", "requests/s"}});
+    rows.add("path.connections", "path", "descriptors", "connections to quoters that a gateway holds", "connections",
+             "workers", "power", held, how, "1",
+             {{"note", "not linear: at most requests/s x the time that a connection may rest (" +
+                           std::string(options.brief ? "4" : "24") + " s); the power is of what was measured"}});
+    rows.add("quoter.fresh", "quoter", "messages", "share of attempts that open a new connection", "part", "workers",
+             "power", fresh, how, "1", {{"note", "cannot be above 1"}});
+    rows.add("quoter.probes", "quoter", "messages", "probes an attempt", "part", "workers", "power", probes, how, "1");
+    rows.add("path.memory-load", "path", "memory", "more of a gateway under 162 requests/s", "B", "workers", "power",
+             memory, how, "1");
+}
+
+// Memory of a client's connection, of an open call and of an account known.
+void play_holdings(const Options& options, Rows& rows) {
+    Measured connections, open, accounts;
+    for (const int size : {30, 300, 3000}) {
+        Stages stages;
+        StageSettings settings;
+        settings.program = options.program;
+        settings.workers = 1000;
+        auto& stage = stages.add(settings);
+        stage.start();
+        stages.run_for(500ms);
+        const double begun = stage.resident();
+        stage.open_clients(size);
+        stages.run_for(1s);
+        connections.add(size, std::max(1.0, stage.resident() - begun));
+    }
+    for (const int size : {40, 400, 4000}) {
+        Stages stages;
+        StageSettings settings;
+        settings.program = options.program;
+        settings.workers = 10000;
+        auto& stage = stages.add(settings);
+        stage.workers.silent = true;
+        stage.start();
+        stages.run_for(1s);
+        const double begun = stage.resident();
+        stage.load(size / 2.0);
+        stages.run_for(2s);
+        open.add(size, std::max(1.0, stage.resident() - begun));
+    }
+    for (const int size : {1000, 10000, 100000}) {
+        if (options.brief && size > 10000) continue;
+        Stages stages;
+        StageSettings settings;
+        settings.program = options.program;
+        settings.workers = 100;
+        settings.tenants = 100000000;
+        auto& stage = stages.add(settings);
+        stage.start();
+        stages.run_for(500ms);
+        const double begun = stage.resident();
+        stage.load(5000);
+        stages.run_until([&] { return stage.asked() >= static_cast<std::uint64_t>(size); }, 40s);
+        stage.stop_load();
+        stages.run_for(300ms);
+        accounts.add(size, std::max(1.0, stage.resident() - begun));
+    }
+    const char* how = "real process";
+    rows.add("path.memory-connection", "path", "memory", "clients' connections", "B", "workers", "power", connections,
+             how, "1", {{"note", "by connections, not by quoters: told, and ranks nothing"}});
+    rows.add("path.memory-open", "path", "memory", "open calls, each with its client's and its quoter's connection",
+             "B", "workers", "power", open, how, "1", {{"note", "by open calls, not by quoters: told, and ranks nothing"}});
+    rows.add("path.memory-accounts", "path", "memory", "tenants met within a minute", "B", "tenants", "power", accounts,
+             how, "1", {{"note", "by tenants met: told, and ranks nothing"}});
+}
+
+// Time added to a request: through the gateway against straight to the workers, in one run.
+void play_added(const Options& options, Rows& rows) {
+    Measured more;
+    for (const double rate : {16.2, 162.0, 486.0, 1620.0}) {
+        std::vector<double> of;
+        for (int seed = 1; seed <= (options.brief ? 1 : 3); ++seed) {
+            Stages stages;
+            StageSettings settings;
+            settings.program = options.program;
+            settings.workers = 1000;
+            settings.seed = static_cast<std::uint64_t>(seed);
+            auto& stage = stages.add(settings);
+            stage.start();
+            stage.load(rate, rate);
+            stages.run_for(2s);
+            stage.take_times(true), stage.take_times(false);
+            stages.run_for(options.brief ? 3s : 8s);
+            const auto at99 = [](std::vector<double> times) {
+                std::sort(times.begin(), times.end());
+                return times.empty() ? 0 : times[times.size() * 99 / 100];
+            };
+            const double through = at99(stage.take_times(true)), straight = at99(stage.take_times(false));
+            std::printf("  %.1f requests/s: 99 in 100 through %.2f ms, straight %.2f ms\n", rate, through * 1e3,
+                        straight * 1e3);
+            of.push_back(std::max(1e-6, through - straight));
+        }
+        more.add(rate, of);
+    }
+    rows.add("path.added", "path", "time", "added to 99 in 100 requests, quiet", "s", "calls_at_gateway", "power", more,
+             "real process, through it against straight to the workers in one run, 1,000 quoters",
+             options.brief ? "1" : "1 to 3", {{"budget", "added"}});
+}
+
+// ---- Counter and quotas ---------------------------------------------------------------------------------
+
+struct Plan {
+    const char* name;
+    double rate, burst;
+    int open;
+};
+
+// Many gateways that share a counter, in virtual time: what depends on what the others tell.
+void play_quotas_shared(const Options& options, Rows& rows) {
+    for (const Plan& plan : {Plan{"rate", 10, 20, 0}, Plan{"at-once", 0, 0, 4}, Plan{"both", 10, 20, 4}}) {
+        Measured per_try;
+        std::vector<int> sizes{10, 100};
+        if (!options.brief) sizes.push_back(1000);
+        for (const int gateways : sizes) {
+            std::vector<double> of;
+            for (int seed = 1; seed <= (gateways >= 1000 ? 1 : options.seeds()); ++seed) {
+                standin::WorldSettings settings;
+                settings.gateways = gateways;
+                settings.seed = static_cast<std::uint64_t>(seed);
+                settings.calls_per_s = 16.2 * gateways;
+                settings.customers = static_cast<int>(8.6 * gateways);  // 1.9 a second of each
+                settings.mix.plan_rate = plan.rate;
+                settings.mix.plan_burst = plan.burst;
+                settings.mix.plan_open = plan.open;
+                settings.mix.work = {0.02, 0.02, 0.02};
+                standin::World world(settings);
+                for (int i = 0; i < 20; ++i) {
+                    standin::WorkerFigures figures;
+                    figures.cores = 64;
+                    figures.room = 4096;
+                    world.add_worker("w" + std::to_string(i), "std", figures);
+                }
+                world.tell_list();
+                world.run_for(8s);
+                const auto calls = world.counter.calls;
+                const auto taken = world.tally.taken;
+                world.run_for(10s);
+                of.push_back(static_cast<double>(world.counter.calls - calls) /
+                             static_cast<double>(std::max<std::uint64_t>(1, world.tally.taken - taken)));
+            }
+            per_try.add(gateways, of);
+        }
+        rows.add(std::string("quotas.per-try-") + plan.name, "quotas", "messages",
+                 std::string("counter calls a request, plan with ") +
+                     (plan.rate > 0 ? plan.open > 0 ? "a rate and a limit at once" : "a rate" : "a limit at once"),
+                 "calls", "gateways", "power", per_try,
+                 "virtual time, the real core, tenants spread evenly over all, 16.2 requests/s at each",
+                 options.seeds_text());
+    }
+}
+
+// A real gateway that believes in so many others: bytes and processor time a counter call.
+void play_quotas_wire(const Options& options, Rows& rows) {
+    Measured bytes, wire, processor, tries;
+    Stages stages;
+    const std::vector<double> rates{16.2, 162, 1620};
+    for (const double rate : rates) {
+        StageSettings settings;
+        settings.program = options.program;
+        settings.workers = 100;
+        auto& stage = stages.add(settings);
+        stage.start();
+        stage.load(rate);
+    }
+    const double span = options.brief ? 5 : 20;
+    stages.run_for(3s);
+    std::vector<bench::Traffic> before;
+    std::vector<std::uint64_t> calls_before, asked_before;
+    for (auto& one : stages.all) {
+        before.push_back(one->counter.server.traffic());
+        calls_before.push_back(one->counter.model.calls);
+        asked_before.push_back(one->asked());
+    }
+    stages.run_for(standin::span_of(span));
+    for (std::size_t i = 0; i < rates.size(); ++i) {
+        auto& one = *stages.all[i];
+        const double sent = one.counter.server.traffic().bytes() - before[i].bytes();
+        const auto calls = static_cast<double>(std::max<std::uint64_t>(1, one.counter.model.calls - calls_before[i]));
+        bytes.add(rates[i], sent / calls);
+        wire.add(rates[i], sent / span);
+        tries.add(rates[i], calls / static_cast<double>(one.asked() - asked_before[i]));
+    }
+    const char* how = "real process, set of 7,400 gateways, 640,000 tenants evenly, plan with a rate";
+    rows.add("quotas.bytes-call", "quotas", "bytes", "of a counter call, with headers", "B", "calls_at_gateway", "power",
+             bytes, how, "1");
+    rows.add("quotas.bytes", "quotas", "bytes", "of a gateway's counter calls", "B/s", "calls_at_gateway", "linear",
+             wire, how, "1", {{"budget", "wire"}, {"adds", true}});
+    rows.add("quotas.per-try", "quotas", "messages", "counter calls a request, alone at the counter", "calls",
+             "calls_at_gateway", "power", tries, how, "1");
+}
+
+// ---- The accord -----------------------------------------------------------------------------------------
+
+struct Spread {
+    double bytes = 0, datagrams = 0, processor = 0;  // of a gateway and second, in quiet
+    double half = 0, most = 0, all = 0;              // seconds; below 0: not within the time
+    bool agreed = false;
+};
+
+Spread spread(int gateways, std::uint64_t seed, std::size_t value, core::Span within) {
+    FleetSettings settings;
+    settings.gateways = gateways;
+    settings.seed = seed;
+    Fleet fleet(settings);
+    Spread seen;
+    seen.agreed = fleet.run_until([&] { return fleet.settled(0); }, 30s);
+    if (!seen.agreed) fleet.run_for(1s);
+    const core::Time begun = fleet.now();
+    const auto sent = fleet.datagrams, size = fleet.bytes;
+    const double cpu = thread_seconds();
+    fleet.run_for(3s);
+    const double span = seconds(fleet.now() - begun) * gateways;
+    seen.processor = (thread_seconds() - cpu) / span;
+    seen.datagrams = static_cast<double>(fleet.datagrams - sent) / span;
+    seen.bytes = static_cast<double>(fleet.bytes - size) / span + seen.datagrams * udp_header;
+    const core::Time given = fleet.now();
+    fleet.propose(static_cast<int>(seed) % gateways, 1, std::string(value, 'x'));
+    const auto reached = [&](double part) {
+        const int wanted = std::max(1, static_cast<int>(part * gateways));
+        const core::Span left = within - (fleet.now() - given);
+        const bool in_time =
+            left > core::Span{0} && fleet.run_until([&] { return fleet.with(1) >= wanted; }, left);
+        return in_time ? seconds(fleet.now() - given) : -1;
+    };
+    seen.half = reached(0.5);
+    seen.most = reached(0.99);
+    seen.all = reached(1);
+    std::printf("  accord of %d, seed %llu: %s; %.0f datagrams, %.0f B a second each; half %.2f, 99%% %.2f, all %.2f s\n",
+                gateways, static_cast<unsigned long long>(seed), seen.agreed ? "agreed" : "no agreement in 30 s",
+                seen.datagrams, seen.bytes, seen.half, seen.most, seen.all);
+    std::fflush(stdout);
+    return seen;
+}
+
+void play_accord(const Options& options, Rows& rows) {
+    std::vector<int> sizes{3, 30, 300};
+    if (!options.brief) sizes.insert(sizes.end(), {1000, 1400, 2000});
+    Measured bytes, processor, datagrams, most;
+    double holds = 0, fails = 0;
+    for (const int size : sizes) {
+        std::vector<double> b, c, d, m;
+        for (int seed = 1; seed <= (size > 300 ? 1 : options.seeds()); ++seed) {
+            const Spread one = spread(size, static_cast<std::uint64_t>(seed), 100, 30s);
+            b.push_back(one.bytes);
+            c.push_back(one.processor);
+            d.push_back(one.datagrams);
+            if (one.all > 0) m.push_back(one.all);
+            if (one.all > 0)
+                holds = size;
+            else if (fails == 0)
+                fails = size;
+        }
+        bytes.add(size, b);
+        processor.add(size, c);
+        datagrams.add(size, d);
+        if (!m.empty()) most.add(size, m);
+    }
+    const char* how = "virtual time, 7% lost, links of 1.2 to 11 ms";
+    rows.add("accord.bytes", "accord", "bytes", "a gateway sends in quiet", "B/s", "gateways", "power", bytes, how,
+             options.seeds_text(), {{"budget", "wire"}, {"adds", true}});
+    rows.add("accord.datagrams", "accord", "messages", "datagrams that a gateway sends in quiet", "/s", "gateways",
+             "power", datagrams, how, options.seeds_text());
+    rows.add("accord.processor", "accord", "processor", "of a gateway in quiet, with the stand-in's clock and links",
+             "core", "gateways", "power", processor, how, options.seeds_text(), {{"budget", "core"}, {"adds", true}});
+    rows.add("accord.all", "accord", "time", "until all have a change of 100 bytes in force", "s", "gateways", "power",
+             most, how, options.seeds_text(), {{"budget", "in_force"}});
+    if (!options.brief) {
+        json more{{"holds_at", static_cast<int>(holds)},
+                  {"note", "a beat carries a bit for each gateway in a datagram of 256 bytes; where the bits do not fit "
+                           "they are left out, and nobody learns that all hold the change"}};
+        if (fails > 0) more["fails_at"] = static_cast<int>(fails);
+        rows.add("accord.spreads", "accord", "state", "gateways among which a change comes into force within 30 s",
+                 "gateways", "gateways", "step", {}, how, options.seeds_text(), more);
+    }
+}
+
+void play_members(const Options& options, Rows& rows) {
+    Measured memory, records;
+    std::vector<int> sizes{74, 740, 7400};
+    for (const int size : sizes) {
+        const auto before = allocated();
+        accord::Accord::Settings settings;
+        settings.gateways = size;
+        settings.self = 1;
+        accord::Accord::Outside outside;
+        outside.send = [](int, const std::string&) {};
+        accord::Accord one(settings, outside);
+        for (int i = 0; i < 40; ++i) one.tick(core::Time(std::chrono::hours(1)) + i * 20ms);
+        memory.add(size, std::max(1.0, allocated() - before));
+    }
+    for (const int size : {20, 200, 2000}) {
+        const auto before = allocated();
+        accord::Records held;
+        for (int i = 0; i < size; ++i) {
+            accord::Record record;
+            record.key = "h/worker-" + std::to_string(100000 + i);
+            record.number = 1;
+            record.value = std::string(40, 'x');
+            held.merge(core::Time(std::chrono::hours(1)), record);
+        }
+        records.add(size, std::max(1.0, allocated() - before));
+    }
+    const char* how = "in-process, allocated bytes";
+    rows.add("accord.memory", "accord", "memory", "members", "B", "gateways", "linear", memory, how, "1",
+             {{"budget", "memory"}, {"adds", true}});
+    rows.add("accord.memory-records", "accord", "memory", "records of 40 bytes, were one held for each quoter", "B",
+             "workers", "linear", records, how, "1", {{"budget", "memory"}});
+    (void)options;
+}
+
+// ---- Health and forms -----------------------------------------------------------------------------------
+
+void play_health(const Options& options, Rows& rows) {
+    Measured bytes, opinions;
+    for (const int workers : {20, 200, 2000}) {
+        std::vector<double> b, r;
+        for (int seed = 1; seed <= (options.brief ? 1 : 5); ++seed) {
+            double with[2] = {0, 0}, records = 0;
+            for (const int on : {0, 1}) {
+                standin::ClinicSettings settings;
+                settings.fleet.gateways = 10;
+                settings.fleet.seed = static_cast<std::uint64_t>(seed);
+                settings.workers = workers;
+                settings.calls_per_s = on ? 1620 : 0.001;
+                standin::Clinic clinic(settings);
+                clinic.fleet.run_for(5s);
+                // A tenth of the workers is ill.
+                for (int i = 0; i < workers / 10; ++i) clinic.worker(i).slow = 5;
+                clinic.fleet.run_for(options.brief ? 5s : 15s);
+                const auto size = clinic.fleet.bytes, sent = clinic.fleet.datagrams;
+                const core::Time begun = clinic.fleet.now();
+                clinic.fleet.run_for(5s);
+                with[on] = (static_cast<double>(clinic.fleet.bytes - size) +
+                            udp_header * static_cast<double>(clinic.fleet.datagrams - sent)) /
+                           seconds(clinic.fleet.now() - begun) / 10;
+                clinic.fleet.accord(0).each("h/", [&](const accord::Record&) { records += on; });
+            }
+            b.push_back(std::max(1.0, with[1] - with[0]));
+            r.push_back(std::max(0.1, records));
+        }
+        bytes.add(workers, b);
+        opinions.add(workers, r);
+    }
+    const char* how = "virtual time, 10 gateways, 162 requests/s at each, a tenth of the quoters five times slower";
+    rows.add("health.bytes", "health", "bytes", "a gateway sends for health, beside the accord's own", "B/s", "workers",
+             "power", bytes, how, options.seeds_text(), {{"budget", "wire"}, {"adds", true}});
+    rows.add("health.records", "health", "state", "opinions held as records", "records", "workers", "power", opinions,
+             how, options.seeds_text(), {{"budget", 2048}});
+}
+
+// Of a board, as the keepers of a worker hold it.
+void play_boards(Rows& rows) {
+    Measured memory;
+    for (const int workers : {160, 1600, 16000}) {
+        const auto before = allocated();
+        health::Health::Settings settings;
+        settings.gateways = 1;
+        health::Health one(settings, {[](int, const std::string&) { return true; },
+                                      [](const std::string&, std::string, core::Span) {},
+                                      [](const std::string&, const std::function<void(const accord::Record&)>&) {},
+                                      [](int) { return true; },
+                                      [](const health::Health::Event&) {},
+                                      [] {}});
+        std::vector<topazcrank::ServerEntry> entries(static_cast<std::size_t>(workers));
+        for (int i = 0; i < workers; ++i) {
+            entries[static_cast<std::size_t>(i)].id = "worker-" + std::to_string(100000 + i);
+            entries[static_cast<std::size_t>(i)].kind = "std";
+        }
+        one.listed(topazcrank::ListKind::full, entries);
+        memory.add(workers, allocated() - before);
+    }
+    rows.add("health.memory", "health", "memory", "of the list in a gateway's health", "B", "workers", "linear", memory,
+             "in-process, allocated bytes", "1", {{"budget", "memory"}, {"adds", true}});
+}
+
+void play_forms(const Options& options, Rows& rows) {
+    Measured records, prepares, bytes;
+    for (const int count : {2, 20, 200}) {
+        standin::LibrarySettings settings;
+        settings.fleet.gateways = 5;
+        settings.workers = 10;
+        settings.forms.clear();
+        for (int i = 0; i < count; ++i) settings.forms.push_back("f" + std::to_string(i));
+        standin::Library library(settings);
+        for (int i = 0; i < 10; ++i) library.move(i, "prices", 7);
+        library.fleet.run_until([&] { return library.fleet.settled(0); }, 10s);
+        library.give_file(0, 1, {{"prices", 7}});
+        library.fleet.run_until([&] { return library.fleet.with(1) == 5; }, 10s);
+        library.fleet.run_for(1s);
+        const auto size = library.fleet.bytes, sent = library.fleet.datagrams;
+        for (int i = 0; i < count; ++i) {
+            library.ask(i % 5, "form f" + std::to_string(i) + " define prices\n" + std::string(200, 'x'));
+            library.fleet.run_for(50ms);
+        }
+        const bool all = library.fleet.run_until(
+            [&] {
+                return std::all_of(settings.forms.begin(), settings.forms.end(),
+                                   [&](const std::string& one) { return library.prepared_everywhere(one); });
+            },
+            options.brief ? 10s : 60s);
+        records.add(count, std::max<double>(1, static_cast<double>(library.fleet.accord(0).records().size())));
+        prepares.add(count, std::max<double>(1, static_cast<double>(library.prepares) / 10));
+        std::printf("  %d forms: prepared everywhere: %s; %.0f bytes sent by each gateway\n", count, all ? "yes" : "no",
+                    (static_cast<double>(library.fleet.bytes - size) +
+                     udp_header * static_cast<double>(library.fleet.datagrams - sent)) /
+                        5);
+    }
+    const char* how = "virtual time, 5 gateways, 10 quoters";
+    rows.add("forms.records", "forms", "state", "records of the accord, by forms (not by quoters)", "records", "services",
+             "power", records, how, "1", {{"note", "were each service to have a form of its own; the catalogue's own bound is 256"}, {"budget", 2048}});
+    rows.add("forms.prepares", "forms", "messages", "preparations a quoter, by forms", "calls", "services", "power",
+             prepares, how, "1");
+}
+
+// ---- Configuration today: one file ----------------------------------------------------------------------
+
+void play_file(Rows& rows) {
+    Measured packed, unpacked, processor;
+    double holds = 0, fails = 0;
+    std::mt19937_64 random(1);
+    for (const int tenants : {64, 640, 2000, 4000, 6400, 64000, 640000}) {
+        std::string text = "accord(1)\n";
+        char hex[17];
+        for (int i = 0; i < 40; ++i) {
+            text += "p" + std::to_string(i) + " = plan(\"p" + std::to_string(i) + "\", rate = per_second(" +
+                    std::to_string(1 + i) + "), burst = " + std::to_string(2 + i) + ")\n";
+        }
+        for (int i = 0; i < tenants; ++i) {
+            std::snprintf(hex, sizeof(hex), "%016llx", static_cast<unsigned long long>(random() & 0x1ffffffffULL));
+            text += std::string("account(\"") + hex + "\", plan = p" + std::to_string(random() % 40) + ")\n";
+        }
+        const double begun = thread_seconds();
+        const std::string small = keep::compress(text);
+        processor.add(tenants, thread_seconds() - begun);
+        packed.add(tenants, static_cast<double>(small.size()));
+        unpacked.add(tenants, static_cast<double>(text.size()));
+        if (small.size() < accord::most_value) {
+            holds = tenants;
+        } else if (fails == 0) {
+            fails = tenants;
+        }
+    }
+    const char* how = "in-process: a generated file of tenants' terms, compressed as the accord carries it";
+    rows.add("distribution.file", "distribution", "state", "the operators' file, compressed, tenants' terms alone", "B",
+             "tenants", "linear", packed, how, "1",
+             {{"budget", 32768},
+              {"note", "beyond 32 KiB only the hash travels, and each gateway has to be given the file by hand; all of "
+                       "it is sent again for each change"}});
+    rows.add("distribution.carried", "distribution", "state", "tenants whose terms one file carries", "tenants", "tenants",
+             "step", {}, how, "1", {{"holds_at", holds}, {"fails_at", fails}});
+    Measured a_second;
+    for (std::size_t i = 0; i < packed.sizes.size(); ++i)
+        a_second.add(packed.sizes[i], packed.values[i] / 8.64 * (1 + (udp_header + 66 + 20) / 160.0));
+    rows.add("distribution.bytes", "distribution", "bytes", "a whole file each 8.64 s, one copy to a gateway, in datagrams",
+             "B/s", "tenants", "linear", a_second, how, "1", {{"budget", "wire"}, {"adds", true}});
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"measures the slopes behind docs/CAPACITY.md"};
+    Options options;
+    std::string only, path;
+    app.add_flag("--short", options.brief, "under a minute");
+    app.add_option("--program", options.program, "the gateway");
+    app.add_option("--rows", path, "where the rows go, for docs/capacity/page --take");
+    app.add_option("--only", only)
+        ->check(CLI::IsMember({"lists", "watches", "calls", "holdings", "quotas", "accord", "health", "forms", "file",
+                               "added"}));
+    CLI11_PARSE(app, argc, argv);
+    std::string command = "bench/capacity";
+    if (options.brief) command += " --short";
+    if (!only.empty()) command += " --only " + only;
+    Rows rows(command);
+    const auto wanted = [&](const char* name) { return only.empty() || only == name; };
+    if (wanted("file")) play_file(rows);
+    if (wanted("lists")) {
+        play_lists(options, rows);
+        play_whole_lists(options, rows);
+    }
+    if (wanted("watches")) play_watches(options, rows);
+    if (wanted("calls")) play_calls(options, rows);
+    if (wanted("holdings")) play_holdings(options, rows);
+    if (wanted("quotas")) {
+        play_quotas_shared(options, rows);
+        play_quotas_wire(options, rows);
+    }
+    if (wanted("accord")) {
+        play_members(options, rows);
+        play_accord(options, rows);
+    }
+    if (wanted("health")) {
+        play_boards(rows);
+        play_health(options, rows);
+    }
+    if (wanted("forms")) play_forms(options, rows);
+    if (wanted("added")) play_added(options, rows);
+    if (!path.empty()) rows.write(path);
+    return 0;
+}
--- a/standin/model.cpp
+++ b/standin/model.cpp
@@ -83,8 +83,9 @@
     }
     topazcrank::PlanSettings plan;
     plan.name = "basico";
-    plan.rate = 1000;
-    plan.burst = 2000;
+    plan.rate = mix.plan_rate;
+    plan.burst = mix.plan_burst;
+    plan.max_open = mix.plan_open;
     s.plans = {plan};
     s.gateways = gateways;
     s.self = self;
