--- a/bench/traffic.h
+++ b/bench/traffic.h
@@ -1,5 +1,5 @@
-// What the kernel has counted of a TCP connection. Apart, since the kernel's header and the C library's, which
-// libuv's takes in, do not go together.
+// What the kernel has counted of a TCP connection. Apart, since the kernel's header and the C library's,
+// which libuv's takes in, do not go together.
 #pragma once
 
 namespace linnetlead::bench {
--- a/standin/model.h
+++ b/standin/model.h
@@ -98,7 +98,7 @@
     double spread = 0.5;                            // of a call's work: sigma of its logarithm
     std::vector<double> aim{1.2, 1.2, 0.5};
     std::vector<double> deadline{4, 5, 2};
-    double fall_multiple = 4;  // as the settings say
+    double fall_multiple = 4;                    // as the settings say
     double plan_rate = 1000, plan_burst = 2000;  // of the one plan, in units
     int plan_open = 0;
 };
