accord_test builds again beside the second form of at_each_point

Change: the lambda names its parameter. Result: linnetlead_tests builds with -Werror; the test's body is as it was.

--- a/tests/accord_test.cpp
+++ b/tests/accord_test.cpp
@@ -381,7 +381,8 @@
 
 TEST(AccordPoints, EveryFaultAtEveryPointInTurnKeepsTheRules) {
     const std::vector<Fault> faults(std::begin(standin::all_faults), std::end(standin::all_faults));
-    const auto all = standin::at_each_point([](const auto& prepare) { return play(prepare); }, faults);
+    const auto all = standin::at_each_point(
+        [](const std::function<void(Fleet&)>& prepare) { return play(prepare); }, faults);
     EXPECT_GT(all.points, 100u);
     for (const std::string& failure : all.failures) ADD_FAILURE() << failure;
     std::printf("%llu points, %llu runs\n", static_cast<unsigned long long>(all.points),
