Distribution: relays that failed or were full of late are tried behind those that have not

Cause: Follower::choose took the nearest relay whose avoidance (5 to 10 s) was over, so a gateway whose near relays were dead went back to them, 2.5 s of silence each, before it had asked all others; full ones that said Away likewise. And where all had failed nobody was tried until an avoidance of up to 60 s was over, also when the links were back. Change: what failed or was full of late comes behind what has not; before its time only where there is no other; what a relay asked for itself is kept to. A try that is not answered ends after 1.5 s (2.5 before).

--- a/src/distribution/follower.cpp
+++ b/src/distribution/follower.cpp
@@ -261,7 +261,11 @@
         const Span after = std::chrono::milliseconds(away->after_ms);
         outside_.hang_up();
         // Asked to wait, which is no failure: another may have room sooner.
+        const std::size_t at = *at_;
         lost(now, jittered(settings_.shortest_pause) + settings_.shortest_pause, after + jittered(after));
+        away_[at].asked = true;
+        away_[at].failures = 0;
+        away_[at].doubted = away_[at].until + longest_avoidance;
     } else if (const auto* error = std::get_if<Error>(&frame)) {
         give_up(now, std::string("the relay says: ") + words(error->refusal) + ", " + error->words,
                 shortest_avoidance);
@@ -286,7 +290,10 @@
 
 // The connection is no more: the next try after the pause, and not at this relay for so long.
 void Follower::lost(Time now, Span pause, Span avoid) {
-    if (at_ && avoid > Span{}) away_[*at_].until = now + avoid;
+    if (at_ && avoid > Span{}) {
+        away_[*at_].until = now + avoid;
+        away_[*at_].asked = false;
+    }
     state_ = State::waiting;
     at_.reset();
     drop_pieces();
@@ -302,6 +309,7 @@
         const int failures = std::min(away.failures++, 4);
         const Span most = std::min<Span>(shortest_avoidance * (1 << failures), longest_avoidance);
         avoid = most + jittered(most);
+        away.doubted = now + 2 * longest_avoidance + jittered(longest_avoidance);
     }
     if (!followed) ++failures_;
     const Span most = std::min<Span>(settings_.shortest_pause * (1 << std::min(failures_, 10)),
@@ -325,23 +333,38 @@
 
 std::optional<std::size_t> Follower::choose(Time now) {
     const std::size_t all = settings_.relays.size();
-    if (all == 0) return std::nullopt;
+    // What is tried before what: the ones that may well be there; those that failed of late; then, before
+    // their time, those without a beat, and those that failed.
+    const auto rank_of = [&](std::size_t i) -> int {
+        const auto found = away_.find(i);
+        if (found == away_.end()) return 0;
+        const Away& away = found->second;
+        if (away.until <= now) return now < away.doubted ? 1 : 0;
+        return away.asked ? 4 : away.failures == 0 ? 2 : 3;
+    };
+    int best = 4;
+    for (std::size_t i = 0; i < all; ++i) best = std::min(best, rank_of(i));
+    if (best == 4) return std::nullopt;
+    if (best >= 2) {
+        std::optional<std::size_t> first;
+        for (std::size_t i = 0; i < all; ++i) {
+            if (rank_of(i) == best && (!first || away_[i].until < away_[*first].until)) first = i;
+        }
+        return first;
+    }
     // Of the nearest, any; then of so many more that who lose one relay spread over many others.
     std::size_t begin = 0;
     std::size_t size = std::clamp<std::size_t>(settings_.near, 1, all);
-    while (begin < all) {
+    std::vector<std::size_t> free;
+    while (free.empty()) {
         const std::size_t end = std::min(all, begin + size);
-        std::vector<std::size_t> free;
         for (std::size_t i = begin; i < end; ++i) {
-            const auto away = away_.find(i);
-            if (away == away_.end() || away->second.until <= now) free.push_back(i);
+            if (rank_of(i) == best) free.push_back(i);
         }
-        if (!free.empty())
-            return free[std::uniform_int_distribution<std::size_t>(0, free.size() - 1)(random_)];
         begin = end;
         size = std::max<std::size_t>(size * 2, 4);
     }
-    return std::nullopt;
+    return free[std::uniform_int_distribution<std::size_t>(0, free.size() - 1)(random_)];
 }
 
 void Follower::try_next(Time now) {
@@ -390,7 +413,8 @@
         if (now >= next_try_) try_next(now);
         return;
     }
-    if (now - last_heard_ > settings_.silence) {
+    const bool tried = state_ != State::following;
+    if (now - last_heard_ > (tried ? std::min(settings_.answer, settings_.silence) : settings_.silence)) {
         outside_.event("follower", "nothing came from the relay for too long");
         outside_.hang_up();
         return gone(now);
--- a/src/distribution/follower.h
+++ b/src/distribution/follower.h
@@ -21,6 +21,7 @@
         Span lease = std::chrono::milliseconds(2000);
         Span skew = std::chrono::milliseconds(350);
         Span silence = std::chrono::milliseconds(2500);        // without a frame: the relay is gone
+        Span answer = std::chrono::milliseconds(1500);         // to a try: no longer until it says anything
         Span shortest_pause = std::chrono::milliseconds(200);  // between tries; doubles, with full jitter
         Span longest_pause = std::chrono::milliseconds(2000);
         double tries_per_s = 0.7;  // budget of connections, and so many seconds' worth at once
@@ -92,9 +93,12 @@
 
 private:
     enum class State { waiting, trying, greeting, following };
+    // A relay that was left: what has failed or was full of late is tried behind all that has not, and before
+    // its time only where there is no other. What it asked for itself is kept to.
     struct Away {
-        Time until{};
-        int failures = 0;
+        Time until{}, doubted{};
+        int failures = 0;    // in a row
+        bool asked = false;  // to stay away until then
     };
     void go_over(Time now);
     void take_usable();
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -1179,6 +1179,46 @@
     EXPECT_GE(at.size(), 8U);
 }
 
+TEST(DistributionFollower, WhatFailedOrWasFullOfLateIsTriedBehindAllThatHasNot) {
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        Follower::Settings settings;
+        for (int i = 0; i < 12; ++i) settings.relays.push_back(i);
+        settings.near = 3;
+        settings.seed = seed;
+        Gateway gateway(settings);
+        // The near ones are silent or full, and most others too; avoided for 5 to 10 s, or asked to wait for
+        // 1, they are not to keep it from the one that has room.
+        const Time began = gateway.now;
+        while (gateway.now < began + 60s && !gateway.follower.relay()) {
+            const std::size_t before = gateway.tries.size();
+            gateway.tick(20ms);
+            if (gateway.tries.size() == before || gateway.tries.back() % 2 == 0) continue;
+            gateway.follower.connected(gateway.now);
+            if (gateway.tries.back() == 11) {
+                gateway.hear(Welcome{"r", 0});
+            } else {
+                gateway.hear(Away{1000, Refusal::full});
+            }
+        }
+        ASSERT_TRUE(gateway.follower.relay()) << "seed " << seed;
+        EXPECT_EQ(std::set<int>(gateway.tries.begin(), gateway.tries.end()).size(), gateway.tries.size());
+    }
+}
+
+TEST(DistributionFollower, WhereAllHaveFailedItGoesOnTryingBeforeTheirTime) {
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        Follower::Settings settings;
+        settings.relays = {0, 1, 2, 3, 4};
+        settings.seed = seed;
+        Gateway gateway(settings);
+        for (int i = 0; i < 50 * 300; ++i) gateway.tick(20ms);  // cut off for 5 minutes
+        const std::size_t before = gateway.tries.size();
+        const Time healed = gateway.now;
+        while (gateway.tries.size() == before && gateway.now < healed + 10s) gateway.tick(20ms);
+        EXPECT_LT(gateway.now - healed, 4s) << "seed " << seed;
+    }
+}
+
 TEST(DistributionFollower, AskedToGoAwayItComesBackNoSoonerThanItWasTold) {
     for (std::uint64_t seed = 0; seed < 50; ++seed) {
         Follower::Settings settings;
