--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -972,20 +972,19 @@
     }
     const char* how = "in-process: a generated file of tenants' terms, compressed as the accord carries it";
     rows.add(
-        "distribution.file", "distribution", "state", "the operators' file, compressed, tenants' terms alone",
-        "B", "tenants", "linear", packed, how, "1",
+        "file.file", "file", "state", "the operators' file, compressed, tenants' terms alone", "B", "tenants",
+        "linear", packed, how, "1",
         {{"budget", 32768},
          {"note",
           "beyond 32 KiB only the hash travels, and each gateway has to be given the file by hand; all of "
           "it is sent again for each change"}});
-    rows.add("distribution.carried", "distribution", "state", "tenants whose terms one file carries",
-             "tenants", "tenants", "step", {}, how, "1", {{"holds_at", holds}, {"fails_at", fails}});
+    rows.add("file.carried", "file", "state", "tenants whose terms one file carries", "tenants", "tenants",
+             "step", {}, how, "1", {{"holds_at", holds}, {"fails_at", fails}});
     Measured a_second;
     for (std::size_t i = 0; i < packed.sizes.size(); ++i)
         a_second.add(packed.sizes[i], packed.values[i] / 8.64 * (1 + (udp_header + 66 + 20) / 160.0));
-    rows.add("distribution.bytes", "distribution", "bytes",
-             "a whole file each 8.64 s, one copy to a gateway, in datagrams", "B/s", "tenants", "linear",
-             a_second, how, "1",
+    rows.add("file.bytes", "file", "bytes", "a whole file each 8.64 s, one copy to a gateway, in datagrams",
+             "B/s", "tenants", "linear", a_second, how, "1",
              {{"budget", "wire"},
               {"adds", true},
               {"measured", "estimated"},
