The distribution's test on real gateways lets the wide plan's store hold what it must let in

Its wide plan had 400 units/s but a store of 10 over five gateways, 2 units each, and calls of 1 to 4 units: 12 calls in 40 were refused, and 61 to 80 units/s of some 100 let in, so that the bound was a coin's throw. Measured in 48 windows of 1.5 s: 48.7 to 104.6 units/s sent where 70 to 126 were asked for; ruled out: slow machine (what was asked for kept its pace), fence, relays (all had the revision). The wide plan now has a store of 400, and the test asks that 0.8 of what was asked for is let in, where 60 of some 100 stood: stricter, and free of how much chance asks for.

--- a/tests/distribution_process_test.cpp
+++ b/tests/distribution_process_test.cpp
@@ -79,6 +79,12 @@
         return (sent() - before) / std::chrono::duration<double>(town.now() - begun).count();
     }
     double sent() { return plans::units_of(town.seen[account].guessed); }
+    // Of the units that the account's calls asked for in that time, the part that was first sent on.
+    double part_let_in(core::Span time) {
+        const double sent_before = sent(), asked_before = town.asked_units[account];
+        town.run_for(time);
+        return (sent() - sent_before) / std::max(1.0, town.asked_units[account] - asked_before);
+    }
     void finish() {
         town.ask_much(account, 0);
         town.load(false);
@@ -99,18 +105,19 @@
     fleet.town.load(true);
     fleet.town.ask_much(account, 40);
     const std::string account_text = plans::tenant_key(account).substr(7);
-    const auto file = [&](const std::string& name, int rate) {
+    const auto file = [&](const std::string& name, int rate, int burst) {
         const std::string at = fleet.path(name);
         standin::write_file(at, "plan(\"held\", rate = per_second(" + std::to_string(rate) +
-                                    "), burst = 10)\naccount(\"" + account_text + "\", plan = \"held\")\n");
+                                    "), burst = " + std::to_string(burst) + ")\naccount(\"" + account_text +
+                                    "\", plan = \"held\")\n");
         return at;
     };
-    const std::string wide = file("wide.star", 400), tight = file("tight.star", 8);
+    const std::string wide = file("wide.star", 400, 400), tight = file("tight.star", 8, 10);
     ASSERT_EQ(fleet.command({"change", "apply", "--relay", fleet.address(1), wide}), 0);
     const Number first = fleet.relay_state(1)["committed"];
     ASSERT_TRUE(fleet.reach(1, fleet.all_gateways(), 8s)) << fleet.told();
     ASSERT_TRUE(fleet.reach_fenced(false, fleet.all_gateways(), 3s));
-    EXPECT_GT(fleet.units_per_s(1500ms), 60) << "some 100 are asked for";
+    EXPECT_GT(fleet.part_let_in(1500ms), 0.8) << "some 100 units a second are asked for, of 400";
     const core::Time given = fleet.town.now();
     ASSERT_EQ(fleet.command({"change", "apply", "--relay", fleet.address(2), "--old", wide, tight}), 0);
     ASSERT_TRUE(fleet.reach(first + 1, fleet.all_gateways(), 8s)) << fleet.told();
