A new operators' file tells the module only of workers whose pool it changes

Cause: Router::configure told the module of every worker at each reload, changed or not, and the module goes through its whole list then. Measured: the new test has one telling too many at each step without the change; 61 tests of routing, moves, health, operators and tiers pass.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -55,9 +55,11 @@
     settings_ = std::move(settings);
     std::vector<ServerEntry> changed;
     for (auto& [id, worker] : workers_) {
-        const std::size_t pool = place(worker.entry);
-        worker.pool = pool;
-        worker.entry.pools = pools_of(worker);
+        worker.pool = place(worker.entry);
+        const Pools pools = pools_of(worker);
+        // Most files change no pools, and each worker that is told again costs the loop.
+        if (pools == worker.entry.pools) continue;
+        worker.entry.pools = pools;
         changed.push_back(worker.entry);
     }
     if (settings_.moves.empty()) {
--- a/tests/resources_test.cpp
+++ b/tests/resources_test.cpp
@@ -241,6 +241,57 @@
     EXPECT_EQ(desk.plan_of(1), "prueba");
 }
 
+// ---- Pools ----------------------------------------------------------------------------------------------
+
+TEST(Pools, OfANewFileAreToldOnlyOfWorkersWhosePoolItChanges) {
+    const auto settings = [](const std::string& text) {
+        const Value from = document(text);
+        return std::get<routing::RoutingSettings>(routing::read_routing(from, "f", nullptr));
+    };
+    std::map<std::string, topazcrank::Pools> told, held;
+    int times = 0;
+    routing::Router::Outside outside;
+    outside.marked = [&](const std::vector<topazcrank::ServerEntry>& entries) {
+        ++times;
+        for (const auto& one : entries) told[one.id] = held[one.id] = one.pools;
+    };
+    topazcrank::Settings site;
+    site.classes.resize(1);
+    site.plans.resize(1);
+    routing::Router router(site, 1, outside);
+    const std::string both = "pool(\"a\", ids = [\"w0\"])\npool(\"b\", ids = [\"w1\"])\n";
+    router.configure(0s, settings(both));
+    std::vector<topazcrank::ServerEntry> list(4);
+    for (std::size_t i = 0; i < list.size(); ++i) list[i].id = "w" + std::to_string(i);
+    router.listed(0s, topazcrank::ListKind::full, list);
+    for (const auto& one : list) held[one.id] = one.pools;
+    const auto configure = [&](const std::string& text) {
+        told.clear();
+        times = 0;
+        router.configure(0s, settings(text));
+    };
+    configure(both);
+    EXPECT_EQ(times, 0) << "as before";
+    configure(both + "route(\"00000000b4d65521\", pool = \"a\")\n");
+    EXPECT_EQ(times, 0) << "a route changes no pool";
+    configure("pool(\"a\", ids = [\"w0\", \"w2\"])\npool(\"b\", ids = [\"w1\"])\n");
+    EXPECT_EQ(times, 1);
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_EQ(told.begin()->first, "w2");
+    EXPECT_EQ(held["w2"], held["w0"]);
+    // A pool's number is its place in the file.
+    configure("pool(\"b\", ids = [\"w1\"])\npool(\"a\", ids = [\"w0\", \"w2\"])\n");
+    EXPECT_EQ(told.size(), 3u);
+    // What is set aside is told when it comes back, by the file that holds then.
+    router.set_aside({"w1"});
+    configure("pool(\"a\", ids = [\"w0\", \"w1\", \"w2\"])\n");
+    EXPECT_EQ(told.count("w1"), 0u);
+    router.set_aside({});
+    EXPECT_EQ(held["w1"], held["w0"]);
+    EXPECT_EQ(held["w2"], held["w0"]);
+    EXPECT_EQ(router.pool_of("w1"), "a");
+}
+
 // ---- Routes ---------------------------------------------------------------------------------------------
 
 struct Routed {
