A client that takes the longest answer slowly gets it whole before the end: tests

Need: the close range's list of what is not done names an answer longer than the socket's buffer with a client that reads slowly, so far known by reading alone. Two tests, on the parts in one thread and on the real program with SIGTERM amid the answer: 4 MiB in pieces of 32 KiB, nothing taken for 0.7 s behind the signal.

--- a/standin/peer.cpp
+++ b/standin/peer.cpp
@@ -68,6 +68,15 @@
     return got;
 }
 
+std::size_t Peer::read_some(std::size_t most) {
+    std::string buffer(most, ' ');
+    const ssize_t size = ended ? 0 : ::recv(fd_, buffer.data(), buffer.size(), 0);
+    if (size == 0 || (size == -1 && errno != EAGAIN)) ended = true;
+    if (size <= 0) return 0;
+    got.append(buffer, 0, static_cast<std::size_t>(size));
+    return static_cast<std::size_t>(size);
+}
+
 // Not for the programs that a test starts: an address would stay taken.
 Listener::Listener(int backlog) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     const sockaddr_in any = loopback(0);
--- a/standin/peer.h
+++ b/standin/peer.h
@@ -32,6 +32,7 @@
     void write(std::string_view text);  // throws where the kernel does not take all of it
     std::size_t write_some(std::string_view text);
     const std::string& read();
+    std::size_t read_some(std::size_t most);  // so many bytes at most; appends to got
     bool has(const std::string& text) { return read().find(text) != std::string::npos; }
     bool is_over() { return read(), ended; }
 
--- a/tests/close_range_test.cpp
+++ b/tests/close_range_test.cpp
@@ -314,6 +314,72 @@
     EXPECT_EQ(client.got, "-ERR failed\r\n") << "it may have run";
 }
 
+// The longest answer there is, of which what the client has not taken fills the system's buffers, and a
+// client that takes its time.
+struct SlowReader {
+    static constexpr std::size_t at_once = 32 * 1024;
+
+    SlowReader() : value(resp::most_long, ' ') {
+        for (std::size_t i = 0; i < value.size(); ++i)
+            value[i] = static_cast<char>('a' + (i * 7 + i / 251) % 26);
+        left = answer = served(value);
+        resp::write_bulk(expected, value);
+    }
+    // The worker gives what is taken of it, and the client takes a little; false: it is over.
+    bool step(Peer& worker, Peer& client) {
+        left.remove_prefix(worker.write_some(left.substr(0, 2 * at_once)));
+        client.read_some(at_once);
+        return !client.ended;
+    }
+    std::string value, answer, expected;
+    std::string_view left;
+};
+
+TEST(Shutdown, AnAnswerThatItsClientTakesSlowlyComesWholeBeforeTheEnd) {
+    Rig rig;
+    Listener worker;
+    rig.gateway.listed(ListKind::full, {listed("w", worker.address())});
+    Peer client = rig.client();
+    client.write(call("read"));
+    auto peer = rig.accepted(worker);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=read"); }));
+    SlowReader slow;
+    ASSERT_TRUE(rig.until([&] {
+        slow.step(*peer, client);
+        return client.got.size() > 1 << 20;
+    }));
+    ASSERT_FALSE(slow.left.empty()) << "half of it is still to come";
+    rig.acceptor.stop_listening();
+    rig.acceptor.retire(true);
+    EXPECT_TRUE(rig.until([&] { return !slow.step(*peer, client); }));
+    EXPECT_EQ(client.got.size(), slow.expected.size());
+    EXPECT_TRUE(client.got == slow.expected) << "in order, and shut behind it";
+    EXPECT_TRUE(rig.until([&] { return rig.acceptor.empty(); }));
+}
+
+TEST(Shutdown, AProgramThatIsToldToEndStaysForAClientThatTakesItsAnswerSlowly) {
+    Listener worker, discovery;
+    Program program(config_of(discovery, discovery, worker.address()));
+    Peer client = program.client();
+    client.write(call("read", 8000));
+    std::unique_ptr<Peer> peer;
+    ASSERT_TRUE(wait_for([&] { return peer || (peer = worker.accept()); }));
+    ASSERT_TRUE(wait_for([&] { return peer->has("c=read"); }));
+    SlowReader slow;
+    ASSERT_TRUE(wait_for([&] {
+        slow.step(*peer, client);
+        return client.got.size() > 1 << 20;
+    }));
+    program.signal(SIGTERM);
+    ASSERT_FALSE(slow.left.empty()) << "half of it is still to come";
+    // Nothing more is taken until it no longer listens; then little by little.
+    usleep(700'000);
+    EXPECT_FALSE(program.has_ended());
+    EXPECT_TRUE(wait_for([&] { return !slow.step(*peer, client); }));
+    EXPECT_TRUE(client.got == slow.expected) << client.got.size() << " of " << slow.expected.size();
+    EXPECT_EQ(program.exit_code(), 0);
+}
+
 // The program listens, clients come, and its handlers are not there yet.
 TEST(Shutdown, ASignalBetweenListeningAndItsHandlerIsHeard) {
     Listener discovery;
