--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -693,7 +693,6 @@
                          {"gateway_core", (rig.gateway->cpu_seconds() - cpu_before) / time},
                          {"gateway_kib", rig.gateway->resident_kib()},
                          {"probes_s", at_quoters.at("quoters").at("probes").get<double>() / time},
-                         {"list_told", "in slices"},
                          {"how", "sockets"}};
             for (const double part : {0.5, 0.9, 0.99, 0.999}) {
                 char name[16];
