Test of the store's pauses: a long call counts where both of two plays have it

The test took the longest of single readings. Played here again: 15 to 30 ms under ASan, at another call each time, and 0.48 ms in the plain build, so what it read was not Store::clean() (a chunk moved): the thread's clock also counts the sanitizer's cleaning up and what a hypervisor takes away. The work of each call is the same in every play, so the test plays the year twice and holds the lesser of each call's two readings to 10 ms, five times less than before; the filling, not looked at before, to 100 ms.

--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -414,31 +414,50 @@
     return std::chrono::seconds(now.tv_sec) + Time(now.tv_nsec);
 }
 
-TEST(DistributionStore, TheTargetsSizeStaysWithin100MegabytesWithoutLongPauses) {
+// The target's size and a year and more of changes, the same in every play: what each call took.
+std::vector<std::uint32_t> microseconds_of_a_year(const char* play) {
     Store store;
     const std::string terms(40, 't');
     const std::string route(80, 'r');
-    for (std::uint64_t i = 0; i < 640'000; ++i) store.set(tenant(i), terms, 1);
-    for (std::uint64_t i = 0; i < 120'000; ++i) store.set("route/service-" + std::to_string(i), route, 1);
+    std::vector<std::uint32_t> took;
+    took.reserve(760'000 + 1'500'000);
+    const auto set = [&](const std::string& key, const std::string& value, Number number) {
+        const Time before = processor_time();
+        store.set(key, value, number);
+        took.push_back(static_cast<std::uint32_t>((processor_time() - before) / 1us));
+    };
+    for (std::uint64_t i = 0; i < 640'000; ++i) set(tenant(i), terms, 1);
+    for (std::uint64_t i = 0; i < 120'000; ++i) set("route/service-" + std::to_string(i), route, 1);
     EXPECT_EQ(store.size(), 760'000U);
-    RecordProperty("bytes", std::to_string(store.bytes()));
     EXPECT_LT(store.bytes(), 100'000'000U);
-    // A year and more of changes, at any of them.
     std::mt19937_64 random(7);
-    Time longest{};
     std::string value(40, 'u');
     for (Number number = 2; number < 1'500'000; ++number) {
         value[number % 40] = static_cast<char>('a' + number % 26);
-        const std::string key = tenant(random() % 640'000);
-        const Time before = processor_time();
-        store.set(key, value, number);
-        longest = std::max(longest, processor_time() - before);
+        set(tenant(random() % 640'000), value, number);
     }
     EXPECT_EQ(store.size(), 760'000U);
-    std::printf("bytes %zu, longest %.2f ms\n", store.bytes(), static_cast<double>(longest.count()) / 1e6);
     EXPECT_LT(store.bytes(), 100'000'000U);
-    // The slowest single call, in processor time: a whole chunk moved.
-    EXPECT_LT(longest, 50ms);
+    std::printf("%s: bytes %zu, longest change %.2f ms\n", play, store.bytes(),
+                *std::max_element(took.begin() + 760'000, took.end()) / 1e3);
+    return took;
+}
+
+TEST(DistributionStore, TheTargetsSizeStaysWithin100MegabytesWithoutLongPauses) {
+    const auto first = microseconds_of_a_year("first"), second = microseconds_of_a_year("second");
+    ASSERT_EQ(first.size(), second.size());
+    // A long call of the store's is the same call in both plays; one that the machine took its processor away
+    // from (the clock counts that too, where a hypervisor does it) or a sanitizer cleaned up in, is not.
+    std::uint32_t filling = 0, changing = 0;
+    for (std::size_t i = 0; i < first.size(); ++i) {
+        std::uint32_t& longest = i < 760'000 ? filling : changing;
+        longest = std::max(longest, std::min(first[i], second[i]));
+    }
+    std::printf("in both: while it fills %.2f ms, of the changes %.2f ms\n", filling / 1e3, changing / 1e3);
+    // The slowest change, in processor time: a whole chunk moved. While it fills: the table made twice as
+    // large.
+    EXPECT_LT(changing, 10'000U);
+    EXPECT_LT(filling, 100'000U);
 }
 
 TEST(DistributionStore, SlicesTakenWhileItChangesMakeUpTheStateAtTheirEnd) {
