The call path's row is settled: the bench read the machine's hand-offs, not the gateway

Cause: bench/capacity.cpp, play_added. A request through the gateway is handed between processes six times and more, the straight one it is compared with never (one thread is client and quoter), so on a machine without a free core the difference is the machine's.

Change: hand-offs between two sleeping threads are measured in the same play (bench/hand_offs.h), and a play in which 99 in 100 take over 1 ms is void; bench/scale plays quiet also as one of 7,400 (--set).

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "accord/records.h"
+#include "hand_offs.h"
 #include "keep/sealed.h"
 #include "rows.h"
 #include "stage.h"
@@ -48,6 +49,7 @@
 }
 
 constexpr double udp_header = 28;  // of IP and UDP
+bool void_plays = false;           // something was not measured, for the machine was busy
 
 struct Options {
     bool brief = false;
@@ -347,39 +349,56 @@
              accounts, how, "1", {{"note", "by tenants met: told, and ranks nothing"}});
 }
 
-// Time added to a request: through the gateway against straight to the workers, in one run.
+// Time added to a request: through the gateway against straight to the workers, in one run. A request through
+// it is handed from process to process six times and more, one straight to the workers never: where no
+// processor is free that alone is 4 to 10 ms, so a run in which hand-offs take long is void.
 void play_added(const Options& options, Rows& rows) {
+    constexpr double longest_hand_off = 0.001;
+    constexpr int most_plays = 3;
     Measured more;
     for (const double rate : {16.2, 162.0, 486.0, 1620.0}) {
         std::vector<double> of;
         for (int seed = 1; seed <= (options.brief ? 1 : 3); ++seed) {
-            Stages stages;
-            StageSettings settings;
-            settings.program = options.program;
-            settings.workers = 1000;
-            settings.seed = static_cast<std::uint64_t>(seed);
-            auto& stage = stages.add(settings);
-            stage.start();
-            stage.load(rate, rate);
-            stages.run_for(2s);
-            stage.take_times(true), stage.take_times(false);
-            stages.run_for(options.brief ? 3s : 8s);
-            const auto at99 = [](std::vector<double> times) {
-                std::sort(times.begin(), times.end());
-                return times.empty() ? 0 : times[times.size() * 99 / 100];
-            };
-            const double through = at99(stage.take_times(true)), straight = at99(stage.take_times(false));
-            std::printf("  %.1f requests/s: 99 in 100 through %.2f ms, straight %.2f ms\n", rate,
-                        through * 1e3, straight * 1e3);
-            of.push_back(std::max(1e-6, through - straight));
+            bool good = false;
+            for (int play = 0; play < most_plays && !good; ++play) {
+                Stages stages;
+                StageSettings settings;
+                settings.program = options.program;
+                settings.workers = 1000;
+                settings.seed = static_cast<std::uint64_t>(seed);
+                auto& stage = stages.add(settings);
+                stage.start();
+                stage.load(rate, rate);
+                stages.run_for(2s);
+                stage.take_times(true), stage.take_times(false);
+                bench::HandOffs hand_offs;
+                stages.run_for(options.brief ? 3s : 8s);
+                const double hand_off = hand_offs.at99();
+                const auto at99 = [](std::vector<double> times) {
+                    std::sort(times.begin(), times.end());
+                    return times.empty() ? 0 : times[times.size() * 99 / 100];
+                };
+                const double through = at99(stage.take_times(true)), straight = at99(stage.take_times(false));
+                good = hand_off <= longest_hand_off;
+                std::printf(
+                    "  %.1f requests/s: 99 in 100 through %.2f ms, straight %.2f ms; a hand-off %.2f ms%s\n",
+                    rate, through * 1e3, straight * 1e3, hand_off * 1e3,
+                    good ? "" : ": void, the machine is busy");
+                if (good) of.push_back(std::max(1e-6, through - straight));
+            }
+            if (good) continue;
+            std::printf("path.added: not measured, the machine is busy\n");
+            void_plays = true;
+            return;
         }
         more.add(rate, of);
     }
-    rows.add(
-        "path.added", "path", "time", "added to 99 in 100 requests, quiet", "s", "calls_at_gateway", "power",
-        more, "real process, through it against straight to the workers in one run, 1,000 quoters",
-        options.brief ? "1" : "1 to 3",
-        {{"budget", "added"}, {"note", "the residual is large: the values stand in the row of slopes.json"}});
+    rows.add("path.added", "path", "time", "added to 99 in 100 requests, quiet", "s", "calls_at_gateway",
+             "flat", more,
+             "real process, through it against straight to the workers in one run, 1,000 quoters, a counter "
+             "call a "
+             "request, hand-offs between threads within 1 ms",
+             options.brief ? "1" : "1 to 3", {{"budget", "added"}});
 }
 
 // ---- Counter and quotas ---------------------------------------------------------------------------------
@@ -1037,5 +1056,5 @@
     if (wanted("forms")) play_forms(options, rows);
     if (wanted("added")) play_added(options, rows);
     if (!path.empty()) rows.write(path);
-    return 0;
+    return void_plays && !options.brief ? 1 : 0;
 }
--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -46,7 +46,7 @@
     bool brief = false;
     std::string program = LINNETLEAD_PROGRAM, hollow = LINNETLEAD_HOLLOW, results, only;
     std::uint64_t seed = 1;
-    int repeats = 5, size = 0;
+    int repeats = 5, size = 0, set = 0;
     bool alone = false;
 };
 Options options;
@@ -464,7 +464,8 @@
         Histogram histogram;
         std::uint64_t sent = 0, served = 0, others = 0, missing = 0;
     };
-    OpenLoop(double per_s, std::uint64_t seed) : per_s_(per_s), random_(seed) {}
+    // `set`: gateways among which a client's requests are spread, as they say.
+    OpenLoop(double per_s, std::uint64_t seed, int set) : per_s_(per_s), set_(set), random_(seed) {}
     // `counts`: whether a request planned at this time (s since the start) is counted.
     void run(Target& through, Target& straight, double length_s, const std::function<bool(double)>& counts) {
         prctl(PR_SET_TIMERSLACK, 1);
@@ -561,7 +562,8 @@
         resp::write_bulk(text, "Q.ASK");
         resp::write_bulk(text, account);
         resp::write_bulk(text, id);
-        resp::write_bulk(text, "c=quote-read,t=basico,d=4000,units=1,spread=1,first=0");
+        resp::write_bulk(text,
+                         "c=quote-read,t=basico,d=4000,units=1,spread=" + std::to_string(set_) + ",first=0");
         one.waits = true;
         one.counts = counts;
         one.planned = planned;
@@ -571,6 +573,7 @@
     }
 
     double per_s_;
+    int set_;
     std::mt19937_64 random_;
     std::vector<Target*> targets_;
     Clock::time_point begun_;
@@ -588,7 +591,8 @@
     std::string operators_path;
     std::unique_ptr<HollowRelays> relays;  // null: the operators' file says all
 
-    Rig(int workers, int zones, bool distributed) {
+    // `set`: gateways by the settings. Alone, it asks no counter; of 7,400 it asks for each request.
+    Rig(int workers, int zones, bool distributed, int set) {
         if (distributed) {
             relays = std::make_unique<HollowRelays>(options.program, 3, 3);
             if (!relays->wait_for_leader()) throw std::runtime_error("the relays have no leader");
@@ -606,7 +610,7 @@
                                                  std::vector<std::string>{"surroundings", "--ports", ports});
         registry->ask("fill " + std::to_string(workers) + ' ' + std::to_string(zones));
         const json places = registry->ask("figures");
-        topazcrank::Settings site = standin::settings_of(standin::Mix{}, 1, 0);
+        topazcrank::Settings site = standin::settings_of(standin::Mix{}, set, 0);
         site.list_on_request = true;
         const json config{{"name", "n0"},
                           {"listen", "127.0.0.1:0"},
@@ -638,17 +642,23 @@
     const double length = options.brief ? 3 : 10;
     struct Condition {
         std::string name;
-        int zones;
+        int zones, set = 1;
     };
+    // In quiet also as one of the target's 7,400, where each request's account is asked for at the counter.
     const std::vector<Condition> conditions =
-        options.brief ? std::vector<Condition>{{"quiet", 14}, {"zone", 14}}
-                      : std::vector<Condition>{
-                            {"quiet", 14}, {"zone", 14}, {"zone", 3}, {"files", 14}, {"changes", 14}};
+        options.brief ? std::vector<Condition>{{"quiet", 14}, {"quiet", 14, 7400}, {"zone", 14}}
+                      : std::vector<Condition>{{"quiet", 14}, {"quiet", 14, 7400}, {"zone", 14},
+                                               {"zone", 3},   {"files", 14},       {"changes", 14}};
     for (const Condition& condition : conditions) {
-        for (const double per_s : options.brief ? std::vector<double>{162} : std::vector<double>{162, 486}) {
-            if (options.size > 0 && per_s != options.size) continue;
-            Rig rig(workers, condition.zones, condition.name == "changes");
-            OpenLoop warm(per_s, options.seed + 1000), loop(per_s, options.seed);
+        if (options.set > 0 && condition.set != options.set) continue;
+        const auto rates = options.brief           ? std::vector<double>{162}
+                           : condition.set == 7400 ? std::vector<double>{16.2, 162, 486, 1620}
+                                                   : std::vector<double>{162, 486};
+        for (const double per_s : rates) {
+            if (options.size > 0 && static_cast<int>(per_s) != options.size) continue;
+            Rig rig(workers, condition.zones, condition.name == "changes", condition.set);
+            OpenLoop warm(per_s, options.seed + 1000, condition.set),
+                loop(per_s, options.seed, condition.set);
             OpenLoop::Target through, straight, unused_through, unused;
             through.ports = unused_through.ports = {rig.gateway->port};
             straight.ports = unused.ports = rig.quoter_ports;
@@ -684,6 +694,7 @@
             const json at_quoters = rig.quoters->ask("figures");
             json figures{{"condition", condition.name},
                          {"zones", condition.zones},
+                         {"set", condition.set},
                          {"workers", workers},
                          {"per_s", per_s},
                          {"sent", through.sent},
@@ -1024,6 +1035,8 @@
     app.add_option("--repeats", options.repeats, "of short runs");
     app.add_option("--size", options.size,
                    "of the sizes of a run (gateways, workers, requests a second) this one");
+    app.add_option("--set", options.set,
+                   "of the sets of gateways that latency is measured in (1, 7400) this one");
     app.add_flag("--alone", options.alone, "without real gateways under load beside");
     const std::vector<std::pair<std::string, void (*)()>> runs{{"accord", run_accord},
                                                                {"list", run_list},
