A relay with more than its usual followers asks one after the other to go, in quiet

Cause: Follower::choose takes any of the zone's relays, and zones are uneven: the fullest relay had 283 followers where 185 is the mean (FanOut knew one bound, most_followers = 400, which has to hold the failure of a third of the relays).

Change: usual_followers (200, in distribution(...)): above, FanOut::thin_out asks one a second to go, with a beat at hand, nothing pending and few coming in; 600, then one in 10 s, so that a fleet whose relays are all over does not move for ever. The follower tries one other for two fifths of a lease and is back where that fails.

Measured in virtual time: 60 gateways with one nearest relay of six, usual 15: at 15 within 90 s, nobody fenced then or in 20 minutes after, 20 at most when they go home; with no other relay that answers, nobody fenced in 60 s. 579 of 579 tests.

--- a/src/distribution/fan_out.cpp
+++ b/src/distribution/fan_out.cpp
@@ -14,6 +14,11 @@
 constexpr std::size_t other_sessions = 64;        // that do not follow, or have not said so yet
 constexpr std::uint32_t most_gateways = 1000000;  // that a relay may say to be behind it
 constexpr Span greets_within = 5s, silence = 7s, idle = 60s, keepalive = 1s;
+// One a second is asked to go. In a fleet whose relays are all over their usual that would never end: after
+// so many it is done rarely.
+constexpr double asks_at_once = 600, asks_per_s = 0.1;
+constexpr Span asks_to_go_every = 1s, stays_at_least = 5s;
+constexpr std::int64_t goes_for_ms = 600 * 1000;
 
 }  // namespace
 
@@ -25,7 +30,8 @@
       asked_(std::move(asked)),
       random_(settings.seed ^ 0x66616e6f7574ULL),
       pieces_left_(pieces_at_once),
-      joins_(std::max(1.0, settings.joins_per_s / 4)) {}
+      joins_(std::max(1.0, settings.joins_per_s / 4)),
+      asks_(asks_at_once) {}
 
 void FanOut::put(Session session, const Frame& frame, std::size_t bytes) {
     ++traffic_.frames_down;
@@ -84,6 +90,34 @@
     outside_.hang_up(session);
 }
 
+// In quiet, any of them: it tries one other, and comes back where that fails.
+void FanOut::thin_out(Time now) {
+    asks_ =
+        std::min(asks_at_once, asks_ + std::chrono::duration<double>(now - asks_since_).count() * asks_per_s);
+    asks_since_ = now;
+    if (now < next_ask_ || asks_ < 1 || followers() <= settings_.usual_followers) return;
+    // Many come at once: another relay is gone, and room matters more than evenness.
+    const double most_joins = std::max(1.0, settings_.joins_per_s / 4);
+    const double joins =
+        joins_ + std::chrono::duration<double>(now - joins_at_).count() * settings_.joins_per_s;
+    const bool has_beat = beat_.at != Time{} && now < beat_.at + settings_.follower.lease;
+    if (joins < most_joins / 2 || !has_beat || snapshots_ > 0 || history_.pending_changes() > 0) return;
+    std::vector<Session> may_go;
+    for (const auto& [session, follows] : sessions_) {
+        if (follows.greeted && follows.role == Role::gateway && !follows.whole &&
+            follows.position == history_.position() && now - follows.opened >= stays_at_least)
+            may_go.push_back(session);
+    }
+    if (may_go.empty()) return;
+    asks_ -= 1;
+    next_ask_ = now + asks_to_go_every;
+    const Session session = may_go[std::uniform_int_distribution<std::size_t>(0, may_go.size() - 1)(random_)];
+    ++traffic_.asked_to_go;
+    put(session, Away{goes_for_ms, Refusal::full});
+    forget(session);
+    outside_.hang_up(session);
+}
+
 void FanOut::wrong(Time, Session session, Refusal refusal) {
     if (sessions_.count(session) != 0) refuse(session, refusal, "bytes that are no frame");
 }
@@ -392,6 +426,7 @@
         outside_.hang_up(session);
     }
     send(now);
+    thin_out(now);
     // So that nobody takes this relay for gone where no newer beat comes.
     if (now - beat_sent_ > keepalive) beat(now, beat_);
 }
--- a/src/distribution/fan_out.h
+++ b/src/distribution/fan_out.h
@@ -66,6 +66,7 @@
     std::string lie(const Follows& follows, const Ack& ack) const;  // empty: none
     void refuse(Session session, Refusal refusal, const std::string& text);
     void turn_away(Time now, Session session);
+    void thin_out(Time now);
     void forget(Session session);
     void never_counted(Session session, Follows& follows);
     void reached(Time now, Session session, Follows& follows);
@@ -90,6 +91,8 @@
     Time beat_sent_{};
     double joins_ = 0, turned_away_lately_ = 0;
     Time joins_at_{};
+    double asks_ = 0;  // that it may ask to go now
+    Time asks_since_{}, next_ask_{};
     Relay::Traffic traffic_;
 };
 
--- a/src/distribution/follower.cpp
+++ b/src/distribution/follower.cpp
@@ -1,6 +1,7 @@
 #include "follower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace linnetlead::distribution {
 
@@ -254,18 +255,28 @@
     last_heard_ = now;
     if (std::holds_alternative<Welcome>(frame)) {
         state_ = State::following;
+        came_from_.reset();
         failures_ = 0;
         away_.erase(*at_);
         acknowledge(now);
     } else if (const auto* away = std::get_if<distribution::Away>(&frame)) {
         const Span after = std::chrono::milliseconds(away->after_ms);
         outside_.hang_up();
-        // Asked to wait, which is no failure: another may have room sooner.
         const std::size_t at = *at_;
-        lost(now, jittered(settings_.shortest_pause) + settings_.shortest_pause, after + jittered(after));
-        away_[at].asked = true;
-        away_[at].failures = 0;
-        away_[at].doubted = away_[at].until + longest_avoidance;
+        if (state_ == State::following) {
+            // Asked to go for evenness alone, which it does without being fenced: it tries one other now.
+            lost(now, Span{}, after + jittered(after));
+            away_[at].failures = 0;
+            away_[at].doubted = {};
+            came_from_ = at;
+            try_next(now);
+        } else {
+            // Asked to wait, which is no failure: another may have room sooner.
+            lost(now, jittered(settings_.shortest_pause) + settings_.shortest_pause, after + jittered(after));
+            away_[at].asked = true;
+            away_[at].failures = 0;
+            away_[at].doubted = away_[at].until + longest_avoidance;
+        }
     } else if (const auto* error = std::get_if<Error>(&frame)) {
         give_up(now, std::string("the relay says: ") + words(error->refusal) + ", " + error->words,
                 shortest_avoidance);
@@ -298,6 +309,10 @@
     at_.reset();
     drop_pieces();
     next_try_ = now + pause;
+    if (!came_from_) return;
+    back_to_ = std::exchange(came_from_, std::nullopt);
+    away_.erase(*back_to_);
+    next_try_ = now;
 }
 
 void Follower::gone(Time now) {
@@ -373,7 +388,7 @@
                  tries_ + std::chrono::duration<double>(now - tries_at_).count() * settings_.tries_per_s);
     tries_at_ = now;
     if (tries_ < 1) return;
-    const auto relay = choose(now);
+    const auto relay = back_to_ ? std::exchange(back_to_, std::nullopt) : choose(now);
     if (!relay) return;
     tries_ -= 1;
     ++reconnects_;
@@ -413,8 +428,10 @@
         if (now >= next_try_) try_next(now);
         return;
     }
-    const bool tried = state_ != State::following;
-    if (now - last_heard_ > (tried ? std::min(settings_.answer, settings_.silence) : settings_.silence)) {
+    const Span most = state_ == State::following ? settings_.silence
+                      : came_from_               ? std::min(settings_.answer, settings_.lease * 2 / 5)
+                                                 : std::min(settings_.answer, settings_.silence);
+    if (now - last_heard_ > most) {
         outside_.event("follower", "nothing came from the relay for too long");
         outside_.hang_up();
         return gone(now);
--- a/src/distribution/follower.h
+++ b/src/distribution/follower.h
@@ -133,6 +133,8 @@
     State state_ = State::waiting;
     std::optional<std::size_t> at_;  // of Settings::relays
     std::map<std::size_t, Away> away_;
+    std::optional<std::size_t> came_from_;  // asked to go from there, it tries one other
+    std::optional<std::size_t> back_to_;    // the other did not take it
     Time next_try_{}, last_heard_{}, stale_since_{}, owed_since_{}, home_at_{};
     int failures_ = 0, stale_moves_ = 0;
     double tries_ = 0;
--- a/src/distribution/relay.cpp
+++ b/src/distribution/relay.cpp
@@ -598,6 +598,7 @@
     if (settings.beat_every <= Span{} || settings.beat_every * 2 > follower.lease)
         return "beats have to come at least twice in a lease";
     if (settings.most_followers == 0 || !(settings.joins_per_s > 0)) return "nobody could follow";
+    if (settings.usual_followers == 0) return "nobody could stay";
     if (!(settings.snapshots_at_once >= 1)) return "nobody could get a snapshot";
     if (settings.window == 0 || settings.snapshot_window == 0) return "a window has to be at least a byte";
     if (settings.most_changes == 0) return "no change could wait";
--- a/src/distribution/relay.h
+++ b/src/distribution/relay.h
@@ -30,6 +30,8 @@
         double most_cannot = 0.1;   // share of gateways; above: the change is withdrawn
         Span beat_every = std::chrono::milliseconds(500);
         std::size_t most_followers = 400;
+        // Above so many it asks one after the other, in quiet, to follow another relay: zones are uneven.
+        std::size_t usual_followers = 200;
         double joins_per_s = 100;         // new followers let in; beyond: Away with a time
         std::size_t kept_records = 4096;  // for those a little behind; beyond: a snapshot
         std::size_t kept_bytes = 32 * 1024 * 1024;
@@ -100,7 +102,7 @@
     std::string state(Time now) const;
     struct Traffic {
         std::uint64_t frames_down = 0, bytes_down = 0, frames_up = 0, bytes_up = 0, snapshots = 0,
-                      turned_away = 0;
+                      turned_away = 0, asked_to_go = 0;
     };
     const Traffic& traffic() const;
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -78,6 +78,8 @@
     if (made.lead < made.skew) throw wrong(path, from, "'lead' must not lie below 'skew'");
     if (const Value* all = from.find("wait_for_all")) made.wait_for_all = all->truth;
     if (const Value* most = from.find("most_cannot")) made.most_cannot = operators::share_of(*most);
+    if (const Value* usual = from.find("usual_followers"))
+        made.usual_followers = static_cast<std::size_t>(usual->number);
     if (const Value* relays = from.find("relays")) {
         if (!made.relays.empty()) throw wrong(path, *relays, "the relays are named by relay() already");
         for (const Value& one : relays->items) {
@@ -130,6 +132,7 @@
     made.patience = fleet.patience;
     made.wait_for_all = fleet.wait_for_all;
     made.most_cannot = fleet.most_cannot;
+    made.usual_followers = fleet.usual_followers;
     distribution::Follower::Settings& above = made.follower;
     above.role = distribution::Role::relay;
     above.lease = fleet.lease;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -31,6 +31,7 @@
     core::Span patience = std::chrono::milliseconds(1200);
     bool wait_for_all = false;
     double most_cannot = 0.1;
+    std::size_t usual_followers = 200;
 };
 
 // Throws std::runtime_error with the one line "FILE:LINE:COLUMN: WHAT".
--- a/src/operators/document.cpp
+++ b/src/operators/document.cpp
@@ -236,7 +236,8 @@
           "lead": {"$ref": "#/definitions/time"},
           "patience": {"$ref": "#/definitions/time"},
           "wait_for_all": {"type": "boolean"},
-          "most_cannot": {"$ref": "#/definitions/share"}
+          "most_cannot": {"$ref": "#/definitions/share"},
+          "usual_followers": {"type": "integer", "minimum": 1, "maximum": 400}
         }
       }
     },
--- a/tests/distribution_fleet_test.cpp
+++ b/tests/distribution_fleet_test.cpp
@@ -192,6 +192,7 @@
     settings.with_relay = [](Relay::Settings& made, int relay) {
         if (relay == 3) made.most_followers = 1000;
         if (relay == 3) made.joins_per_s = 1000;
+        if (relay == 3) made.usual_followers = 1000;
     };
     settings.with_gateway = [](Follower::Settings& made, int) {
         std::rotate(made.relays.begin(), std::find(made.relays.begin(), made.relays.end(), 3),
@@ -233,6 +234,125 @@
     for (int relay = 0; relay < 12; ++relay) EXPECT_EQ(fleet.runs(relay), relay != 3);
 }
 
+// All gateways have relay 3 as the nearest; each relay has so many as a rule.
+RegionsSettings uneven(std::size_t usual, int gateways = 60) {
+    RegionsSettings settings;
+    settings.regions = settings.voters = 3;
+    settings.zones = 3;
+    settings.relays = 6;
+    settings.gateways = gateways;
+    settings.audit_every = 20ms;
+    settings.with_relay = [usual](Relay::Settings& made, int) { made.usual_followers = usual; };
+    settings.with_gateway = [](Follower::Settings& made, int) {
+        std::rotate(made.relays.begin(), std::find(made.relays.begin(), made.relays.end(), 3),
+                    made.relays.end());
+        made.near = 1;
+    };
+    return settings;
+}
+
+std::size_t fullest(Regions& fleet) {
+    std::size_t most = 0;
+    for (int relay = 0; relay < fleet.relays(); ++relay) {
+        if (!fleet.runs(relay)) continue;
+        const auto counts = [&](int node) { return fleet.gateway(node).relay() == relay; };
+        const auto& all = fleet.gateways();
+        most = std::max<std::size_t>(most,
+                                     static_cast<std::size_t>(std::count_if(all.begin(), all.end(), counts)));
+    }
+    return most;
+}
+
+TEST(DistributionFleet, ARelayOverItsUsualAsksOneAfterTheOtherToGoAndNobodyIsFenced) {
+    Regions fleet(uneven(15));
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.agreed() && fullest(fleet) == 60; }, 3s))
+        << fleet.disagreement() << "; " << fullest(fleet);
+    std::vector<std::uint64_t> before;
+    for (const int node : fleet.gateways()) before.push_back(fleet.gateway(node).reconnects());
+    std::string fenced;
+    const auto look = [&] {
+        for (const int node : fleet.gateways()) {
+            if (fleet.fenced(node)) fenced += " g" + std::to_string(node);
+        }
+    };
+    for (int i = 0; i < 900; ++i) {  // 45 to go, one a second; some to another that has enough
+        fleet.run_for(100ms);
+        look();
+        if (i == 150) fleet.give(change_of("a", "tenant/1", "one"), 4);
+        if (i == 230) {
+            EXPECT_TRUE(is_in_force(fleet, "a")) << fleet.disagreement();
+        }
+    }
+    EXPECT_EQ(fenced, "");
+    EXPECT_LE(fullest(fleet), 15u);
+    // It stays so, also when they go home.
+    std::size_t most = 0;
+    for (int i = 0; i < 200; ++i) {
+        fleet.run_for(6s);
+        look();
+        most = std::max(most, fullest(fleet));
+    }
+    EXPECT_EQ(fenced, "");
+    EXPECT_LE(most, 20u);
+    std::uint64_t moves = 0;
+    for (std::size_t i = 0; i < before.size(); ++i)
+        moves += fleet.gateway(fleet.gateways()[i]).reconnects() - before[i];
+    EXPECT_GE(moves, 45u);
+    EXPECT_LE(moves, 45u * 8) << "a move each three minutes or so of those who have no room at home";
+    EXPECT_TRUE(fleet.agreed()) << fleet.disagreement();
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
+TEST(DistributionFleet, WhoIsAskedToGoAndFindsNoOtherIsBackBeforeItIsFenced) {
+    Regions fleet(uneven(15, 30));
+    // From the gateways no relay but the third is reached, and none says so.
+    for (const int relay : {0, 1, 2, 4, 5}) {
+        for (const int node : fleet.gateways()) fleet.cut(node, relay, true), fleet.cut(relay, node, true);
+    }
+    const auto all_at_it = [&] {
+        const auto& all = fleet.gateways();
+        return std::all_of(all.begin(), all.end(),
+                           [&](int node) { return fleet.gateway(node).relay() == 3; });
+    };
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.agreed() && all_at_it(); }, 3s)) << fleet.disagreement();
+    std::string fenced;
+    for (int i = 0; i < 1200; ++i) {
+        fleet.run_for(50ms);
+        for (const int node : fleet.gateways()) {
+            if (fleet.fenced(node)) fenced += " g" + std::to_string(node);
+        }
+    }
+    EXPECT_EQ(fenced, "");
+    EXPECT_GE(fleet.relay(3).traffic().asked_to_go, 20u);
+    fleet.heal_links();
+    EXPECT_TRUE(fleet.run_until([&] { return fullest(fleet) <= 15; }, 60s)) << fullest(fleet);
+    EXPECT_TRUE(fleet.agreed()) << fleet.disagreement();
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
+TEST(DistributionFleet, WhereAllRelaysAreOverTheirUsualTheyAskRarely) {
+    Regions fleet(uneven(5));
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 10s)) << fleet.disagreement();
+    fleet.run_for(1100s);
+    const auto asked = [&] {
+        std::uint64_t sum = 0;
+        for (int relay = 0; relay < fleet.relays(); ++relay) sum += fleet.relay(relay).traffic().asked_to_go;
+        return sum;
+    };
+    const auto before = asked();
+    EXPECT_LE(before, 6u * (600 + 110));
+    int fenced = 0;
+    for (int i = 0; i < 60; ++i) {
+        fleet.run_for(1s);
+        for (const int node : fleet.gateways()) fenced += fleet.fenced(node) ? 1 : 0;
+    }
+    EXPECT_EQ(fenced, 0);
+    EXPECT_GE(asked() - before, 1u);
+    EXPECT_LE(asked() - before, 6u * 7);
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 5s)) << fleet.disagreement();
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
 TEST(DistributionFleet, GatewaysJoinAndLeaveWhileItRuns) {
     Regions fleet(small(4));
     begin(fleet);
--- a/tests/distribution_relay_test.cpp
+++ b/tests/distribution_relay_test.cpp
@@ -1379,6 +1379,7 @@
     wrong([](auto& s) { s.lead = 349ms; });
     wrong([](auto& s) { s.patience = -1ms; });
     wrong([](auto& s) { s.most_cannot = 1.1; });
+    wrong([](auto& s) { s.usual_followers = 0; });
     wrong([](auto& s) { s.beat_every = 1001ms; });
     wrong([](auto& s) { s.joins_per_s = 0; });
     wrong([](auto& s) { s.snapshots_at_once = 0; });
