Units of a call that no worker has taken are given back

Cause: src/policy.cpp, on_result and on_withdrawn erased a call whose attempts had not left (its client gone, every connection refused) with its units spent, though by the protocol a try takes them when its first attempt has reached a quoter whole.

--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -771,7 +771,8 @@
     return figures;
 }
 
-void tell_relays(HollowRelays& relays, const std::vector<double>& cpu_before, double time, int gateways) {
+void tell_relays(HollowRelays& relays, const std::vector<double>& cpu_before, double time, int gateways,
+                 bool evened = false) {
     double most_cpu = 0, sum_cpu = 0, most_mib = 0, most_followers = 0, least_followers = 1e9;
     std::size_t most_descriptors = 0;
     for (int i = 0; i < relays.count(); ++i) {
@@ -798,10 +799,49 @@
                     {"most_mib", most_mib},
                     {"most_followers", most_followers},
                     {"least_followers", least_followers},
+                    {"evened", evened},
                     {"most_descriptors", most_descriptors},
                     {"how", "sockets"}});
 }
 
+// Zones are uneven: relays with more than their usual followers ask some to go, one a second.
+void even_out(HollowRelays& relays, Fleet& fleet, int gateways) {
+    constexpr double usual = 200;
+    const auto fullest = [&] {
+        double most = 0;
+        for (int i = 0; i < relays.count(); ++i) {
+            const json state = relays.state(i);
+            if (state.is_object()) most = std::max(most, state.value("followers", 0.0));
+        }
+        return most;
+    };
+    const auto fenced = [&] {
+        double sum = 0;
+        for (const json& one : fleet.ask("figures")) sum += one.at("distribution").at("fenced").get<double>();
+        return sum;
+    };
+    if (fullest() <= usual) return;
+    const auto begun = Clock::now();
+    double most = fullest(), most_fenced = 0;
+    while (most > usual && seconds(Clock::now() - begun) < 240) {
+        std::this_thread::sleep_for(2s);
+        most = fullest();
+        most_fenced = std::max(most_fenced, fenced());
+    }
+    const double took = seconds(Clock::now() - begun);
+    relays.read_logs();
+    std::vector<double> cpu;
+    for (int i = 0; i < relays.count(); ++i) cpu.push_back(relays.process(i).cpu_seconds());
+    const auto since = Clock::now();
+    std::this_thread::sleep_for(10s);
+    tell("relays evened", {{"gateways", gateways},
+                           {"evened_after_s", most > usual ? json() : json(took)},
+                           {"most_fenced", most_fenced},
+                           {"most_followers", fullest()},
+                           {"how", "sockets"}});
+    tell_relays(relays, cpu, seconds(Clock::now() - since), gateways, true);
+}
+
 void run_distribution() {
     struct Size {
         int gateways, relays, voters, each;
@@ -843,6 +883,7 @@
         quiet["keys"] = 1000;
         tell("distribution quiet", quiet);
         tell_relays(relays, cpu, seconds(Clock::now() - since), size.gateways);
+        if (!options.brief) even_out(relays, fleet, size.gateways);
         const std::string of = " at " + std::to_string(size.gateways);
         const auto bars = [&](const std::string& what, const json& cost) {
             bench::bar(
--- a/src/distribution/fan_out.cpp
+++ b/src/distribution/fan_out.cpp
@@ -90,7 +90,7 @@
     outside_.hang_up(session);
 }
 
-// In quiet, any of them: it tries one other, and comes back where that fails.
+// In quiet; who is asked tries one other, and comes back where that fails.
 void FanOut::thin_out(Time now) {
     asks_ =
         std::min(asks_at_once, asks_ + std::chrono::duration<double>(now - asks_since_).count() * asks_per_s);
@@ -102,16 +102,19 @@
         joins_ + std::chrono::duration<double>(now - joins_at_).count() * settings_.joins_per_s;
     const bool has_beat = beat_.at != Time{} && now < beat_.at + settings_.follower.lease;
     if (joins < most_joins / 2 || !has_beat || snapshots_ > 0 || history_.pending_changes() > 0) return;
-    std::vector<Session> may_go;
-    for (const auto& [session, follows] : sessions_) {
-        if (follows.greeted && follows.role == Role::gateway && !follows.whole &&
-            follows.position == history_.position() && now - follows.opened >= stays_at_least)
-            may_go.push_back(session);
+    // The last that came, so that who finds no room near goes on until it has one, and the others stay.
+    auto last = sessions_.end();
+    for (auto each = sessions_.begin(); each != sessions_.end(); ++each) {
+        const Follows& follows = each->second;
+        if (!follows.greeted || follows.role != Role::gateway || follows.whole ||
+            follows.position != history_.position() || now - follows.opened < stays_at_least)
+            continue;
+        if (last == sessions_.end() || follows.opened >= last->second.opened) last = each;
     }
-    if (may_go.empty()) return;
+    if (last == sessions_.end()) return;
     asks_ -= 1;
     next_ask_ = now + asks_to_go_every;
-    const Session session = may_go[std::uniform_int_distribution<std::size_t>(0, may_go.size() - 1)(random_)];
+    const Session session = last->first;
     ++traffic_.asked_to_go;
     put(session, Away{goes_for_ms, Refusal::full});
     forget(session);
--- a/src/distribution/follower.cpp
+++ b/src/distribution/follower.cpp
@@ -370,6 +370,11 @@
     // Of the nearest, any; then of so many more that who lose one relay spread over many others.
     std::size_t begin = 0;
     std::size_t size = std::clamp<std::size_t>(settings_.near, 1, all);
+    // Asked to go by two: there is little room near.
+    const auto asked_lately = std::count_if(away_.begin(), away_.end(), [now](const auto& each) {
+        return each.second.until > now && each.second.failures == 0 && !each.second.asked;
+    });
+    if (came_from_ && asked_lately >= 2) size = all;
     std::vector<std::size_t> free;
     while (free.empty()) {
         const std::size_t end = std::min(all, begin + size);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -111,7 +111,7 @@
 struct Open : Request {
     Time arrived{};
     Verdict verdict = Verdict::open;
-    bool paid = false;  // its units are spent already: they are claimed
+    bool paid = false;  // its units are spent, and no server has taken it yet
     std::vector<Attempt> attempts;
     int out = 0;
     bool waits = false;  // for the counter's reply, before its first attempt
@@ -693,9 +693,8 @@
     bool usable(const Server& s, const Open& r, Time now) const {
         const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                        [&s](const Attempt& a) { return a.server == s.entry.id; });
-        if (now < s.shut_until) return false;
         const bool room = static_cast<double>(s.out.size()) < std::max(1.0, bound_of(s) * warm_share(s, now));
-        return !tried && room && may_be_sent_to(s) && allowed(r, &s, now);
+        return !tried && room && now >= s.shut_until && may_be_sent_to(s) && allowed(r, &s, now);
     }
     // Drawn by size, so that the choice costs the same for any number of servers.
     Server* best_of_few(const Open& r, Pools pools, Time now, bool cold_too) {
@@ -764,7 +763,6 @@
     }
 
     void give_answer(RequestId id, Open& r, Time now, bool limited = false) {
-        if (r.answered) return;
         allowed(r, nullptr, now) ? out_.refuse(id, come_back_in(limited)) : out_.fail(id);
         r.answered = true;
     }
@@ -777,6 +775,7 @@
     }
 
     void try_again(RequestId id, Open& r, Time now, bool free) {
+        if (r.answered || r.out > 0) return;
         Server* const s = in_time(r, now) && (free || retry_tokens_ >= 1) ? pick(r, now) : nullptr;
         if (!s) return give_answer(id, r, now);
         if (!free) retry_tokens_ -= 1;
@@ -812,8 +811,7 @@
         if (c.sparse) {
             c.untold += plan.rate > 0 ? request.units : 1;
             r.room = has_room(r.cls);  // asked first: a look for what is refused all the same is lost
-            r.waits = r.room && look(r.customer, c, request.id, r.due, now);
-            r.told = r.waits;
+            r.told = r.waits = r.room && look(r.customer, c, request.id, r.due, now);
         } else {
             r.waits = claim(c, r, request.id, now);
         }
@@ -827,16 +825,21 @@
         Server* s = passes ? pick(r, now) : nullptr;
         if (!s) {
             if (c) take_back(r, *c, now);
-            if (c) give_back(*c, r, now);
             give_answer(id, r, now, c && !passes && plan_of(*c).max_open > 0);
-            requests_.erase(id);
-            return;
+            return forget_done(id, r, now);
         }
-        if (!r.paid) spend(*c, r.units, now);
+        if (!std::exchange(r.paid, true)) spend(*c, r.units, now);
         c->ceiling_left -= r.units;
         send(id, r, *s, now);
     }
 
+    // Answered, and nothing out: units that no server has taken are given back.
+    void forget_done(RequestId id, Open& r, Time now) {
+        if (!r.answered || r.out > 0) return;
+        if (Customer* c = find_customer(r.customer)) give_back(*c, r, now);
+        requests_.erase(id);
+    }
+
     void on_result(Time now, const AttemptResult& result) {
         const auto it = requests_.find(result.id);
         if (it == requests_.end()) return;
@@ -846,6 +849,7 @@
         if (!a.out) return;
         a.out = false;
         a.may_have_run = !proves_not_run(result.outcome);
+        r.paid = r.paid && !a.may_have_run && result.outcome != Outcome::full;
         --r.out;
         Customer* c = find_customer(r.customer);
         if (c) --c->open;
@@ -861,10 +865,8 @@
             if (c->sparse && plan_of(*c).rate > 0) c->untold += result.true_units - r.units;
         }
         if (result.concluded) r.answered = true;
-        if (!r.answered && r.out == 0) {
-            try_again(result.id, r, now, result.outcome == Outcome::connect_failed);
-        }
-        if (r.answered && r.out == 0) requests_.erase(result.id);
+        try_again(result.id, r, now, result.outcome == Outcome::connect_failed);
+        forget_done(result.id, r, now);
     }
 
     // The answer is on its way: the server has done its work, however long a client takes to read it.
@@ -932,11 +934,11 @@
         check(cfg_);
     }
 
-    void on_withdrawn(RequestId id) {
+    void on_withdrawn(RequestId id, Time now) {
         const auto it = requests_.find(id);
         if (it == requests_.end()) return;
         it->second.answered = true;
-        if (it->second.out == 0) requests_.erase(it);
+        forget_done(id, it->second, now);
     }
 
     void on_list(Time now, ListKind kind, const std::vector<ServerEntry>& entries) {
@@ -1059,7 +1061,7 @@
     impl_->handle(now, [&] { impl_->on_result(now, result); });
 }
 void Policy::on_withdrawn(Time now, RequestId id) {
-    impl_->handle(now, [&] { impl_->on_withdrawn(id); });
+    impl_->handle(now, [&] { impl_->on_withdrawn(id, now); });
 }
 void Policy::on_list(Time now, ListKind kind, const std::vector<ServerEntry>& entries) {
     impl_->handle(now, [&] { impl_->on_list(now, kind, entries); });
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1101,6 +1101,59 @@
     EXPECT_LT(passed_dear * 2, passed_cheap);
 }
 
+// What passes of so many units at one instant, by a gateway whose customer it is alone.
+int passes_now(Gateway& g, int calls) {
+    int passed = 0;
+    for (int i = 0; i < calls; ++i) passed += g.sends(g.submit()) > 0 ? 1 : 0;
+    return passed;
+}
+
+TEST(Tally, UnitsOfACallThatNoServerTookAreGivenBack) {
+    Settings s = tally_settings();
+    s.gateways = 1;
+    s.plans[0].rate = 0.001;
+    const auto left_after = [&](const std::function<void(Gateway&, RequestId)>& act) {
+        Gateway g(s, {make_server("a"), make_server("b"), make_server("c"), make_server("d")});
+        const auto id = g.submit();
+        EXPECT_EQ(g.sends(id), 1);
+        act(g, id);
+        return passes_now(g, 15);
+    };
+    const auto withdrawn = [](Outcome outcome) {
+        return [outcome](Gateway& g, RequestId id) {
+            g.policy.on_withdrawn(g.now, id);
+            g.resolve(id, outcome);
+        };
+    };
+    const auto all_attempts = [](Outcome outcome) {
+        return [outcome](Gateway& g, RequestId id) {
+            while (g.out.refused.empty() && g.out.failed.empty()) g.resolve(id, outcome);
+        };
+    };
+    EXPECT_EQ(left_after(withdrawn(Outcome::not_sent)), 10) << "it was never sent: all of the store is there";
+    EXPECT_EQ(left_after(withdrawn(Outcome::connect_failed)), 10);
+    EXPECT_EQ(left_after(withdrawn(Outcome::cancelled)), 9) << "it may have run";
+    EXPECT_EQ(left_after(withdrawn(Outcome::timeout)), 9);
+    EXPECT_EQ(left_after(withdrawn(Outcome::full)), 9) << "it reached a server whole";
+    EXPECT_EQ(left_after(withdrawn(Outcome::ok)), 9);
+    EXPECT_EQ(left_after(all_attempts(Outcome::connect_failed)), 10) << "refused in the end, never sent";
+    EXPECT_EQ(left_after([](Gateway& g, RequestId id) {
+                  g.resolve(id, Outcome::full);
+                  ASSERT_EQ(g.sends(id), 2);
+                  g.policy.on_withdrawn(g.now, id);
+                  g.resolve(id, Outcome::not_sent);
+              }),
+              9)
+        << "its first attempt reached a server";
+    EXPECT_EQ(left_after([](Gateway& g, RequestId id) {
+                  g.resolve(id, Outcome::connect_failed);
+                  ASSERT_EQ(g.sends(id), 2);
+                  g.resolve(id, Outcome::ok, 10ms, 1);
+              }),
+              9)
+        << "its second attempt was served";
+}
+
 TEST(Determinism, SameEventsSameActions) {
     std::vector<std::vector<ServerId>> runs;
     for (int run = 0; run < 2; ++run) {
