--- a/standin/regions.cpp
+++ b/standin/regions.cpp
@@ -1288,13 +1288,14 @@
 
 }  // namespace
 
-std::string play_script(const Inject& inject, std::uint64_t seed) {
+std::string play_script(const Inject& inject, std::uint64_t seed, std::size_t usual) {
     RegionsSettings settings;
     settings.regions = settings.voters = 3;
     settings.zones = settings.relays = 4;
     settings.gateways = 5;
     settings.seed = seed;
-    settings.with_relay = [](Relay::Settings& made, int) {
+    settings.with_relay = [usual](Relay::Settings& made, int) {
+        made.usual_followers = usual;
         made.most_cannot = 0.25;  // one of five goes on without, two are too many
         made.kept_records = 3;    // so that who was away for a while needs a snapshot
     };
@@ -1354,7 +1355,7 @@
     return wrong;
 }
 
-RandomPlay play_random(std::uint64_t seed, bool tells) {
+RandomPlay play_random(std::uint64_t seed, bool tells, std::size_t usual) {
     std::mt19937_64 random(seed * 6364136223846793005ull + 1442695040888963407ull);
     const auto draw = [&random](int from, int to) {
         return from + static_cast<int>(random() % static_cast<std::uint64_t>(to - from + 1));
@@ -1373,7 +1374,8 @@
     settings.voters_by_streams = chance(0.5);
     settings.saves = chance(0.7);
     const bool few_kept = chance(0.5);
-    settings.with_relay = [few_kept](Relay::Settings& made, int) {
+    settings.with_relay = [few_kept, usual](Relay::Settings& made, int) {
+        made.usual_followers = usual;
         made.most_cannot = 0.3;
         if (few_kept) made.kept_records = 4;
     };
@@ -1445,6 +1447,9 @@
     for (const int one : fleet.gateways()) {
         if (fleet.runs(one)) play.snapshots += fleet.gateway(one).snapshots();
     }
+    for (int one = 0; one < fleet.relays(); ++one) {
+        if (fleet.runs(one)) play.asked_to_go += fleet.relay(one).traffic().asked_to_go;
+    }
     return play;
 }
 
--- a/standin/regions.h
+++ b/standin/regions.h
@@ -297,15 +297,18 @@
 // A script: three voters, a relay that does not vote, five gateways; an election, a change, one that a
 // gateway cannot take, the relay's crash, one that is held back, the relay's way back by a snapshot, the same
 // key twice. What is wrong in the end; empty: nothing.
-std::string play_script(const Inject& inject, std::uint64_t seed = 1);
+// `usual`: of a relay's followers; above, it asks one after the other to go.
+std::string play_script(const Inject& inject, std::uint64_t seed = 1, std::size_t usual = 200);
 
 // A small fleet drawn from the seed, changes over a few keys, and faults of every kind at random.
 struct RandomPlay {
     std::string wrong;  // rules broken, or why they do not agree 8 s after the last fault's end
     Span longest{}, stated{};
     std::uint64_t points = 0, faults = 0, changes = 0, withdrawn = 0, refused = 0, snapshots = 0;
+    std::uint64_t asked_to_go = 0;
 };
-RandomPlay play_random(std::uint64_t seed, bool tells = false);  // tells: prints the last events
+// tells: prints the last events
+RandomPlay play_random(std::uint64_t seed, bool tells = false, std::size_t usual = 200);
 
 // A change of one key, and of many.
 distribution::Change change_of(const std::string& id, const std::string& key, const std::string& value);
--- a/tests/distribution_fleet_test.cpp
+++ b/tests/distribution_fleet_test.cpp
@@ -94,6 +94,26 @@
     EXPECT_GE(snapshots, 20u);
 }
 
+// The same while relays ask one after the other to go, all the time.
+TEST(DistributionFleet, FaultsWhileGatewaysAreAskedToGoBreakNothing) {
+    const auto all = standin::at_each_point(
+        [](const standin::Inject& inject) { return standin::play_script(inject, 1, 1); },
+        {Fault::drop, Fault::repeat, Fault::late, Fault::crash, Fault::stall, Fault::part}, 197, 5);
+    EXPECT_GE(all.points, 1000u);
+    EXPECT_GE(all.runs, 30u);
+    for (const std::string& failure : all.failures) ADD_FAILURE() << failure;
+    std::uint64_t faults = 0, asked = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        const auto play = standin::play_random(seed, false, 1);
+        EXPECT_EQ(play.wrong, "") << "seed " << seed;
+        EXPECT_LE(play.longest, play.stated) << "seed " << seed;
+        faults += play.faults;
+        asked += play.asked_to_go;
+    }
+    EXPECT_GE(faults, 150u);
+    EXPECT_GE(asked, 400u);
+}
+
 TEST(DistributionFleet, ARegionThatIsCutOffGoesOnFencedAndHasAllSoonAfterItsReturn) {
     RegionsSettings settings = small(12);
     settings.relays = settings.zones = 6;
