--- a/src/distribution/fan_out.cpp
+++ b/src/distribution/fan_out.cpp
@@ -18,6 +18,7 @@
 // so many it is done rarely.
 constexpr double asks_at_once = 600, asks_per_s = 0.1;
 constexpr Span asks_to_go_every = 1s, stays_at_least = 5s;
+constexpr Span crowd_lasts = 60s;  // many come, for another relay is gone: room matters more than evenness
 constexpr std::int64_t goes_for_ms = 600 * 1000;
 
 }  // namespace
@@ -83,6 +84,7 @@
     joins_at_ = now;
     const double most_ms = std::clamp(1000 * turned_away_lately_ / settings_.joins_per_s, 500.0, 30000.0);
     ++traffic_.turned_away;
+    crowd_until_ = now + crowd_lasts;
     put(session,
         Away{std::uniform_int_distribution<std::int64_t>(250, static_cast<std::int64_t>(most_ms))(random_),
              Refusal::full});
@@ -96,12 +98,8 @@
         std::min(asks_at_once, asks_ + std::chrono::duration<double>(now - asks_since_).count() * asks_per_s);
     asks_since_ = now;
     if (now < next_ask_ || asks_ < 1 || followers() <= settings_.usual_followers) return;
-    // Many come at once: another relay is gone, and room matters more than evenness.
-    const double most_joins = std::max(1.0, settings_.joins_per_s / 4);
-    const double joins =
-        joins_ + std::chrono::duration<double>(now - joins_at_).count() * settings_.joins_per_s;
     const bool has_beat = beat_.at != Time{} && now < beat_.at + settings_.follower.lease;
-    if (joins < most_joins / 2 || !has_beat || snapshots_ > 0 || history_.pending_changes() > 0) return;
+    if (now < crowd_until_ || !has_beat || snapshots_ > 0 || history_.pending_changes() > 0) return;
     // The last that came, so that who finds no room near goes on until it has one, and the others stay.
     auto last = sessions_.end();
     for (auto each = sessions_.begin(); each != sessions_.end(); ++each) {
@@ -175,6 +173,7 @@
         if (followers() >= settings_.most_followers || (joins_ < 1 && hello.role == Role::gateway))
             return turn_away(now, session);
         joins_ -= 1;
+        if (joins_ < settings_.joins_per_s / 8) crowd_until_ = now + crowd_lasts;
     }
     follows.greeted = true;
     const Relay::Place& self = settings_.relays.at(static_cast<std::size_t>(settings_.self));
--- a/src/distribution/fan_out.h
+++ b/src/distribution/fan_out.h
@@ -92,7 +92,7 @@
     double joins_ = 0, turned_away_lately_ = 0;
     Time joins_at_{};
     double asks_ = 0;  // that it may ask to go now
-    Time asks_since_{}, next_ask_{};
+    Time asks_since_{}, next_ask_{}, crowd_until_{};
     Relay::Traffic traffic_;
 };
 
