A relay that is alone asks nobody to go

Cause: FanOut::thin_out did not look whether there is another relay; followers of the only one, once over its usual, were asked and could only come back. Change: with fewer than two relays it asks nobody.

--- a/src/distribution/fan_out.cpp
+++ b/src/distribution/fan_out.cpp
@@ -97,6 +97,7 @@
     asks_ =
         std::min(asks_at_once, asks_ + std::chrono::duration<double>(now - asks_since_).count() * asks_per_s);
     asks_since_ = now;
+    if (settings_.relays.size() < 2) return;  // there is no other
     if (now < next_ask_ || asks_ < 1 || followers() <= settings_.usual_followers) return;
     const bool has_beat = beat_.at != Time{} && now < beat_.at + settings_.follower.lease;
     if (now < crowd_until_ || !has_beat || snapshots_ > 0 || history_.pending_changes() > 0) return;
--- a/tests/distribution_fleet_test.cpp
+++ b/tests/distribution_fleet_test.cpp
@@ -350,6 +350,19 @@
     EXPECT_EQ(fleet.broken_rules(), "");
 }
 
+TEST(DistributionFleet, ARelayThatIsAloneAsksNobodyToGo) {
+    RegionsSettings settings;
+    settings.regions = settings.voters = settings.zones = settings.relays = 1;
+    settings.gateways = 8;
+    settings.with_relay = [](Relay::Settings& made, int) { made.usual_followers = 2; };
+    Regions fleet(settings);
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 10s)) << fleet.disagreement();
+    fleet.run_for(100s);
+    EXPECT_EQ(fleet.relay(0).traffic().asked_to_go, 0u);
+    EXPECT_TRUE(fleet.agreed()) << fleet.disagreement();
+    EXPECT_EQ(fleet.broken_rules(), "");
+}
+
 TEST(DistributionFleet, WhereAllRelaysAreOverTheirUsualTheyAskRarely) {
     Regions fleet(uneven(5));
     ASSERT_TRUE(fleet.run_until([&] { return fleet.agreed(); }, 10s)) << fleet.disagreement();
