A rollout knows the plans of the operators' schedule, by name

What callers saw: while a rollout ran, whether a request on a plan of the operators' schedule went to the new pool was chance, and a rollout could not name such a plan. Cause: Router::start made one entry for each plan of the platform's settings; a request's plan may be a number behind them, since the decision module appends the schedule's plans. Router::choose read past the table's end. Change: the router is told of each plan that the module is given, keeps names, and extends its table while a rollout runs. A rollout without plans is for all; one that names plans goes by name; a name that is nowhere is an error when the file is read. It is attached before the first schedule is taken, or it would not hear of that one. Why it works: the table has an entry for every number that the module can be given, by the same calls in the same order.

--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -126,6 +126,8 @@
 class RoutingPort {
 public:
     virtual ~RoutingPort() = default;
+    // Plans that the decision module has from now on, numbered behind those that it had.
+    virtual void plans_added(const std::vector<policy::RatePlanSettings>& more) = 0;
     // Sets the pools of a call just taken. Returns a mark that goes with it.
     virtual std::uint32_t route(Timestamp now, policy::Request& request) = 0;
     // Sets the pools of the list's entries.
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -217,6 +217,7 @@
 }
 
 void RequestManager::add_plans(std::vector<policy::RatePlanSettings> more) {
+    if (routes_) routes_->plans_added(more);
     tell([this, more = std::move(more)] { policy_->on_plans_added(timers_.now(), more); });
 }
 
--- a/src/server/operator_service.cpp
+++ b/src/server/operator_service.cpp
@@ -199,6 +199,7 @@
     if (const auto problem = operator_config::read_text(path_, text))
         throw std::runtime_error(problem->line());
     const OperatorSettings settings = read_operators(text, path_, &site_);
+    gateway_.attach(&router_);  // before the first plans of a schedule, which it has to hear of
     router_.configure(timers_.now(), settings.routing);
     if (settings.wants_accounts()) {
         usage_ = std::make_unique<UsageService>(config.name, config.seed, site_, settings.usage, loop,
@@ -213,7 +214,6 @@
                                                   });
     }
     const bool has_peers = site_.may_tell_peers && !config.peer_listen.empty() && open_peers(config);
-    gateway_.attach(&router_);
     if (settings.agreement.wanted) {
         agreement_ = std::make_unique<AgreementService>(
             settings.agreement, config,
--- a/src/traffic/router.cpp
+++ b/src/traffic/router.cpp
@@ -29,10 +29,17 @@
     return hash;
 }
 
+// Whether a rollout that names these is for one of this name: where it names none, it is for all.
+bool is_named(const std::vector<std::string>& named, const std::string& name) {
+    return named.empty() || std::find(named.begin(), named.end(), name) != named.end();
+}
+
 }  // namespace
 
 Router::Router(const policy::Settings& site, std::uint64_t seed, Outside outside)
-    : site_(site), seed_(seed), outside_(std::move(outside)), random_(seed) {}
+    : site_(site), seed_(seed), outside_(std::move(outside)), random_(seed) {
+    for (const policy::RatePlanSettings& plan : site_.plans) plan_names_.push_back(plan.name);
+}
 
 std::size_t Router::place(const EndpointInfo& entry) const {
     const auto at = std::find_if(settings_.pools.begin(), settings_.pools.end(),
@@ -92,15 +99,25 @@
     move_ =
         std::make_unique<CanaryRollout>(settings, site, now, static_cast<Counting&>(*this), outside_.event);
     account_salt_ = hash_of(settings.id());
-    const auto meant = [](const auto& all, const std::vector<std::string>& named) {
-        std::vector<bool> made;
-        for (const auto& one : all) {
-            made.push_back(named.empty() || std::find(named.begin(), named.end(), one.name) != named.end());
-        }
-        return made;
-    };
-    classes_ = meant(site_.classes, settings.classes);
-    plans_ = meant(site_.plans, settings.plans);
+    classes_.clear();
+    for (const auto& traffic_class : site_.classes) {
+        classes_.push_back(is_named(settings.classes, traffic_class.name));
+    }
+    plans_.clear();
+    for (const std::string& plan : plan_names_) plans_.push_back(is_named(settings.plans, plan));
+}
+
+void Router::plans_added(const std::vector<policy::RatePlanSettings>& more) {
+    for (const policy::RatePlanSettings& plan : more) {
+        plan_names_.push_back(plan.name);
+        if (move_) plans_.push_back(is_named(move_->settings().plans, plan.name));
+    }
+}
+
+bool Router::is_for(const policy::Request& request) const {
+    const auto plan = static_cast<std::size_t>(request.plan);
+    const bool for_plan = plan < plans_.size() ? plans_[plan] : move_->settings().plans.empty();
+    return for_plan && classes_[static_cast<std::size_t>(request.traffic_class)];
 }
 
 void Router::tell_endpoints(Timestamp now) {
@@ -176,9 +193,7 @@
     // All but the new pool: what is not for the move, and what the move leaves.
     const PoolSet rest = others_serve_ ? ~bit(target_) : policy::kAllPools;
     request.pools = request.fallback = rest;
-    const bool meant = classes_[static_cast<std::size_t>(request.traffic_class)] &&
-                       plans_[static_cast<std::size_t>(request.plan)];
-    if (!meant || fenced_) return mark(kForNothing);
+    if (!is_for(request) || fenced_) return mark(kForNothing);
     const double draw =
         fraction(move_->settings().by_account ? mixed(hash_of(request.tenant) ^ account_salt_) : random_());
     if (move_->to_target(now, request.traffic_class, draw)) {
--- a/src/traffic/router.h
+++ b/src/traffic/router.h
@@ -52,6 +52,7 @@
     // These are in a set of their own, which calls may be told to leave out.
     void set_apart(const std::unordered_set<proxy::EndpointId>& endpoints, PoolSet bit);
 
+    void plans_added(const std::vector<policy::RatePlanSettings>& more) override;
     std::uint32_t route(Timestamp now, policy::Request& request) override;
     void listed(Timestamp now, policy::EndpointListKind kind,
                 std::vector<policy::EndpointInfo>& entries) override;
@@ -96,6 +97,7 @@
     std::size_t number_of(const std::string& pool) const;
     void tell_endpoints(Timestamp now);
     void start(Timestamp now, const RolloutSettings& settings);
+    bool is_for(const policy::Request& request) const;
 
     policy::Settings site_;
     std::uint64_t seed_;
@@ -106,7 +108,8 @@
     std::unordered_map<proxy::EndpointId, Known> endpoints_;  // as long as the list
     std::unique_ptr<CanaryRollout> move_;
     std::uint32_t generation_ = 0;
-    std::vector<bool> classes_, plans_;  // that the move is for
+    std::vector<std::string> plan_names_;  // of each plan that the decision module has, by its number
+    std::vector<bool> classes_, plans_;    // by number: whether the move is for it
     std::size_t source_ = 0, target_ = 0;
     bool fenced_ = false;
     std::unordered_set<proxy::EndpointId> aside_, apart_;
--- a/src/traffic/routing_settings.cpp
+++ b/src/traffic/routing_settings.cpp
@@ -72,6 +72,15 @@
         }
     }
 
+    // Plans of the operators' own schedule, which stands in the same document.
+    std::vector<std::string> scheduled_plans() const {
+        std::vector<std::string> names;
+        if (const Value* plans = document_.find("plans")) {
+            for (const Value& plan : plans->items) names.push_back(plan.find("name")->text);
+        }
+        return names;
+    }
+
     Pool read_pool(const Value& from, const std::vector<Pool>& before) {
         Pool pool;
         pool.name = from.find("name")->text;
@@ -143,6 +152,8 @@
             std::vector<std::string> classes, plans;
             for (const auto& traffic_class : site_->settings.classes) classes.push_back(traffic_class.name);
             for (const auto& plan : site_->settings.plans) plans.push_back(plan.name);
+            const std::vector<std::string> scheduled = scheduled_plans();
+            plans.insert(plans.end(), scheduled.begin(), scheduled.end());
             known(from, "classes", classes, "class");
             known(from, "plans", plans, "plan");
         }
--- a/src/traffic/routing_settings.h
+++ b/src/traffic/routing_settings.h
@@ -28,8 +28,8 @@
     std::map<std::string, std::string> routes;
 };
 
-// `site`: the platform's settings, whose classes, plans, kinds and zones are the only ones; none: not
-// checked.
+// `site`: the platform's settings, whose classes, kinds and zones are the only ones, and whose plans are the
+// only ones beside those of the document's own schedule; none: not checked.
 std::variant<RoutingSettings, operator_config::Problem> read_routing(const operator_config::Value& document,
                                                                      const std::string& file,
                                                                      const config::Site* site);
--- a/tests/resources_test.cpp
+++ b/tests/resources_test.cpp
@@ -357,6 +357,73 @@
     EXPECT_EQ(routed.first("0000000000000001", 0), "zebra");
 }
 
+// Guards against requests of plans that stand behind the platform's, whether they take part in a rollout
+// being read past the end of a table, and so chance.
+TEST(RoutingPort, ARolloutIsForThePlansThatItNamesWhicheverScheduleBroughtThem) {
+    const auto plan = [](const std::string& name) {
+        policy::RatePlanSettings made;
+        made.name = name;
+        return made;
+    };
+    policy::Settings site = Routed::site();
+    site.plans = {plan("platform")};
+    traffic::RoutingSettings routing;
+    routing.pools = {{"old", {"std"}, {}, {}, {}}, {"new", {"fast"}, {}, {}, {}}};
+    traffic::RolloutSettings rollout;
+    rollout.name = "tender";
+    rollout.source = "old";
+    rollout.target = "new";
+    rollout.stages.push_back({0.5, 8s});
+    const auto takes_part = [](traffic::Router& router, int plan_number) {
+        policy::Request request;
+        request.plan = plan_number;
+        constexpr std::uint32_t kMeantBits = 3;
+        return (router.route(0s, request) & kMeantBits) != 0;
+    };
+    traffic::Router all(site, 1, {});
+    routing.moves = {rollout};
+    all.plans_added({plan("before")});
+    all.configure(0s, routing);
+    all.plans_added(std::vector<policy::RatePlanSettings>(100, plan("after")));
+    for (int number = 0; number < 102; ++number) EXPECT_TRUE(takes_part(all, number)) << number;
+
+    traffic::Router some(site, 1, {});
+    rollout.plans = {"before", "after"};
+    routing.moves = {rollout};
+    some.plans_added({plan("before"), plan("other")});
+    some.configure(0s, routing);
+    some.plans_added({plan("after"), plan("other")});
+    some.plans_added({plan("before")});  // under other terms, while the rollout runs
+    EXPECT_FALSE(takes_part(some, 0));
+    EXPECT_TRUE(takes_part(some, 1));
+    EXPECT_FALSE(takes_part(some, 2));
+    EXPECT_TRUE(takes_part(some, 3));
+    EXPECT_FALSE(takes_part(some, 4));
+    EXPECT_TRUE(takes_part(some, 5));
+}
+
+// Guards against a rollout for plans of the operators' own schedule being refused, or one for a plan that is
+// nowhere being taken.
+TEST(RoutingPort, ARolloutNamesPlansOfThePlatformOrOfTheSchedule) {
+    config::Site site;
+    site.settings = Routed::site();
+    site.settings.plans.resize(1);
+    site.settings.plans[0].name = "platform";
+    const auto problem = [&](const std::string& plans, const std::string& schedule) {
+        const std::string text = schedule +
+                                 "pool(\"a\", ids = [\"x\"])\npool(\"b\", ids = [\"y\"])\n"
+                                 "move(\"m\", source = \"a\", target = \"b\", stages = [stage(percent(5))],\n"
+                                 "     plans = [" +
+                                 plans + "])\n";
+        const auto made = traffic::read_routing(document(text), "f", &site);
+        const auto* wrong = std::get_if<Problem>(&made);
+        return wrong ? wrong->line() : "";
+    };
+    const std::string tender = "plan(\"tender\", rate = per_second(5), burst = 10)\n";
+    EXPECT_EQ(problem("\"platform\", \"tender\"", tender), "");
+    EXPECT_EQ(problem("\"tender\"", ""), "f:4:15: there is no plan 'tender'");
+}
+
 TEST(RoutingPort, MistakesAreToldAtTheirPlace) {
     config::Site site;
     site.settings = Routed::site();
