--- a/src/server/drain.cpp
+++ b/src/server/drain.cpp
@@ -1,5 +1,6 @@
 #include "server/drain.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace linnetlead::server {
@@ -13,14 +14,22 @@
 constexpr proxy::Duration kDrainHeardWithin = 350ms;
 constexpr proxy::Duration kLeaveHeardWithin = 500ms;
 constexpr proxy::Duration kLookAgain = 20ms;
-// For the last answers to be written: SIGKILL comes 0.2 s after the longest deadline is over.
-constexpr proxy::Duration kLastWords = 150ms;
+// SIGKILL may come this long after SIGTERM and the longest deadline. The platform counts a longer deadline as
+// this one, and so a request may still have time left when the process is killed.
+constexpr proxy::Duration kKillAfterDeadline = 700ms;
+constexpr proxy::Duration kLongestCountedDeadline = 3s;
+// Before that, open requests are answered: the process may be held up for 0.15 s.
+constexpr proxy::Duration kAnswerBeforeKill = 200ms;
+constexpr proxy::Duration kLastWords = 150ms;  // for those answers to be written
 
 }  // namespace
 
 Drain::Drain(proxy::Timers& timers, net::DownstreamServer& acceptor, proxy::Duration longest,
              std::function<void()> gone)
-    : timers_(timers), acceptor_(acceptor), longest_(longest), gone_(std::move(gone)) {}
+    : timers_(timers),
+      acceptor_(acceptor),
+      answers_within_(std::min(longest, kLongestCountedDeadline) + kKillAfterDeadline - kAnswerBeforeKill),
+      gone_(std::move(gone)) {}
 
 bool Drain::drain() {
     if (state_ != State::kServing) return true;
@@ -44,8 +53,8 @@
     if (state_ == State::kLeaving) return;
     state_ = State::kLeaving;
     timers_.disarm(std::exchange(timer_, {}));
-    leaves_at_ = timers_.now() + kLeaveHeardWithin;
-    timer_ = timers_.arm(leaves_at_, [this] {
+    answers_at_ = timers_.now() + answers_within_;
+    timer_ = timers_.arm(timers_.now() + kLeaveHeardWithin, [this] {
         acceptor_.stop_listening();
         acceptor_.retire(true);
         wait_for_answers();
@@ -53,9 +62,8 @@
 }
 
 void Drain::wait_for_answers() {
-    const proxy::Timestamp ends = leaves_at_ + longest_;
-    if (acceptor_.empty() || timers_.now() > ends + kLastWords) return gone_();
-    if (timers_.now() > ends) acceptor_.answer_all();
+    if (acceptor_.empty() || timers_.now() > answers_at_ + kLastWords) return gone_();
+    if (timers_.now() > answers_at_) acceptor_.answer_all();
     timer_ = timers_.arm(timers_.now() + kLookAgain, [this] { wait_for_answers(); });
 }
 
--- a/src/server/drain.h
+++ b/src/server/drain.h
@@ -16,7 +16,9 @@
 class Drain {
 public:
     enum class State { kServing, kDraining, kLeaving };
-    // `gone`: called once, when a gateway that leaves has answered all, or `longest` has passed.
+    // `longest`: the longest deadline of all classes. `gone`: called once, when a gateway that leaves has
+    // answered all; at the latest shortly before the platform may kill the process, by when all that is open
+    // has been answered.
     Drain(proxy::Timers& timers, net::DownstreamServer& acceptor, proxy::Duration longest,
           std::function<void()> gone);
 
@@ -32,11 +34,11 @@
 
     proxy::Timers& timers_;
     net::DownstreamServer& acceptor_;
-    proxy::Duration longest_;
+    proxy::Duration answers_within_;  // of SIGTERM
     std::function<void()> gone_;
     State state_ = State::kServing;
     proxy::Handle timer_;
-    proxy::Timestamp leaves_at_{};
+    proxy::Timestamp answers_at_{};  // of what is open then
 };
 
 }  // namespace linnetlead::server
--- /dev/null
+++ b/tests/early_kill_test.cpp
@@ -0,0 +1,215 @@
+// The end of a process that is killed at the earliest moment that the platform allows: 0.7 s and the longest
+// deadline after SIGTERM, a deadline of over 3 s counted as 3 s.
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <functional>
+#include <ostream>
+#include <thread>
+
+#include "rig.h"
+
+namespace linnetlead {
+namespace {
+
+using namespace tests;
+using std::chrono::steady_clock;
+
+constexpr auto kEarliestKill = 3700ms;  // after SIGTERM, for the deadline of 5 s
+constexpr auto kMayBeHeldUp = 150ms;    // a gateway, at any moment
+constexpr auto kServesUntil = 3350ms;   // whoever can still be served is not cut off before
+constexpr auto kFirstBefore = 200ms;    // SIGTERM: then the first request comes
+
+// A gateway of one endpoint, which takes requests and never answers.
+struct HangingSite {
+    HangingSite() : folder(test_support::temporary_path("early")) {
+        std::filesystem::create_directory(folder);
+    }
+    ~HangingSite() {
+        std::error_code ignored;
+        std::filesystem::remove_all(folder, ignored);
+    }
+    std::string config() const {
+        return R"({"listen":"127.0.0.1:)" + std::to_string(port) + R"(","mgmt":"127.0.0.1:)" +
+               std::to_string(admin_port) + R"(","discovery":")" + discovery.address() + R"(","counter":")" +
+               discovery.address() + R"(","known":{"version":1,"full":true,"servers":[{"id":"w","addr":")" +
+               endpoint.address() + R"("}]},"settings":{"classes":[{"name":"hold","idempotency":"fragile",
+               "aim":5000000000,"deadline":5000000000,"late_worth":0.5}],
+               "tariffs":[{"name":"team","units_per_s":100,"most_at_once":100}],
+               "limits":{"connect_timeout":250000000,"conn_idle":30000000000,"max_attempts":3}}})";
+    }
+    std::unique_ptr<test_support::Process> start() {
+        auto made =
+            std::make_unique<test_support::Process>(LINNETLEAD_PROGRAM, config(), std::vector<std::string>{},
+                                                    std::vector<std::string>{"TMPDIR=" + folder});
+        made->listening();
+        return made;
+    }
+    // All that has come, on connections that the endpoint has left waiting until now.
+    std::string seen_by_endpoint() {
+        std::string seen;
+        while (const auto peer = endpoint.accept()) seen += peer->read();
+        return seen;
+    }
+    void drain() {
+        SocketPeer caller = connect_to(admin_port);
+        caller.write("PUT /v1/gateway/drain HTTP/1.1\r\nHost: x\r\n\r\n");
+        EXPECT_TRUE(wait_for([&] { return caller.has("200"); }));
+    }
+    const std::string folder;
+    Listener discovery, endpoint{64};
+    const std::uint16_t port = test_support::free_port();
+    std::uint16_t admin_port = test_support::free_port();
+    std::unique_ptr<test_support::Process> newer;  // beside the one under test; null: there is none
+};
+
+// A port on which another program listens, for itself alone.
+class HeldAddress {
+public:
+    explicit HeldAddress(std::uint16_t port) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
+        EXPECT_EQ(::listen(fd_, 1), 0);
+    }
+    ~HeldAddress() { ::close(fd_); }
+    HeldAddress(const HeldAddress&) = delete;
+    HeldAddress& operator=(const HeldAddress&) = delete;
+
+private:
+    int fd_;
+};
+
+// The request's id, the second text of 16 bytes in a command.
+std::string id_of(const std::string& command) {
+    constexpr std::string_view kHead = "$16\r\n";
+    constexpr std::size_t kDigits = 16;
+    return command.substr(command.rfind(kHead) + kHead.size(), kDigits);
+}
+
+// A client that has a request open at SIGTERM, and writes another one on the same connection.
+struct Caller {
+    SocketPeer peer;
+    std::chrono::milliseconds late;  // the second request, behind SIGTERM
+    std::string first, second{};     // commands
+    steady_clock::time_point answered{};
+    static constexpr std::size_t kRequests = 2;
+
+    std::size_t answers() {
+        std::size_t lines = 0;
+        for (const char c : peer.read()) lines += c == '\n' ? 1 : 0;
+        return lines;
+    }
+};
+
+struct Way {
+    const char* name;
+    // Ends the process that has the clients; returns when SIGTERM was sent.
+    std::function<steady_clock::time_point(HangingSite&, test_support::Process&)> end;
+};
+
+void PrintTo(const Way& way, std::ostream* out) { *out << way.name; }  // names the test in CTest
+
+steady_clock::time_point send_term(test_support::Process& process) {
+    const auto now = steady_clock::now();
+    process.signal(SIGTERM);
+    return now;
+}
+
+class EarlyKill : public testing::TestWithParam<Way> {};
+
+// Guards against requests that a gateway has read and that SIGKILL finds unanswered: the gateway waited for a
+// deadline of 5 s where the platform counts 3 s.
+TEST_P(EarlyKill, FindsNothingThatWasReadUnanswered) {
+    HangingSite site;
+    const auto process = site.start();
+    std::vector<Caller> callers;
+    for (const auto late : {300ms, 1000ms, 2500ms}) {
+        callers.push_back({connect_to(site.port), late, call("hold", 5000)});
+        callers.back().peer.write(callers.back().first);
+    }
+    std::this_thread::sleep_for(kFirstBefore);
+    const auto term = GetParam().end(site, *process);
+    const auto answered_by = term + kEarliestKill - kMayBeHeldUp;
+    std::size_t waiting = callers.size();
+    while (waiting > 0 && steady_clock::now() < answered_by) {
+        usleep(2000);
+        waiting = 0;
+        for (Caller& caller : callers) {
+            if (steady_clock::now() >= term + caller.late && caller.second.empty()) {
+                caller.second = call("hold", 5000);
+                caller.peer.write(caller.second);
+            }
+            if (caller.answers() < Caller::kRequests) {
+                ++waiting;
+            } else if (caller.answered == steady_clock::time_point{}) {
+                caller.answered = steady_clock::now();
+            }
+        }
+    }
+    const std::string seen = site.seen_by_endpoint();
+    const auto answer_to = [&seen](const std::string& command) {
+        const bool may_have_run = seen.find(id_of(command)) != std::string::npos;
+        return may_have_run ? "-ERR failed\r\n" : "-BUSY\r\n";
+    };
+    for (Caller& caller : callers) {
+        EXPECT_EQ(caller.peer.got, std::string(answer_to(caller.first)) + answer_to(caller.second))
+            << caller.late.count() << " ms behind SIGTERM";
+        EXPECT_GT(caller.answered - term, kServesUntil);
+    }
+}
+
+std::string name_of(const testing::TestParamInfo<Way>& info) { return info.param.name; }
+
+INSTANTIATE_TEST_SUITE_P(Each, EarlyKill,
+                         testing::Values(Way{"behind_sigterm",
+                                             [](HangingSite&, test_support::Process& process) {
+                                                 return send_term(process);
+                                             }},
+                                         Way{"behind_two",
+                                             [](HangingSite&, test_support::Process& process) {
+                                                 const auto at = send_term(process);
+                                                 usleep(100'000);
+                                                 process.signal(SIGTERM);
+                                                 return at;
+                                             }},
+                                         Way{"behind_a_new_configuration",
+                                             [](HangingSite& site, test_support::Process& process) {
+                                                 process.reload(site.config());
+                                                 return send_term(process);
+                                             }},
+                                         Way{"behind_a_drain",
+                                             [](HangingSite& site, test_support::Process& process) {
+                                                 site.drain();
+                                                 return send_term(process);
+                                             }},
+                                         Way{"of_the_older_process",
+                                             [](HangingSite& site, test_support::Process& process) {
+                                                 site.admin_port = test_support::free_port();
+                                                 site.newer = site.start();
+                                                 return send_term(process);
+                                             }}),
+                         name_of);
+
+// The process that took over is ended like any other.
+TEST(EarlyKillOfTheNewerProcess, FindsNothingThatWasReadUnanswered) {
+    HangingSite site;
+    const auto older = site.start();
+    site.admin_port = test_support::free_port();
+    const auto newer = site.start();
+    older->signal(SIGTERM);
+    EXPECT_EQ(older->exit_code(), 0);
+    SocketPeer client = connect_to(site.port);
+    client.write(call("hold", 5000));
+    std::this_thread::sleep_for(kFirstBefore);
+    const auto term = send_term(*newer);
+    std::this_thread::sleep_for(1s);
+    client.write(call("hold", 5000));
+    std::this_thread::sleep_until(term + kEarliestKill - kMayBeHeldUp);
+    EXPECT_EQ(client.read(), "-ERR failed\r\n-BUSY\r\n");
+}
+
+}  // namespace
+}  // namespace linnetlead
