SIGTERM during the start ends a gateway before it lets anybody in

What callers saw: a gateway told to end while it waited for its address (up to 10 s) or for an older process (1 s) went on, let clients in, and was killed over their requests: the platform counts from SIGTERM. Cause: signals were held back until behind listening, and nobody knew then when one had come. Evidence: EarlyKillDuringTheStart failed on the code before: not ended 1 s after SIGTERM, then "listening on port". Change: handlers before anything waits; told to end before it listens, the process ends without having listened. Why it works: what has not listened has taken nothing, so its end loses nothing. Measured: the test passes, ended within 1 s; Shutdown.ASignalBetweenListeningAndItsHandlerIsHeard still passes.

--- a/src/server/main.cpp
+++ b/src/server/main.cpp
@@ -159,6 +159,7 @@
     }
 
     void run() {
+        if (told_to_end_) return close();
         std::fprintf(stderr, "linnetlead: listening on port %d\n", acceptor_.port());
         loop_.run();
         close();
@@ -166,6 +167,7 @@
 
 private:
     void start(const server::Config& config, const std::string& operators) {
+        watch_signals();
         if (!operators.empty()) {
             operators_ = std::make_unique<server::OperatorService>(operators, config, loop_, gateway_,
                                                                    suspensions_, counter_);
@@ -193,10 +195,21 @@
             }
         }
         const sockaddr_storage address = address_of("listen", config.listen);
-        if (const int error = upgrade_.take_over() ? acceptor_.start() : listen(address); error < 0) {
+        loop_.turn();  // hears what has been signalled by now
+        const bool has_socket = !told_to_end_ && upgrade_.take_over();
+        if (told_to_end_) return;
+        const int error = has_socket ? acceptor_.start() : listen(address);
+        if (told_to_end_) return;
+        if (error < 0) {
             throw std::runtime_error("cannot listen on " + config.listen + ": " + uv_strerror(error));
         }
+        listens_ = true;
         server::reach_point();
+        upgrade_.ready();
+        desk_.set_up();
+    }
+
+    void watch_signals() {
         for (std::size_t i = 0; i < signals_.size(); ++i) {
             uv_signal_init(loop_.uv(), &signals_[i]);
             signals_[i].data = this;
@@ -209,8 +222,6 @@
                 kHandled[i]);
         }
         has_signals_ = true;
-        upgrade_.ready();
-        desk_.set_up();
         hold_back_signals(false);
     }
 
@@ -220,7 +231,8 @@
         int error = acceptor_.listen(address);
         const proxy::Timestamp until = loop_.now() + kAddressFreeWithin;
         while (error == UV_EADDRINUSE && loop_.now() < until) {
-            loop_.turn_until([] { return false; }, kAddressTriedEvery);
+            loop_.turn_until([this] { return told_to_end_; }, kAddressTriedEvery);
+            if (told_to_end_) break;
             error = acceptor_.listen(address);
         }
         return error;
@@ -253,7 +265,12 @@
         }
         if (operators_) operators_->reload();
     }
+    // Before it listens, no client waits for anything, and SIGKILL comes as soon as for one that serves.
     void leave() {
+        if (!listens_) {
+            told_to_end_ = true;
+            return;
+        }
         if (operators_) operators_->leave();
         drain_.leave();
     }
@@ -296,6 +313,8 @@
     std::unique_ptr<server::OperatorService> operators_;
     std::array<uv_signal_t, kHandled.size()> signals_{};
     bool has_signals_ = false;
+    bool listens_ = false;
+    bool told_to_end_ = false;  // before it listened
 };
 
 constexpr const char* kVersion = LINNETLEAD_VERSION;
--- a/tests/early_kill_test.cpp
+++ b/tests/early_kill_test.cpp
@@ -211,5 +211,26 @@
     EXPECT_EQ(client.read(), "-ERR failed\r\n-BUSY\r\n");
 }
 
+// Guards against a start that hears of SIGTERM only once it listens: what it takes then, SIGKILL finds
+// unanswered, since its time runs from SIGTERM.
+TEST(EarlyKillDuringTheStart, FindsNobodyLetIn) {
+    HangingSite site;
+    auto held = std::make_unique<HeldAddress>(site.port);
+    test_support::Process program(LINNETLEAD_PROGRAM, site.config());
+    usleep(500'000);
+    ASSERT_FALSE(program.has_ended()) << "it waits for its address";
+    program.signal(SIGTERM);
+    constexpr auto kEndsWithin = 1s;
+    const auto end = steady_clock::now() + kEndsWithin;
+    while (!program.has_ended() && steady_clock::now() < end) usleep(2000);
+    EXPECT_TRUE(program.has_ended());
+    held.reset();
+    usleep(200'000);
+    EXPECT_EQ(program.errors_so_far().find("listening on port"), std::string::npos);
+    if (program.has_ended()) {
+        EXPECT_EQ(program.exit_code(), 0);
+    }
+}
+
 }  // namespace
 }  // namespace linnetlead
