What is read behind the last answers of a process is refused, not sent on

What callers saw: at the end of a process pipelined requests behind the 64th were read after the last answers had gone, sent to endpoints, and told as failed, or not answered at all in the last 20 ms. Cause: answer_all answers what is open; what is read behind it was taken like any other request. Change: from the last answers on whatever is read is refused at once.

--- a/src/proxy/downstream_server.cpp
+++ b/src/proxy/downstream_server.cpp
@@ -308,7 +308,7 @@
     void take(proxy::DownstreamRequest call) {
         asked = true;
         used = loop().now();
-        turned_away_ = acceptor_.retiring_ && (turned_away_ || !entries_.empty());
+        turned_away_ = acceptor_.ends_ || (acceptor_.retiring_ && (turned_away_ || !entries_.empty()));
         if (turned_away_) {
             acceptor_.gateway_.turned_away(call.request.traffic_class);
             return reply("-BUSY\r\n");
--- a/src/proxy/downstream_server.h
+++ b/src/proxy/downstream_server.h
@@ -31,8 +31,12 @@
     // Ends the connections that wait for no answer, and the others once they have theirs; what comes behind
     // an open call is turned away, or a client that always has one would stay. False: no more.
     void retire(bool on);
-    // Once retired, at the very end: every open call gets its answer.
-    void answer_all() { gateway_.answer_all(); }
+    // Once retired, at the very end: every open request gets its answer, and what is read from now on is
+    // turned away at once.
+    void answer_all() {
+        ends_ = true;
+        gateway_.answer_all();
+    }
     // To hand over to another process; null: does not listen.
     uv_stream_t* listening() const { return listener_.stream(); }
     // The listening socket of another process, which accepts until start().
@@ -83,6 +87,7 @@
     resp::Message message_;  // of the command being read
     Pass pass_;
     bool retiring_ = false;
+    bool ends_ = false;
     bool says_yes_ = true;
 };
 
--- a/tests/early_kill_test.cpp
+++ b/tests/early_kill_test.cpp
@@ -232,5 +232,30 @@
     }
 }
 
+// ---- The last answers -----------------------------------------------------------------------------------
+
+// Guards against requests that are read behind the last answers being sent to an endpoint whose answer nobody
+// waits for, and being left without one at the end of the process.
+TEST(LastAnswers, ARequestReadBehindThemIsTurnedAwayAndNotSentOn) {
+    Rig rig;
+    Listener endpoint{128};
+    rig.gateway.listed(EndpointListKind::kComplete, {listed("w", endpoint.address())});
+    SocketPeer client = rig.client();
+    constexpr std::size_t kCommands = 74;  // more than are read before the first of them is answered
+    std::string commands;
+    for (std::size_t i = 0; i < kCommands; ++i) commands += call("hold");
+    client.write(commands);
+    ASSERT_TRUE(rig.until([&] { return rig.pool.tries() > 0; }));
+    Listener idle;  // could take what comes
+    rig.gateway.listed(EndpointListKind::kComplete,
+                       {listed("w", endpoint.address()), listed("v", idle.address())});
+    rig.acceptor.retire(true);
+    const std::uint64_t sent = rig.pool.tries();
+    rig.acceptor.answer_all();
+    EXPECT_TRUE(rig.until([&] { return client.is_over(); }));
+    EXPECT_EQ(static_cast<std::size_t>(std::count(client.got.begin(), client.got.end(), '\n')), kCommands);
+    EXPECT_EQ(rig.pool.tries(), sent);
+}
+
 }  // namespace
 }  // namespace linnetlead
