At the end of a process, a request that never left is refused, not failed

What callers saw: -ERR failed for a request that was still waiting for a connection when the process ended; a non-idempotent one may not be repeated then, though no endpoint can have run it. Cause: RequestManager::answer_all took each attempt that was out for one that may have run. Evidence: LastAnswers.WhatNeverLeftIsRefused failed on the code before: "-ERR failed" for a connection that never came up. Change: the verdict asks the upstream pool whether the attempt's last byte was written; if not, the request is refused, and the attempt is given up before it can leave. Measured: the test passes, no connection is left behind.

--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -86,6 +86,8 @@
     // Nobody waits for the call any more: its attempt ends unless an endpoint may be at it, for nothing that
     // has not left by now is to leave. So does one whose value is on its way to the client.
     virtual void client_gone(Handle attempt) = 0;
+    // Whether the attempt's last byte has not been written: no endpoint can have run it.
+    virtual bool is_unsent(Handle attempt) = 0;
     // The front takes more of the attempt's long value.
     virtual void go_on(Handle attempt) = 0;
     virtual void probe(const EndpointId& endpoint) = 0;
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -165,7 +165,9 @@
         Open* call = calls_.find(handle);
         if (!call || call->answered) continue;
         const Handle attempt = call->attempt;
-        const Verdict verdict = !call->out && is_harmless(*call) ? Verdict::kRejected : Verdict::kFailed;
+        // abandon() below keeps an attempt that has not been written from ever being so.
+        const bool may_run = call->out && !endpoints_->is_unsent(attempt);
+        const Verdict verdict = !may_run && is_harmless(*call) ? Verdict::kRejected : Verdict::kFailed;
         conclude(handle, *call, {verdict, {}, {}, call->passing});
         abandon(handle, attempt);
     }
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -340,6 +340,11 @@
     if (connection && connection->only_for_client()) give_up(attempt);
 }
 
+bool UpstreamPool::is_unsent(Handle attempt) {
+    const Connection* connection = connections_.find(attempt);
+    return connection && connection->unsent_call();
+}
+
 void UpstreamPool::go_on(Handle attempt) {
     Connection* connection = connections_.find(attempt);
     if (connection && connection->busy()) connection->go_on();
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -27,6 +27,7 @@
                         const Limits& limits) override;
     void give_up(proxy::Handle attempt) override;
     void client_gone(proxy::Handle attempt) override;
+    bool is_unsent(proxy::Handle attempt) override;
     void go_on(proxy::Handle attempt) override;
     void probe(const proxy::EndpointId& endpoint) override;
     void told(const std::vector<proxy::DiscoveredEndpoint>& entries, bool whole) override;
--- a/testing/lightweight/lightweight_gateway.h
+++ b/testing/lightweight/lightweight_gateway.h
@@ -71,6 +71,7 @@
                         const Limits& limits) override;
     void give_up(proxy::Handle) override {}
     void client_gone(proxy::Handle) override {}
+    bool is_unsent(proxy::Handle) override { return false; }
     void go_on(proxy::Handle) override {}
     void probe(const proxy::EndpointId& endpoint) override;
     void told(const std::vector<proxy::DiscoveredEndpoint>& entries, bool whole) override;
--- a/tests/early_kill_test.cpp
+++ b/tests/early_kill_test.cpp
@@ -257,5 +257,25 @@
     EXPECT_EQ(rig.pool.tries(), sent);
 }
 
+// Guards against a request that never left being told as failed, which forbids its caller to come again.
+TEST(LastAnswers, WhatNeverLeftIsRefused) {
+    config::Site patient = site();
+    patient.connect_timeout = 60s;
+    Rig rig(patient);
+    Listener endpoint{0};
+    std::vector<SocketPeer> fillers;  // its backlog is full: further connections do not come up
+    for (int i = 0; i < 2; ++i) fillers.push_back(connect_to(endpoint.port()));
+    usleep(20'000);
+    rig.gateway.listed(EndpointListKind::kComplete, {listed("w", endpoint.address())});
+    SocketPeer client = rig.client();
+    client.write(call("hold"));
+    ASSERT_TRUE(rig.until([&] { return rig.pool.connections() == 1; }));
+    rig.acceptor.retire(true);
+    rig.acceptor.answer_all();
+    EXPECT_TRUE(rig.until([&] { return client.is_over(); }));
+    EXPECT_EQ(client.got, "-BUSY\r\n");
+    EXPECT_TRUE(rig.until([&] { return rig.pool.connections() == 0; })) << "nothing leaves later";
+}
+
 }  // namespace
 }  // namespace linnetlead
