--- a/tests/early_kill_test.cpp
+++ b/tests/early_kill_test.cpp
@@ -110,7 +110,8 @@
     std::function<steady_clock::time_point(HangingSite&, test_support::Process&)> end;
 };
 
-void PrintTo(const Way& way, std::ostream* out) { *out << way.name; }  // names the test in CTest
+// Names the test in CTest.
+std::ostream& operator<<(std::ostream& out, const Way& way) { return out << way.name; }
 
 steady_clock::time_point send_term(test_support::Process& process) {
     const auto now = steady_clock::now();
