Soak: slow writers, connections that come up late, SIGTERM twice between listening and the first turn

Change: some clients write a command in two pieces; endpoints whose connections come up when a spell is over; a new process that stops between listening and its first turn and is told to end twice. The judge knows a connection closed amid a command that is coming, and a process that ends by the signal itself though it has let somebody in.

--- a/testing/fake_server.h
+++ b/testing/fake_server.h
@@ -28,8 +28,8 @@
     Server(net::Loop& loop, Owner& owner) : listener_(new uv_tcp_t) {
         uv_tcp_init(loop.uv(), listener_);
         const sockaddr_storage any = address_of(0);
-        constexpr int kBacklog = 512;
         accept_ = [this, &loop, &owner] {
+            if (holds_) return;  // libuv brings no other before this one is accepted
             const proxy::Handle handle = connections.add(loop, owner);
             Connection& connection = *connections.find(handle);
             connection.self = handle;
@@ -48,6 +48,20 @@
         uv_tcp_getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
         port = ntohs(reinterpret_cast<const sockaddr_in&>(at).sin_port);
     }
+    // From now on connections neither come up nor fail, but for one or two that the kernel has taken.
+    void hold() {
+        holds_ = true;
+        uv_os_fd_t fd = -1;
+        if (listener_ && uv_fileno(reinterpret_cast<uv_handle_t*>(listener_), &fd) == 0) listen(fd, 0);
+    }
+    // They come up: the ones that the kernel has taken at once, the others when they ask again.
+    void release() {
+        if (!std::exchange(holds_, false) || !listener_) return;
+        uv_os_fd_t fd = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t*>(listener_), &fd) == 0) listen(fd, kBacklog);
+        accept_();
+    }
+    bool holds() const { return holds_; }
     void close() {
         if (!listener_) return;
         uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(listener_, nullptr)),
@@ -58,8 +72,10 @@
     proxy::SlotMap<Connection> connections;
 
 private:
+    static constexpr int kBacklog = 512;
     uv_tcp_t* listener_;
     std::function<void()> accept_;
+    bool holds_ = false;
 };
 
 }  // namespace linnetlead::test_support
--- a/testing/soak/client_fleet.cpp
+++ b/testing/soak/client_fleet.cpp
@@ -14,9 +14,10 @@
 
 namespace {
 
-constexpr double kPipelinedShare = 0.3;   // of the requests, where clients pipeline
-constexpr int kMostPipelined = 5;         // commands written at once
-constexpr std::size_t kMostWaiting = 20;  // of one connection, without an answer
+constexpr double kPipelinedShare = 0.3;     // of the requests, where clients pipeline
+constexpr int kMostPipelined = 5;           // commands written at once
+constexpr std::size_t kMostWaiting = 20;    // of one connection, without an answer
+constexpr Duration kLongestPause = 1500ms;  // of a client that writes a command in two pieces
 constexpr Duration kHalfWriterEvery = 700ms;
 constexpr double kClientShare = 0.33;  // of a gateway's descriptors
 
@@ -30,7 +31,9 @@
 
     bool is_idle() const { return open_.empty() && !closing(); }
     // Whether a further command may be written behind those that wait.
-    bool takes_another() const { return !open_.empty() && open_.size() < kMostWaiting && !closing(); }
+    bool takes_another() const {
+        return !open_.empty() && open_.size() < kMostWaiting && !closing() && rest_.empty();
+    }
     int gateway() const { return gateway_; }
 
     void ask(Request& request) {
@@ -41,6 +44,23 @@
         to_write().append(fleet_.command_of(request));
         if (connected_) note_written(request);
     }
+    // Writes a part of the command, and the rest after a pause; nothing else meanwhile.
+    void ask_slowly(Request& request, Duration pause) {
+        request.connection = number_;
+        request.is_first_on_connection = std::exchange(is_new_, false);
+        open_.push_back(request.id);
+        rest_ = fleet_.command_of(request);
+        const std::size_t first_part = rest_.size() / 3;
+        to_write().append(rest_, 0, first_part);
+        rest_.erase(0, first_part);
+        if (connected_) request.begun = loop().now();
+        timer_ = loop().arm(loop().now() + pause, [this] {
+            timer_ = {};
+            if (closing() || open_.empty()) return;
+            to_write().append(std::exchange(rest_, {}));
+            if (connected_) note_written(fleet_.record_.requests.at(open_.back()));
+        });
+    }
     void leave(RequestId id) {
         if (closing() || std::find(open_.begin(), open_.end(), id) == open_.end()) return;
         note_end(ConnectionEnd::kClosedByClient);
@@ -50,6 +70,7 @@
 private:
     void note_written(Request& request) {
         request.written = loop().now();
+        if (request.begun == kNever) request.begun = request.written;
         const auto traffic_class = static_cast<std::size_t>(request.traffic_class);
         request.due = request.written + fleet_.scenario_.settings.classes[traffic_class].deadline;
     }
@@ -62,7 +83,11 @@
     }
     void on_connected() override {
         connected_ = true;
-        for (const RequestId id : open_) note_written(fleet_.record_.requests.at(id));
+        for (const RequestId id : open_) {
+            Request& request = fleet_.record_.requests.at(id);
+            request.begun = loop().now();
+            if (rest_.empty()) note_written(request);
+        }
     }
     std::size_t on_bytes(std::string_view bytes) override {
         std::size_t taken = 0;
@@ -102,6 +127,7 @@
         note_end(error == UV_EOF ? ConnectionEnd::kOrderly : ConnectionEnd::kReset);
     }
     void on_released() override {
+        loop().disarm(timer_);
         --fleet_.front_[static_cast<std::size_t>(gateway_)].connections;
         fleet_.connections_.remove(self);
     }
@@ -111,6 +137,8 @@
     const std::uint64_t number_;
     bool is_new_ = true;
     bool connected_ = false;
+    std::string rest_;  // of a command that is written slowly
+    Handle timer_;
     std::deque<RequestId> open_;  // without an answer, in their order
 };
 
@@ -249,6 +277,10 @@
     // The front lets nobody in: what is open stays in use.
     if (!connection && scenario_.pipelines) connection = busy_connection_to(gateway);
     if (!connection) return;
+    if (chance(random_) < scenario_.slow_share && connection->is_idle()) {
+        const auto pause = std::chrono::duration_cast<Duration>(chance(random_) * kLongestPause);
+        return connection->ask_slowly(make_request(gateway), pause);
+    }
     const int commands = pipelines ? std::uniform_int_distribution<int>(2, kMostPipelined)(random_) : 1;
     for (int i = 0; i < commands; ++i) {
         Request& request = make_request(gateway);
--- a/testing/soak/fake_endpoint.cpp
+++ b/testing/soak/fake_endpoint.cpp
@@ -14,7 +14,8 @@
 
 constexpr Duration kForgetsAfter = 20ms;  // a resting connection
 constexpr Duration kResetsAfter = 3ms;
-constexpr int kSmallBudget = 30;  // requests; below, chance is given more room
+constexpr Duration kQueueIsReadWithin = 30ms;  // once connections come up again
+constexpr int kSmallBudget = 30;               // requests; below, chance is given more room
 
 // What chance may add to a cold endpoint's budget of so many requests.
 double allowed_beyond(double budget) {
@@ -28,7 +29,8 @@
 
 class FakeEndpoint::Connection final : public net::Stream {
 public:
-    Connection(net::Loop& loop, FakeEndpoint& endpoint) : Stream(loop), endpoint_(endpoint) {}
+    Connection(net::Loop& loop, FakeEndpoint& endpoint)
+        : Stream(loop), endpoint_(endpoint), came_late_(endpoint.releases_until_ > loop.now()) {}
     Handle self;
 
 private:
@@ -59,13 +61,13 @@
                                                 std::string(message.items[2].text));
             return;
         }
-        known->second.attempts.push_back({endpoint_.number_, begun_, now, kNever, false});
+        known->second.attempts.push_back({endpoint_.number_, begun_, now, kNever, false, came_late_});
         attempt_ = known->second.attempts.size() - 1;
         busy_ = true;
         serve(now);
     }
     void serve(Timestamp now) {
-        const EndpointMood mood = endpoint_.mood;
+        const EndpointMood mood = endpoint_.mood_;
         if (mood == EndpointMood::kTurnsAway) {
             attempt().turned_away = true;
             end();
@@ -120,6 +122,7 @@
     std::size_t attempt_ = 0;  // of the request's
     bool busy_ = false;
     Timestamp begun_ = kNever;  // the command that is not whole yet
+    const bool came_late_;      // it may have waited in the kernel's queue
 };
 
 FakeEndpoint::FakeEndpoint(net::Loop& loop, const Scenario& scenario, int number, Timestamp started,
@@ -140,6 +143,20 @@
 
 std::string FakeEndpoint::address() const { return "127.0.0.1:" + std::to_string(server_.port); }
 
+void FakeEndpoint::set(EndpointMood mood) {
+    mood_ = mood;
+    if (mood == EndpointMood::kConnectsLate) {
+        // One is taken by libuv and one by the kernel; connections of gateways wait behind them.
+        constexpr int kFillers = 3;
+        server_.hold();
+        for (int i = 0; i < kFillers; ++i) fillers_.push_back(connect_to(server_.port));
+    } else {
+        fillers_.clear();
+        if (server_.holds()) releases_until_ = loop_.now() + kQueueIsReadWithin;
+        server_.release();
+    }
+}
+
 double FakeEndpoint::warm_share(Timestamp now) const {
     if (started_ == kNever) return 1;
     const double from = scenario_.settings.slow_start_min_share;
--- a/testing/soak/fake_endpoint.h
+++ b/testing/soak/fake_endpoint.h
@@ -10,6 +10,7 @@
 #include "testing/fake_server.h"
 #include "testing/soak/record.h"
 #include "testing/soak/scenario.h"
+#include "testing/socket_peer.h"
 
 namespace linnetlead::test_support::soak {
 
@@ -23,7 +24,7 @@
     int number() const { return number_; }
     Timestamp started() const { return started_; }
     std::string address() const;
-    EndpointMood mood = EndpointMood::kWell;
+    void set(EndpointMood mood);
 
 private:
     class Connection;
@@ -42,7 +43,10 @@
     std::multiset<Timestamp> free_at_;  // of each core
     std::multiset<Timestamp> recent_;   // arrivals within the cold rule's window
     resp::Message message_;
+    EndpointMood mood_ = EndpointMood::kWell;
+    Timestamp releases_until_{};  // connections made before may have waited
     Server<Connection> server_;
+    std::vector<SocketPeer> fillers_;  // of the kernel's queue, while connections are to come up late
 };
 
 }  // namespace linnetlead::test_support::soak
--- a/testing/soak/gateway_process.cpp
+++ b/testing/soak/gateway_process.cpp
@@ -20,7 +20,7 @@
 
 class Question final : public net::Stream {
 public:
-    using Done = std::function<void(bool, const std::string&)>;
+    using Done = std::function<void(const Heard&)>;
     Question(net::Loop& loop, std::string word, Done done)
         : Stream(loop), word_(std::move(word)), done_(std::move(done)) {
         timer_ = loop.arm(loop.now() + kAnswerWithin, [this] { over(); });
@@ -28,11 +28,12 @@
     void over() {
         loop().disarm(std::exchange(timer_, {}));
         close();
-        if (const Done done = std::exchange(done_, nullptr)) done(is_heard(), text_);
+        if (const Done done = std::exchange(done_, nullptr)) done({is_connected_, is_heard(), text_});
     }
 
 private:
     bool is_heard() const { return text_.find(word_) != std::string::npos; }
+    void on_connected() override { is_connected_ = true; }
     std::size_t on_bytes(std::string_view bytes) override {
         text_.append(bytes);
         // Of HTTP, all until the end; else the one line.
@@ -43,6 +44,7 @@
     void on_released() override { delete this; }
 
     std::string word_, text_;
+    bool is_connected_ = false;
     Done done_;
     proxy::Handle timer_;
 };
@@ -57,6 +59,12 @@
     return count;
 }
 
+std::vector<std::string> environment(const std::string& folder, StartOptions options) {
+    std::vector<std::string> made{"TMPDIR=" + folder};
+    if (options.stalls) made.push_back("LINNETLEAD_POINT=1:stall");
+    return made;
+}
+
 }  // namespace
 
 std::string config_of(const Scenario& scenario, int gateway, const GatewayAddresses& addresses,
@@ -65,6 +73,7 @@
     settings.self = gateway;
     json site = settings_json(settings, false);
     json& plan = site["tariffs"][0];
+    site["limits"]["connect_timeout"] = scenario.connect_timeout.count();
     plan["hard_rate"] = settings.plans.front().hard_cap_rate;
     plan["never_over_depth"] = settings.plans.front().hard_cap_burst;
     plan["hard_slack"] = settings.plans.front().hard_cap_slack;
@@ -81,24 +90,24 @@
 }
 
 void ask_once(net::Loop& loop, std::uint16_t port, const std::string& question, const std::string& word,
-              std::function<void(bool, const std::string&)> done) {
+              std::function<void(const Heard&)> done) {
     auto* const asked = new Question(loop, word, std::move(done));  // deletes itself once it is released
     asked->to_write().append(question);
     if (asked->connect(address_of(port)) != 0) asked->over();
 }
 
 GatewayProcess::GatewayProcess(const std::string& program, const Scenario& scenario, int gateway,
-                               const GatewayAddresses& addresses, const std::string& folder, bool is_second,
-                               net::Loop& loop, Record& record)
+                               const GatewayAddresses& addresses, const std::string& folder,
+                               StartOptions options, net::Loop& loop, Record& record)
     : loop_(loop),
       record_(record),
       admin_port_(free_port()),
       index_(record.processes.size()),
-      process_(program, config_of(scenario, gateway, addresses, admin()), {}, {"TMPDIR=" + folder}) {
+      process_(program, config_of(scenario, gateway, addresses, admin()), {}, environment(folder, options)) {
     ProcessLife life;
     life.gateway = gateway;
     life.started = loop.now();
-    life.is_second = is_second;
+    life.is_second = options.is_second;
     record.processes.push_back(std::move(life));
 }
 
@@ -117,6 +126,10 @@
     process_.signal(SIGKILL);
 }
 
+void GatewayProcess::note_let_in() {
+    if (entry().let_in == kNever) entry().let_in = loop_.now();
+}
+
 void GatewayProcess::note_ready() {
     if (!is_ready()) entry().ready = loop_.now();
 }
--- a/testing/soak/gateway_process.h
+++ b/testing/soak/gateway_process.h
@@ -22,16 +22,25 @@
 std::string config_of(const Scenario& scenario, int gateway, const GatewayAddresses& addresses,
                       const std::string& admin);
 
-// Asks one question over a connection of its own, and hears whether the answer holds a word, or that there
-// was none within a second.
+struct Heard {
+    bool is_connected = false;
+    bool is_good = false;  // the answer holds the word
+    std::string answer;
+};
+// Asks one question over a connection of its own, and waits a second for an answer that holds a word.
 void ask_once(net::Loop& loop, std::uint16_t port, const std::string& question, const std::string& word,
-              std::function<void(bool heard, const std::string& answer)> done);
+              std::function<void(const Heard&)> done);
+
+struct StartOptions {
+    bool is_second = false;  // beside an older one
+    bool stalls = false;     // stops itself between listening and its first turn, where it holds points
+};
 
 // One process from its start to its end.
 class GatewayProcess {
 public:
     GatewayProcess(const std::string& program, const Scenario& scenario, int gateway,
-                   const GatewayAddresses& addresses, const std::string& folder, bool is_second,
+                   const GatewayAddresses& addresses, const std::string& folder, StartOptions options,
                    net::Loop& loop, Record& record);
 
     void signal(int number);
@@ -42,6 +51,8 @@
     // Reads the log, descriptors, memory and waits; notes an end. False: it has ended.
     bool look();
     void note_ready();
+    void note_let_in();
+    bool is_stopped() const { return process_.is_stopped(); }
     bool is_ready() const { return life().ready != kNever; }
     std::uint16_t admin_port() const { return admin_port_; }
     std::string admin() const { return "127.0.0.1:" + std::to_string(admin_port_); }
--- a/testing/soak/judge.cpp
+++ b/testing/soak/judge.cpp
@@ -18,8 +18,10 @@
 constexpr Duration kNoAttemptAfterLeaving = 100ms;
 constexpr Duration kHalfWriterToldWithin = 3s;
 constexpr Duration kReadyWithin = 10s;
-constexpr double kReadyShare = 0.9;         // of the processes
-constexpr Duration kCrossingWithin = 50ms;  // a request and the end of its connection
+constexpr double kReadyShare = 0.9;             // of the processes
+constexpr Duration kCrossingWithin = 50ms;      // a request and the end of its connection
+constexpr Duration kCommandMayTake = 2s;        // from its first byte to its last
+constexpr Duration kLastAnswersWithin = 250ms;  // of the earliest kill
 constexpr Duration kKillIsSeenWithin = 200ms;
 constexpr Duration kOverlapSeenWithin = 20ms;  // one attempt's end and the next one's arrival
 // Beyond these a play says nothing of the program.
@@ -35,7 +37,10 @@
                            record_.longest_wait_for_processor > kLongestWaitForProcessor;
         verdict_.processes = record_.processes.size();
         for (const auto& [id, request] : record_.requests) {
-            if (request.written == kNever) continue;
+            if (request.written == kNever) {
+                judge_unfinished(request);
+                continue;
+            }
             ++verdict_.requests;
             verdict_.attempts += request.attempts.size();
             judge_answer(request);
@@ -85,6 +90,23 @@
             idempotency_of(request) == Idempotency::kNonIdempotent)
             broken("refused, and an endpoint had it whole", request.id);
     }
+    // A command that has begun to come is waited for.
+    void judge_unfinished(const Request& request) {
+        const bool is_closed = request.end == ConnectionEnd::kOrderly || request.end == ConnectionEnd::kReset;
+        if (request.begun == kNever || !is_closed || is_in_crowd(request)) return;
+        for (const ProcessLife& life : record_.processes) {
+            if (life.gateway != request.gateway) continue;
+            const Timestamp killed = life.killed != kNever       ? life.killed
+                                     : life.terminated != kNever ? life.terminated + earliest_kill(scenario_)
+                                                                 : Timestamp::max();
+            if (request.connection_ended >= killed - kLastAnswersWithin - own_delay() &&
+                request.connection_ended <= killed + kKillIsSeenWithin)
+                return;
+        }
+        const Duration open_for = request.connection_ended - request.begun;
+        if (open_for > kCrossingWithin + own_delay() && open_for < kCommandMayTake)
+            broken("closed amid a command, " + in_ms(open_for) + " behind its first byte", request.id);
+    }
     void judge_missing(const Request& request) {
         if (request.end == ConnectionEnd::kClosedByClient) {
             ++verdict_.left;
@@ -128,8 +150,8 @@
         for (const Crowd& crowd : scenario_.crowds) {
             // The load begins once all processes are ready.
             const Timestamp from = begun + crowd.at;
-            if (crowd.gateway == request.gateway && request.written >= from &&
-                request.written <= from + crowd.length + kReadyWithin)
+            if (crowd.gateway == request.gateway && request.begun >= from &&
+                request.begun <= from + crowd.length + kReadyWithin)
                 return true;
         }
         return false;
@@ -159,6 +181,7 @@
             }
         }
         for (const Attempt& one : all) {
+            if (one.is_seen_late) continue;
             judge_drain(request, one);
             const Duration behind = one.first_byte - request.connection_ended;
             if (request.end == ConnectionEnd::kClosedByClient && request.answers.empty() &&
@@ -228,8 +251,10 @@
         std::size_t wanted = 0, ready = 0;
         for (const ProcessLife& life : record_.processes) {
             const std::string name = "a process of gateway " + std::to_string(life.gateway);
-            const bool is_crash = life.ended != kNever && life.killed == kNever &&
-                                  (life.terminated == kNever || life.exit_code != 0);
+            // Told to end before it let anybody in, a process may end by the signal itself.
+            const bool in_order = life.terminated != kNever &&
+                                  (life.exit_code == 0 || (life.exit_code < 0 && life.let_in == kNever));
+            const bool is_crash = life.ended != kNever && life.killed == kNever && !in_order;
             if (is_crash) broken(name + " ended by itself, exit code " + std::to_string(life.exit_code));
             if (life.most_descriptors > static_cast<std::size_t>(scenario_.sockets))
                 broken(name + " held " + std::to_string(life.most_descriptors) + " descriptors of " +
--- a/testing/soak/play.cpp
+++ b/testing/soak/play.cpp
@@ -24,6 +24,7 @@
 constexpr Duration kReadyWithin = 30s;       // at the start
 constexpr Duration kDrainsFor = 1500ms;      // an endpoint, before it leaves the list
 constexpr Duration kAnswersWithin = 1200ms;  // behind the last deadline
+constexpr Duration kStallsWithin = 500ms;    // a process that is to, where the program holds points
 constexpr Duration kLongestStop = 150ms;
 constexpr const char* kPing = "*1\r\n$4\r\nPING\r\n";
 
@@ -142,8 +143,8 @@
         }
         for (const auto& one : scenario_.endpoint_spells) {
             FakeEndpoint& endpoint = *endpoints_[static_cast<std::size_t>(one.target)];
-            at(one.at, [&endpoint, one] { endpoint.mood = one.mood; });
-            at(one.at + one.length, [&endpoint] { endpoint.mood = EndpointMood::kWell; });
+            at(one.at, [&endpoint, one] { endpoint.set(one.mood); });
+            at(one.at + one.length, [&endpoint] { endpoint.set(EndpointMood::kWell); });
         }
         for (const auto& one : scenario_.discovery_spells) {
             const auto set = [this](DiscoveryMood mood) {
@@ -172,33 +173,51 @@
         return {"127.0.0.1:" + std::to_string(gateway.port), gateway.agent->address(gateway.discovery),
                 scenario_.settings.may_use_counter ? counter_.address() : std::string(), list_.json()};
     }
-    std::unique_ptr<GatewayProcess> new_process(const Gateway& gateway, bool is_second) {
+    std::unique_ptr<GatewayProcess> new_process(const Gateway& gateway, StartOptions options) {
         return std::make_unique<GatewayProcess>(program_, scenario_, gateway.number, addresses_of(gateway),
-                                                gateway.folder, is_second, loop_, record_);
+                                                gateway.folder, options, loop_, record_);
     }
     void start(Gateway& gateway) {
         clients_->let_in(gateway.number, false);
-        gateway.process = new_process(gateway, false);
-        if (std::exchange(gateway.ends_at_start, false)) {
+        const bool ends_at_start = std::exchange(gateway.ends_at_start, false);
+        const bool stalls = ends_at_start && drawn(0ms, 1ms) < 500us;
+        gateway.process = new_process(gateway, {false, stalls});
+        if (stalls) {
+            terminate_once_stalled(gateway, loop_.now() + kStallsWithin);
+        } else if (ends_at_start) {
             step(gateway, drawn(0ms, 60ms), [this, &gateway] { terminate(gateway); });
         }
         probe(gateway);
     }
+    // Between listening and its first turn, SIGTERM twice.
+    void terminate_once_stalled(Gateway& gateway, Timestamp give_up) {
+        constexpr Duration kLookAgain = 5ms;
+        if (!gateway.process->is_stopped() && loop_.now() < give_up) {
+            step(gateway, kLookAgain,
+                 [this, &gateway, give_up] { terminate_once_stalled(gateway, give_up); });
+            return;
+        }
+        step(gateway, 2 * kProbeEvery, [this, &gateway] {
+            terminate(gateway);
+            gateway.process->signal(SIGTERM);
+            gateway.process->signal(SIGCONT);
+        });
+    }
     // The front takes a gateway in once it has answered PING.
     void probe(Gateway& gateway) {
         GatewayProcess* const asked = gateway.process.get();
-        ask_once(loop_, gateway.port, kPing, "+PONG",
-                 [this, &gateway, asked](bool heard, const std::string&) {
-                     if (finishing_ || gateway.process.get() != asked) return;
-                     if (heard) {
-                         asked->note_ready();
-                         if (asked->life().terminated == kNever) clients_->let_in(gateway.number, true);
-                     } else if (asked->life().ended == kNever) {
-                         loop_.arm(loop_.now() + kProbeEvery, [this, &gateway, asked] {
-                             if (!finishing_ && gateway.process.get() == asked) probe(gateway);
-                         });
-                     }
-                 });
+        ask_once(loop_, gateway.port, kPing, "+PONG", [this, &gateway, asked](const Heard& heard) {
+            if (finishing_ || gateway.process.get() != asked) return;
+            if (heard.is_connected) asked->note_let_in();
+            if (heard.is_good) {
+                asked->note_ready();
+                if (asked->life().terminated == kNever) clients_->let_in(gateway.number, true);
+            } else if (asked->life().ended == kNever) {
+                loop_.arm(loop_.now() + kProbeEvery, [this, &gateway, asked] {
+                    if (!finishing_ && gateway.process.get() == asked) probe(gateway);
+                });
+            }
+        });
     }
     bool all_ready() const {
         return std::all_of(gateways_.begin(), gateways_.end(),
@@ -270,7 +289,7 @@
     void drain_and_activate(Gateway& gateway) {
         const auto tell = [this, &gateway](const char* path) {
             ask_once(loop_, gateway.process->admin_port(), admin_call("PUT", path), "HTTP/1.1 200",
-                     [](bool, const std::string&) {});
+                     [](const Heard&) {});
         };
         tell("/v1/gateway/drain");
         step(gateway, 50ms, [tell] { tell("/v1/gateway/activate"); });
@@ -283,15 +302,15 @@
     }
     void restart_hot(Gateway& gateway) {
         gateway.older = std::move(gateway.process);
-        gateway.process = new_process(gateway, true);
+        gateway.process = new_process(gateway, {true, false});
         ask_ready(gateway);
     }
     void ask_ready(Gateway& gateway) {
         GatewayProcess* const asked = gateway.process.get();
         ask_once(loop_, asked->admin_port(), admin_call("GET", "/v1/readyz"), "HTTP/1.1 200",
-                 [this, &gateway, asked](bool heard, const std::string&) {
+                 [this, &gateway, asked](const Heard& heard) {
                      if (finishing_ || gateway.process.get() != asked) return;
-                     if (!heard) {
+                     if (!heard.is_good) {
                          step(gateway, kProbeEvery, [this, &gateway] { ask_ready(gateway); });
                          return;
                      }
@@ -328,8 +347,9 @@
     void ask_metrics() {
         for (const auto& gateway : gateways_) {
             ask_once(loop_, gateway->process->admin_port(), admin_call("GET", "/v1/metrics"),
-                     "edge_balancer.in_progress=0\n", [this, &gateway](bool heard, const std::string& text) {
-                         if (heard) return;
+                     "edge_balancer.in_progress=0\n", [this, &gateway](const Heard& heard) {
+                         if (heard.is_good) return;
+                         const std::string& text = heard.answer;
                          const auto line = text.find("edge_balancer.in_progress");
                          record_.left_in_flight[gateway->number] =
                              line == std::string::npos ? "no metrics: " + text
--- a/testing/soak/record.h
+++ b/testing/soak/record.h
@@ -20,8 +20,9 @@
     int endpoint = 0;
     Timestamp first_byte = kNever;
     Timestamp whole = kNever;
-    Timestamp ended = kNever;  // answered, or its connection gone
-    bool turned_away = false;  // by -BUSY: it never ran
+    Timestamp ended = kNever;   // answered, or its connection gone
+    bool turned_away = false;   // by -BUSY: it never ran
+    bool is_seen_late = false;  // the endpoint read it long after it came: its times say nothing
 };
 
 enum class AnswerKind { kServed, kRefused, kFailed };
@@ -43,6 +44,7 @@
     std::uint64_t connection = 0;
     bool is_first_on_connection = false;
     RequestId before = 0;        // on the same connection, whose answer comes first; 0: none was open
+    Timestamp begun = kNever;    // its first piece was written
     Timestamp written = kNever;  // whole, to a connection that was accepted
     Timestamp due = kNever;
     Timestamp connection_ended = kNever;
@@ -54,6 +56,7 @@
 struct ProcessLife {
     int gateway = 0;
     Timestamp started = kNever;
+    Timestamp let_in = kNever;      // the first connection that was made to it
     Timestamp ready = kNever;       // its first good answer
     Timestamp terminated = kNever;  // SIGTERM
     Timestamp killed = kNever;      // SIGKILL
--- a/testing/soak/scenario.cpp
+++ b/testing/soak/scenario.cpp
@@ -97,10 +97,10 @@
 void draw_endpoint_events(Draw& draw, Scenario& scenario) {
     const int spells = draw.number(1, 2 + scenario.endpoints / 2);
     for (int i = 0; i < spells; ++i) {
-        const auto mood =
-            draw.one_of({EndpointMood::kHangs, EndpointMood::kHangs, EndpointMood::kResets,
-                         EndpointMood::kAnswersLate, EndpointMood::kAnswersTwice, EndpointMood::kForgetsIdle,
-                         EndpointMood::kTurnsAway, EndpointMood::kGoesWhileAnswering});
+        const auto mood = draw.one_of({EndpointMood::kHangs, EndpointMood::kHangs, EndpointMood::kResets,
+                                       EndpointMood::kAnswersLate, EndpointMood::kAnswersTwice,
+                                       EndpointMood::kForgetsIdle, EndpointMood::kTurnsAway,
+                                       EndpointMood::kGoesWhileAnswering, EndpointMood::kConnectsLate});
         scenario.endpoint_spells.push_back({mood, draw.number(0, scenario.endpoints - 1),
                                             draw.time(kFirstDisruption, scenario.length),
                                             draw.time(300ms, 4s)});
@@ -132,6 +132,8 @@
     scenario.requests_per_s = draw.real(20, 90);
     scenario.pipelines = draw.chance(0.4);
     scenario.leaving_share = draw.chance(0.5) ? draw.real(0.02, 0.15) : 0;
+    scenario.slow_share = draw.chance(0.4) ? draw.real(0.02, 0.2) : 0;
+    scenario.connect_timeout = draw.chance(0.5) ? 250ms : draw.time(250ms, 3s);
     scenario.stops_half_way = draw.chance(0.4);
     scenario.length = draw.time(5s, 7s);
     draw_process_events(draw, scenario);
@@ -168,7 +170,8 @@
 }
 const char* name_of(EndpointMood mood) {
     constexpr const char* kNames[] = {"well",          "hangs",        "resets",     "answers late",
-                                      "answers twice", "forgets idle", "turns away", "goes while answering"};
+                                      "answers twice", "forgets idle", "turns away", "goes while answering",
+                                      "connects late"};
     return kNames[static_cast<int>(mood)];
 }
 const char* name_of(DiscoveryMood mood) {
--- a/testing/soak/scenario.h
+++ b/testing/soak/scenario.h
@@ -33,6 +33,7 @@
     kForgetsIdle,  // closes connections that rest
     kTurnsAway,
     kGoesWhileAnswering,  // begins an answer and closes the connection
+    kConnectsLate,        // connections come up once the spell is over
 };
 enum class DiscoveryMood { kWell, kSilent, kCut, kSlow, kRefuses };
 enum class CounterMood { kWell, kSilent, kNonsense };
@@ -75,6 +76,8 @@
     double requests_per_s = 0;    // at each gateway
     bool pipelines = false;       // clients write several commands at once
     double leaving_share = 0;     // of requests whose client closes before the answer
+    double slow_share = 0;        // of requests that are written in two pieces
+    Duration connect_timeout{};   // of gateways to endpoints
     bool stops_half_way = false;  // some clients stop amid a command and stay
     Duration length{};            // of the load
     std::vector<ProcessDisruption> processes;
