State that cannot be read is told from none, kept aside, and keeps a voter from starting

What callers saw: a gateway whose saved state could not be read began without it in silence, and its next save replaced it; a voting relay began with an empty log, so that it could vote twice in a term. Cause: read_file had one answer for "not there" and "cannot be read", and took a failed read for a short file; RaftLogStore took every error of access() for "not there". Change: ENOENT alone is absent; messages have path and errno; StateFile renames what could not be used before its first save, or saves nothing; log, /v1/accord and figures show it; one place for the system calls of stored state, in which tests have each fail. Why it works: no path from a failed call leads to "absent" or to a write over the old name (StateFiles.*, each call in turn). A test that expected kIo of a file that is not there expects kNotFound now, and of one below a missing folder too: as strict.

--- a/src/server/admin_endpoint.h
+++ b/src/server/admin_endpoint.h
@@ -24,6 +24,7 @@
         std::vector<std::string> classes;                 // their names, by number
         std::function<void(const admin::Command&)> done;  // a command that has changed something
         std::function<std::string()> agreement;           // what the tier agrees on; empty: nothing is agreed
+        std::function<std::size_t()> unusable_states = nullptr;  // of this process; none: it keeps none
     };
     explicit AdminEndpoint(Parts parts) : parts_(std::move(parts)) {}
 
--- a/src/server/agreement_service.cpp
+++ b/src/server/agreement_service.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "server/fleet_settings.h"
 #include "server/sync_points.h"
 #include "storage/checksummed_file.h"
 
@@ -66,8 +67,8 @@
 struct AgreementService::Saving {
     uv_work_t work{};
     AgreementService* owner = nullptr;
-    std::string path, state;
-    bool good = false;
+    std::function<Status()> write;
+    Status result = fail(ErrorCode::kIo, "");  // until it is written
 };
 
 ConfigAgreement::Callbacks AgreementService::callbacks_to(net::DatagramLink* peers,
@@ -128,7 +129,7 @@
 AgreementService::AgreementService(const AgreementServiceSettings& settings, const Config& config,
                                    const Parts& parts, Callbacks callbacks)
     : settings_(settings),
-      path_(settings.snapshot),
+      file_(path_of(settings.snapshot, "{gateway}", config.name), std::string(kSealedAs)),
       loop_(parts.loop),
       overrides_(parts.overrides),
       log_(parts.log),
@@ -137,9 +138,6 @@
                  callbacks_to(parts.peers, parts.counter)),
       warnings_(agreement_, overrides_, loop_),
       gateway_(parts.gateway) {
-    constexpr std::string_view kName = "{gateway}";
-    if (const auto at = path_.find(kName); at != std::string::npos)
-        path_.replace(at, kName.size(), config.name);
     overrides_.on_change([this](const EndpointId& endpoint, Timestamp started, bool wanted) {
         warnings_.on_own_list_change(endpoint, started, wanted);
     });
@@ -190,15 +188,11 @@
 }
 
 void AgreementService::start() {
-    if (!path_.empty()) {
-        if (const auto bytes = storage::read_file(path_)) {
-            std::string problem;
-            const auto state = storage::decode_checksummed(kSealedAs, *bytes);
-            if (!state) problem = state.error().message;
-            if (state && !agreement_.restore(loop_.now(), *state)) problem = "it is damaged";
-            if (!problem.empty())
-                log_.write(loop_.now(), "accord", {{"what", "not restored"}, {"text", problem}});
-        }
+    if (file_.is_kept()) {
+        const auto state = file_.load();
+        if (state && !agreement_.restore(loop_.now(), *state)) file_.reject("it is damaged");
+        if (!file_.problem().empty())
+            log_.write(loop_.now(), "accord", {{"what", "not restored"}, {"text", file_.problem()}});
     }
     tick();
 }
@@ -261,7 +255,7 @@
 
 void AgreementService::save() {
     const Timestamp now = loop_.now();
-    if (path_.empty() || saving_ || agreement_.change_count() == saved_changes_ ||
+    if (!file_.is_kept() || saving_ || agreement_.change_count() == saved_changes_ ||
         now - saved_at_ < kSaveEvery)
         return;
     saved_changes_ = agreement_.change_count();
@@ -269,25 +263,24 @@
     saving_ = new Saving;
     saving_->work.data = saving_;
     saving_->owner = this;
-    saving_->path = path_;
-    saving_->state = agreement_.save();
+    saving_->write = file_.writer(agreement_.save());
     reach_point();
     uv_queue_work(
         loop_.uv(), &saving_->work,
         [](uv_work_t* work) {
             auto& self = *static_cast<Saving*>(work->data);
-            self.good = storage::replace_file(self.path, storage::encode_checksummed(kSealedAs, self.state))
-                            .has_value();
+            self.result = self.write();
         },
         [](uv_work_t* work, int) {
             const std::unique_ptr<Saving> self(static_cast<Saving*>(work->data));
             if (!self->owner) return;
             self->owner->saving_ = nullptr;
             reach_point();
-            if (self->good) return;
+            self->owner->file_.written(self->result);
+            if (self->result) return;
             self->owner->saved_changes_ = 0;  // tried again
             self->owner->log_.write(self->owner->loop_.now(), "accord",
-                                    {{"what", "not saved"}, {"text", self->path}});
+                                    {{"what", "not saved"}, {"text", self->result.error().message}});
         });
 }
 
@@ -307,6 +300,7 @@
                {"longest_contradiction_ms", agreement_.longest_contradiction() == Duration::max()
                                                 ? json()
                                                 : json(agreement_.longest_contradiction() / 1ms)}};
+    if (!file_.problem().empty()) state["state_not_restored"] = file_.problem();
     if (const auto since = agreement_.fenced_since()) state["fenced_since_ms"] = *since / 1ms;
     if (const auto next = agreement_.proposed_version(kSettingsTopic)) {
         state["proposed"] = version(*next);
--- a/src/server/agreement_service.h
+++ b/src/server/agreement_service.h
@@ -21,6 +21,7 @@
 #include "server/health_adapter.h"
 #include "server/log.h"
 #include "server/statement_adapter.h"
+#include "storage/state_file.h"
 
 namespace linnetlead::server {
 
@@ -91,6 +92,8 @@
 
     // For the second address and SIGUSR1.
     nlohmann::json state() const;
+    // Why the state of an earlier process could not be used; empty: it could, or there was none.
+    const std::string& state_problem() const { return file_.problem(); }
 
 private:
     static constexpr proxy::Duration kTickEvery = std::chrono::milliseconds(40);
@@ -106,7 +109,7 @@
     void make_health(const Config& config, bool has_peers);
 
     AgreementServiceSettings settings_;
-    std::string path_;
+    storage::StateFile file_;
     net::Loop& loop_;
     admin::MaintenanceOverrides& overrides_;
     Log& log_;
--- a/src/server/distribution_client.cpp
+++ b/src/server/distribution_client.cpp
@@ -6,7 +6,6 @@
 
 #include "metering/plan_schedule_reader.h"
 #include "server/sync_points.h"
-#include "storage/checksummed_file.h"
 
 namespace linnetlead::server {
 
@@ -69,8 +68,8 @@
 struct DistributionClient::Saving {
     uv_work_t work{};
     DistributionClient* owner = nullptr;
-    std::string path, state;
-    bool good = false;
+    std::function<Status()> write;
+    Status result = fail(ErrorCode::kIo, "");  // until it is written
 };
 
 distribution::Follower::Callbacks DistributionClient::outside_of() {
@@ -111,7 +110,7 @@
       loop_(loop),
       log_(log),
       outside_(std::move(outside)),
-      path_(path_of(fleet.snapshot, "{gateway}", config.name)),
+      file_(path_of(fleet.snapshot, "{gateway}", config.name), std::string(kSealedAs)),
       link_(loop, {[this] {
                        follower_.on_connected(loop_.now());
                        arm();
@@ -136,17 +135,12 @@
 
 void DistributionClient::start() {
     bool restored = false;
-    if (!path_.empty()) {
-        if (const auto bytes = storage::read_file(path_)) {
-            std::string problem;
-            const auto state = storage::decode_checksummed(kSealedAs, *bytes);
-            restored = state && follower_.restore(loop_.now(), *state);
-            if (!state) problem = state.error().message;
-            if (state && !restored) problem = "it is damaged";
-            if (!problem.empty()) {
-                log_.write(loop_.now(), "distribution", {{"what", "not restored"}, {"text", problem}});
-            }
-        }
+    if (file_.is_kept()) {
+        const auto state = file_.load();
+        restored = state && follower_.restore(loop_.now(), *state);
+        if (state && !restored) file_.reject("it is damaged");
+        if (!file_.problem().empty())
+            log_.write(loop_.now(), "distribution", {{"what", "not restored"}, {"text", file_.problem()}});
     }
     if (!restored) in_force(0, {}, true);
     // Until the fleet has been heard, what was kept is as old as may be.
@@ -354,7 +348,7 @@
 
 void DistributionClient::save() {
     const Timestamp now = loop_.now();
-    if (path_.empty() || saving_) return;
+    if (!file_.is_kept() || saving_) return;
     if (!gathering_) {
         const std::pair held(follower_.last_index(), follower_.activation_index());
         if (held == saved_ || now < save_at_) return;
@@ -368,26 +362,25 @@
     saving_ = new Saving;
     saving_->work.data = saving_;
     saving_->owner = this;
-    saving_->path = path_;
-    saving_->state = std::exchange(gathered_, {});
+    saving_->write = file_.writer(std::exchange(gathered_, {}));
     save_at_ = now + std::max<Duration>(kShortestRest, kRests * (now - gathering_since_));
     reach_point();
     uv_queue_work(
         loop_.uv(), &saving_->work,
         [](uv_work_t* work) {
             auto& self = *static_cast<Saving*>(work->data);
-            self.good = storage::replace_file(self.path, storage::encode_checksummed(kSealedAs, self.state))
-                            .has_value();
+            self.result = self.write();
         },
         [](uv_work_t* work, int) {
             const std::unique_ptr<Saving> self(static_cast<Saving*>(work->data));
             if (!self->owner) return;
             self->owner->saving_ = nullptr;
             reach_point();
-            if (self->good) return;
+            self->owner->file_.written(self->result);
+            if (self->result) return;
             self->owner->saved_ = {};  // tried again
             self->owner->log_.write(self->owner->loop_.now(), "distribution",
-                                    {{"what", "not saved"}, {"text", self->path}});
+                                    {{"what", "not saved"}, {"text", self->result.error().message}});
         });
 }
 
@@ -404,6 +397,7 @@
                {"reconnects", follower_.connection_attempts()},
                {"snapshots", follower_.snapshots()},
                {"longest_contradiction_ms", follower_.max_divergence() / 1ms}};
+    if (!file_.problem().empty()) state["state_not_restored"] = file_.problem();
     if (const auto since = follower_.active_since()) state["since_ms"] = *since / 1ms;
     const auto relay = follower_.connected_relay();
     state["relay"] = relay ? json(names_[static_cast<std::size_t>(*relay)]) : json();
--- a/src/server/distribution_client.h
+++ b/src/server/distribution_client.h
@@ -18,6 +18,7 @@
 #include "server/config.h"
 #include "server/fleet_settings.h"
 #include "server/log.h"
+#include "storage/state_file.h"
 #include "traffic/routing_settings.h"
 
 namespace linnetlead::server {
@@ -64,6 +65,8 @@
     bool fenced() const { return follower_.fenced(loop_.now()); }
     // For the second address and SIGUSR1.
     nlohmann::json state() const;
+    // Why the state of an earlier process could not be used; empty: it could, or there was none.
+    const std::string& state_problem() const { return file_.problem(); }
 
 private:
     static constexpr proxy::Duration kTickEvery = std::chrono::milliseconds(40);
@@ -90,7 +93,7 @@
     std::vector<std::string> addresses_;  // of the relays, by number
     std::vector<std::string> names_;      // the same
     std::unordered_set<std::string> platform_plans_;
-    std::string path_;
+    storage::StateFile file_;
     transport::FrameLink link_;
     distribution::Follower follower_;
     operator_config::Resources few_;  // in force
--- a/src/server/operator_service.cpp
+++ b/src/server/operator_service.cpp
@@ -432,6 +432,12 @@
     return state.dump();
 }
 
+std::size_t OperatorService::unusable_states() const {
+    const bool of_agreement = agreement_ && !agreement_->state_problem().empty();
+    const bool of_distribution = distribution_ && !distribution_->state_problem().empty();
+    return (of_agreement ? 1 : 0) + (of_distribution ? 1 : 0);
+}
+
 void OperatorService::take(const OperatorSettings& settings) {
     const proxy::Timestamp now = timers_.now();
     if (!distribution_) {
--- a/src/server/operator_service.h
+++ b/src/server/operator_service.h
@@ -57,6 +57,8 @@
     void tell_state();
     // What the tier agrees on, or the relays have told, as JSON; empty: neither.
     std::string agreement_state() const;
+    // Files of an earlier process that this one could not use.
+    std::size_t unusable_states() const;
     // Endpoints come from a registry of the operators' own, and the platform's discovery is not asked.
     bool has_registry() const { return registry_ != nullptr; }
     void close();
--- a/src/server/relay_mode.cpp
+++ b/src/server/relay_mode.cpp
@@ -18,7 +18,7 @@
 #include "server/fleet_settings.h"
 #include "server/log.h"
 #include "server/sync_points.h"
-#include "storage/checksummed_file.h"
+#include "storage/state_file.h"
 
 namespace linnetlead::server {
 
@@ -76,6 +76,7 @@
           seed_(std::random_device()() + (std::uint64_t{std::random_device()()} << 32)),
           log_(name),
           directory_(path_of(fleet_.directory, "{relay}", name)),
+          file_(directory_.empty() ? "" : directory_ + "/state", std::string(kSealedAs)),
           above_(loop_, {[this] {
                              relay_->on_upstream_connected(loop_.now());
                              arm();
@@ -134,8 +135,8 @@
     struct Saving {
         uv_work_t work{};
         RelayProgram* owner = nullptr;
-        std::string path, state;
-        bool good = false;
+        std::function<Status()> write;
+        Status result = fail(ErrorCode::kIo, "");  // until it is written
     };
 
     std::vector<std::string> voters_of() const {
@@ -257,17 +258,13 @@
 
     // ---- one that does not vote: what it follows, for its next start ----
 
-    std::string state_path() const { return directory_.empty() ? "" : directory_ + "/state"; }
     void restore() {
         if (own_.votes || directory_.empty()) return;
         mkdir(directory_.c_str(), 0755);
-        const auto bytes = storage::read_file(state_path());
-        if (!bytes) return;
-        std::string problem;
-        const auto state = storage::decode_checksummed(kSealedAs, *bytes);
-        if (!state) problem = state.error().message;
-        if (state && !relay_->restore(loop_.now(), *state)) problem = "it is damaged";
-        if (!problem.empty()) log_.write(loop_.now(), "relay", {{"what", "not restored"}, {"text", problem}});
+        const auto state = file_.load();
+        if (state && !relay_->restore(loop_.now(), *state)) file_.reject("it is damaged");
+        if (!file_.problem().empty())
+            log_.write(loop_.now(), "relay", {{"what", "not restored"}, {"text", file_.problem()}});
     }
     void save(Timestamp now) {
         if (own_.votes || directory_.empty() || saving_ || now < save_at_) return;
@@ -276,25 +273,24 @@
         saving_ = new Saving;
         saving_->work.data = saving_;
         saving_->owner = this;
-        saving_->path = state_path();
-        saving_->state = relay_->save();
+        saving_->write = file_.writer(relay_->save());
         // Saving takes a hundredth of the loop at most.
         save_at_ = now + std::max<Duration>(kSaveEvery, 100 * (loop_.now() - now));
         uv_queue_work(
             loop_.uv(), &saving_->work,
             [](uv_work_t* work) {
                 auto& self = *static_cast<Saving*>(work->data);
-                self.good =
-                    storage::replace_file(self.path, storage::encode_checksummed(kSealedAs, self.state))
-                        .has_value();
+                self.result = self.write();
             },
             [](uv_work_t* work, int) {
                 const std::unique_ptr<Saving> self(static_cast<Saving*>(work->data));
                 RelayProgram& owner = *self->owner;
                 owner.saving_ = nullptr;
-                if (self->good || owner.closed_) return;
+                owner.file_.written(self->result);
+                if (self->result || owner.closed_) return;
                 owner.saved_ = 0;  // tried again
-                owner.log_.write(owner.loop_.now(), "relay", {{"what", "not saved"}, {"text", self->path}});
+                owner.log_.write(owner.loop_.now(), "relay",
+                                 {{"what", "not saved"}, {"text", self->result.error().message}});
             });
     }
 
@@ -328,7 +324,8 @@
         log_.write(loop_.now(), "state",
                    {{"relay", nlohmann::json::parse(relay_->state_json(loop_.now()), nullptr, false)},
                     {"sessions", server_.sessions()},
-                    {"dropped_to_voters", voters_.dropped()}});
+                    {"dropped_to_voters", voters_.dropped()},
+                    {"state_not_restored", file_.problem()}});
     }
 
     void close() {
@@ -351,6 +348,7 @@
     net::Loop loop_;
     Log log_;
     const std::string directory_;
+    storage::StateFile file_;  // of one that does not vote
     transport::FrameLink above_;
     transport::VoterLinks voters_;
     transport::RelayServer server_;
--- a/src/storage/checksummed_file.h
+++ b/src/storage/checksummed_file.h
@@ -5,6 +5,8 @@
 // version fails to decode as a whole; no part of it is ever used.
 #pragma once
 
+#include <sys/types.h>
+
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -15,6 +17,7 @@
 
 // Bounds the memory that a damaged or hostile frame can make a reader allocate.
 constexpr std::size_t kMaxDecompressedBytes = 256 * 1024 * 1024;
+constexpr mode_t kOwnerOnly = 0600;  // state may name tenants
 
 // One zstd frame that states its content's size.
 std::string compress(const std::string& text);
@@ -28,8 +31,9 @@
 
 // Replaces the file by way of PATH.part, fsync and rename, so that after a crash either the old or the new
 // content is there whole. Blocks on the disk. kIo: the old content stands.
-Status replace_file(const std::string& path, const std::string& bytes);
-// The whole file; blocks on the disk. kIo: it cannot be opened.
+Status replace_file(const std::string& path, const std::string& bytes, mode_t mode = kOwnerOnly);
+// The whole file; blocks on the disk. kNotFound: there is none; kIo: it is there, and cannot be read whole.
+// Messages name the path and the system's error.
 Result<std::string> read_file(const std::string& path);
 
 }  // namespace linnetlead::storage
