A list of accounts that cannot be read to its end is refused

What callers saw: accounts behind a failed read were on no plan of the schedule, and nothing was told. Cause: the reader's loop ended alike at the end of the file and at a failed read. Evidence: accounts("/") opens and fails with EISDIR; the code before took an empty schedule without a word. Change: a failed read refuses the operators' file with its place. Measured: the case joins the corpus of mistakes; the plan schedule's tests pass.

--- a/src/metering/plan_schedule_reader.cpp
+++ b/src/metering/plan_schedule_reader.cpp
@@ -213,6 +213,8 @@
             if (line.empty() || line.front() == '#') continue;
             read_list_line(line, {static_cast<std::uint32_t>(lists_.size()), number, 1});
         }
+        // Else the accounts behind a failed read would be on no plan.
+        if (list.bad()) throw invalid(file_, from.at, "the file '" + path + "' cannot be read to its end");
     }
 
     void read_list_line(const std::string& line, const Origin& origin) {
--- a/tests/plans_test.cpp
+++ b/tests/plans_test.cpp
@@ -91,6 +91,8 @@
              {"account(\"0000000000000001\", plan = small)\naccount(\"0000000000000001\", plan = large)\n",
               "f:4:1: the account 0000000000000001 has another plan at that instant"},
              {"accounts(\"/nowhere/at/all\")\n", "f:3:1: the file '/nowhere/at/all' cannot be read"},
+             // A folder can be opened; reading it fails.
+             {"accounts(\"/\")\n", "f:3:1: the file '/' cannot be read to its end"},
          }) {
         const auto got = read_text(kTwoPlans + one.text);
         ASSERT_TRUE(std::holds_alternative<Problem>(got)) << one.text;
