--- a/testing/soak/client_fleet.cpp
+++ b/testing/soak/client_fleet.cpp
@@ -243,9 +243,9 @@
     });
 }
 
-ClientFleet::Connection* ClientFleet::connection_to(int gateway) {
+ClientFleet::Connection* ClientFleet::connection_to(int gateway, bool is_new) {
     Front& front = front_[static_cast<std::size_t>(gateway)];
-    while (!front.idle.empty()) {
+    while (!is_new && !front.idle.empty()) {
         Connection* const idle = connections_.find(front.idle.back());
         front.idle.pop_back();
         if (idle && idle->is_idle()) return idle;
@@ -273,7 +273,9 @@
     std::uniform_real_distribution<double> chance;
     const bool pipelines = scenario_.pipelines && chance(random_) < kPipelinedShare;
     Connection* connection = pipelines ? busy_connection_to(gateway) : nullptr;
-    if (!connection) connection = connection_to(gateway);
+    const bool is_new = chance(random_) < scenario_.new_connection_share;
+    if (!connection) connection = connection_to(gateway, is_new);
+    if (!connection && is_new) connection = connection_to(gateway, false);
     // The front lets nobody in: what is open stays in use.
     if (!connection && scenario_.pipelines) connection = busy_connection_to(gateway);
     if (!connection) return;
--- a/testing/soak/client_fleet.h
+++ b/testing/soak/client_fleet.h
@@ -41,7 +41,8 @@
     void next_request();
     void next_half_writer();
     void ask(int gateway);
-    Connection* connection_to(int gateway);
+    // An idle one or, if none is or `is_new`, a new one; null: the front lets nobody in.
+    Connection* connection_to(int gateway, bool is_new);
     // One that waits for answers, and takes a command behind them; null: there is none.
     Connection* busy_connection_to(int gateway);
     Request& make_request(int gateway);
--- a/testing/soak/scenario.cpp
+++ b/testing/soak/scenario.cpp
@@ -132,6 +132,7 @@
     scenario.requests_per_s = draw.real(20, 90);
     scenario.pipelines = draw.chance(0.4);
     scenario.leaving_share = draw.chance(0.5) ? draw.real(0.02, 0.15) : 0;
+    scenario.new_connection_share = draw.chance(0.5) ? draw.real(0.05, 0.6) : 0;
     scenario.slow_share = draw.chance(0.4) ? draw.real(0.02, 0.2) : 0;
     scenario.connect_timeout = draw.chance(0.5) ? 250ms : draw.time(250ms, 3s);
     scenario.stops_half_way = draw.chance(0.4);
@@ -198,8 +199,9 @@
         line("class %s: deadline %lld ms, key window %lld ms", one.name.c_str(), ms(one.deadline),
              ms(one.key_window));
     }
-    line("pipelines %d, leaving %.2f, half-way %d", scenario.pipelines, scenario.leaving_share,
-         scenario.stops_half_way);
+    line("pipelines %d, half-way %d, shares: leaving %.2f, slow %.2f, new connections %.2f",
+         scenario.pipelines, scenario.stops_half_way, scenario.leaving_share, scenario.slow_share,
+         scenario.new_connection_share);
     for (const auto& one : scenario.processes)
         line("%5lld ms gateway %d: %s", ms(one.at), one.gateway, name_of(one.event));
     for (const auto& one : scenario.endpoint_spells)
--- a/testing/soak/scenario.h
+++ b/testing/soak/scenario.h
@@ -73,13 +73,14 @@
     int tenants = 0;
     int sockets = 0;  // descriptors that a gateway is told it may have
     int memory_mb = 0;
-    double requests_per_s = 0;    // at each gateway
-    bool pipelines = false;       // clients write several commands at once
-    double leaving_share = 0;     // of requests whose client closes before the answer
-    double slow_share = 0;        // of requests that are written in two pieces
-    Duration connect_timeout{};   // of gateways to endpoints
-    bool stops_half_way = false;  // some clients stop amid a command and stay
-    Duration length{};            // of the load
+    double requests_per_s = 0;        // at each gateway
+    bool pipelines = false;           // clients write several commands at once
+    double leaving_share = 0;         // of requests whose client closes before the answer
+    double new_connection_share = 0;  // of requests that come on a connection of their own
+    double slow_share = 0;            // of requests that are written in two pieces
+    Duration connect_timeout{};       // of gateways to endpoints
+    bool stops_half_way = false;      // some clients stop amid a command and stay
+    Duration length{};                // of the load
     std::vector<ProcessDisruption> processes;
     std::vector<Spell<EndpointMood>> endpoint_spells;
     std::vector<Spell<DiscoveryMood>> discovery_spells;
