A bucket spent before an interval's edge is not full to a gateway that meets the tenant behind it

What callers saw: a tenant that had spent its bucket of 20 passed 20 units more through a gateway that first met it within 50 ms behind an interval's edge. Cause: that gateway presumes a full bucket; its reservations are answered with the current interval's total alone, and the total of the interval before is read only when the counter's timeout has passed. Evidence: the new test on the code before: of 24 forced crossings the twelve within 40 ms behind the edge let 20 and 20 pass. Change: in the interval in which a gateway has met a tenant, nothing is reserved before the total of the one before can be read. Why it works: what is admitted without a reservation is half of an even part (5 of 20, the bound that the design states); from then on the read goes out before the reservation, and the counter answers in order.

--- a/src/policy/quota_manager.cpp
+++ b/src/policy/quota_manager.cpp
@@ -34,6 +34,7 @@
     const RatePlanSettings& plan = context_.schedule.plan_of(tenant);
     tenant.is_sampled = context_.schedule.is_sampled(plan, tenant.gateway_set_size);
     begin(request.tenant, tenant, plan.burst, now);
+    tenant.first_interval = tenant.interval;
     // Until the total of the interval before is known, its refill stands against what may have been spent in
     // it.
     const Timestamp previous_start = context_.schedule.start_of(tenant, tenant.interval - 1);
--- a/src/policy/reservations.cpp
+++ b/src/policy/reservations.cpp
@@ -10,6 +10,9 @@
 
 }  // namespace
 
+// Whether all that is known of what the others spent before this interval is presumed.
+bool Reservations::is_just_met(const Tenant& tenant) { return tenant.first_interval == tenant.interval; }
+
 bool Reservations::reserve(Tenant& tenant, OpenRequest& request, RequestId id, Timestamp now) {
     if (!context_.schedule.has_shared_bucket(tenant) || context_.counter.is_unreachable(now) ||
         request.due - now < context_.settings.counter_timeout * kMinTimeoutsLeft) {
@@ -34,6 +37,11 @@
     const Timestamp start = context_.schedule.start_of(tenant, tenant.interval);
     if (!previous_known && now - start > context_.settings.counter_timeout) {
         context_.reports.read_total(request.tenant, tenant, now);
+    } else if (!previous_known && is_just_met(tenant)) {
+        // Against a bucket that is presumed full twice: what the others spent before this interval began is
+        // told once their reports of it are in.
+        request.quota_decision = QuotaDecision::kRejected;
+        return false;
     }
     context_.bucket.spend(tenant, request.units, now);
     request.holds_units = true;
--- a/src/policy/reservations.h
+++ b/src/policy/reservations.h
@@ -40,6 +40,8 @@
     void on_reply(Tenant& tenant, OpenRequest& request, CounterStatus status, Timestamp now);
 
 private:
+    static bool is_just_met(const Tenant& tenant);
+
     Context context_;
 };
 
--- a/tests/policy_shared_counter_test.cpp
+++ b/tests/policy_shared_counter_test.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "policy/demand_count.h"
+#include "policy/quota_schedule.h"
 #include "quota_fixtures.h"
 
 namespace linnetlead::policy::testing {
@@ -220,5 +221,30 @@
     EXPECT_LE(last, 8) << "a lost count must not grant the whole quota";
 }
 
+// Guards against a bucket that is presumed full twice: one gateway has spent it, and the next interval has
+// begun when another first meets the tenant.
+TEST(Reservations, ABucketSpentJustBeforeAnIntervalsEdgeIsNotFullToAGatewayBehindIt) {
+    constexpr double kBurst = 20;
+    Settings settings = quota_settings();
+    settings.plans[0].rate = 0.01;
+    settings.plans[0].burst = kBurst;
+    constexpr Duration kInterval = 2500ms;  // of so slow a plan, the longest there is
+    const Duration stagger{
+        static_cast<std::int64_t>(hash_of("u") % static_cast<std::uint64_t>(kInterval.count()))};
+    const Timestamp edge = kInterval * ((110s + stagger) / kInterval) - stagger;
+    for (const Duration before : {10ms, 100ms, 1000ms}) {
+        for (const Duration behind : {0ms, 1ms, 10ms, 40ms, 60ms, 200ms, 1000ms, 2400ms}) {
+            SharedTenant shared(2, settings);
+            int spent = 0, passed = 0;
+            for (int i = 0; i < 30; ++i) spent += shared.offer(0, edge - before);
+            for (int i = 0; i < 30; ++i) passed += shared.offer(1, edge + behind);
+            EXPECT_GE(spent, 15);
+            EXPECT_LE(spent + passed, kBurst + kBurst / 4)
+                << "half of an even part is admitted without a reservation; " << before / 1ms
+                << " ms before and " << behind / 1ms << " ms behind the edge: " << spent << " and " << passed;
+        }
+    }
+}
+
 }  // namespace
 }  // namespace linnetlead::policy::testing
