A long answer that its client takes slowly is not cut off at the end of a process

What callers saw: a value of up to 4 MiB ended in the middle 0.2 s before the earliest SIGKILL, also where the kill came later. Cause: the last answers concluded requests whose value was on its way, and the process ended 0.15 s later with it unwritten. Change: a value that has begun to go out goes on, and the process stays 10 s at most for clients that are taking their answers. Why it works: everything else is answered and let go as before; SIGKILL at its earliest leaves such a client as it did.

--- a/src/proxy/downstream_server.h
+++ b/src/proxy/downstream_server.h
@@ -32,7 +32,7 @@
     // an open call is turned away, or a client that always has one would stay. False: no more.
     void retire(bool on);
     // Once retired, at the very end: every open request gets its answer, and what is read from now on is
-    // turned away at once.
+    // turned away at once. A value that has begun to go out goes on.
     void answer_all() {
         ends_ = true;
         gateway_.answer_all();
@@ -53,6 +53,8 @@
     void answer_pings(bool with_yes) { says_yes_ = with_yes; }
     void close();
     bool empty() const { return clients_.size() == 0; }
+    // Whether clients are still taking answers that have begun to go out.
+    bool is_writing() const { return unsent_ > 0 || gateway_.counts().in_progress > 0; }
 
     void answer(const proxy::Ticket& ticket, const proxy::Answer& answer) override;
     void begin_value(const proxy::Ticket& ticket, std::size_t size) override;
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -159,7 +159,7 @@
 void RequestManager::answer_all() {
     std::vector<Handle> open;
     calls_.for_each([&open](Handle handle, const Open& call) {
-        if (!call.answered) open.push_back(handle);
+        if (!call.answered && !call.passing) open.push_back(handle);
     });
     for (const Handle handle : open) {
         Open* call = calls_.find(handle);
@@ -168,7 +168,7 @@
         // abandon() below keeps an attempt that has not been written from ever being so.
         const bool may_run = call->out && !endpoints_->is_unsent(attempt);
         const Verdict verdict = !may_run && is_harmless(*call) ? Verdict::kRejected : Verdict::kFailed;
-        conclude(handle, *call, {verdict, {}, {}, call->passing});
+        conclude(handle, *call, {verdict, {}, {}, false});
         abandon(handle, attempt);
     }
 }
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -57,7 +57,7 @@
     // call under an open one's name fails.
     Handle take(DownstreamRequest call, DownstreamPort& front, Ticket ticket);
     void withdraw(Handle call);
-    // The gateway ends: what is open gets its answer now.
+    // The gateway ends: what is open gets its answer now, but for values that are on their way to clients.
     void answer_all();
     void limit(Limits limits) { limits_ = limits; }
     // Room for a body that is still to come, by its length: to be given back, before take() at the latest.
--- a/src/server/drain.cpp
+++ b/src/server/drain.cpp
@@ -20,6 +20,8 @@
 constexpr proxy::Duration kLongestCountedDeadline = 3s;
 // Before that, open requests are answered: the process may be held up for 0.15 s.
 constexpr proxy::Duration kAnswerBeforeKill = 200ms;
+// Who takes an answer slowly may go on for so long, should SIGKILL come later than it may.
+constexpr proxy::Duration kSlowClients = 10s;
 constexpr proxy::Duration kLastWords = 150ms;  // for those answers to be written
 
 }  // namespace
@@ -62,9 +64,11 @@
 }
 
 void Drain::wait_for_answers() {
-    if (acceptor_.empty() || timers_.now() > answers_at_ + kLastWords) return gone_();
-    if (timers_.now() > answers_at_) acceptor_.answer_all();
-    timer_ = timers_.arm(timers_.now() + kLookAgain, [this] { wait_for_answers(); });
+    const proxy::Timestamp now = timers_.now();
+    const bool is_late = now > answers_at_ + (acceptor_.is_writing() ? kSlowClients : kLastWords);
+    if (acceptor_.empty() || is_late) return gone_();
+    if (now > answers_at_) acceptor_.answer_all();
+    timer_ = timers_.arm(now + kLookAgain, [this] { wait_for_answers(); });
 }
 
 }  // namespace linnetlead::server
--- a/tests/early_kill_test.cpp
+++ b/tests/early_kill_test.cpp
@@ -1,5 +1,7 @@
 // The end of a process that is killed at the earliest moment that the platform allows: 0.7 s and the longest
 // deadline after SIGTERM, a deadline of over 3 s counted as 3 s.
+#include <fcntl.h>
+
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
@@ -8,6 +10,7 @@
 #include <thread>
 
 #include "rig.h"
+#include "server/drain.h"
 
 namespace linnetlead {
 namespace {
@@ -278,5 +281,56 @@
     EXPECT_TRUE(rig.until([&] { return rig.pool.connections() == 0; })) << "nothing leaves later";
 }
 
+// A client whose system takes little for it, so that what it has not taken stays with the gateway.
+SocketPeer connect_with_small_buffer(std::uint16_t port) {
+    constexpr int kBytes = 16 * 1024;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kBytes, sizeof(kBytes));
+    sockaddr_storage to{};
+    net::read_address("127.0.0.1:" + std::to_string(port), to);
+    EXPECT_EQ(::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(sockaddr_in)), 0);
+    fcntl(fd, F_SETFL, O_NONBLOCK);
+    return SocketPeer(fd);
+}
+
+// Guards against a long answer being cut off at the end of a process, though SIGKILL has not come and its
+// client goes on taking it.
+TEST(LastAnswers, ALongOneThatIsTakenSlowlyIsNotCutOff) {
+    Rig rig;
+    Listener endpoint;
+    rig.gateway.listed(EndpointListKind::kComplete, {listed("w", endpoint.address())});
+    bool gone = false;
+    server::Drain drain(rig.loop, rig.acceptor, 200ms, [&] {
+        gone = true;
+        rig.acceptor.close();
+    });
+    int send_buffer = 64 * 1024;  // bytes; connections have their listener's
+    uv_send_buffer_size(reinterpret_cast<uv_handle_t*>(rig.acceptor.listening()), &send_buffer);
+    SocketPeer client = connect_with_small_buffer(static_cast<std::uint16_t>(rig.acceptor.port()));
+    client.write(call("read"));
+    auto peer = rig.accepted(endpoint);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=read"); }));
+    const std::string value(resp::kMaxLong, 'v');
+    const std::string answer = served(value);
+    std::string_view left = answer;
+    drain.leave();
+    // Evenly over more than twice the time in which open requests are answered.
+    constexpr std::size_t kAtOnce = 16 * 1024;
+    constexpr auto kTakes = 2s;
+    const auto begun = steady_clock::now();
+    std::string expected;
+    resp::write_bulk(expected, value);
+    EXPECT_TRUE(rig.until([&] {
+        left.remove_prefix(peer->write_some(left.substr(0, 4 * kAtOnce)));
+        const std::chrono::duration<double> past = steady_clock::now() - begun;
+        const double share = past / std::chrono::duration<double>(kTakes);
+        if (static_cast<double>(client.got.size()) < share * static_cast<double>(expected.size()))
+            client.read_some(kAtOnce);
+        return client.got.size() >= expected.size() || client.ended;
+    }));
+    EXPECT_EQ(client.got.size(), expected.size());
+    EXPECT_TRUE(rig.until([&] { return client.is_over() && gone; }));
+}
+
 }  // namespace
 }  // namespace linnetlead
