A hot restart hands over the buckets of scheduled plans too

What callers saw: with plans of the operators' own each hot restart let a tenant spend its bucket once more, 20 units of 20. Cause: plans went by the names of the platform's settings alone, and accounts on plans behind those were left out. Evidence: the new test with the program before: 20 of 25 requests served behind the restart; none now. Change: the core keeps the names of all plans that the decision module has been given; of two of one name the later one holds.

--- a/src/admin/hot_restart/hot_restart_accounts.cpp
+++ b/src/admin/hot_restart/hot_restart_accounts.cpp
@@ -69,9 +69,10 @@
     for (const json& one : all) {
         try {
             QuotaState account;
-            const auto plan = std::find(plans.begin(), plans.end(), one.at("plan").get<std::string>());
-            if (plan == plans.end()) continue;
-            account.plan = static_cast<int>(plan - plans.begin());
+            // Of two plans of one name the later one holds.
+            const auto plan = std::find(plans.rbegin(), plans.rend(), one.at("plan").get<std::string>());
+            if (plan == plans.rend()) continue;
+            account.plan = static_cast<int>(plans.rend() - plan) - 1;
             account.tenant = one.at("account").get<std::string>();
             bool good = !account.tenant.empty();
             each_field(account, [&](const char* name, auto& value) {
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -31,6 +31,7 @@
       come_back_(site.settings.retry_after ? site.settings.max_retry_after : Duration{0}),
       policy_(new policy::Policy(site.settings, seed, timers.now(), *this)) {
     counts_.classes.resize(classes_.size());
+    for (const policy::RatePlanSettings& plan : site.settings.plans) plan_names_.push_back(plan.name);
 }
 RequestManager::~RequestManager() = default;
 
@@ -219,6 +220,7 @@
 }
 
 void RequestManager::add_plans(std::vector<policy::RatePlanSettings> more) {
+    for (const policy::RatePlanSettings& plan : more) plan_names_.push_back(plan.name);
     if (routes_) routes_->plans_added(more);
     tell([this, more = std::move(more)] { policy_->on_plans_added(timers_.now(), more); });
 }
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -52,6 +52,8 @@
     void answer_held(Handle call, const Answer& answer);
     // Plans that the settings do not have, behind those that there are.
     void add_plans(std::vector<policy::RatePlanSettings> more);
+    // Of all plans, by number. Two may have one name; the later one holds.
+    const std::vector<std::string>& plan_names() const { return plan_names_; }
 
     // From the fronts. The answer may come before take() returns; a null handle says that it has. A second
     // call under an open one's name fails.
@@ -151,6 +153,7 @@
     StatementPort* forms_ = nullptr;
     Limits limits_;
     std::vector<policy::TrafficClassSettings> classes_;
+    std::vector<std::string> plan_names_;
     int max_attempts_;
     double max_units_;
     SlotMap<Open> calls_;
--- a/src/server/hot_restart.cpp
+++ b/src/server/hot_restart.cpp
@@ -79,7 +79,7 @@
             if (message.on) parts_.drain.drain();
             return true;
         case Kind::kAccounts:
-            for (const auto& told : hot_restart::read_accounts(message.text, parts_.plans)) {
+            for (const auto& told : hot_restart::read_accounts(message.text, parts_.gateway.plan_names())) {
                 parts_.gateway.take_over(told);
             }
             return true;
@@ -119,7 +119,7 @@
         const auto accounts = parts_.gateway.accounts();
         const std::size_t count = std::min(accounts.size(), kMaxAccounts);
         for (std::size_t from = 0; from < count; from += hot_restart::kAccountsInAMessage) {
-            const std::string text = hot_restart::write_accounts(accounts, from, parts_.plans);
+            const std::string text = hot_restart::write_accounts(accounts, from, parts_.gateway.plan_names());
             send(Other::kNewer, {Kind::kAccounts, text, false, false});
         }
         send(Other::kNewer, {Kind::kEnd, {}, false, false});
--- a/src/server/hot_restart.h
+++ b/src/server/hot_restart.h
@@ -33,7 +33,6 @@
         Drain& drain;
         // Another process lives beside this one, or no longer: memory and sockets are for both.
         std::function<void(bool)> share;
-        std::vector<std::string> plans;  // their names, by number
     };
     // `place`: of meeting_place().
     HotRestart(Parts parts, std::string place, std::string listen);
--- a/src/server/main.cpp
+++ b/src/server/main.cpp
@@ -55,12 +55,6 @@
     return names;
 }
 
-std::vector<std::string> plan_names(const server::Config& config) {
-    std::vector<std::string> names;
-    for (const auto& plan : config.site.settings.plans) names.push_back(plan.name);
-    return names;
-}
-
 sockaddr_storage counter_of(const server::Config& config) {
     return config.counter.empty() ? sockaddr_storage{} : address_of("counter", config.counter);
 }
@@ -138,8 +132,7 @@
                  [this](const admin::Command& done) { upgrade_.tell(done); },
                  [this] { return operators_ ? operators_->agreement_state() : std::string(); },
                  [this] { return operators_ ? operators_->unusable_states() : 0; }}),
-          upgrade_({loop_, gateway_, acceptor_, pool_, suspensions_, drain_, [this](bool on) { share(on); },
-                    plan_names(config)},
+          upgrade_({loop_, gateway_, acceptor_, pool_, suspensions_, drain_, [this](bool on) { share(on); }},
                    server::meeting_place(server::variable("TMPDIR"), config.listen), config.listen),
           mgmt_(loop_, [this](const admin::Command& command) { return desk_.carry(command); }) {
         if (config.among_peers) {
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -210,7 +210,7 @@
     }
     // Waits until it says that it is ready.
     std::unique_ptr<Program> start(std::uint16_t mgmt) {
-        auto made = std::make_unique<Program>(config(mgmt));
+        auto made = std::make_unique<Program>(config(mgmt), arguments);
         made->listening();
         EXPECT_TRUE(wait_for([&] { return says_yes(mgmt, "GET", "/v1/readyz"); }));
         return made;
@@ -247,6 +247,7 @@
     Folder folder;
     Listener endpoint, discovery, counter;
     std::uint16_t listen;
+    std::vector<std::string> arguments;  // of the programs
 };
 
 // A kept connection goes over, with what lies unread in it; a call in hand is answered by the old process.
@@ -379,5 +380,42 @@
     EXPECT_TRUE(wait_for([&] { return pair.says_yes(mgmt, "GET", "/v1/readyz"); }));
 }
 
+// Guards against a tenant on a plan of the operators' schedule being given its bucket anew by each hot
+// restart.
+TEST(HotRestart, ABucketOfAScheduledPlanIsHandedOver) {
+    Pair pair;
+    const std::string file = pair.folder.path + "/operators.star";
+    test_support::write_file(file,
+                             "plan(\"slow\", rate = per_second(0.01), burst = 20)\n"
+                             "account(\"00000000b4d65521\", plan = \"slow\")\n");
+    pair.arguments = {"--operators", file};
+    std::vector<std::unique_ptr<SocketPeer>> connections;
+    const auto served_of = [&](int requests) {
+        SocketPeer client = connect_to(pair.listen);
+        int count = 0;
+        for (int i = 0; i < requests; ++i) {
+            client.got.clear();
+            client.write(call("read", 8000));
+            EXPECT_TRUE(wait_for([&] {
+                if (auto peer = pair.endpoint.accept()) connections.push_back(std::move(peer));
+                for (auto& peer : connections) {
+                    if (!peer->has("c=read")) continue;
+                    peer->got.clear();
+                    peer->write(served("v"));
+                }
+                return client.has("\r\n");
+            }));
+            count += client.got[0] == '$' ? 1 : 0;
+        }
+        return count;
+    };
+    const auto old = pair.start(free_port());
+    EXPECT_EQ(served_of(25), 20);
+    const auto next = pair.start(free_port());
+    old->signal(SIGTERM);
+    EXPECT_EQ(old->exit_code(), 0);
+    EXPECT_EQ(served_of(25), 0);
+}
+
 }  // namespace
 }  // namespace linnetlead
