--- a/src/metering/plan_accounts.cpp
+++ b/src/metering/plan_accounts.cpp
@@ -163,11 +163,17 @@
                                     : scheduled_position(*account, now, request.plan);
     }
     if (request_handle.index >= open_.size()) open_.resize(request_handle.index + 1);
-    OpenRequest& open = open_[request_handle.index] = {
-        account.value_or(UsageLedger::kNoAccount), request.plan, false, 0, {}, {}};
+    OpenRequest& open = open_[request_handle.index] = {};
+    open.account = account.value_or(UsageLedger::kNoAccount);
+    open.plan = request.plan;
+    open.restricted = !account || restricted;
     ++open_requests_;
-    if (!account || restricted || balances_suspended_) return;
-    const auto charge = balances_.charge(now, *account, request.units);
+}
+
+void PlanAccounts::charge(Timestamp now, proxy::Handle request_handle, policy::Request& request) {
+    OpenRequest& open = open_[request_handle.index];
+    if (open.restricted || balances_suspended_) return;
+    const auto charge = balances_.charge(now, open.account, request.units);
     if (charge) charge_to_balance(open, *charge, request);
 }
 
--- a/src/metering/plan_accounts.h
+++ b/src/metering/plan_accounts.h
@@ -59,6 +59,7 @@
     const PlanSchedule* schedule() const { return schedule_.get(); }
 
     void taken(Timestamp now, proxy::Handle request_handle, policy::Request& request) override;
+    void charge(Timestamp now, proxy::Handle request_handle, policy::Request& request) override;
     void sending(proxy::Handle request_handle, double units) override;
     void sent_on(Timestamp now, proxy::Handle request_handle, double units) override;
     void settled(proxy::Handle request_handle, double difference) override;
@@ -78,9 +79,10 @@
     static constexpr std::size_t kMaxPositions = 4096;
     struct OpenRequest {
         AccountId account = 0;
-        std::int32_t plan = 0;  // position in the decision module
-        bool counted = false;   // it was forwarded
-        double leased = 0;      // units, counted in the usage lease
+        std::int32_t plan = 0;    // position in the decision module
+        bool counted = false;     // it was forwarded
+        bool restricted = false;  // nothing is charged to a balance
+        double leased = 0;        // units, counted in the usage lease
         PrepaidBalances::Charge charge;
         UsageKey key;
     };
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -107,8 +107,11 @@
 class AccountingPort {
 public:
     virtual ~AccountingPort() = default;
-    // A call just taken: sets its plan, and the tenant that the module knows it by.
+    // A call just taken: sets the plan that its account is under.
     virtual void taken(Timestamp now, Handle call, policy::Request& request) = 0;
+    // It has been routed: charges it to a balance where there is one, and sets the plan and the tenant that
+    // the module knows it by then.
+    virtual void charge(Timestamp now, Handle call, policy::Request& request) = 0;
     // Its first attempt is about to go out.
     virtual void sending(Handle call, double units) = 0;
     // It was first sent on: the first of its attempts that reached an endpoint whole has ended.
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -102,6 +102,7 @@
     open.units = static_cast<float>(call.request.units);
     if (accounts_) accounts_->taken(timers_.now(), handle, call.request);
     if (routes_) open.mark = routes_->route(timers_.now(), call.request);
+    if (accounts_) accounts_->charge(timers_.now(), handle, call.request);
     open.deadline = timers_.arm(open.due + kOverdueAfter, [this, handle] { overdue(handle); });
     bytes_ += size;
     ++counts_.in_progress;
--- a/testing/lightweight/lightweight_gateway.cpp
+++ b/testing/lightweight/lightweight_gateway.cpp
@@ -52,6 +52,7 @@
 
 private:
     void taken(Timestamp, Handle, policy::Request&) override {}
+    void charge(Timestamp, Handle, policy::Request&) override {}
     void sending(Handle, double) override {}
     void sent_on(Timestamp, Handle, double) override {}
     void settled(Handle, double) override {}
--- a/tests/virtual_runs_test.cpp
+++ b/tests/virtual_runs_test.cpp
@@ -268,5 +268,25 @@
     EXPECT_EQ(play(), once);
 }
 
+// Guards against a request that is charged to a prepaid balance being routed under the plan and the name that
+// the decision module knows it by then: its account's rollouts and routes would not hold for it.
+TEST(VirtualRuns, ARequestChargedToABalanceIsRoutedAsItsAccount) {
+    SimulatedGateways gateways(gateways_of(3));
+    add_endpoints(gateways);
+    gateways.take_book(schedule_of(gateways.now(), 1));
+    traffic::RoutingSettings routing = rollout_routing();
+    routing.moves.front().plans = {"plan0"};
+    routing.moves.front().stages = {{0.5, 60s}};
+    gateways.run_for(4s);
+    gateways.configure(routing);
+    gateways.ask_much(kAccount, 6);
+    gateways.load(true);
+    gateways.ask_much(kAccount, 6);
+    gateways.run_for(9s);  // the balance begins, and lasts for longer than what follows
+    const std::uint64_t before = gateways.tally.attempts_in_target;
+    gateways.run_for(8s);
+    EXPECT_GE(gateways.tally.attempts_in_target - before, 12u) << "half of some 48 requests, by chance";
+}
+
 }  // namespace
 }  // namespace linnetlead
