Soak: clients that leave while a connection comes up, no cancelling in half of the plays, reloads amid a hot restart

Change: where an endpoint connects late, the connection is waited for up to 3 s and more clients leave; half of the plays forbid cancelling; a new configuration may come to the older process amid a hot restart.

--- a/testing/soak/gateway_process.cpp
+++ b/testing/soak/gateway_process.cpp
@@ -73,6 +73,7 @@
     settings.self = gateway;
     json site = settings_json(settings, false);
     json& plan = site["tariffs"][0];
+    site["limits"]["cancel"] = settings.may_cancel;
     site["limits"]["connect_timeout"] = scenario.connect_timeout.count();
     plan["hard_rate"] = settings.plans.front().hard_cap_rate;
     plan["never_over_depth"] = settings.plans.front().hard_cap_burst;
--- a/testing/soak/play.cpp
+++ b/testing/soak/play.cpp
@@ -309,6 +309,14 @@
     void restart_hot(Gateway& gateway) {
         gateway.older = std::move(gateway.process);
         gateway.process = new_process(gateway, {true, false});
+        // A new configuration for the older process amid the hand-over; the newer one may have none yet.
+        if (drawn(0ms, 1ms) < 500us) {
+            const std::string config =
+                config_of(scenario_, gateway.number, addresses_of(gateway), gateway.older->admin());
+            step(gateway, drawn(0ms, 60ms), [&gateway, config] {
+                if (gateway.older) gateway.older->reload(config);
+            });
+        }
         ask_ready(gateway);
     }
     void ask_ready(Gateway& gateway) {
--- a/testing/soak/scenario.cpp
+++ b/testing/soak/scenario.cpp
@@ -97,10 +97,10 @@
 void draw_endpoint_events(Draw& draw, Scenario& scenario) {
     const int spells = draw.number(1, 2 + scenario.endpoints / 2);
     for (int i = 0; i < spells; ++i) {
-        const auto mood = draw.one_of({EndpointMood::kHangs, EndpointMood::kHangs, EndpointMood::kResets,
-                                       EndpointMood::kAnswersLate, EndpointMood::kAnswersTwice,
-                                       EndpointMood::kForgetsIdle, EndpointMood::kTurnsAway,
-                                       EndpointMood::kGoesWhileAnswering, EndpointMood::kConnectsLate});
+        const auto mood = draw.one_of(
+            {EndpointMood::kHangs, EndpointMood::kHangs, EndpointMood::kResets, EndpointMood::kAnswersLate,
+             EndpointMood::kAnswersTwice, EndpointMood::kForgetsIdle, EndpointMood::kTurnsAway,
+             EndpointMood::kGoesWhileAnswering, EndpointMood::kConnectsLate, EndpointMood::kConnectsLate});
         scenario.endpoint_spells.push_back({mood, draw.number(0, scenario.endpoints - 1),
                                             draw.time(kFirstDisruption, scenario.length),
                                             draw.time(300ms, 4s)});
@@ -135,10 +135,20 @@
     scenario.new_connection_share = draw.chance(0.5) ? draw.real(0.05, 0.6) : 0;
     scenario.slow_share = draw.chance(0.4) ? draw.real(0.02, 0.2) : 0;
     scenario.connect_timeout = draw.chance(0.5) ? 250ms : draw.time(250ms, 3s);
+    scenario.settings.may_cancel = draw.chance(0.5);
     scenario.stops_half_way = draw.chance(0.4);
     scenario.length = draw.time(5s, 7s);
     draw_process_events(draw, scenario);
     draw_endpoint_events(draw, scenario);
+    const auto& spells = scenario.endpoint_spells;
+    const bool connects_late = std::any_of(spells.begin(), spells.end(), [](const auto& one) {
+        return one.mood == EndpointMood::kConnectsLate;
+    });
+    if (connects_late) {
+        // For clients to leave while a connection comes up, it has to be waited for.
+        scenario.connect_timeout = std::max<Duration>(scenario.connect_timeout, draw.time(1200ms, 3s));
+        scenario.leaving_share = std::max(scenario.leaving_share, draw.real(0, 0.5));
+    }
     if (draw.chance(0.6)) {
         const auto mood = draw.one_of(
             {DiscoveryMood::kSilent, DiscoveryMood::kCut, DiscoveryMood::kSlow, DiscoveryMood::kRefuses});
