Two processes that keep one state no longer write it through one temporary file

What callers saw: both processes of a hot restart save to one file; where they did so at once it held a mixture, and the next start went without its state. Cause: replace_file wrote FILE.part, the same name in every process. Change: the process's number in the name; a failed save removes its part, a start those of processes that have ended.

--- a/src/cluster/raft/raft_log_store.cpp
+++ b/src/cluster/raft/raft_log_store.cpp
@@ -69,8 +69,8 @@
 // ---- loading ----
 
 Result<PersistedState> RaftLogStore::load() {
-    ::unlink(path("log.part").c_str());
-    ::unlink(path("snapshot.part").c_str());
+    storage::remove_abandoned_parts(path("log"));
+    storage::remove_abandoned_parts(path("snapshot"));
     const auto file = storage::read_file(path("log"));
     if (!file && file.error().code == ErrorCode::kNotFound) return create();
     if (!file) return tl::unexpected<Error>(file.error());
--- a/src/storage/checksummed_file.cpp
+++ b/src/storage/checksummed_file.cpp
@@ -7,7 +7,10 @@
 #include <zstd.h>
 
 #include <cerrno>
+#include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <filesystem>
 
 #include "storage/file_calls.h"
 
@@ -64,18 +67,38 @@
 }
 
 Status replace_file(const std::string& path, const std::string& bytes, mode_t mode) {
-    const std::string part = path + ".part";
+    // Of this process alone: another may be writing the same state, as in a hot restart.
+    const std::string part = path + ".part." + std::to_string(::getpid());
     const int file = open_file(part, O_WRONLY | O_CREAT | O_TRUNC, mode);
     if (file < 0) return fail(ErrorCode::kIo, file_error(part, "opened"));
     const bool is_on_disk = write_whole(file, bytes, 0) && sync_file(file) == 0;
     if (!is_on_disk) {
         const auto failed = fail(ErrorCode::kIo, file_error(part, "written"));
         ::close(file);
+        ::unlink(part.c_str());
         return failed;
     }
-    if (::close(file) != 0) return fail(ErrorCode::kIo, file_error(part, "closed"));
-    if (rename_file(part, path) != 0) return fail(ErrorCode::kIo, file_error(path, "replaced"));
-    return {};
+    const bool is_closed = ::close(file) == 0;
+    if (is_closed && rename_file(part, path) == 0) return {};
+    const auto failed = fail(ErrorCode::kIo, file_error(path, "replaced"));
+    ::unlink(part.c_str());
+    return failed;
+}
+
+void remove_abandoned_parts(const std::string& path) {
+    namespace fs = std::filesystem;
+    const std::string start = fs::path(path).filename().string() + ".part";
+    const fs::path folder = fs::path(path).parent_path();
+    std::error_code error;
+    for (auto at = fs::directory_iterator(folder.empty() ? "." : folder, error);
+         !error && at != fs::directory_iterator(); at.increment(error)) {
+        const std::string name = at->path().filename().string();
+        if (name.compare(0, start.size(), start) != 0) continue;
+        // Without a process's number: of an earlier release.
+        const int pid = name.size() > start.size() ? std::atoi(name.c_str() + start.size() + 1) : 0;
+        const bool is_abandoned = pid <= 0 || (::kill(pid, 0) != 0 && errno == ESRCH);
+        if (is_abandoned) ::unlink(at->path().c_str());
+    }
 }
 
 Result<std::string> read_file(const std::string& path) {
--- a/src/storage/checksummed_file.h
+++ b/src/storage/checksummed_file.h
@@ -29,9 +29,11 @@
 // kInvalidArgument: of another kind or version; kDataLoss: the checksum or the frame is wrong.
 Result<std::string> decode_checksummed(std::string_view kind, std::string_view bytes);
 
-// Replaces the file by way of PATH.part, fsync and rename, so that after a crash either the old or the new
-// content is there whole. Blocks on the disk. kIo: the old content stands.
+// Replaces the file by way of PATH.part.PID, fsync and rename, so that after a crash either the old or the
+// new content is there whole. Blocks on the disk. kIo: the old content stands.
 Status replace_file(const std::string& path, const std::string& bytes, mode_t mode = kOwnerOnly);
+// Removes what processes that have ended amid replace_file() have left beside the file.
+void remove_abandoned_parts(const std::string& path);
 // The whole file; blocks on the disk. kNotFound: there is none; kIo: it is there, and cannot be read whole.
 // Messages name the path and the system's error.
 Result<std::string> read_file(const std::string& path);
--- a/src/storage/state_file.cpp
+++ b/src/storage/state_file.cpp
@@ -26,6 +26,7 @@
 }  // namespace
 
 Result<std::string> StateFile::load() {
+    remove_abandoned_parts(path_);
     auto bytes = read_file(path_);
     if (!bytes) {
         if (bytes.error().code != ErrorCode::kNotFound) {
--- a/tests/state_files_test.cpp
+++ b/tests/state_files_test.cpp
@@ -2,9 +2,11 @@
 // what could not be used is never overwritten unseen, whichever call fails and however.
 #include <gtest/gtest.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 
@@ -222,5 +224,36 @@
     EXPECT_GT(points, 20);
 }
 
+// Guards against files that pile up beside a state, one for each process that ended amid a save.
+TEST_F(StateFiles, WhatAProcessLeftAmidASaveIsRemovedByTheNextStart) {
+    constexpr const char* kNobody = ".part.999999999";
+    const std::string living = ".part." + std::to_string(getppid());
+    for (const std::string& one : {std::string(kNobody), std::string(".part"), living})
+        ASSERT_TRUE(storage::replace_file(path() + one, "a part"));
+    EXPECT_FALSE(StateFile(path(), kKind).load());
+    EXPECT_FALSE(std::filesystem::exists(path() + kNobody));
+    EXPECT_FALSE(std::filesystem::exists(path() + ".part")) << "an earlier release named it so";
+    EXPECT_TRUE(std::filesystem::exists(path() + living));
+}
+
+// Guards against two processes that keep one state, as in a hot restart, writing through one temporary file:
+// what is read then is neither's.
+TEST_F(StateFiles, TwoProcessesThatSaveAtOnceLeaveOneOfTheirStates) {
+    constexpr int kSaves = 150;
+    const std::string states[] = {std::string(300'000, 'a'), std::string(200'000, 'b')};
+    ASSERT_TRUE(storage::replace_file(path(), states[0]));
+    const pid_t other = fork();
+    while (other == 0) static_cast<void>(storage::replace_file(path(), states[1]));  // until it is killed
+    for (int i = 0; i < kSaves; ++i) {
+        static_cast<void>(storage::replace_file(path(), states[0]));
+        const std::string read = content(path());
+        EXPECT_TRUE(read == states[0] || read == states[1]) << read.size() << " bytes";
+    }
+    kill(other, SIGKILL);
+    waitpid(other, nullptr, 0);
+    std::filesystem::remove(path() + ".part." + std::to_string(other));  // where it was amid a save
+    EXPECT_EQ(std::distance(std::filesystem::directory_iterator(folder_), {}), 1) << "nothing else is left";
+}
+
 }  // namespace
 }  // namespace linnetlead
