--- a/src/traffic/routing_settings.cpp
+++ b/src/traffic/routing_settings.cpp
@@ -133,6 +133,49 @@
         }
     }
 
+    std::vector<Stage> read_stages(const Value& from) {
+        std::vector<Stage> stages;
+        double last = 0;
+        for (const Value& one : from.find("stages")->items) {
+            Stage stage;
+            const Value& share = *one.find("share");
+            stage.share = operator_config::share_of(share);
+            if (stage.share <= last) throw Wrong{share.at, "the shares of the stages must rise"};
+            last = stage.share;
+            if (const Value* hold = one.find("hold")) stage.hold = operator_config::time_of(*hold);
+            stages.push_back(stage);
+        }
+        return stages;
+    }
+
+    Tolerance read_tolerance(const Value& from) {
+        Tolerance tolerance;
+        const auto above = [&](const char* name, double& into) {
+            if (const Value* value = from.find(name)) into = 1 + operator_config::share_of(*value);
+        };
+        above("slower", tolerance.slower);
+        above("shown", tolerance.shown);
+        if (tolerance.shown <= tolerance.slower) {
+            const Value* shown = from.find("shown");
+            throw Wrong{(shown ? *shown : *from.find("slower")).at, "'shown' must lie above 'slower'"};
+        }
+        if (const Value* failures = from.find("failures")) tolerance.failures = failures->number;
+        if (const Value* gross = from.find("gross")) tolerance.gross = operator_config::share_of(*gross);
+        if (const Value* least = from.find("least")) {
+            tolerance.least = static_cast<std::size_t>(least->number);
+        }
+        return tolerance;
+    }
+
+    void check_scope(const Value& from) {
+        if (!site_) return;
+        std::vector<std::string> classes, plans = scheduled_plans();
+        for (const auto& traffic_class : site_->settings.classes) classes.push_back(traffic_class.name);
+        for (const auto& plan : site_->settings.plans) plans.push_back(plan.name);
+        known(from, "classes", classes, "class");
+        known(from, "plans", plans, "plan");
+    }
+
     RolloutSettings read_move(const Value& from, const std::vector<Pool>& pools) {
         RolloutSettings move;
         move.name = from.find("name")->text;
@@ -148,25 +191,8 @@
         move.target = target.name;
         move.classes = texts(from, "classes");
         move.plans = texts(from, "plans");
-        if (site_) {
-            std::vector<std::string> classes, plans;
-            for (const auto& traffic_class : site_->settings.classes) classes.push_back(traffic_class.name);
-            for (const auto& plan : site_->settings.plans) plans.push_back(plan.name);
-            const std::vector<std::string> scheduled = scheduled_plans();
-            plans.insert(plans.end(), scheduled.begin(), scheduled.end());
-            known(from, "classes", classes, "class");
-            known(from, "plans", plans, "plan");
-        }
-        double last = 0;
-        for (const Value& one : from.find("stages")->items) {
-            Stage stage;
-            const Value& share = *one.find("share");
-            stage.share = operator_config::share_of(share);
-            if (stage.share <= last) throw Wrong{share.at, "the shares of the stages must rise"};
-            last = stage.share;
-            if (const Value* hold = one.find("hold")) stage.hold = operator_config::time_of(*hold);
-            move.stages.push_back(stage);
-        }
+        check_scope(from);
+        move.stages = read_stages(from);
         const auto time = [&](const char* name, Duration& into) {
             if (const Value* value = from.find(name)) into = operator_config::time_of(*value);
         };
@@ -174,20 +200,7 @@
         time("lease", move.lease);
         time("deadline", move.deadline);
         if (const Value* run = from.find("run")) move.run = static_cast<int>(run->number);
-        const auto above = [&](const char* name, double& into) {
-            if (const Value* value = from.find(name)) into = 1 + operator_config::share_of(*value);
-        };
-        above("slower", move.tolerance.slower);
-        above("shown", move.tolerance.shown);
-        if (move.tolerance.shown <= move.tolerance.slower) {
-            const Value* shown = from.find("shown");
-            throw Wrong{(shown ? *shown : *from.find("slower")).at, "'shown' must lie above 'slower'"};
-        }
-        if (const Value* failures = from.find("failures")) move.tolerance.failures = failures->number;
-        if (const Value* gross = from.find("gross")) move.tolerance.gross = operator_config::share_of(*gross);
-        if (const Value* least = from.find("least")) {
-            move.tolerance.least = static_cast<std::size_t>(least->number);
-        }
+        move.tolerance = read_tolerance(from);
         if (const Value* headroom = from.find("headroom")) move.headroom = headroom->number;
         const auto is = [&](const char* name, const char* word) {
             const Value* value = from.find(name);
