A list of quoters that is too long to read is told

What callers saw: with a whole list over 4 MiB a starting gateway never became ready, and a running one kept its old list, heard of no drain and said nothing. Cause: the watch took an answer beyond the bound of a body for a broken one, and asked again. Change: the watch says so, once until it has taken a list again. The bound stands, and so does the pace of asking: open.

--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -84,7 +85,11 @@
         return bytes.size();
     }
     void take_response(http::ResponseReader::State state, bool clean) {
-        if (state != http::ResponseReader::State::kWhole || !clean) return fail(watch_.calls_.broken());
+        if (state != http::ResponseReader::State::kWhole || !clean) {
+            // The reader keeps what it has taken up to its bound; a piece is one read buffer at most.
+            if (reader_.body().size() + loop().scratch().len > http::kMaxBody) watch_.tell_too_long();
+            return fail(watch_.calls_.broken());
+        }
         const int status = reader_.status();
         if (status == kTooMany || status == kUnavailable) {
             return fail(watch_.calls_.rejected(loop().now(), retry_after(reader_)));
@@ -178,8 +183,18 @@
     return http::write_get(target, address_);
 }
 
+// Guards against a gateway whose list stands still, so that it hears of no drain, and that says nothing.
+void DiscoveryWatch::tell_too_long() {
+    if (std::exchange(told_too_long_, true)) return;
+    std::fprintf(
+        stderr,
+        "linnetlead: discovery %s: its answer is over %zu bytes and cannot be read; the list before stays\n",
+        address_.c_str(), http::kMaxBody);
+}
+
 bool DiscoveryWatch::apply(http::List list) {
     if (!calls_.listed(list.version, list.full)) return false;
+    told_too_long_ = false;
     if (list.full) {
         slices_.whole(list.entries);
     } else if (!list.entries.empty()) {
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -68,6 +68,7 @@
     void connect();
     void connect_after(proxy::Duration pause);
     bool apply(http::List list);
+    void tell_too_long();
     // A body too long for the loop, of an answer on this connection.
     void read_aside(proxy::Handle connection, std::string body);
     std::string request() const;
@@ -82,6 +83,7 @@
     proxy::SlotMap<Connection> connections_;
     proxy::Handle retry_;
     bool closed_ = false;
+    bool told_too_long_ = false;  // since the last list that was taken
 };
 
 }  // namespace linnetlead::net
