--- a/testing/simulated_gateways.cpp
+++ b/testing/simulated_gateways.cpp
@@ -161,7 +161,7 @@
     void give_up(Handle attempt) override { end(attempt, Ending::kGivenUp); }
     void client_gone(Handle) override {}  // what is sent is whole at once
     bool is_unsent(Handle) override { return false; }
-    void go_on(Handle) override {}        // values are short here
+    void go_on(Handle) override {}  // values are short here
     void probe(const EndpointId& id) override {
         arm(now() + 2 * kWay, [this, id] { gateway_.probed(id, policy::Outcome::kOk, {}); });
     }
