--- a/testing/soak/gateway_process.cpp
+++ b/testing/soak/gateway_process.cpp
@@ -91,6 +91,10 @@
         .dump();
 }
 
+std::string admin_call(const char* method, const char* path) {
+    return std::string(method) + ' ' + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+}
+
 void ask_once(net::Loop& loop, std::uint16_t port, const std::string& question, const std::string& word,
               std::function<void(const Heard&)> done) {
     auto* const asked = new Question(loop, word, std::move(done));  // deletes itself once it is released
--- a/testing/soak/gateway_process.h
+++ b/testing/soak/gateway_process.h
@@ -28,6 +28,8 @@
     bool is_good = false;  // the answer holds the word
     std::string answer;
 };
+// A call to the admin endpoint.
+std::string admin_call(const char* method, const char* path);
 // Asks one question over a connection of its own, and waits a second for an answer that holds a word.
 void ask_once(net::Loop& loop, std::uint16_t port, const std::string& question, const std::string& word,
               std::function<void(const Heard&)> done);
--- a/testing/soak/play.cpp
+++ b/testing/soak/play.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "testing/soak/client_fleet.h"
+#include "testing/soak/delay_watch.h"
 #include "testing/soak/fake_endpoint.h"
 #include "testing/soak/fake_services.h"
 #include "testing/soak/gateway_process.h"
@@ -19,7 +20,6 @@
 
 constexpr Duration kLookEvery = 50ms;        // at the processes
 constexpr Duration kProbeEvery = 20ms;       // of a process that is not ready
-constexpr Duration kOwnTick = 10ms;          // by which the play's own delays are seen
 constexpr Duration kFrontNotices = 400ms;    // a drain or a SIGTERM; until then new connections come
 constexpr Duration kReadyWithin = 30s;       // at the start
 constexpr Duration kDrainsFor = 1500ms;      // an endpoint, before it leaves the list
@@ -28,10 +28,6 @@
 constexpr Duration kLongestStop = 150ms;
 constexpr const char* kPing = "*1\r\n$4\r\nPING\r\n";
 
-std::string admin_call(const char* method, const char* path) {
-    return std::string(method) + ' ' + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
-}
-
 class Play {
 public:
     Play(const Scenario& scenario, const std::string& program)
@@ -59,7 +55,7 @@
         for (const auto& gateway : gateways_) start(*gateway);
         const Timestamp give_up = loop_.now() + kReadyWithin;
         look();
-        tick();
+        delays_.start();
         while (loop_.now() < give_up && !all_ready()) turn_for(kProbeEvery);
         begun_ = loop_.now();
         schedule();
@@ -346,15 +342,6 @@
         }
         look_ = loop_.arm(loop_.now() + kLookEvery, [this] { look(); });
     }
-    // Sees how late the play's own loop is.
-    void tick() {
-        const Timestamp now = loop_.now();
-        if (ticked_ != kNever) {
-            record_.longest_own_delay = std::max(record_.longest_own_delay, now - ticked_ - kOwnTick);
-        }
-        ticked_ = now;
-        tick_ = loop_.arm(now + kOwnTick, [this] { tick(); });
-    }
 
     // ---- the end ----
 
@@ -376,7 +363,8 @@
         finishing_ = true;
         record_.ended = loop_.now();
         loop_.disarm(look_);
-        loop_.disarm(tick_);
+        delays_.stop();
+        record_.longest_own_delay = delays_.longest();
         for (const auto& gateway : gateways_) {
             gateway->process->look();
             gateway->process.reset();
@@ -400,8 +388,8 @@
     std::vector<std::unique_ptr<Gateway>> gateways_;
     std::unique_ptr<ClientFleet> clients_;
     Timestamp begun_{};
-    Timestamp ticked_ = kNever;
-    proxy::Handle look_, tick_;
+    proxy::Handle look_;
+    DelayWatch delays_{loop_};
     bool finishing_ = false;
 };
 
