--- a/testing/soak/report.cpp
+++ b/testing/soak/report.cpp
@@ -20,9 +20,7 @@
 class Report {
 public:
     Report(const Scenario& scenario, const Record& record)
-        : scenario_(scenario),
-          record_(record),
-          begun_(record.processes.empty() ? kNever : record.processes.front().started) {}
+        : scenario_(scenario), begun_(record.processes.empty() ? kNever : record.processes.front().started) {}
 
     std::string of(const Request& request) const {
         constexpr const char* kEnds[] = {"open", "closed in order", "reset", "closed by the client"};
@@ -61,7 +59,6 @@
     }
 
     const Scenario& scenario_;
-    const Record& record_;
     const Timestamp begun_;
 };
 
