--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -14,7 +14,7 @@
 // Guards against any promise to clients, endpoints or operators being broken by restarts, signals and faults
 // at arbitrary moments. A play whose own clients were held up says nothing, and is played anew.
 TEST_P(Soak, KeepsEveryPromise) {
-    constexpr int kPlays = 4;
+    constexpr int kPlays = 12;  // on a machine so busy that every other one is void, one says something
     const Scenario scenario = draw(static_cast<std::uint64_t>(GetParam()));
     for (int plays = 0; plays < kPlays; ++plays) {
         const Record record = play(scenario, LINNETLEAD_PROGRAM);
