--- a/testing/soak/fake_endpoint.cpp
+++ b/testing/soak/fake_endpoint.cpp
@@ -74,6 +74,7 @@
             to_write().append("-BUSY\r\n");
             return;
         }
+        loop().disarm(std::exchange(timer_, {}));  // of its rest
         endpoint_.note_arrival(now);
         if (mood == EndpointMood::kHangs) return;
         Timestamp at = endpoint_.done_at(now);
