--- a/review/standins.py
+++ b/review/standins.py
@@ -53,8 +53,8 @@
 class Record:
     """record.txt: one line for each thing that was sent, answered or run."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, folder, name="record.txt"):
+        self.file = open(os.path.join(folder, name), "w", encoding="utf-8")
         self.began = time.monotonic()
 
     def write(self, what, *words):
@@ -548,9 +548,9 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(folder, case):
+def play(folder, case, name="record.txt"):
     """Runs a case: `case(loop, record)` returns HELD or BROKEN. Anything thrown is CANNOT."""
-    record = Record(folder)
+    record = Record(folder, name)
     loop = new_loop()
     asyncio.set_event_loop(loop)
     code = CANNOT
