--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 PER_GATEWAY = 140          # requests a second
 WIRE_S = 0.0003            # one way between a gateway and a quoter: 0.14 to 0.34 ms in the site's file
 SPOILT = 0.10              # of the good answers bring a second copy
-LATE_S = (0.003, 0.009)    # behind the first
+LATE_S = (0.002, 0.008)    # behind the first
 MIX = [("quote-read", 0.39, 0.030), ("quote-create", 0.35, 0.030), ("slot-hold", 0.26, 0.015)]
 
 
