--- a/review/standins.py
+++ b/review/standins.py
@@ -509,7 +509,8 @@
 
     def __init__(self, loop, record, serve, gateways=2, quoters=9, wire_s=0.0, memory_mb=192, sockets=1024):
         self.loop, self.record, self.memory_mb, self.sockets = loop, record, memory_mb, sockets
-        self.folder = tempfile.mkdtemp(prefix="review-")
+        # Short, since two processes of a gateway meet at a Unix socket in it.
+        self.folder = tempfile.mkdtemp(prefix="review-", dir=None if len(tempfile.gettempdir()) <= 40 else "/tmp")
         FOLDERS.append(self.folder)
         self.quoters = [Quoter(loop, record, "s-%04x" % (0x1000 + 7 * i), serve, wire_s) for i in range(quoters)]
         self.counter = Counter(loop)
