A duplicate reply is not taken for the reply to the next request on its connection

Cause: a reply names no request. UpstreamPool::connection_to uses a connection again after 5 ms of rest if nothing is unread, and Connection::on_bytes took whatever came next for the reply: also a duplicate that was on its way.

Evidence: on a scratch copy, replies equal to the connection's previous one logged with the time since the request: 22 of 25 within 1 ms, while replies of the endpoints' own took 10 ms or more. Rests before them: 5 to 170 ms, so a longer rest would not have held on a busy machine.

Change: DuplicateReplyDetector. A reply with the value of the previous one is skipped if it comes in less than half of the time of the endpoint's fast replies, before the request was written, or with bytes behind it; the request then gets its own. Any lateness and size; not for endpoints whose work takes less than a round trip, nor for values that repeat (told apart after two). Skipped ones are counted: edge_balancer.duplicate_replies.

--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -39,8 +39,9 @@
         until_ = limits.until;
         write_by_ = limits.write_by;
         busy_ = true;
-        answering_ = counted_in_tries_ = false;
+        answering_ = counted_in_tries_ = skipped_duplicate_ = false;
         reused_ = connected_;
+        written_at_ = {};
         body_left_ = {};
         part_ = Part::kHead;
         leave_idle();
@@ -108,6 +109,7 @@
             if (busy_ && part_ == Part::kTail) {
                 end(tail_);
             } else if (busy_) {
+                if (skipped_duplicate_) note_reply([](auto& replies) { replies.on_duplicate_unconfirmed(); });
                 end({Stage::kUnconnected, Ending::kTimedOut, {}, 0, {}});
             } else {
                 close();  // idle for so long that the endpoint is about to close the connection
@@ -140,7 +142,9 @@
             body_left_.remove_prefix(std::min(body_left_.size(), resp::kMaxBulk));
             return;
         }
-        if (!busy_ || !payload_ || !connected_) return;
+        if (!busy_ || !connected_) return;
+        if (written_at_ == Timestamp{}) written_at_ = loop().now();
+        if (!payload_) return;
         if (std::exchange(write_by_, Timestamp::max()) < until_ && part_ == Part::kHead) arm(until_);
         if (!std::exchange(counted_in_tries_, true)) ++pool_.tries_;
     }
@@ -150,9 +154,34 @@
             close();
             return bytes.size();
         }
+        std::size_t taken = 0;
+        std::size_t size = 0;
+        do {
+            size = read_part(bytes.substr(taken));
+            taken += size;
+        } while (size > 0 && taken < bytes.size() && busy_);
+        return taken;
+    }
+
+    // Returns the number of bytes taken; 0: more has to arrive.
+    std::size_t read_part(std::string_view bytes) {
+        switch (part_) {
+            case Part::kHead:
+                return read_head(bytes);
+            case Part::kValue:
+                return pass_value(bytes);
+            case Part::kTail:
+                return read_tail(bytes);
+            case Part::kDuplicateValue:
+                return skip_value(bytes);
+            case Part::kDuplicateTail:
+                return skip_tail(bytes);
+        }
+        return bytes.size();
+    }
+
+    std::size_t read_head(std::string_view bytes) {
         answering_ = true;
-        if (part_ == Part::kValue) return pass_value(bytes);
-        if (part_ == Part::kTail) return read_tail(bytes);
         resp::Message& message = pool_.message_;
         const resp::Parsed parsed = resp::parse(bytes, message);
         const bool long_value = parsed == resp::Parsed::kLongBulk && payload_ && message.items.empty() &&
@@ -168,6 +197,10 @@
             return bytes.size();
         }
         if (parsed == resp::Parsed::kPartial) return 0;
+        if (is_duplicate(message, bytes.size())) {
+            note_duplicate();
+            return message.size;
+        }
         AttemptEnd answer;
         if (payload_) {
             answer = resp::read_reply(message);
@@ -181,14 +214,89 @@
         const bool clean = message.size == bytes.size() && unsent() == 0 && answer.ending != Ending::kBroken;
         const auto at = pool_.endpoints_.find(endpoint);
         if (answer.ending == Ending::kServed) pool_.adapt_reuse_limit({}, true);
+        if (payload_ && answer.ending == Ending::kServed)
+            note_value({answer.value, answer.value.size()}, since_written());
         end(answer, clean && at != pool_.endpoints_.end() && at->second.is_usable);
         return bytes.size();
     }
 
+    Duration since_written() const {
+        return stage() < Stage::kWritten || written_at_ == Timestamp{} ? Duration{0}
+                                                                       : loop().now() - written_at_;
+    }
+
+    // Whether the complete message is a duplicate of the connection's previous reply.
+    bool is_duplicate(const resp::Message& message, std::size_t received) const {
+        if (!reused_ || !message.array || !resp::may_become_reply(message)) return false;
+        const std::string_view value = message.items.front().text;
+        return is_duplicate(proxy::ReplyFingerprint(value, value.size()), received > message.size);
+    }
+    bool is_duplicate(const proxy::ReplyFingerprint& value, bool more_follows) const {
+        if (!reused_ || value != last_value_) return false;
+        const auto at = pool_.endpoints_.find(endpoint);
+        return at != pool_.endpoints_.end() && at->second.replies.is_duplicate(since_written(), more_follows);
+    }
+
+    void note_duplicate() {
+        answering_ = false;
+        skipped_duplicate_ = true;
+        ++pool_.duplicate_replies_;
+    }
+
+    // A reply with this value is accepted, whose first bytes came so long after the request.
+    void note_value(const proxy::ReplyFingerprint& value, Duration elapsed) {
+        const bool is_genuine = !reused_ || value != last_value_;
+        note_reply([this, is_genuine, elapsed](proxy::DuplicateReplyDetector& replies) {
+            if (is_genuine) replies.on_genuine_reply(elapsed);
+            if (skipped_duplicate_) replies.on_duplicate_confirmed();
+        });
+        last_value_ = value;
+    }
+
+    template <typename Note>
+    void note_reply(Note note) {
+        const auto at = pool_.endpoints_.find(endpoint);
+        if (at != pool_.endpoints_.end()) note(at->second.replies);
+    }
+
+    // Skips the value of a duplicate, with its line end.
+    std::size_t skip_value(std::string_view bytes) {
+        const std::size_t size = std::min(value_left_, bytes.size());
+        value_left_ -= size;
+        if (value_left_ == 0) part_ = Part::kDuplicateTail;
+        tail_items_ = 0;
+        return size;
+    }
+
+    // Skips the fields behind the value of a duplicate.
+    std::size_t skip_tail(std::string_view bytes) {
+        resp::Message& message = pool_.message_;
+        const resp::Parsed parsed = resp::parse(bytes, message);
+        if (parsed == resp::Parsed::kPartial) return 0;
+        if (parsed != resp::Parsed::kWhole || message.array) {
+            end({});
+            return bytes.size();
+        }
+        if (++tail_items_ == kTailItems) part_ = Part::kHead;
+        return message.size;
+    }
+
     // Nothing is sent to the client before the value's first byte arrives: until then a retry is possible.
     std::size_t begin_value(std::string_view bytes, const resp::Message& message) {
         if (bytes.size() == message.size) return 0;
-        value_left_ = message.left;
+        const std::string_view start = bytes.substr(message.size);
+        if (reused_ && last_value_.size == message.left) {
+            if (start.size() < proxy::ReplyFingerprint::kPrefix) return 0;
+            if (is_duplicate(proxy::ReplyFingerprint(start, message.left), false)) {
+                note_duplicate();
+                part_ = Part::kDuplicateValue;
+                value_left_ = message.left + kLineEnd.size();
+                return message.size;
+            }
+        }
+        value_start_.clear();
+        value_size_ = value_left_ = message.left;
+        value_began_after_ = since_written();
         const std::size_t head = message.size;
         part_ = Part::kValue;
         loop().disarm(std::exchange(timer_, {}));
@@ -205,6 +313,8 @@
         arm(loop().now() + kStreamStallTimeout);
         if (size > 0) {
             value_left_ -= size;
+            const std::size_t compared = proxy::ReplyFingerprint::kPrefix - value_start_.size();
+            value_start_.append(bytes.substr(0, std::min(size, compared)));
             const Wanted next = pool_.gateway_.value_piece(request_, bytes.substr(0, size));
             if (closing()) return bytes.size();  // the client disconnected meanwhile
             if (next == Wanted::kNothing) {
@@ -224,9 +334,10 @@
         tail_items_ = 0;
         read_more(true);
         arm(loop().now() + kTailTimeout);
+        note_value({value_start_, value_size_}, value_began_after_);
         pool_.gateway_.value_ends(request_);
         pool_.adapt_reuse_limit({}, true);
-        return size + kLineEnd.size() + read_tail(bytes.substr(size + kLineEnd.size()));
+        return size + kLineEnd.size();
     }
 
     // Reads the usage and the load report after a long value. The value has already been delivered, whatever
@@ -234,7 +345,7 @@
     std::size_t read_tail(std::string_view bytes) {
         std::size_t taken = 0;
         resp::Message& message = pool_.message_;
-        while (tail_items_ < 2) {
+        while (tail_items_ < kTailItems) {
             const resp::Parsed parsed = resp::parse(bytes.substr(taken), message);
             if (parsed == resp::Parsed::kPartial) return taken;
             if (parsed != resp::Parsed::kWhole || message.array) {
@@ -268,8 +379,10 @@
         pool_.connections_.remove(self);
     }
 
-    enum class Part { kHead, kValue, kTail };
+    // Of a reply. A value that is too long to be buffered is read apart from what comes before and behind it.
+    enum class Part { kHead, kValue, kTail, kDuplicateValue, kDuplicateTail };
     static constexpr std::string_view kLineEnd = "\r\n";
+    static constexpr int kTailItems = 2;  // usage, load report
 
     UpstreamPool& pool_;
     Handle request_;
@@ -291,6 +404,12 @@
     bool answering_ = false;
     bool counted_in_tries_ = false;  // in tries_
     bool reused_ = false;
+    bool skipped_duplicate_ = false;      // a duplicate of the previous reply came in place of this one
+    Timestamp written_at_{};              // when the kernel had accepted the request's last byte; 0: not yet
+    proxy::ReplyFingerprint last_value_;  // of the connection's previous reply
+    std::string value_start_;             // of a long value, as much as is compared
+    std::size_t value_size_ = 0;          // of a long value
+    Duration value_began_after_{};        // of a long value: its first bytes, since the request was written
 };
 
 UpstreamPool::UpstreamPool(Loop& loop, proxy::RequestManager& gateway, Bounds bounds)
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "net/stream.h"
+#include "proxy/duplicate_reply_detector.h"
 #include "proxy/request_manager.h"
 #include "proxy/resp/parser.h"
 
@@ -41,6 +42,8 @@
     std::size_t connections() const { return connections_.size(); }
     // Number of attempts written completely since the start.
     std::uint64_t tries() const { return tries_; }
+    // Number of duplicate replies that came while another request was open, since the start.
+    std::uint64_t duplicate_replies() const { return duplicate_replies_; }
 
 private:
     class Connection;
@@ -52,6 +55,7 @@
         std::uint32_t last_update = 0;    // number of the last list update that named it
         std::vector<proxy::Handle> idle;  // most recently used last
         std::vector<proxy::Handle> open;  // its connections, idle or not
+        proxy::DuplicateReplyDetector replies;
     };
 
     Connection* connection_to(const proxy::EndpointId& id);
@@ -73,6 +77,7 @@
     std::list<proxy::Handle> idle_by_age_;  // idle connections, longest idle first
     std::uint32_t update_number_ = 0;
     std::uint64_t tries_ = 0;
+    std::uint64_t duplicate_replies_ = 0;
     bool retiring_ = false;
     proxy::Duration max_reuse_idle_;  // longest idle time after which a connection is reused
     resp::Message message_;           // of the reply being read
--- a/src/server/admin_endpoint.cpp
+++ b/src/server/admin_endpoint.cpp
@@ -47,6 +47,7 @@
     figures.classes = parts_.classes;
     figures.counts = parts_.gateway.counts();
     figures.tries = parts_.pool.tries();
+    figures.duplicate_replies = parts_.pool.duplicate_replies();
     figures.known = parts_.suspensions.known();
     if (parts_.unusable_states) figures.unusable_states = parts_.unusable_states();
     figures.skipped = parts_.suspensions.skipped() + parts_.gateway.left_out();
