A client is not closed for the size of answers that were held back for it

Cause: Client::answer moved the answers that waited behind the first into the output and took over 1 MiB there, before any of it was offered to the kernel, for a client that does not read. While they waited nothing counted them.

Change: held-back answers are counted over all clients. From half of their limit (an eighth of memory_mb) on, a client with an open request is read no further; beyond it a value over 1 KiB is answered as failed in its place. Size closes nobody: a client that takes nothing of over 64 KiB for 15 s is closed. Shed values are counted: edge_balancer.shed_answers.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -18,6 +18,7 @@
     line("known_quoters", figures.known);
     line("skipped_quoters", figures.skipped);
     if (figures.duplicate_replies > 0) line("duplicate_replies", figures.duplicate_replies);
+    if (figures.shed_answers > 0) line("shed_answers", figures.shed_answers);
     if (figures.unusable_states > 0) line("unusable_state_files", figures.unusable_states);
     return out;
 }
--- a/src/admin/metrics.h
+++ b/src/admin/metrics.h
@@ -13,7 +13,9 @@
     proxy::Counts counts;
     std::uint64_t tries = 0;              // attempts written whole to endpoints
     std::uint64_t duplicate_replies = 0;  // duplicate replies that were skipped; told where there are any
-    std::size_t known = 0;                // endpoints in the list
+    std::uint64_t shed_answers =
+        0;                  // values replaced by an error for want of memory; told where there are any
+    std::size_t known = 0;  // endpoints in the list
     std::size_t unusable_states =
         0;                    // files of earlier processes that could not be used; told where there are any
     std::size_t skipped = 0;  // of them, those that get nothing by hand or by the module's choice
--- a/src/proxy/downstream_server.cpp
+++ b/src/proxy/downstream_server.cpp
@@ -20,7 +20,7 @@
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::size_t kMaxPipelined = 64;               // unanswered commands of one client
 constexpr std::size_t kPauseReadingUnsent = 64 * 1024;  // bytes for one client; above, its reading is paused
-constexpr std::size_t kMaxUnsent = 1024 * 1024;  // bytes for one client; above, its connection is closed
+constexpr std::size_t kMaxShortValue = 1024;  // bytes; a shorter one is kept however much is pending
 constexpr proxy::Duration kLingerStep = std::chrono::seconds(1);
 constexpr proxy::Duration kTimeoutCheckInterval = std::chrono::milliseconds(200);
 // Interval at which paused connections with open requests are checked for their end: no attempt may start
@@ -63,7 +63,7 @@
 
 class DownstreamServer::Client final : public Stream {
 public:
-    Client(Loop& loop, DownstreamServer& server) : Stream(loop), server_(server) {}
+    Client(Loop& loop, DownstreamServer& server) : Stream(loop), server_(server), progress_at_(loop.now()) {}
 
     void answer(std::uint64_t number, const Answer& answer) {
         if (number < first_ || number - first_ >= entries_.size()) return;
@@ -76,39 +76,46 @@
             withdraw_all();
             return close_gracefully();
         }
-        if (number == first_) {
-            write_answer(to_write(), answer);
-            drop_first();
+        if (has_room_for(answer, number == first_)) {
+            append(entry, number, [&answer](std::string& out) { write_answer(out, answer); });
         } else {
-            write_answer(entry.reply, answer);
+            ++server_.shed_answers_;
+            append(entry, number, [](std::string& out) {
+                write_answer(out, {Verdict::kFailed, {}, {}, false});
+            });
         }
-        note_unsent();
+        if (number == first_) drop_first();
+        note_pending();
         // Limits the memory used by clients that send requests but do not read the answers.
-        if (unsent() > kMaxUnsent ||
-            (unsent() > kPauseReadingUnsent && server_.unsent_ > server_.max_unsent_)) {
+        if (unsent() > kPauseReadingUnsent && server_.unsent_ > server_.max_unsent_) {
             withdraw_all();
             close();
         }
     }
     void begin_value(std::uint64_t number, std::size_t size) {
-        if (Entry* entry = find(number)) {
-            entry->streaming = true;
-            output_of(*entry, number).append(1, '$').append(std::to_string(size)).append(kLineEnd);
-        }
+        Entry* const entry = find(number);
+        if (!entry) return;
+        entry->streaming = true;
+        append(*entry, number, [size](std::string& out) {
+            out.append(1, '$').append(std::to_string(size)).append(kLineEnd);
+        });
     }
     // A value that has to wait for the answers to earlier commands is paused after its first piece, which is
     // buffered here.
     bool pass_value(std::uint64_t number, std::string_view piece) {
         Entry* const entry = find(number);
         if (!entry) return false;
-        output_of(*entry, number).append(piece);
-        note_unsent();
+        append(*entry, number, [piece](std::string& out) { out.append(piece); });
+        note_pending();
         const bool over_limit = server_.unsent_ > server_.max_unsent_;
         return number == first_ && unsent() <= (over_limit ? 0 : kPauseReadingUnsent);
     }
-    void note_unsent() {
+    // Brings the server's totals up to date with this client's part.
+    void note_pending() {
         server_.unsent_ -= std::exchange(noted_unsent_, closing() ? 0 : unsent());
         server_.unsent_ += noted_unsent_;
+        server_.held_back_ -= std::exchange(noted_held_back_, closing() ? 0 : held_back_);
+        server_.held_back_ += noted_held_back_;
     }
     // Closes after the client has had time to read. An immediate close with unread input would reset the
     // connection and could destroy answers that the client has not read yet.
@@ -133,7 +140,9 @@
     // Closes connections of clients that never send a request, stop within a command, or stay idle after a
     // request: they occupy connections that others need.
     void check_timeouts(Timestamp now, bool is_half_full) {
-        if (closing() || finishing() || handing_over_ || has_pending_answers()) return;
+        if (closing() || finishing() || handing_over_) return;
+        close_if_stalled(now);
+        if (closing() || has_pending_answers()) return;
         if (incomplete_since_ != Timestamp{}) {
             // Frees the memory reserved for a body that arrives too slowly.
             const bool body_late = body_.left > 0 && now - body_.begun > server_.body_timeout_;
@@ -147,6 +156,14 @@
             close_gracefully();
         }
     }
+    // Limits how long answers are kept for a client that does not read them.
+    void close_if_stalled(Timestamp now) {
+        const std::size_t left = unsent();
+        if (left < std::exchange(last_unsent_, left) || left <= kPauseReadingUnsent) progress_at_ = now;
+        if (now - progress_at_ <= server_.stall_timeout_) return;
+        withdraw_all();
+        close();
+    }
     // Order of eviction when there is no room: the lowest rank is closed first.
     std::tuple<int, bool, Timestamp> eviction_rank(Timestamp now) const {
         // A command of which only one read has arrived, and nothing for kStalledAfter, counts as abandoned. A
@@ -168,6 +185,7 @@
 
     void withdraw_all() {
         drop_body();
+        held_back_ = 0;
         for (const Entry& entry : std::exchange(entries_, {})) server_.gateway_.withdraw(entry.request);
     }
 
@@ -196,8 +214,25 @@
         const bool here = number >= first_ && number - first_ < entries_.size();
         return here ? &entries_[static_cast<std::size_t>(number - first_)] : nullptr;
     }
-    std::string& output_of(Entry& entry, std::uint64_t number) {
-        return number == first_ ? to_write() : entry.reply;
+    // Writes a part of an answer, or holds it back while an earlier command has no answer.
+    template <typename Write>
+    void append(Entry& entry, std::uint64_t number, Write write) {
+        if (number == first_) return write(to_write());
+        const std::size_t before = entry.reply.size();
+        write(entry.reply);
+        held_back_ += entry.reply.size() - before;
+    }
+    // Whether the client's next command waits in the socket until earlier ones are answered and the answers
+    // are written.
+    bool is_saturated() const {
+        return entries_.size() >= kMaxPipelined || unsent() > kPauseReadingUnsent ||
+               (!entries_.empty() && server_.held_back_ > server_.max_unsent_ / 2);
+    }
+    // Whether the answer's value can be kept. Otherwise the client gets an error in its place, so that every
+    // request is answered and the connection serves on.
+    bool has_room_for(const Answer& answer, bool is_first) const {
+        if (is_first || answer.value.size() <= kMaxShortValue) return true;
+        return server_.held_back_ + answer.value.size() <= server_.max_unsent_;
     }
 
     std::size_t on_bytes(std::string_view bytes) override {
@@ -212,7 +247,7 @@
                 taken += consume_body(bytes.substr(taken));
                 continue;
             }
-            if (entries_.size() >= kMaxPipelined || unsent() > kPauseReadingUnsent) {
+            if (is_saturated()) {
                 read_more(false);  // resumed in on_written()
                 server_.watch_unread(self);
                 break;
@@ -340,6 +375,7 @@
         if (entries_.empty()) {
             to_write().append(text);
         } else {
+            held_back_ += text.size();
             entries_.push_back({{}, std::move(text), true, false});
         }
     }
@@ -349,6 +385,7 @@
             entries_.pop_front();
             ++first_;
             if (entries_.empty()) break;
+            held_back_ -= entries_.front().reply.size();
             to_write().append(std::exchange(entries_.front().reply, {}));
         } while (entries_.front().done);
         // A paused long value resumes when its buffered part is written.
@@ -379,7 +416,8 @@
     }
 
     void on_written() override {
-        note_unsent();
+        progress_at_ = loop().now();
+        note_pending();
         if (!entries_.empty() && entries_.front().streaming) server_.gateway_.go_on(entries_.front().request);
         if (entries_.size() < kMaxPipelined) {
             read_more(true);
@@ -391,15 +429,19 @@
     void on_end(int) override { withdraw_all(); }
     void on_released() override {
         drop_body();
-        note_unsent();
+        note_pending();
         server_.clients_.remove(self);
     }
 
     DownstreamServer& server_;
     Body body_;
-    std::deque<Entry> entries_;  // unanswered commands, in order
-    std::uint64_t first_ = 0;    // number of entries_.front()
-    std::size_t noted_unsent_ = 0;
+    std::deque<Entry> entries_;     // unanswered commands, in order
+    std::uint64_t first_ = 0;       // number of entries_.front()
+    std::size_t held_back_ = 0;     // bytes of answers that wait for earlier ones, in entries_
+    std::size_t noted_unsent_ = 0;  // in the server's totals
+    std::size_t noted_held_back_ = 0;
+    std::size_t last_unsent_ = 0;   // at the last check
+    Timestamp progress_at_;         // when the client last took something, or had little to take
     Timestamp last_bytes_at_{};     // when the last bytes arrived
     int reads_of_command_ = 0;      // reads that the incomplete command has taken so far
     Timestamp incomplete_since_{};  // when the incomplete command started
@@ -416,6 +458,7 @@
       max_clients_(limits.clients),
       max_unsent_(limits.unsent),
       body_timeout_(limits.body),
+      stall_timeout_(limits.stall),
       listener_(loop) {}
 DownstreamServer::~DownstreamServer() = default;
 
--- a/src/proxy/downstream_server.h
+++ b/src/proxy/downstream_server.h
@@ -18,9 +18,13 @@
 class DownstreamServer final : public proxy::DownstreamPort {
 public:
     struct Limits {
-        std::size_t clients = 512;                        // connections
-        std::size_t unsent = 32 * 1024 * 1024;            // bytes not yet written, over all clients
+        std::size_t clients = 512;  // connections
+        // Bytes of answers, over all clients: of those that the kernel has not taken, and once more of those
+        // that wait for the answers to earlier commands.
+        std::size_t unsent = 32 * 1024 * 1024;
         proxy::Duration body = std::chrono::seconds(20);  // to receive a long body completely
+        // Without any progress of a client whose answers wait to be read; then its connection is closed.
+        proxy::Duration stall = std::chrono::seconds(15);
     };
     DownstreamServer(Loop& loop, proxy::RequestManager& gateway, const policy::Settings& settings,
                      Limits limits);
@@ -58,6 +62,10 @@
     void answer_pings(bool with_yes) { answers_pings_ = with_yes; }
     void close();
     bool empty() const { return clients_.size() == 0; }
+    // Number of values that were replaced by an error for want of memory, since the start.
+    std::uint64_t shed_answers() const { return shed_answers_; }
+    // Bytes of answers that are not written yet, held back or refused by the kernel, over all clients.
+    std::size_t pending_bytes() const { return unsent_ + held_back_; }
     // Whether answers are still being written or streamed to clients.
     bool is_writing() const { return unsent_ > 0 || gateway_.counts().in_progress > 0; }
 
@@ -83,7 +91,10 @@
     std::size_t max_clients_;
     std::size_t max_unsent_;
     proxy::Duration body_timeout_;
-    std::size_t unsent_ = 0;
+    proxy::Duration stall_timeout_;
+    std::size_t unsent_ = 0;     // bytes of answers that the kernel has not taken, over all clients
+    std::size_t held_back_ = 0;  // bytes of answers that wait for those to earlier commands, over all clients
+    std::uint64_t shed_answers_ = 0;
     Listener listener_;
     proxy::Handle timeout_check_;
     proxy::Handle unread_check_;
--- a/src/server/admin_endpoint.cpp
+++ b/src/server/admin_endpoint.cpp
@@ -48,6 +48,7 @@
     figures.counts = parts_.gateway.counts();
     figures.tries = parts_.pool.tries();
     figures.duplicate_replies = parts_.pool.duplicate_replies();
+    figures.shed_answers = parts_.clients.shed_answers();
     figures.known = parts_.suspensions.known();
     if (parts_.unusable_states) figures.unusable_states = parts_.unusable_states();
     figures.skipped = parts_.suspensions.skipped() + parts_.gateway.left_out();
--- a/src/server/admin_endpoint.h
+++ b/src/server/admin_endpoint.h
@@ -8,6 +8,7 @@
 
 #include "admin/admin_command.h"
 #include "admin/maintenance_overrides.h"
+#include "proxy/downstream_server.h"
 #include "proxy/request_manager.h"
 #include "proxy/upstream_pool.h"
 #include "server/drain.h"
@@ -19,6 +20,7 @@
     struct Parts {
         const proxy::RequestManager& gateway;
         const net::UpstreamPool& pool;
+        const net::DownstreamServer& clients;
         admin::MaintenanceOverrides& suspensions;
         Drain& drain;
         std::vector<std::string> classes;                 // their names, by number
--- a/src/server/gateway_program.cpp
+++ b/src/server/gateway_program.cpp
@@ -94,7 +94,7 @@
                     config.site.settings.gateways),
           acceptor_(loop_, gateway_, config.site.settings, {shares_.clients, shares_.unsent}),
           drain_(loop_, acceptor_, longest_deadline(config), [this] { loop_.stop(); }),
-          desk_({gateway_, pool_, suspensions_, drain_, class_names(config),
+          desk_({gateway_, pool_, acceptor_, suspensions_, drain_, class_names(config),
                  [this](const admin::Command& done) { upgrade_.tell(done); },
                  [this] { return operators_ ? operators_->agreement_state() : std::string(); },
                  [this] { return operators_ ? operators_->unusable_states() : 0; }}),
--- a/tests/operation_test.cpp
+++ b/tests/operation_test.cpp
@@ -166,6 +166,7 @@
           drain(loop, acceptor, 3s, [] {}),
           desk({gateway,
                 pool,
+                acceptor,
                 suspensions,
                 drain,
                 {"read", "create", "hold"},
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -86,11 +86,11 @@
 }
 
 struct Rig {
-    explicit Rig(config::Site with = site(), std::size_t max_clients = 64)
+    explicit Rig(config::Site with = site(), std::size_t max_clients = 64, proxy::Duration stall = 15s)
         : gateway(with, 7, {256, 1 << 22}, loop),
           pool(loop, gateway, {64, with.connect_timeout, with.conn_idle}),
           counter(loop, gateway, counting.at, with.settings.counter_timeout),
-          acceptor(loop, gateway, with.settings, {max_clients, 1 << 22}) {
+          acceptor(loop, gateway, with.settings, {max_clients, 1 << 22, 20s, stall}) {
         gateway.attach(pool, counter);
         sockaddr_storage any{};
         net::read_address("127.0.0.1:0", any);
