What other clients have not read closes no client in place of its answer

Cause: the other half of Client::answer's condition. Over the limit any client with more than 64 KiB unsent was closed, and one value of 64 KiB with its frame is more, before any byte of it was offered to the kernel.

Change: over the limit the output is offered to the kernel first (Stream::offer). Only where the client has not taken what came before is a value over 1 KiB answered as failed in its place; nobody is closed for it.

Tests: WholeAnswer of 65,536 bytes (limit 0, so that no buffer of the kernel's matters) and UnreadAnswers.OfSlowReadersCostOthersNothing failed on the code before; with them two on the bound of what is held back.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -145,12 +145,8 @@
     in_flush_list_ = false;
     if (std::exchange(reads_next_turn_, false) && reading_ && !closing_) start_reading();
     if (!open_ || closing_ || shut_ || !writing_.empty()) return;
-    auto* const stream = reinterpret_cast<uv_stream_t*>(&tcp_);
     if (!out_.empty()) {
-        uv_buf_t buffer = uv_buf_init(out_.data(), static_cast<unsigned>(out_.size()));
-        const int taken = uv_try_write(stream, &buffer, 1);
-        if (taken < 0 && taken != UV_EAGAIN) return broken(taken);
-        out_.erase(0, static_cast<std::size_t>(taken < 0 ? 0 : taken));
+        if (const int error = try_write(); error != 0) return broken(error);
     }
     if (out_.empty()) {
         emptied(out_);
@@ -158,6 +154,7 @@
     }
     writing_.swap(out_);
     uv_buf_t buffer = uv_buf_init(writing_.data(), static_cast<unsigned>(writing_.size()));
+    auto* const stream = reinterpret_cast<uv_stream_t*>(&tcp_);
     const int error = uv_write(&write_, stream, &buffer, 1, [](uv_write_t* request, int status) {
         Stream& self = of(request);
         if (self.closing_) return;
@@ -182,6 +179,20 @@
     return out_.size() + lost_ + uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&tcp_));
 }
 
+std::size_t Stream::offer() {
+    if (open_ && !closing_ && !shut_ && writing_.empty() && !out_.empty()) static_cast<void>(try_write());
+    return unsent();
+}
+
+// Returns libuv's error, or 0. Where the peer takes nothing now there is none.
+int Stream::try_write() {
+    uv_buf_t buffer = uv_buf_init(out_.data(), static_cast<unsigned>(out_.size()));
+    const int taken = uv_try_write(reinterpret_cast<uv_stream_t*>(&tcp_), &buffer, 1);
+    if (taken < 0) return taken == UV_EAGAIN ? 0 : taken;
+    out_.erase(0, static_cast<std::size_t>(taken));
+    return 0;
+}
+
 bool Stream::is_quiet() const {
     uv_os_fd_t fd = -1;
     char byte = 0;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -29,6 +29,9 @@
     void flush();
     // Bytes that the kernel has not taken.
     std::size_t unsent() const;
+    // Offers the kernel at once what is gathered. Returns the bytes that it has not taken: the peer reads
+    // more slowly than this side writes. Nothing else happens before the end of the loop's turn.
+    std::size_t offer();
     // Nothing has come that is not read yet, and the peer has not ended.
     bool is_quiet() const;
     void read_more(bool wanted);
@@ -65,6 +68,7 @@
     void guarded(Act act);
     void received(ssize_t size, const char* data);
     void broken(int error);
+    int try_write();
     void written_all();
 
     Loop& loop_;
--- a/src/proxy/downstream_server.cpp
+++ b/src/proxy/downstream_server.cpp
@@ -86,11 +86,6 @@
         }
         if (number == first_) drop_first();
         note_pending();
-        // Limits the memory used by clients that send requests but do not read the answers.
-        if (unsent() > kPauseReadingUnsent && server_.unsent_ > server_.max_unsent_) {
-            withdraw_all();
-            close();
-        }
     }
     void begin_value(std::uint64_t number, std::size_t size) {
         Entry* const entry = find(number);
@@ -230,8 +225,9 @@
     }
     // Whether the answer's value can be kept. Otherwise the client gets an error in its place, so that every
     // request is answered and the connection serves on.
-    bool has_room_for(const Answer& answer, bool is_first) const {
-        if (is_first || answer.value.size() <= kMaxShortValue) return true;
+    bool has_room_for(const Answer& answer, bool is_first) {
+        if (answer.value.size() <= kMaxShortValue) return true;
+        if (is_first) return server_.unsent_ <= server_.max_unsent_ || offer() == 0;
         return server_.held_back_ + answer.value.size() <= server_.max_unsent_;
     }
 
--- a/tests/pending_answers_test.cpp
+++ b/tests/pending_answers_test.cpp
@@ -82,6 +82,22 @@
     return all;
 }
 
+// Of the answers to these commands, in their order, those that are errors; each other one has to be whole.
+std::size_t failed_answers(std::string_view text, std::size_t first, std::size_t count,
+                           std::size_t value_size) {
+    constexpr std::string_view kError = "-ERR failed\r\n";
+    std::size_t failed = 0;
+    for (std::size_t i = first; i < first + count; ++i) {
+        const std::string value = answers(i, 1, value_size);
+        const bool is_whole = text.substr(0, value.size()) == value;
+        EXPECT_TRUE(is_whole || text.substr(0, kError.size()) == kError) << "answer " << i;
+        text.remove_prefix(std::min(text.size(), is_whole ? value.size() : kError.size()));
+        failed += is_whole ? 0 : 1;
+    }
+    EXPECT_TRUE(text.empty());
+    return failed;
+}
+
 config::Site wide_site() {
     config::Site with = site();
     for (auto& traffic_class : with.settings.classes) {
@@ -159,8 +175,105 @@
 }
 INSTANTIATE_TEST_SUITE_P(Sizes, HeldBackAnswers, testing::Values(200, 20'000, 60'000, resp::kMaxBulk));
 
+// Guards against: answers that are held back take memory without a bound, or close their client at the bound.
+TEST(HeldBackAnswers, OverTheLimitAreToldAsFailedInTheirOrderAndTheConnectionServesOn) {
+    constexpr std::size_t kSize = 60'000, kKept = 3;
+    PendingAnswersRig rig(kSize);
+    rig.acceptor.limit_unsent(kKept * (kSize + 100));
+    rig.endpoints.withheld[body_of(0)] = true;
+    std::vector<SocketPeer> clients;
+    clients.push_back(rig.client());
+    clients[0].write(commands(0, kPipelined));
+    ASSERT_TRUE(
+        rig.plays_until([&] { return rig.gateway.open_calls() == 1 && rig.endpoints.asked > kKept; }));
+    EXPECT_LE(rig.acceptor.pending_bytes(), kKept * (kSize + 100) + kPipelined * 20);
+    rig.endpoints.withheld[body_of(0)] = false;
+    ASSERT_TRUE(rig.read_all(clients));
+    EXPECT_FALSE(clients[0].ended);
+    const std::size_t failed = failed_answers(clients[0].got, 0, kPipelined, kSize);
+    EXPECT_EQ(failed, rig.acceptor.shed_answers());
+    EXPECT_GT(failed, 0u);
+    EXPECT_LT(failed, kPipelined - kKept);
+    EXPECT_EQ(rig.acceptor.pending_bytes(), 0u);
+}
+
+// Guards against: many clients that pipeline behind slow requests take more memory than all clients may have.
+TEST(HeldBackAnswers, OfManyClientsStayWithinTheLimitTogether) {
+    constexpr std::size_t kSize = 60'000, kLimit = 1 << 20, kClients = 6, kEach = 10;
+    PendingAnswersRig rig(kSize);
+    rig.acceptor.limit_unsent(kLimit);
+    std::vector<SocketPeer> clients;
+    for (std::size_t i = 0; i < kClients; ++i) {
+        rig.endpoints.withheld[body_of(i * kEach)] = true;
+        clients.push_back(rig.client());
+        clients.back().write(commands(i * kEach, kEach));
+    }
+    std::size_t peak = 0;
+    ASSERT_TRUE(rig.plays_until([&] {
+        peak = std::max(peak, rig.acceptor.pending_bytes());
+        return rig.gateway.open_calls() == kClients && rig.acceptor.shed_answers() > 0;
+    }));
+    EXPECT_LE(peak, kLimit);
+    rig.endpoints.withheld.clear();
+    ASSERT_TRUE(rig.read_all(clients));
+    std::size_t failed = 0;
+    for (std::size_t i = 0; i < kClients; ++i) {
+        EXPECT_FALSE(clients[i].ended);
+        failed += failed_answers(clients[i].got, i * kEach, kEach, kSize);
+    }
+    EXPECT_EQ(failed, rig.acceptor.shed_answers());
+}
+
 // ---- Not taken by the client ---------------------------------------------------------------------------
 
+class WholeAnswer : public testing::TestWithParam<std::size_t> {};
+
+// Guards against: while slow readers hold more than all clients may have, a client that waits for nothing
+// else is closed in place of its answer, for this one's size alone.
+TEST_P(WholeAnswer, IsWrittenWhateverOthersHaveNotRead) {
+    PendingAnswersRig rig(GetParam());
+    rig.acceptor.limit_unsent(0);
+    SocketPeer client = rig.client();
+    for (std::size_t i = 0; i < 3; ++i) {
+        client.write(commands(i, 1));
+        EXPECT_TRUE(rig.gets(client, answers(i, 1, rig.size)));
+        client.got.clear();
+    }
+    EXPECT_EQ(rig.acceptor.shed_answers(), 0u);
+}
+INSTANTIATE_TEST_SUITE_P(Sizes, WholeAnswer,
+                         testing::Values(200, 60'000, resp::kMaxBulk - 100, resp::kMaxBulk));
+
+// Guards against: the same, where others really hold that much.
+TEST(UnreadAnswers, OfSlowReadersCostOthersNothing) {
+    constexpr std::size_t kSize = resp::kMaxBulk, kLimit = 256 * 1024, kSlow = 8, kEach = 4;
+    PendingAnswersRig rig(kSize);
+    rig.shrink_kernel_buffers();
+    rig.acceptor.limit_unsent(kLimit);
+    std::vector<SocketPeer> slow;
+    for (std::size_t i = 0; i < kSlow; ++i) {
+        slow.push_back(rig.client());
+        slow.back().write(commands(1000 + i * kEach, kEach));
+    }
+    ASSERT_TRUE(rig.plays_until(
+        [&] { return rig.endpoints.asked == kSlow * kEach && rig.gateway.open_calls() == 0; }));
+    EXPECT_GT(rig.acceptor.pending_bytes(), kLimit);
+    EXPECT_LE(rig.acceptor.pending_bytes(), 2 * kLimit + kSlow * (kSize + 100));
+    SocketPeer client = rig.client();
+    for (std::size_t i = 0; i < 10; ++i) {
+        client.write(commands(i, 1));
+        EXPECT_TRUE(rig.gets(client, answers(i, 1, kSize)));
+        client.got.clear();
+    }
+    ASSERT_TRUE(rig.read_all(slow));
+    std::size_t failed = 0;
+    for (std::size_t i = 0; i < kSlow; ++i) {
+        EXPECT_FALSE(slow[i].ended);
+        failed += failed_answers(slow[i].got, 1000 + i * kEach, kEach, kSize);
+    }
+    EXPECT_EQ(failed, rig.acceptor.shed_answers());
+}
+
 // Guards against: a client that sends requests and reads nothing keeps the memory of its answers for good.
 TEST(UnreadAnswers, OfAClientThatTakesNothingAreGivenUp) {
     PendingAnswersRig rig(60'000, 400ms);
