HotRestart.ABucket...: its requests are asked within one interval of their plan

Cause: where one of the plan's intervals of 2.5 s ends among the 25 requests, the units left are rationed over the demand that the last interval lets expect (AdmissionControl::admits_by_share), and some requests are rejected that they would still serve. No bucket is handed over twice in it; the gateway does what its comment says.

Change: the test waits for an interval's start and checks that none has ended by the last request. Its expectations, 20 and 0, are as they were.

--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -11,6 +11,7 @@
 #include "admin/hot_restart/hot_restart_accounts.h"
 #include "admin/hot_restart/hot_restart_channel.h"
 #include "admin/hot_restart/hot_restart_message.h"
+#include "policy/quota_schedule.h"
 #include "rig.h"
 #include "server/hot_restart.h"
 
@@ -380,6 +381,19 @@
     EXPECT_TRUE(wait_for([&] { return pair.says_yes(mgmt, "GET", "/v1/readyz"); }));
 }
 
+// A plan's interval. At its end the units left are rationed over the demand to come, and some requests that
+// they would still serve are rejected.
+constexpr proxy::Duration kPlanInterval = 2500ms;
+
+// Time since the interval of this tenant began.
+proxy::Duration time_in_interval(const std::string& tenant) {
+    const auto length = static_cast<std::uint64_t>(kPlanInterval.count());
+    const auto now =
+        std::chrono::duration_cast<proxy::Duration>(std::chrono::system_clock::now().time_since_epoch());
+    return proxy::Duration{static_cast<std::int64_t>(
+        (static_cast<std::uint64_t>(now.count()) + policy::hash_of(tenant) % length) % length)};
+}
+
 // Guards against a tenant on a plan of the operators' schedule being given its bucket anew by each hot
 // restart.
 TEST(HotRestart, ABucketOfAScheduledPlanIsHandedOver) {
@@ -410,7 +424,10 @@
         return count;
     };
     const auto old = pair.start(free_port());
+    const std::string tenant = "00000000b4d65521";
+    ASSERT_TRUE(wait_for([&] { return time_in_interval(tenant) < kPlanInterval / 10; }));
     EXPECT_EQ(served_of(25), 20);
+    ASSERT_LT(time_in_interval(tenant), kPlanInterval * 9 / 10) << "an interval has ended among them";
     const auto next = pair.start(free_port());
     old->signal(SIGTERM);
     EXPECT_EQ(old->exit_code(), 0);
