Registry: all messages behind a long one are processed, not the first alone

Cause: a message over 32 KiB is parsed on a thread, and when that was done RegistryClient::handle_response took one of the messages that had come behind it; the others waited until the stream said something more.

Change: process_all_data then, as behind a read, and only where the connection is still the one that the long message came on.

Test: RegistryStream.MessagesBehindALongOneAreProcessedWithIt failed on the code before (no drain within 5 s); passes now.

--- a/src/discovery/registry_client.cpp
+++ b/src/discovery/registry_client.cpp
@@ -74,7 +74,7 @@
         arm(ask_.silent);
     }
 
-    // Processes the received data, one message at a time, until a message has to be parsed on a thread.
+    // Processes the next complete message; if there is none, reads on.
     void process_data() {
         if (closing() || client_.parsing_.busy()) return;
         if (ask_.stream) {
@@ -95,6 +95,19 @@
         }
         read_more(true);
     }
+    // Processes all complete messages, until one has to be parsed on a thread.
+    void process_all_data() {
+        const Handle handle = self;
+        RegistryClient& client = client_;
+        while (!client.parsing_.busy()) {
+            Connection* const still = client.connections_.find(handle);
+            if (!still || still->closing()) return;
+            const std::size_t before = still->stream_data_.size();
+            const bool had = still->is_complete_ || still->stream_data_.find('\n') != std::string::npos;
+            still->process_data();
+            if (!had || (still->stream_data_.size() == before && !still->is_complete_)) return;
+        }
+    }
     bool can_reuse() const { return !ask_.stream && reusable_; }
     bool is_stream() const { return ask_.stream; }
 
@@ -132,18 +145,6 @@
         }
         return bytes.size();
     }
-    void process_all_data() {
-        const Handle handle = self;
-        RegistryClient& client = client_;
-        while (!client.parsing_.busy()) {
-            Connection* const still = client.connections_.find(handle);
-            if (!still || still->closing()) return;
-            const std::size_t before = still->stream_data_.size();
-            const bool had = still->is_complete_ || still->stream_data_.find('\n') != std::string::npos;
-            still->process_data();
-            if (!had || (still->stream_data_.size() == before && !still->is_complete_)) return;
-        }
-    }
     void on_end(int error) override {
         std::size_t taken = 0;
         const bool whole =
@@ -305,12 +306,11 @@
             job->good = job->shared->source->take(job->response, job->ask_again);
             job->response = {};
         },
-        [this, job] {
+        [this, job, from = connection_] {
             finish_response(job->good, job->ask_again);
-            // Processes data that arrived meanwhile.
-            if (Connection* const connection = connections_.find(connection_)) {
-                if (!parsing_.busy() && connection->is_stream()) connection->process_data();
-            }
+            // Messages that came behind it, or meanwhile.
+            Connection* const connection = connections_.find(from);
+            if (connection && connection_ == from && connection->is_stream()) connection->process_all_data();
         });
 }
 
--- a/tests/registry_client_test.cpp
+++ b/tests/registry_client_test.cpp
@@ -1,5 +1,7 @@
 // The registry client: the endpoint set and its differences, the state machines of both protocols under
 // faults in virtual time, and the complete client on sockets with real gateways.
+#include "discovery/registry_client.h"
+
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -149,6 +151,89 @@
 
 // ---- On sockets -----------------------------------------------------------------------------------------
 
+// The registry client alone, and one end of its conversation with etcd, played by the test.
+struct EtcdConversation final : proxy::EndpointListPort {
+    EtcdConversation()
+        : client(loop, *this, settings(listener.address()), 1,
+                 [](const std::string&, const std::string&) {}) {
+        client.start();
+    }
+    ~EtcdConversation() override {
+        client.close();
+        loop.drain();
+    }
+    static net::RegistryClient::Settings settings(const std::string& address) {
+        net::RegistryClient::Settings made;
+        made.kind = "etcd";
+        made.endpoints = {address};
+        made.source.prefix = "w/";
+        return made;
+    }
+    void listed(policy::EndpointListKind, const std::vector<proxy::DiscoveredEndpoint>& entries) override {
+        for (const auto& one : entries) states[one.entry.id] = one.entry.state;
+    }
+    bool until(const std::function<bool()>& condition) {
+        loop.turn_until(
+            [&] {
+                if (auto next = listener.accept()) peer = std::move(next);
+                return condition();
+            },
+            5s);
+        return condition();
+    }
+    static std::string pair(const std::string& id, int revision, const std::string& state,
+                            const std::string& note = {}) {
+        const std::string value =
+            R"({"addr":"127.0.0.1:80","state":")" + state + R"(","note":")" + note + "\"}";
+        return R"({"key":")" + discovery::to_base64("w/" + id) + R"(","value":")" +
+               discovery::to_base64(value) + R"(","mod_revision":")" + std::to_string(revision) + "\"}";
+    }
+    static std::string header(int revision) {
+        return R"({"cluster_id":"7","revision":")" + std::to_string(revision) + "\"}";
+    }
+    // A message of the watch, as a chunk of the answer.
+    static std::string message(int revision, const std::string& rest) {
+        const std::string text = R"({"result":{"header":)" + header(revision) + ',' + rest + "}}\n";
+        char size[20];
+        std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+        return size + text + "\r\n";
+    }
+    static std::string put(int revision, const std::string& pairs) {
+        return message(revision, R"("events":[{"kv":)" + pairs + "}]");
+    }
+    // Answers the list, and the watch as far as that it has begun.
+    void begin(const std::string& pairs) {
+        ASSERT_TRUE(until([&] { return peer && peer->has("/v3/kv/range"); }));
+        const std::string list = R"({"header":)" + header(5) + R"(,"kvs":[)" + pairs + "]}";
+        peer->got.clear();
+        peer->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+        ASSERT_TRUE(until([&] { return peer && peer->has("/v3/watch"); }));
+        peer->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                    message(5, R"("created":true)"));
+    }
+    net::Loop loop;
+    test_support::Listener listener;
+    std::unique_ptr<test_support::SocketPeer> peer;
+    std::map<std::string, EndpointState> states;
+    net::RegistryClient client;
+};
+
+// Guards against: of several messages behind one that is parsed on a thread, all but the first wait until the
+// stream says something more, and a drain among them is learnt up to the watch's silence (20 s) late.
+TEST(RegistryStream, MessagesBehindALongOneAreProcessedWithIt) {
+    EtcdConversation etcd;
+    etcd.begin(EtcdConversation::pair("a", 3, "in_service") + ',' +
+               EtcdConversation::pair("b", 4, "in_service"));
+    ASSERT_TRUE(etcd.until([&] { return etcd.states.size() == 2; }));
+    const std::string note(64 * 1024, 'x');
+    etcd.peer->write(EtcdConversation::put(6, EtcdConversation::pair("a", 6, "in_service", note)) +
+                     EtcdConversation::put(7, EtcdConversation::pair("a", 7, "in_service")) +
+                     EtcdConversation::put(8, EtcdConversation::pair("b", 8, "terminating")));
+    EXPECT_TRUE(etcd.until([&] { return etcd.states["b"] == EndpointState::kDraining; }));
+    etcd.peer->write(EtcdConversation::put(9, EtcdConversation::pair("a", 9, "terminating")));
+    EXPECT_TRUE(etcd.until([&] { return etcd.states["a"] == EndpointState::kDraining; })) << "it is read on";
+}
+
 struct RegistryFixture {
     explicit RegistryFixture(KvProtocol kind, int count = 2)
         : protocol(kind), platform([] {
