--- /dev/null
+++ b/src/proxy/downstream_client.cpp
@@ -0,0 +1,370 @@
+#include "proxy/downstream_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace linnetlead::net {
+
+using proxy::Answer;
+using proxy::Handle;
+using proxy::Timestamp;
+using proxy::Verdict;
+
+namespace {
+
+// A longer body gets its own buffer, reserved by its announced length; a shorter one stays in the read
+// buffer.
+constexpr std::size_t kMaxBufferedBody = 8 * 1024;
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::size_t kMaxPipelined = 64;  // unanswered commands of one client
+constexpr std::size_t kPauseReadingUnsent = 64 * 1024;  // bytes for one client; above, its reading is paused
+constexpr std::size_t kMaxShortValue = 1024;  // bytes; a shorter one is kept however much is pending
+constexpr proxy::Duration kLingerStep = std::chrono::seconds(1);
+// A partial command without further bytes for this long counts as abandoned.
+constexpr proxy::Duration kStalledAfter = std::chrono::milliseconds(500);
+// Of a client that has never sent a request; of any idle client while more than half of the connections are
+// in use.
+constexpr proxy::Duration kIdleTimeout = std::chrono::milliseconds(2100);
+// For an incomplete command. Slow clients need up to 2 s to send one. A client that stops within a command
+// gets an error within 3 s of connecting.
+constexpr proxy::Duration kIncompleteTimeout = std::chrono::milliseconds(2600);
+
+std::string_view last_bytes(std::string_view bytes) {
+    return bytes.substr(bytes.size() - std::min(bytes.size(), kLineEnd.size()));
+}
+
+void write_answer(std::string& out, const Answer& answer) {
+    switch (answer.verdict) {
+        case Verdict::kServed:
+            if (answer.passed) return void(out.append(kLineEnd));
+            resp::write_bulk(out, answer.value);
+            return;
+        case Verdict::kRejected: {
+            const auto ms = std::chrono::ceil<std::chrono::milliseconds>(answer.retry_after).count();
+            out.append(ms > 0 ? "-BUSY " + std::to_string(ms) + "\r\n" : "-BUSY\r\n");
+            return;
+        }
+        case Verdict::kFailed:
+            out.append("-ERR failed\r\n");
+            return;
+    }
+}
+
+}  // namespace
+
+void DownstreamServer::Client::answer(std::uint64_t number, const Answer& answer) {
+    if (number < first_ || number - first_ >= entries_.size()) return;
+    Entry& entry = entries_[static_cast<std::size_t>(number - first_)];
+    entry.request = {};
+    entry.done = true;
+    // The attempt ended before the whole value was passed on. A part of it is already written, so only
+    // closing the connection shows the client the failure. Earlier answers are still written.
+    if (answer.passed && answer.verdict != Verdict::kServed) {
+        withdraw_all();
+        return close_gracefully();
+    }
+    if (has_room_for(answer, number == first_)) {
+        append(entry, number, [&answer](std::string& out) { write_answer(out, answer); });
+    } else {
+        ++server_.shed_answers_;
+        append(entry, number, [](std::string& out) { write_answer(out, {Verdict::kFailed, {}, {}, false}); });
+    }
+    if (number == first_) drop_first();
+    note_pending();
+}
+
+void DownstreamServer::Client::begin_value(std::uint64_t number, std::size_t size) {
+    Entry* const entry = find(number);
+    if (!entry) return;
+    entry->streaming = true;
+    append(*entry, number,
+           [size](std::string& out) { out.append(1, '$').append(std::to_string(size)).append(kLineEnd); });
+}
+
+bool DownstreamServer::Client::pass_value(std::uint64_t number, std::string_view piece) {
+    Entry* const entry = find(number);
+    if (!entry) return false;
+    append(*entry, number, [piece](std::string& out) { out.append(piece); });
+    note_pending();
+    const bool over_limit = server_.unsent_ > server_.max_unsent_;
+    return number == first_ && unsent() <= (over_limit ? 0 : kPauseReadingUnsent);
+}
+
+void DownstreamServer::Client::note_pending() {
+    server_.unsent_ -= std::exchange(noted_unsent_, closing() ? 0 : unsent());
+    server_.unsent_ += noted_unsent_;
+    server_.held_back_ -= std::exchange(noted_held_back_, closing() ? 0 : held_back_);
+    server_.held_back_ += noted_held_back_;
+}
+
+void DownstreamServer::Client::close_gracefully() {
+    if (finishing() || closing()) return;
+    finish();
+    linger();
+}
+
+void DownstreamServer::Client::release_if_idle() {
+    if (closing() || finishing() || handing_over_ || has_pending_answers() ||
+        incomplete_since_ != Timestamp{})
+        return;
+    if (server_.pass_) return pass();
+    if (server_.retiring_ && (rejecting_ || is_quiet())) close_gracefully();
+}
+
+void DownstreamServer::Client::cancel_handover() {
+    if (std::exchange(handing_over_, false)) read_more(true);
+}
+
+void DownstreamServer::Client::check_timeouts(Timestamp now, bool is_half_full) {
+    if (closing() || finishing() || handing_over_) return;
+    close_if_stalled(now);
+    if (closing() || has_pending_answers()) return;
+    if (incomplete_since_ != Timestamp{}) {
+        // Frees the memory reserved for a body that arrives too slowly.
+        const bool body_late = body_.left > 0 && now - body_.begun > server_.body_timeout_;
+        if (now - incomplete_since_ <= kIncompleteTimeout && !body_late) return;
+        drop_body();
+        reply("-ERR command is not whole\r\n");
+        close_gracefully();
+    } else if (server_.retiring_ || server_.pass_) {
+        release_if_idle();
+    } else if (now - last_used > kIdleTimeout && (!asked || is_half_full) && is_quiet()) {
+        close_gracefully();
+    }
+}
+
+void DownstreamServer::Client::close_if_stalled(Timestamp now) {
+    const std::size_t left = unsent();
+    if (left < std::exchange(last_unsent_, left) || left <= kPauseReadingUnsent) progress_at_ = now;
+    if (now - progress_at_ <= server_.stall_timeout_) return;
+    withdraw_all();
+    close();
+}
+
+std::tuple<int, bool, Timestamp> DownstreamServer::Client::eviction_rank(Timestamp now) const {
+    // A command of which only one read has arrived, and nothing for kStalledAfter, counts as abandoned. A
+    // slow client sends more and would lose its request, so it is closed last. An idle client loses
+    // nothing: it reconnects.
+    constexpr int kNoRequest = 0, kStalled = 1, kIdle = 2, kReceiving = 3;
+    if (finishing()) return {kNoRequest, unsent() > 0, last_used};
+    if (incomplete_since_ != Timestamp{}) {
+        const bool stops = reads_of_command_ <= 1 && now - last_bytes_at_ > kStalledAfter;
+        return {stops ? kStalled : kReceiving, unsent() > 0, last_bytes_at_};
+    }
+    return {asked ? kIdle : kNoRequest, unsent() > 0, last_used};
+}
+
+bool DownstreamServer::Client::can_be_evicted() const {
+    if (closing() || handing_over_ || !entries_.empty()) return false;
+    return finishing() || incomplete_since_ != Timestamp{} || is_quiet();
+}
+
+void DownstreamServer::Client::withdraw_all() {
+    drop_body();
+    held_back_ = 0;
+    for (const Entry& entry : std::exchange(entries_, {})) server_.gateway_.withdraw(entry.request);
+}
+
+bool DownstreamServer::Client::is_saturated() const {
+    return entries_.size() >= kMaxPipelined || unsent() > kPauseReadingUnsent ||
+           (!entries_.empty() && server_.held_back_ > server_.max_unsent_ / 2);
+}
+
+bool DownstreamServer::Client::has_room_for(const Answer& answer, bool is_first) {
+    if (answer.value.size() <= kMaxShortValue) return true;
+    if (is_first) return server_.unsent_ <= server_.max_unsent_ || offer() == 0;
+    return server_.held_back_ + answer.value.size() <= server_.max_unsent_;
+}
+
+std::size_t DownstreamServer::Client::on_bytes(std::string_view bytes) {
+    if (last_) return bytes.size();
+    std::size_t taken = 0;
+    const Timestamp now = loop().now();
+    last_bytes_at_ = now;
+    ++reads_of_command_;
+    while (taken < bytes.size() && !closing() && !finishing()) {
+        if (body_.left > 0) {
+            incomplete_since_ = now;  // while bytes arrive, only body_timeout_ limits a slow body
+            taken += consume_body(bytes.substr(taken));
+            continue;
+        }
+        if (is_saturated()) {
+            read_more(false);  // resumed in on_written()
+            server_.watch_unread(self);
+            break;
+        }
+        resp::Message& message = server_.message_;
+        const resp::Parsed parsed = resp::parse(bytes.substr(taken), message, kMaxBufferedBody);
+        if (parsed == resp::Parsed::kLongBulk && begin_body(message)) {
+            incomplete_since_ = now;
+            taken += message.size;
+            continue;
+        }
+        if (parsed == resp::Parsed::kPartial) {
+            if (taken > 0 || incomplete_since_ == Timestamp{}) incomplete_since_ = now;
+            return taken;
+        }
+        incomplete_since_ = {};
+        const bool command = parsed == resp::Parsed::kWhole && message.array;
+        if (!command) {  // the start of the next command is unknown
+            reply("-ERR protocol error\r\n");
+            last_ = true;
+            finish_if_last();
+            return bytes.size();
+        }
+        taken += message.size;
+        reads_of_command_ = 0;
+        on_command(message);
+    }
+    return taken;
+}
+
+void DownstreamServer::Client::on_command(const resp::Message& message) {
+    if (message.items.empty()) return;
+    for (const resp::Item& item : message.items) {
+        if (item.type != resp::Type::kBulk) return reply("-ERR commands are arrays of bulk strings\r\n");
+    }
+    const std::string_view verb = message.items.front().text;
+    if (verb == "Q.ASK" || verb == "Q.DO") return on_request(message);
+    if (verb == "PING") return reply(server_.answers_pings_ ? "+PONG\r\n" : "-ERR draining\r\n");
+    if (verb == "CLIENT" || verb == "SELECT") return reply("+OK\r\n");
+    reply("-ERR unknown command\r\n");
+}
+
+bool DownstreamServer::Client::begin_body(const resp::Message& message) {
+    constexpr std::size_t kBefore = 4;
+    if (!message.array || message.count != kBefore + 1 || message.items.size() != kBefore) return false;
+    const std::string_view verb = message.items.front().text;
+    if (verb != "Q.DO" && verb != "Q.ASK") return false;
+    for (const resp::Item& item : message.items) {
+        if (item.type != resp::Type::kBulk) return false;
+    }
+    body_ = {};
+    body_.begun = loop().now();
+    body_.left = message.left + kLineEnd.size();
+    resp::Message head = message;
+    proxy::RequestManager& gateway = server_.gateway_;
+    // Reserve first: read_request() allocates the memory of the body.
+    const std::size_t room = message.left + kMaxBufferedBody;
+    body_.has_room = gateway.reserve(room);
+    body_.room = body_.has_room ? room : 0;
+    if (!body_.has_room) head.left = 0;
+    body_.problem = resp::read_request(head, server_.names_, body_.begun, body_.request);
+    return true;
+}
+
+std::size_t DownstreamServer::Client::consume_body(std::string_view bytes) {
+    const std::size_t size = std::min(bytes.size(), body_.left);
+    body_.left -= size;
+    // The line end is stored with the body and checked when both are complete.
+    std::string& kept = body_.request.payload.bytes;
+    if (body_.has_room && !body_.problem) kept.append(bytes.substr(0, size));
+    if (body_.left > 0) return size;
+    incomplete_since_ = {};
+    Body body = std::exchange(body_, {});
+    server_.gateway_.give_back(body.room);
+    if (body.problem) {
+        reply("-ERR " + std::string(body.problem) + "\r\n");
+    } else if (!body.has_room) {
+        asked = true;
+        last_used = loop().now();
+        server_.gateway_.turned_away(body.request.request.traffic_class);
+        reply("-BUSY\r\n");
+    } else if (last_bytes(body.request.payload.bytes) != kLineEnd) {
+        reply("-ERR protocol error\r\n");
+        last_ = true;
+        finish_if_last();
+    } else {
+        body.request.request.due += loop().now() - body.begun;  // its deadline counts from the last byte
+        submit(std::move(body.request));
+    }
+    return size;
+}
+
+void DownstreamServer::Client::drop_body() {
+    server_.gateway_.give_back(body_.room);
+    body_ = {};
+}
+
+void DownstreamServer::Client::on_request(const resp::Message& message) {
+    proxy::DownstreamRequest request;
+    if (const char* error = resp::read_request(message, server_.names_, loop().now(), request)) {
+        return reply("-ERR " + std::string(error) + "\r\n");
+    }
+    submit(std::move(request));
+}
+
+void DownstreamServer::Client::submit(proxy::DownstreamRequest request) {
+    asked = true;
+    last_used = loop().now();
+    rejecting_ = server_.rejects_all_ || (server_.retiring_ && (rejecting_ || !entries_.empty()));
+    if (rejecting_) {
+        server_.gateway_.turned_away(request.request.traffic_class);
+        return reply("-BUSY\r\n");
+    }
+    const std::uint64_t number = first_ + entries_.size();
+    entries_.emplace_back();
+    const Handle handle = server_.gateway_.take(std::move(request), server_, {self.packed(), number});
+    if (handle && number >= first_) entries_[static_cast<std::size_t>(number - first_)].request = handle;
+}
+
+void DownstreamServer::Client::reply(std::string text) {
+    if (entries_.empty()) {
+        to_write().append(text);
+    } else {
+        held_back_ += text.size();
+        entries_.push_back({{}, std::move(text), true, false});
+    }
+}
+
+void DownstreamServer::Client::drop_first() {
+    do {
+        entries_.pop_front();
+        ++first_;
+        if (entries_.empty()) break;
+        held_back_ -= entries_.front().reply.size();
+        to_write().append(std::exchange(entries_.front().reply, {}));
+    } while (entries_.front().done);
+    // A paused long value resumes when its buffered part is written.
+    finish_if_last();
+}
+
+void DownstreamServer::Client::pass() {
+    handing_over_ = true;
+    read_more(false);
+    server_.pass_(handle(), asked, [&clients = server_.clients_, me = self](bool sent) {
+        Client* const client = clients.find(me);
+        if (client) sent ? client->close() : client->cancel_handover();
+    });
+}
+
+void DownstreamServer::Client::finish_if_last() {
+    if (last_ && entries_.empty()) close_gracefully();
+}
+
+void DownstreamServer::Client::linger() {
+    loop().arm(loop().now() + kLingerStep, [&clients = server_.clients_, me = self, left = unsent()] {
+        Client* const client = clients.find(me);
+        if (!client || client->closing()) return;
+        client->unsent() < left ? client->linger() : client->close();
+    });
+}
+
+void DownstreamServer::Client::on_written() {
+    progress_at_ = loop().now();
+    note_pending();
+    if (!entries_.empty() && entries_.front().streaming) server_.gateway_.go_on(entries_.front().request);
+    if (entries_.size() < kMaxPipelined) {
+        read_more(true);
+        take_rest();
+    }
+    release_if_idle();
+}
+
+void DownstreamServer::Client::on_released() {
+    drop_body();
+    note_pending();
+    server_.clients_.remove(self);
+}
+
+}  // namespace linnetlead::net
