--- a/src/proxy/downstream_client.cpp
+++ b/src/proxy/downstream_client.cpp
@@ -16,7 +16,7 @@
 // buffer.
 constexpr std::size_t kMaxBufferedBody = 8 * 1024;
 constexpr std::string_view kLineEnd = "\r\n";
-constexpr std::size_t kMaxPipelined = 64;  // unanswered commands of one client
+constexpr std::size_t kMaxPipelined = 64;               // unanswered commands of one client
 constexpr std::size_t kPauseReadingUnsent = 64 * 1024;  // bytes for one client; above, its reading is paused
 constexpr std::size_t kMaxShortValue = 1024;  // bytes; a shorter one is kept however much is pending
 constexpr proxy::Duration kLingerStep = std::chrono::seconds(1);
