Random numbers are drawn one a statement: one digest on x86-64 and arm64

Cause: the order in which a call's arguments are evaluated is the compiler's choice. GCC evaluates right to left on x86-64 and left to right on arm64, so calls with two draws among their arguments gave other numbers: change_of(id, draw, draw) in the simulated regions, and three calls of FollowerConnection::end_connection (delay and avoidance, both with jitter).

Change: each draw is a statement, in the order that x86-64 had, so that the known digests stand as they are. The same in four places of seeded tests (distribution_test, health_test), whose cases differed between the machines without a verdict that showed it.

Checked and ruled out: contraction of floating point (built with -ffp-contract=off: the same two digests right and one wrong after the first place alone). A scan of src, testing, bench and tests for statements with two draws found no other whose order is open, but for change_commands.cpp:90, two draws of a random device.

Not run on x86-64 yet.

--- a/src/cluster/distribution/follower_connection.cpp
+++ b/src/cluster/distribution/follower_connection.cpp
@@ -76,6 +76,8 @@
 
 // ---- attempts ----
 
+// Each call draws a random number: one call a statement, since compilers evaluate arguments in different
+// orders.
 Duration FollowerConnection::jittered(Duration max) {
     if (max <= Duration{}) return Duration{};
     return Duration(std::uniform_int_distribution<Duration::rep>(0, max.count())(random_));
@@ -155,7 +157,9 @@
     ++heartbeat_moves_;
     callbacks_.on_event(EventKind::kFollower, "the relay has had no beat for too long");
     callbacks_.disconnect();
-    end_connection(now, jittered(settings_.max_backoff), heartbeat_timeout + jittered(heartbeat_timeout));
+    const Duration avoid = heartbeat_timeout + jittered(heartbeat_timeout);
+    const Duration delay = jittered(settings_.max_backoff);
+    end_connection(now, delay, avoid);
     return false;
 }
 
@@ -209,7 +213,9 @@
         return;
     }
     // A requested delay is not a failure: another relay may have capacity sooner.
-    end_connection(now, jittered(settings_.min_backoff) + settings_.min_backoff, after + jittered(after));
+    const Duration avoid = after + jittered(after);
+    const Duration delay = settings_.min_backoff + jittered(settings_.min_backoff);
+    end_connection(now, delay, avoid);
     backoffs_[relay].is_requested = true;
     backoffs_[relay].failures = 0;
     backoffs_[relay].suspect_until = backoffs_[relay].until + kMaxAvoidance;
@@ -224,8 +230,9 @@
     callbacks_.on_event(EventKind::kFollower, reason);
     callbacks_.disconnect();
     ++failures_;
-    end_connection(now, jittered(backoff()),
-                   avoid > Duration{} ? avoid / 2 + jittered(avoid / 2) : Duration{});
+    const Duration jittered_avoid = avoid > Duration{} ? avoid / 2 + jittered(avoid / 2) : Duration{};
+    const Duration delay = jittered(backoff());
+    end_connection(now, delay, jittered_avoid);
 }
 
 void FollowerConnection::disconnect(Timestamp now) {
--- a/testing/simulated_regions.cpp
+++ b/testing/simulated_regions.cpp
@@ -1456,7 +1456,10 @@
         const std::string id = "change-" + std::to_string(step);
         Change change;
         if (chance(0.2)) {
-            change = change_of(id, draw(0, 20), draw(2, 30));
+            // Drawn one by one: the order in which a call's arguments are evaluated is the compiler's choice.
+            const int keys = draw(2, 30);
+            const int first = draw(0, 20);
+            change = change_of(id, first, keys);
         } else {
             change = change_of(id, "tenant/" + std::to_string(draw(0, 4)), id);
         }
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -322,10 +322,13 @@
     std::map<std::string, std::pair<std::optional<std::string>, LogIndex>> at_mark;
     LogIndex mark = 0;
     for (int i = 0; i < steps; ++i) {
-        const std::string key =
-            (random() % 2 ? "tenant/" : "route/") + std::to_string(random() % static_cast<unsigned>(keys));
+        const std::string number = std::to_string(random() % static_cast<unsigned>(keys));
+        const std::string key = (random() % 2 ? "tenant/" : "route/") + number;
         std::optional<std::string> value;
-        if (random() % 3) value = std::string(random() % 3000, static_cast<char>(random()));
+        if (random() % 3) {
+            const char letter = static_cast<char>(random());
+            value = std::string(random() % 3000, letter);
+        }
         store.set(key, value, ++index);
         model[key] = {value, index};
         if (random() % 50 == 0) {
@@ -489,8 +492,8 @@
                 if (random() % 4 == 0) {
                     store.set(key, std::nullopt, ++index);
                 } else {
-                    store.set(key, std::string(20 + random() % 60, static_cast<char>('a' + random() % 26)),
-                              ++index);
+                    const char letter = static_cast<char>('a' + random() % 26);
+                    store.set(key, std::string(20 + random() % 60, letter), ++index);
                 }
             }
         } while (position != 0);
@@ -819,8 +822,10 @@
         for (int k = 0; k < 40; ++k) {
             if (random() % 3 != 0) continue;
             edits.push_back(edit("tenant/" + std::to_string(k), std::nullopt));
-            if (random() % 4 != 0)
-                edits.back().value = std::string(random() % 50, static_cast<char>('a' + random() % 26));
+            if (random() % 4 != 0) {
+                const char letter = static_cast<char>('a' + random() % 26);
+                edits.back().value = std::string(random() % 50, letter);
+            }
         }
         if (edits.empty()) edits.push_back(edit("tenant/0", "x"));
         history.add(change_record(++index, edits));
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -87,8 +87,9 @@
     int seen = 0;
     for (int i = 0; i < 1200; ++i) {
         const double slow = i < 600 ? 1 : 5;
-        const double one = baseline.log_slowness("std", 0, 1, 0.1 * slow * std::exp(noise(random)),
-                                                 "w" + std::to_string(which(random)));
+        const std::string endpoint = "w" + std::to_string(which(random));
+        const double work_s = 0.1 * slow * std::exp(noise(random));
+        const double one = baseline.log_slowness("std", 0, 1, work_s, endpoint);
         if (i >= 640) sum += one, ++seen;
         max_slowness = std::max(max_slowness, one);
     }
