Events of requests, attempts and client connections are counted and logged

Change: proxy::EventLog counts 27 kinds of events (edge_balancer.events.EVENT) and writes a line with id, class, endpoint, stage and times for each, at most 20 at once and one a second of each kind. A line that would wait for the reader of standard error is dropped: poll() first, one write of under 512 bytes. Requests that are served by their first attempt cost one time stamp.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -20,6 +20,11 @@
     if (figures.duplicate_replies > 0) line("duplicate_replies", figures.duplicate_replies);
     if (figures.shed_answers > 0) line("shed_answers", figures.shed_answers);
     if (figures.unusable_states > 0) line("unusable_state_files", figures.unusable_states);
+    for (std::size_t i = 0; i < static_cast<std::size_t>(proxy::Event::kCount); ++i) {
+        const auto event = static_cast<proxy::Event>(i);
+        const std::uint64_t count = figures.events.count(event);
+        if (count > 0) line("events." + std::string(proxy::name_of(event)), count);
+    }
     return out;
 }
 
--- a/src/admin/metrics.h
+++ b/src/admin/metrics.h
@@ -11,6 +11,7 @@
 struct Metrics {
     std::vector<std::string> classes;  // by number
     proxy::Counts counts;
+    proxy::EventLog events;               // told where there are any of a kind
     std::uint64_t tries = 0;              // attempts written whole to endpoints
     std::uint64_t duplicate_replies = 0;  // duplicate replies that were skipped; told where there are any
     std::uint64_t shed_answers =
--- a/src/proxy/downstream_client.cpp
+++ b/src/proxy/downstream_client.cpp
@@ -123,12 +123,14 @@
         // Frees the memory reserved for a body that arrives too slowly.
         const bool body_late = body_.left > 0 && now - body_.begun > server_.body_timeout_;
         if (now - incomplete_since_ <= kIncompleteTimeout && !body_late) return;
+        note(proxy::Event::kClientIncomplete);
         drop_body();
         reply("-ERR command is not whole\r\n");
         close_gracefully();
     } else if (server_.retiring_ || server_.pass_) {
         release_if_idle();
     } else if (now - last_used > kIdleTimeout && (!asked || is_half_full) && is_quiet()) {
+        note(proxy::Event::kClientIdle);
         close_gracefully();
     }
 }
@@ -137,6 +139,7 @@
     const std::size_t left = unsent();
     if (left < std::exchange(last_unsent_, left) || left <= kPauseReadingUnsent) progress_at_ = now;
     if (now - progress_at_ <= server_.stall_timeout_) return;
+    note(proxy::Event::kClientStalled);
     withdraw_all();
     close();
 }
@@ -206,10 +209,8 @@
         }
         incomplete_since_ = {};
         const bool command = parsed == resp::Parsed::kWhole && message.array;
-        if (!command) {  // the start of the next command is unknown
-            reply("-ERR protocol error\r\n");
-            last_ = true;
-            finish_if_last();
+        if (!command) {
+            refuse_rest();
             return bytes.size();
         }
         taken += message.size;
@@ -268,12 +269,10 @@
     } else if (!body.has_room) {
         asked = true;
         last_used = loop().now();
-        server_.gateway_.turned_away(body.request.request.traffic_class);
+        server_.gateway_.turned_away(body.request, proxy::Event::kRequestWithoutRoom);
         reply("-BUSY\r\n");
     } else if (last_bytes(body.request.payload.bytes) != kLineEnd) {
-        reply("-ERR protocol error\r\n");
-        last_ = true;
-        finish_if_last();
+        refuse_rest();
     } else {
         body.request.request.due += loop().now() - body.begun;  // its deadline counts from the last byte
         submit(std::move(body.request));
@@ -299,7 +298,7 @@
     last_used = loop().now();
     rejecting_ = server_.rejects_all_ || (server_.retiring_ && (rejecting_ || !entries_.empty()));
     if (rejecting_) {
-        server_.gateway_.turned_away(request.request.traffic_class);
+        server_.gateway_.turned_away(request, proxy::Event::kRequestAtShutdown);
         return reply("-BUSY\r\n");
     }
     const std::uint64_t number = first_ + entries_.size();
@@ -338,6 +337,20 @@
     });
 }
 
+void DownstreamServer::Client::refuse_rest() {
+    note(proxy::Event::kClientProtocolError);
+    reply("-ERR protocol error\r\n");
+    last_ = true;
+    finish_if_last();
+}
+
+void DownstreamServer::Client::note(proxy::Event event) {
+    proxy::EventLog& events = server_.gateway_.events();
+    if (!events.note(event, loop().now())) return;
+    events.write(event, std::to_string(entries_.size()) + " requests open, " + std::to_string(unsent()) +
+                            " bytes unsent" + (asked ? "" : ", has never sent a request"));
+}
+
 void DownstreamServer::Client::finish_if_last() {
     if (last_ && entries_.empty()) close_gracefully();
 }
--- a/src/proxy/downstream_client.h
+++ b/src/proxy/downstream_client.h
@@ -43,6 +43,8 @@
     bool can_be_evicted() const;
 
     void withdraw_all();
+    // Counts and logs why the connection ends.
+    void note(proxy::Event event);
 
     proxy::Handle self;
     proxy::Timestamp last_used{};  // when it connected, or when its last request arrived
@@ -105,6 +107,8 @@
     // Hands the connection to another process. Unread bytes stay in the socket, so no request is lost.
     void pass();
 
+    // Answers with an error and reads no further, since the start of the next command is unknown.
+    void refuse_rest();
     void finish_if_last();
 
     // Delays the close while the client keeps reading its answers.
--- a/src/proxy/downstream_server.cpp
+++ b/src/proxy/downstream_server.cpp
@@ -116,6 +116,7 @@
         if (least && client.eviction_rank(now) >= least->eviction_rank(now)) return;
         if ((full || !client.finishing()) && client.can_be_evicted()) least = &client;
     });
+    if (least && full) least->note(proxy::Event::kClientEvicted);
     if (least) full ? least->close() : least->close_gracefully();
     return least || !full;
 }
@@ -130,7 +131,11 @@
 void DownstreamServer::check_unread() {
     for (const Handle handle : std::exchange(unread_, {})) {
         Client* const client = clients_.find(handle);
-        if (!client || client->closing() || client->reads() || client->end_if_ended()) continue;
+        if (!client || client->closing() || client->reads()) continue;
+        if (client->end_if_ended()) {
+            client->note(proxy::Event::kClientEndUnread);
+            continue;
+        }
         watch_unread(handle);
     }
 }
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -20,6 +20,17 @@
 // 1/20 of the window in which endpoints recognize a repeated key is left for the transfer to the endpoint.
 constexpr int kDeliveryPart = 20;
 
+std::string hex(std::uint64_t id) {
+    constexpr int kDigits = 16;
+    char text[kDigits + 1];
+    std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(id));
+    return text;
+}
+
+std::string in_ms(Duration time) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) + " ms";
+}
+
 }  // namespace
 
 RequestManager::RequestManager(const config::Site& site, std::uint64_t seed, Limits limits, Timers& timers)
@@ -75,23 +86,19 @@
 
 Handle RequestManager::take(DownstreamRequest incoming, DownstreamPort& downstream, Ticket ticket) {
     const std::size_t size = incoming.payload.bytes.size();
-    const int traffic_class = incoming.request.traffic_class;
     if (requests_.size() >= limits_.calls || bytes_ + size > limits_.bytes) {
-        count_answer(traffic_class, Verdict::kRejected);
-        downstream.answer(ticket, {Verdict::kRejected, {}, {}, false});
-        return {};
+        return turn_away(incoming, downstream, ticket, {Verdict::kRejected, {}, {}, false},
+                         Event::kRequestWithoutRoom);
     }
     // Endpoints could not distinguish two open requests with the same id.
     if (!client_ids_.insert(incoming.name).second) {
-        count_answer(traffic_class, Verdict::kFailed);
-        downstream.answer(ticket, {Verdict::kFailed, {}, {}, false});
-        return {};
+        return turn_away(incoming, downstream, ticket, {Verdict::kFailed, {}, {}, false},
+                         Event::kRequestWithOpenId);
     }
     if (!new_tenant_limiter_.passes(timers_.now(), incoming.request.tenant)) {
         client_ids_.erase(incoming.name);
-        count_answer(traffic_class, Verdict::kRejected);
-        downstream.answer(ticket, {Verdict::kRejected, {}, limiter_retry_after_, false});
-        return {};
+        return turn_away(incoming, downstream, ticket, {Verdict::kRejected, {}, limiter_retry_after_, false},
+                         Event::kRequestOfNewTenant);
     }
     const Handle handle = requests_.add();
     OpenRequest& open = *requests_.find(handle);
@@ -99,6 +106,7 @@
     open.ticket = ticket;
     open.name = incoming.name;
     open.payload = std::move(incoming.payload);
+    open.taken_at = timers_.now();
     open.due = incoming.request.due;
     open.traffic_class = incoming.request.traffic_class;
     open.units = static_cast<float>(incoming.request.units);
@@ -126,7 +134,8 @@
                      {ruling == StatementPort::Ruling::kReject ? Verdict::kRejected : Verdict::kFailed,
                       {},
                       {},
-                      false});
+                      false},
+                     Event::kRequestOfStatement);
             return {};
         }
     }
@@ -145,13 +154,15 @@
     OpenRequest* open = requests_.find(handle);
     if (!open || !open->held) return;
     if (accounts_ && answer.verdict == Verdict::kRejected) accounts_->rejected(timers_.now(), handle);
-    conclude(handle, *open, answer);
+    if (answer.verdict == Verdict::kServed) return conclude(handle, *open, answer);
+    conclude(handle, *open, answer, Event::kRequestOfStatement);
 }
 
 void RequestManager::withdraw(Handle handle) {
     OpenRequest* open = requests_.find(handle);
     if (!open || open->answered) return;
     const Handle attempt = open->attempt;
+    note(Event::kRequestWithdrawn, *open);
     mark_answered(handle, *open);
     abandon(handle, attempt);
 }
@@ -174,7 +185,7 @@
         // abandon() below makes sure that an attempt not written yet is never written.
         const bool may_run = open->attempt_pending && !endpoints_->is_unsent(attempt);
         const Verdict verdict = !may_run && is_harmless(*open) ? Verdict::kRejected : Verdict::kFailed;
-        conclude(handle, *open, {verdict, {}, {}, false});
+        conclude(handle, *open, {verdict, {}, {}, false}, Event::kRequestAtShutdown);
         abandon(handle, attempt);
     }
 }
@@ -185,10 +196,47 @@
     OpenRequest* open = requests_.find(handle);
     if (!open || open->answered) return;
     const Handle attempt = open->attempt;
-    conclude(handle, *open, {Verdict::kFailed, {}, {}, false});
+    conclude(handle, *open, {Verdict::kFailed, {}, {}, false}, Event::kRequestOverdue);
     abandon(handle, attempt);
 }
 
+void RequestManager::conclude(Handle handle, OpenRequest& open, const Answer& answer, Event reason) {
+    if (!open.answered) note(reason, open);
+    conclude(handle, open, answer);
+}
+
+void RequestManager::note(Event event, const OpenRequest& open) {
+    if (!events_.note(event, timers_.now())) return;
+    std::string text = "id " + hex(open.name) + " " +
+                       classes_[static_cast<std::size_t>(open.traffic_class)].name + ", " +
+                       in_ms(timers_.now() - open.taken_at) + " after it came, " +
+                       std::to_string(open.attempts) + " attempts";
+    if (open.attempt_pending) text += ", one is open at " + open.endpoint;
+    if (open.may_have_run) text += ", it may have run";
+    events_.write(event, text);
+}
+
+void RequestManager::note_unserved(const OpenRequest& open, const AttemptEnd& end) {
+    const Event event = event_of(end);
+    if (!events_.note(event, timers_.now())) return;
+    events_.write(event, "id " + hex(open.name) + " " +
+                             classes_[static_cast<std::size_t>(open.traffic_class)].name + ", attempt " +
+                             std::to_string(open.attempts) + " at " + open.endpoint + " after " +
+                             in_ms(timers_.now() - open.sent) + (open.streaming ? ", streaming" : ""));
+}
+
+void RequestManager::note_turned_away(const DownstreamRequest& request, Verdict verdict, Event reason) {
+    count_answer(request.request.traffic_class, verdict);
+    if (events_.note(reason, timers_.now())) events_.write(reason, "id " + hex(request.name) + ", not taken");
+}
+
+Handle RequestManager::turn_away(const DownstreamRequest& incoming, DownstreamPort& downstream, Ticket ticket,
+                                 const Answer& answer, Event reason) {
+    note_turned_away(incoming, answer.verdict, reason);
+    downstream.answer(ticket, answer);
+    return {};
+}
+
 void RequestManager::conclude(Handle handle, OpenRequest& open, const Answer& answer) {
     if (open.answered) return;
     DownstreamPort* const downstream = open.downstream;
@@ -302,6 +350,7 @@
     // Protects the quotas from an impossible cost.
     result.actual_units = end.actual_units <= max_units_ ? end.actual_units : 0;
     result.report = end.report;
+    if (end.ending != Ending::kServed) note_unserved(*open, end);
     open->attempt_pending = false;
     if (routes_ && open->attempts == 1) {
         routes_->ended(open->mark, open->traffic_class, open->units, result.outcome, result.latency);
@@ -317,7 +366,7 @@
     const bool truncated = open->streaming && !open->answered;
     result.concluded = open->answered || truncated || end.ending == Ending::kServed;
     if (truncated) {
-        conclude(handle, *open, {Verdict::kFailed, {}, {}, true});
+        conclude(handle, *open, {Verdict::kFailed, {}, {}, true}, Event::kRequestTruncated);
     } else if (end.ending == Ending::kServed && !open->answered) {
         conclude(handle, *open, {Verdict::kServed, end.value, {}, false});
     } else {
@@ -401,7 +450,8 @@
     if (!open) return;
     if (accounts_ && open->attempts == 0) accounts_->rejected(timers_.now(), handle);
     conclude(handle, *open,
-             {is_harmless(*open) ? Verdict::kRejected : Verdict::kFailed, {}, retry_after, false});
+             {is_harmless(*open) ? Verdict::kRejected : Verdict::kFailed, {}, retry_after, false},
+             Event::kRequestRejected);
 }
 
 // Whether the request may be rejected: a client may repeat a rejected request, so a repeat has to be
@@ -426,7 +476,7 @@
 void RequestManager::fail(RequestId id) {
     const Handle handle = Handle::unpacked(id);
     if (OpenRequest* open = requests_.find(handle))
-        conclude(handle, *open, {Verdict::kFailed, {}, {}, false});
+        conclude(handle, *open, {Verdict::kFailed, {}, {}, false}, Event::kRequestFailed);
 }
 
 void RequestManager::cancel(RequestId id, int attempt) {
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -8,6 +8,7 @@
 #include <unordered_set>
 
 #include "config/settings.h"
+#include "proxy/event_log.h"
 #include "proxy/new_tenant_limiter.h"
 #include "proxy/ports.h"
 
@@ -69,7 +70,9 @@
     bool reserve(std::size_t bytes);
     void give_back(std::size_t bytes) { bytes_ -= bytes; }
     // Counts a request that the downstream server itself rejected, for lack of memory or because it drains.
-    void turned_away(int traffic_class) { count_answer(traffic_class, Verdict::kRejected); }
+    void turned_away(const DownstreamRequest& request, Event reason) {
+        note_turned_away(request, Verdict::kRejected, reason);
+    }
     // The client can take more of a long value.
     void go_on(Handle request);
     std::size_t open_calls() const { return requests_.size(); }
@@ -79,6 +82,8 @@
     void take_over(const policy::QuotaState& state);
     void handed_over() { policy_->on_handed_over(); }
     const Counts& counts() const { return counts_; }
+    EventLog& events() { return events_; }
+    const EventLog& events() const { return events_; }
     // Number of listed endpoints that the decision module currently ejects.
     std::size_t left_out() const;
 
@@ -103,6 +108,7 @@
         Ticket ticket;
         std::uint64_t name = 0;
         Payload payload;
+        Timestamp taken_at{};
         Timestamp due{};
         int traffic_class = 0;
         float units = 0;
@@ -145,6 +151,13 @@
     void record_usage(Handle handle, OpenRequest& open, const AttemptEnd& end,
                       const policy::AttemptResult& result);
     void conclude(Handle handle, OpenRequest& open, const Answer& answer);
+    // As above, and notes why the request was not served.
+    void conclude(Handle handle, OpenRequest& open, const Answer& answer, Event reason);
+    void note(Event event, const OpenRequest& open);
+    void note_turned_away(const DownstreamRequest& request, Verdict verdict, Event reason);
+    void note_unserved(const OpenRequest& open, const AttemptEnd& end);
+    Handle turn_away(const DownstreamRequest& incoming, DownstreamPort& downstream, Ticket ticket,
+                     const Answer& answer, Event reason);
     void fail_overdue(Handle handle);
     void drop_if_done(Handle handle);
     void count_answer(int traffic_class, Verdict verdict);
@@ -164,6 +177,7 @@
     std::unordered_set<std::uint64_t> client_ids_;  // client ids of the open requests
     std::size_t bytes_ = 0;
     Counts counts_;
+    EventLog events_;
     proxy::NewTenantLimiter new_tenant_limiter_;
     Duration limiter_retry_after_;  // advice for requests that the new-tenant limiter rejects; 0: none
     Handle wake_;
--- a/src/server/admin_endpoint.cpp
+++ b/src/server/admin_endpoint.cpp
@@ -46,6 +46,7 @@
     admin::Metrics figures;
     figures.classes = parts_.classes;
     figures.counts = parts_.gateway.counts();
+    figures.events = parts_.gateway.events();
     figures.tries = parts_.pool.tries();
     figures.duplicate_replies = parts_.pool.duplicate_replies();
     figures.shed_answers = parts_.clients.shed_answers();
--- a/src/server/log.h
+++ b/src/server/log.h
@@ -1,5 +1,5 @@
 // Structured log: one JSON object a line on standard error, and no more lines than a bounded rate. Events of
-// the gateway itself only, never of single calls.
+// the gateway itself only, never of single requests: for those see proxy/event_log.h.
 #pragma once
 
 #include <cstdint>
