A reply that has begun is not cut off by its attempt's timeout

Cause: the timeout of an attempt, which is meant for an endpoint that does not answer, went on after the reply had begun. It was stopped by the first byte of a long value, and not by its head; on a reused connection with a value of the previous one's length, only by its first 256 bytes; and for a value up to 64 KiB not at all. UpstreamPool::Connection::begin_value returned 0 and left the timer armed.

Change: at the timeout, a long value whose head has come is passed on from its head, with the limits of a stream from then on. A shorter reply, or a head that is not whole, goes on until the request's deadline as long as its bytes follow each other within 250 ms. Before the timeout nothing changes: a break between head and value is tried elsewhere. Whether a reply is a duplicate is told by its first bytes' time, so that waiting for 256 bytes cannot make it late.

Why it works: what ends a reply that has begun is now its own stall or the client's end, and the timer's meaning no longer depends on how many bytes of the value came with the head.

--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -79,7 +79,10 @@
 public:
     virtual ~UpstreamPort() = default;
     struct Limits {
-        Timestamp until{};  // deadline of the reply
+        // A reply has to have begun by then: one that is still arriving goes on, a long value without end and
+        // any other until the request's deadline.
+        Timestamp until{};
+        Timestamp due{};  // the request's deadline
         Timestamp write_by{
             Timestamp::max()};  // deadline of the request's last byte: nothing is written after it
     };
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -440,7 +440,7 @@
         }
     }
     const Payload& payload = open->changed.bytes.empty() ? open->payload : open->changed;
-    const Handle attempt = endpoints_->start(handle, endpoint, payload, {until, write_by(*open)});
+    const Handle attempt = endpoints_->start(handle, endpoint, payload, {until, open->due, write_by(*open)});
     if (open->attempt_pending) open->attempt = attempt;
 }
 
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -22,6 +22,9 @@
 // Longest pause within a long value: slow clients and endpoints take seconds, but not this many.
 constexpr Duration kStreamStallTimeout = std::chrono::seconds(15);
 constexpr Duration kTailTimeout = std::chrono::seconds(1);  // for the fields after a long value
+// Longest pause within a reply of which the length is not known yet, or that is short, past its attempt's
+// timeout.
+constexpr Duration kReplyStallTimeout = std::chrono::milliseconds(250);
 constexpr Duration kMinIdleTime =
     std::chrono::milliseconds(5);  // idle time before a connection takes its next request
 
@@ -37,9 +40,11 @@
         request_ = request;
         payload_ = payload;
         until_ = limits.until;
+        due_ = limits.due;
         write_by_ = limits.write_by;
         busy_ = true;
         answering_ = counted_in_tries_ = skipped_duplicate_ = false;
+        has_value_head_ = streams_at_once_ = false;
         reused_ = connected_;
         written_at_ = {};
         body_left_ = {};
@@ -106,17 +111,28 @@
         loop().disarm(timer_);
         timer_ = loop().arm(at, [this] {
             timer_ = {};
-            if (busy_ && part_ == Part::kTail) {
-                end(tail_);
-            } else if (busy_) {
-                if (skipped_duplicate_) note_reply([](auto& replies) { replies.on_duplicate_unconfirmed(); });
-                end({Stage::kUnconnected, Ending::kTimedOut, {}, 0, {}});
-            } else {
-                close();  // idle for so long that the endpoint is about to close the connection
-            }
+            on_timeout();
         });
     }
 
+    void on_timeout() {
+        if (!busy_) return close();  // idle for so long that the endpoint is about to close the connection
+        if (part_ == Part::kTail) return end(tail_);
+        if (has_value_head_ && stage() == Stage::kAnswering) {
+            streams_at_once_ = true;
+            return take_rest();
+        }
+        if (is_reply_arriving()) return arm(std::min(due_, reply_bytes_at_ + kReplyStallTimeout));
+        if (skipped_duplicate_) note_reply([](auto& replies) { replies.on_duplicate_unconfirmed(); });
+        end({Stage::kUnconnected, Ending::kTimedOut, {}, 0, {}});
+    }
+
+    bool is_reply_arriving() const {
+        const Timestamp now = loop().now();
+        return payload_ && part_ == Part::kHead && stage() == Stage::kAnswering && now < due_ &&
+               now < reply_bytes_at_ + kReplyStallTimeout;
+    }
+
     void become_idle() {
         idle_since_ = loop().now();
         idle_position_ = pool_.idle_by_age_.insert(pool_.idle_by_age_.end(), self);
@@ -154,6 +170,7 @@
             close();
             return bytes.size();
         }
+        reply_bytes_at_ = loop().now();
         std::size_t taken = 0;
         std::size_t size = 0;
         do {
@@ -181,7 +198,7 @@
     }
 
     std::size_t read_head(std::string_view bytes) {
-        answering_ = true;
+        if (!std::exchange(answering_, true)) reply_began_after_ = since_written();
         resp::Message& message = pool_.message_;
         const resp::Parsed parsed = resp::parse(bytes, message);
         const bool long_value = parsed == resp::Parsed::kLongBulk && payload_ && message.items.empty() &&
@@ -214,8 +231,7 @@
         const bool clean = message.size == bytes.size() && unsent() == 0 && answer.ending != Ending::kBroken;
         const auto at = pool_.endpoints_.find(endpoint);
         if (answer.ending == Ending::kServed) pool_.adapt_reuse_limit({}, true);
-        if (payload_ && answer.ending == Ending::kServed)
-            note_value({answer.value, answer.value.size()}, since_written());
+        if (payload_ && answer.ending == Ending::kServed) note_value({answer.value, answer.value.size()});
         end(answer, clean && at != pool_.endpoints_.end() && at->second.is_usable);
         return bytes.size();
     }
@@ -234,20 +250,21 @@
     bool is_duplicate(const proxy::ReplyFingerprint& value, bool more_follows) const {
         if (!reused_ || value != last_value_) return false;
         const auto at = pool_.endpoints_.find(endpoint);
-        return at != pool_.endpoints_.end() && at->second.replies.is_duplicate(since_written(), more_follows);
+        return at != pool_.endpoints_.end() &&
+               at->second.replies.is_duplicate(reply_began_after_, more_follows);
     }
 
     void note_duplicate() {
-        answering_ = false;
+        answering_ = has_value_head_ = false;
         skipped_duplicate_ = true;
         ++pool_.duplicate_replies_;
     }
 
-    // A reply with this value is accepted, whose first bytes came so long after the request.
-    void note_value(const proxy::ReplyFingerprint& value, Duration elapsed) {
+    // A reply with this value is accepted.
+    void note_value(const proxy::ReplyFingerprint& value) {
         const bool is_genuine = !reused_ || value != last_value_;
-        note_reply([this, is_genuine, elapsed](proxy::DuplicateReplyDetector& replies) {
-            if (is_genuine) replies.on_genuine_reply(elapsed);
+        note_reply([this, is_genuine](proxy::DuplicateReplyDetector& replies) {
+            if (is_genuine) replies.on_genuine_reply(reply_began_after_);
             if (skipped_duplicate_) replies.on_duplicate_confirmed();
         });
         last_value_ = value;
@@ -281,22 +298,25 @@
         return message.size;
     }
 
-    // Nothing is sent to the client before the value's first byte arrives: until then a retry is possible.
+    // Nothing is sent to the client before the value's first byte arrives: until then a retry is possible. At
+    // the attempt's timeout the head alone is sent: the endpoint is answering, so the attempt is not cut.
     std::size_t begin_value(std::string_view bytes, const resp::Message& message) {
-        if (bytes.size() == message.size) return 0;
         const std::string_view start = bytes.substr(message.size);
-        if (reused_ && last_value_.size == message.left) {
-            if (start.size() < proxy::ReplyFingerprint::kPrefix) return 0;
-            if (is_duplicate(proxy::ReplyFingerprint(start, message.left), false)) {
-                note_duplicate();
-                part_ = Part::kDuplicateValue;
-                value_left_ = message.left + kLineEnd.size();
-                return message.size;
-            }
+        const bool may_be_duplicate = reused_ && last_value_.size == message.left;
+        const std::size_t wanted = may_be_duplicate ? proxy::ReplyFingerprint::kPrefix : 1;
+        if (start.size() < wanted && !streams_at_once_) {
+            has_value_head_ = true;
+            return 0;
+        }
+        if (may_be_duplicate && start.size() >= wanted &&
+            is_duplicate(proxy::ReplyFingerprint(start, message.left), false)) {
+            note_duplicate();
+            part_ = Part::kDuplicateValue;
+            value_left_ = message.left + kLineEnd.size();
+            return message.size;
         }
         value_start_.clear();
         value_size_ = value_left_ = message.left;
-        value_began_after_ = since_written();
         const std::size_t head = message.size;
         part_ = Part::kValue;
         loop().disarm(std::exchange(timer_, {}));
@@ -334,7 +354,7 @@
         tail_items_ = 0;
         read_more(true);
         arm(loop().now() + kTailTimeout);
-        note_value({value_start_, value_size_}, value_began_after_);
+        note_value({value_start_, value_size_});
         pool_.gateway_.value_ends(request_);
         pool_.adapt_reuse_limit({}, true);
         return size + kLineEnd.size();
@@ -393,7 +413,10 @@
     AttemptEnd tail_;                          // result after a long value, with the fields read so far
     int tail_items_ = 0;
     Timestamp until_{};
+    Timestamp due_{};
     Timestamp write_by_{};
+    Timestamp reply_bytes_at_{};    // when bytes of a reply last came
+    Duration reply_began_after_{};  // its first bytes, since the request was written
     Timestamp idle_since_{};
     Timestamp started_{};
     Handle timer_;
@@ -404,12 +427,13 @@
     bool answering_ = false;
     bool counted_in_tries_ = false;  // in tries_
     bool reused_ = false;
+    bool has_value_head_ = false;         // of a long value that has not begun to be passed on
+    bool streams_at_once_ = false;        // a long value, without waiting for its first bytes
     bool skipped_duplicate_ = false;      // a duplicate of the previous reply came in place of this one
     Timestamp written_at_{};              // when the kernel had accepted the request's last byte; 0: not yet
     proxy::ReplyFingerprint last_value_;  // of the connection's previous reply
     std::string value_start_;             // of a long value, as much as is compared
     std::size_t value_size_ = 0;          // of a long value
-    Duration value_began_after_{};        // of a long value: its first bytes, since the request was written
 };
 
 UpstreamPool::UpstreamPool(Loop& loop, proxy::RequestManager& gateway, Bounds bounds)
@@ -475,7 +499,8 @@
 
 void UpstreamPool::probe(const EndpointId& endpoint) {
     if (Connection* connection = connection_to(endpoint)) {
-        connection->begin({}, nullptr, {loop_.now() + kProbeTimeout, Timestamp::max()});
+        const Timestamp until = loop_.now() + kProbeTimeout;
+        connection->begin({}, nullptr, {until, until, Timestamp::max()});
     } else {
         gateway_.probed(endpoint, Outcome::kConnectFailed, {});
     }
--- a/tests/split_reply_test.cpp
+++ b/tests/split_reply_test.cpp
@@ -10,8 +10,8 @@
 using namespace tests;
 using std::chrono::steady_clock;
 
-constexpr auto kObjective = 400ms;
-constexpr auto kDeadline = 1500ms;
+constexpr auto kObjective = 1000ms;  // half of it is a first attempt's timeout
+constexpr auto kDeadline = 2500ms;
 constexpr std::size_t kLongValue = 295'109;  // bytes
 
 std::string ns(std::chrono::nanoseconds time) { return std::to_string(time.count()); }
@@ -72,7 +72,7 @@
 // A keyed class wants a key.
 std::string call_of(const std::string& traffic_class) {
     const std::string named = traffic_class == "create" ? "create,k=5c0f6e1a2b3d4c59" : traffic_class;
-    return call(named, 1450);
+    return call(named, 2450);
 }
 
 std::string head_of(std::size_t size) { return "*3\r\n$" + std::to_string(size) + "\r\n"; }
@@ -120,6 +120,82 @@
         << site.client->got.substr(0, 40) << site.program->errors_so_far();
 }
 
+TEST_P(LongReply, OfTheLastOnesLengthIsNotCutOffWhileItsFirstBytesCome) {
+    SplitReplySite site(1);
+    const std::string earlier(kLongValue, 'u'), value(kLongValue, 'v');
+    site.client->write(call_of(GetParam()));
+    auto endpoint = site.next_attempt();
+    ASSERT_TRUE(endpoint);
+    usleep(20'000);
+    ASSERT_TRUE(write_all(*endpoint, head_of(earlier.size()) + earlier + "\r\n$-1\r\n$-1\r\n"));
+    ASSERT_TRUE(site.received(bulk_of(earlier).size()) == bulk_of(earlier));
+    usleep(20'000);  // of rest, or the connection is not used again
+    site.client->got.clear();
+    endpoint->got.clear();
+    site.client->write(call_of(GetParam()));
+    ASSERT_TRUE(wait_for([&] { return endpoint->has("c="); })) << "another connection";
+    constexpr std::size_t kFewBytes = 100;
+    endpoint->write(head_of(value.size()) + value.substr(0, kFewBytes));
+    usleep(900'000);
+    ASSERT_TRUE(write_all(*endpoint, value.substr(kFewBytes) + "\r\n$-1\r\n$-1\r\n"));
+    EXPECT_TRUE(site.received(bulk_of(value).size()) == bulk_of(value))
+        << site.client->got.substr(0, 40) << site.program->errors_so_far();
+}
+
+TEST_P(LongReply, ThatBreaksBehindItsHeadPastTheAttemptTimeoutIsVisiblyCut) {
+    SplitReplySite site(2);
+    site.client->write(call_of(GetParam()));
+    auto endpoint = site.next_attempt();
+    ASSERT_TRUE(endpoint);
+    endpoint->write(head_of(kLongValue));
+    usleep(800'000);
+    endpoint->close();
+    EXPECT_TRUE(wait_for([&] { return site.client->is_over(); }));
+    EXPECT_EQ(site.client->got, "$" + std::to_string(kLongValue) + "\r\n");
+}
+
+TEST_P(LongReply, OfWhichOnlyTheHeadCameByTheTimeoutIsNotReadForAClientThatHasGone) {
+    SplitReplySite site(1);
+    site.client->write(call_of(GetParam()));
+    auto endpoint = site.next_attempt();
+    ASSERT_TRUE(endpoint);
+    endpoint->write(head_of(kLongValue));
+    usleep(800'000);
+    site.client->close();
+    EXPECT_TRUE(wait_for([&] { return endpoint->is_over(); }));
+}
+
+class ShortReply : public testing::TestWithParam<const char*> {};
+
+TEST_P(ShortReply, ThatIsStillArrivingIsNotCutOffAtTheAttemptTimeout) {
+    SplitReplySite site(2);
+    site.client->write(call_of(GetParam()));
+    auto endpoint = site.next_attempt();
+    ASSERT_TRUE(endpoint);
+    const std::string value(40'000, 'v'), reply = served(value);
+    constexpr std::size_t kPieces = 16;
+    for (std::size_t i = 0; i < kPieces; ++i) {
+        const std::size_t size = reply.size() / kPieces + 1;
+        ASSERT_TRUE(write_all(*endpoint, reply.substr(i * size, size)));
+        usleep(50'000);
+    }
+    EXPECT_TRUE(site.received(bulk_of(value).size()) == bulk_of(value))
+        << site.client->got.substr(0, 40) << site.program->errors_so_far();
+}
+
+TEST_P(ShortReply, ThatStallsIsTriedElsewhere) {
+    SplitReplySite site(2);
+    site.client->write(call_of(GetParam()));
+    auto first = site.next_attempt();
+    ASSERT_TRUE(first);
+    first->write(served("value").substr(0, 7));
+    auto second = site.next_attempt();
+    ASSERT_TRUE(second);
+    second->write(served("other"));
+    EXPECT_EQ(site.received(bulk_of("other").size()), bulk_of("other"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Classes, ShortReply, testing::Values("read", "create"));
 INSTANTIATE_TEST_SUITE_P(Classes, LongReply, testing::Values("read", "create"));
 
 }  // namespace
