HotRestart tests: their ports are nobody else's by chance

Cause: upgrade_test took ports from the range that the system hands out to any socket. In one run of all tests, eight at a time, HotRestart.FromOneThatIsSilentOrOfAnotherVersionItStartsAlone failed after 11.02 s with 'the gateway did not come up': a second of the silent predecessor and the 10 s for which an address in use is tried again.

Evidence: the test as it was, while a script holds 19,951 ports of that range from 0.2 s on: the same failure after 11,015 ms. The test as it is now, beside the same script: passes after 1,023 ms.

Change: it uses test_support::free_port, below that range. free_port reserves each port for its process by the name of an abstract socket, so that two tests at once cannot be given the same one. What the gateway wrote is part of the message where it does not come up.

Measured: HotRestart 7 of 7 before and behind the change; as above.

--- a/testing/socket_peer.cpp
+++ b/testing/socket_peer.cpp
@@ -4,12 +4,14 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <sys/prctl.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <cstddef>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -20,7 +22,7 @@
 
 namespace {
 
-void must(bool good, const char* what) {
+void must(bool good, const std::string& what) {
     if (!good) throw std::runtime_error(what);
 }
 
@@ -111,6 +113,23 @@
     return SocketPeer(fd);
 }
 
+namespace {
+
+// Whether no other test process has been given the port. The name is this process's until its end.
+bool reserve(std::uint16_t port) {
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    const std::string name = "linnetlead-test-port-" + std::to_string(port);
+    std::copy(name.begin(), name.end(), at.sun_path + 1);  // behind a zero byte: no file
+    const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size());
+    const int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (bind(fd, reinterpret_cast<const sockaddr*>(&at), size) == 0) return true;
+    ::close(fd);
+    return false;
+}
+
+}  // namespace
+
 std::uint16_t free_port() {
     constexpr std::uint32_t kFirst = 15000, kMany = 15000;
     static std::uint32_t tries = 0;
@@ -121,7 +140,7 @@
         const sockaddr_in address = loopback(port);
         const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
         ::close(fd);
-        if (free) return port;
+        if (free && reserve(port)) return port;
     }
 }
 
@@ -207,7 +226,7 @@
     std::string text;
     for (;;) {
         const std::string more = line();
-        must(!more.empty(), "the gateway did not come up");
+        must(!more.empty(), "the gateway did not come up: " + text);
         text += more;
         const auto at = text.find("linnetlead: listening on port ");
         if (at == std::string::npos || text.find('\n', at) == std::string::npos) continue;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -198,7 +198,7 @@
 
 // ---- Two real processes ---------------------------------------------------------------------------------
 
-std::uint16_t free_port() { return Listener().port(); }
+using test_support::free_port;
 
 std::string at_port(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
