Commands that are read behind a client's end are not sent on

Cause: whether a client has closed behind unread commands was looked at every 30 ms, and only if its reading was paused in that moment; between two looks commands were read, answered and read on.

Change: while commands of a client follow each other, its end is looked for behind the unread bytes (poll, POLLRDHUP) every 10 ms at most, before the next command is taken. A client with one request at a time costs nothing.

--- a/src/proxy/downstream_client.cpp
+++ b/src/proxy/downstream_client.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t kMaxPipelined = 64;               // unanswered commands of one client
 constexpr std::size_t kPauseReadingUnsent = 64 * 1024;  // bytes for one client; above, its reading is paused
 constexpr std::size_t kMaxShortValue = 1024;  // bytes; a shorter one is kept however much is pending
+// While commands are read, how often it is looked whether the client has closed behind them: no attempt may
+// start more than 0.1 s after it has.
+constexpr proxy::Duration kEndCheckInterval = std::chrono::milliseconds(10);
 constexpr proxy::Duration kLingerStep = std::chrono::seconds(1);
 // A partial command without further bytes for this long counts as abandoned.
 constexpr proxy::Duration kStalledAfter = std::chrono::milliseconds(500);
@@ -173,6 +176,16 @@
            (!entries_.empty() && server_.held_back_ > server_.max_unsent_ / 2);
 }
 
+// A client that sends much at once and closes is gone, although its commands are still unread.
+bool DownstreamServer::Client::has_left_unseen() {
+    const Timestamp now = loop().now();
+    if (now - end_checked_at_ < kEndCheckInterval) return false;
+    end_checked_at_ = now;
+    if (!end_if_ended()) return false;
+    note(proxy::Event::kClientEndUnread);
+    return true;
+}
+
 bool DownstreamServer::Client::has_room_for(const Answer& answer, bool is_first) {
     if (answer.value.size() <= kMaxShortValue) return true;
     if (is_first) return server_.unsent_ <= server_.max_unsent_ || offer() == 0;
@@ -186,6 +199,8 @@
     last_bytes_at_ = now;
     ++reads_of_command_;
     while (taken < bytes.size() && !closing() && !finishing()) {
+        const bool is_pipelined = taken > 0 || !entries_.empty();
+        if (is_pipelined && has_left_unseen()) return bytes.size();
         if (body_.left > 0) {
             incomplete_since_ = now;  // while bytes arrive, only body_timeout_ limits a slow body
             taken += consume_body(bytes.substr(taken));
--- a/src/proxy/downstream_client.h
+++ b/src/proxy/downstream_client.h
@@ -82,6 +82,8 @@
     // Whether the client's next command waits in the socket until earlier ones are answered and the answers
     // are written.
     bool is_saturated() const;
+    // Whether the client has closed behind bytes that are not read yet; its connection is over then.
+    bool has_left_unseen();
     // Whether the answer's value can be kept. Otherwise the client gets an error in its place, so that every
     // request is answered and the connection serves on.
     bool has_room_for(const proxy::Answer& answer, bool is_first);
@@ -126,9 +128,10 @@
     std::size_t held_back_ = 0;     // bytes of answers that wait for earlier ones, in entries_
     std::size_t noted_unsent_ = 0;  // in the server's totals
     std::size_t noted_held_back_ = 0;
-    std::size_t last_unsent_ = 0;          // at the last check
-    proxy::Timestamp progress_at_;         // when the client last took something, or had little to take
-    proxy::Timestamp last_bytes_at_{};     // when the last bytes arrived
+    std::size_t last_unsent_ = 0;       // at the last check
+    proxy::Timestamp progress_at_;      // when the client last took something, or had little to take
+    proxy::Timestamp last_bytes_at_{};  // when the last bytes arrived
+    proxy::Timestamp end_checked_at_{};
     int reads_of_command_ = 0;             // reads that the incomplete command has taken so far
     proxy::Timestamp incomplete_since_{};  // when the incomplete command started
     bool handing_over_ = false;            // to another process
--- a/tests/close_range_test.cpp
+++ b/tests/close_range_test.cpp
@@ -146,6 +146,22 @@
     EXPECT_LT(steady_clock::now() - left, 100ms) << "what is begun 0.1 s later breaks the rule";
 }
 
+TEST_P(ClientsThatLeave, CommandsThatAreReadBehindTheEndAreNotSentOn) {
+    Rig rig(patient());
+    Listener endpoint;
+    rig.gateway.listed(EndpointListKind::kComplete, {listed("w", endpoint.address())});
+    SocketPeer client = rig.client();
+    rig.loop.turn();
+    std::string all;
+    for (int i = 0; i < 200; ++i) all += call("read", 60000);
+    client.write(all);
+    leave(client);
+    const auto end = steady_clock::now() + 100ms;
+    while (steady_clock::now() < end) rig.loop.turn();
+    EXPECT_LE(rig.pool.tries(), 1u) << "the first may be begun before the end is looked for";
+    EXPECT_EQ(rig.gateway.counts().in_progress, 0u);
+}
+
 // The counter is silent, and its call waits: nothing may go to an endpoint when that is over.
 TEST_P(ClientsThatLeave, WhatWaitsForItsQuotaIsNotSent) {
     config::Site with = patient();
