A connection to an endpoint's earlier process gets no request meant for the next one

An endpoint that is listed anew, with another address or a later start, or gone and back, while a request was running on its earlier process: when that reply came, the connection to the earlier process was kept for further requests of the endpoint. They went to a process that the list no longer names, which may drain, or no longer know the keys.

Cause: UpstreamPool kept a connection whose reply had come if the endpoint's id was usable, whatever process the connection led to. Only idle connections were closed when the list named another process.

Evidence: ReplacedEndpoint.IsNotAskedOnAConnectionToTheProcessBefore on the code before: the old process's connection stays open and the next request does not reach the new one (first form; the run ended there).

Change: each process of an endpoint has a number in the pool, and a connection is kept only if it leads to the process that is listed.

Measured: both forms pass.

--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -32,8 +32,9 @@
 
 class UpstreamPool::Connection final : public Stream {
 public:
-    Connection(Loop& loop, UpstreamPool& pool, EndpointId id)
-        : Stream(loop), endpoint(std::move(id)), pool_(pool) {}
+    // `process`: of the endpoint, as in Endpoint.
+    Connection(Loop& loop, UpstreamPool& pool, EndpointId id, std::uint64_t process)
+        : Stream(loop), endpoint(std::move(id)), pool_(pool), process_(process) {}
 
     // Starts a request on the connection, or a probe if there is no payload.
     void begin(Handle request, const proxy::Payload* payload, const Limits& limits) {
@@ -229,13 +230,18 @@
         }
         // If bytes follow the reply, or it came before the request was written, the connection is not reused.
         const bool clean = message.size == bytes.size() && unsent() == 0 && answer.ending != Ending::kBroken;
-        const auto at = pool_.endpoints_.find(endpoint);
         if (answer.ending == Ending::kServed) pool_.adapt_reuse_limit({}, true);
         if (payload_ && answer.ending == Ending::kServed) note_value({answer.value, answer.value.size()});
-        end(answer, clean && at != pool_.endpoints_.end() && at->second.is_usable);
+        end(answer, clean && leads_to_listed_process());
         return bytes.size();
     }
 
+    // Whether the endpoint gets requests, at the process that this connection leads to.
+    bool leads_to_listed_process() const {
+        const auto at = pool_.endpoints_.find(endpoint);
+        return at != pool_.endpoints_.end() && at->second.is_usable && at->second.process == process_;
+    }
+
     Duration since_written() const {
         return stage() < Stage::kWritten || written_at_ == Timestamp{} ? Duration{0}
                                                                        : loop().now() - written_at_;
@@ -375,8 +381,7 @@
             taken += message.size;
             resp::read_reply_field(message.items.front().text, tail_items_++, tail_);
         }
-        const auto at = pool_.endpoints_.find(endpoint);
-        end(tail_, taken == bytes.size() && at != pool_.endpoints_.end() && at->second.is_usable);
+        end(tail_, taken == bytes.size() && leads_to_listed_process());
         return bytes.size();
     }
 
@@ -405,6 +410,7 @@
     static constexpr int kTailItems = 2;  // usage, load report
 
     UpstreamPool& pool_;
+    const std::uint64_t process_;
     Handle request_;
     const proxy::Payload* payload_ = nullptr;  // kept by the request manager during the attempt
     std::string_view body_left_;               // of the payload, still to be written
@@ -523,7 +529,7 @@
         idle->close();
     }
     if (!make_room()) return nullptr;
-    const Handle handle = connections_.add(loop_, *this, id);
+    const Handle handle = connections_.add(loop_, *this, id, endpoint.process);
     Connection* connection = connections_.find(handle);
     connection->self = handle;
     endpoint.open.push_back(handle);
@@ -566,6 +572,7 @@
             update_address_index(listed.entry.id, endpoint.address, listed.address);
             endpoint.address = listed.address;
             endpoint.started = listed.entry.started;
+            endpoint.process = ++last_process_;
         }
         endpoint.last_update = update_number_;
         endpoint.is_usable = listed.entry.state == policy::EndpointState::kInService &&
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -51,6 +51,7 @@
         std::string address;
         sockaddr_storage to{};
         proxy::Timestamp started{};
+        std::uint64_t process = 0;        // which process of the endpoint the list names, in the pool's count
         bool is_usable = false;           // listed, and neither draining nor removed
         std::uint32_t last_update = 0;    // number of the last list update that named it
         std::vector<proxy::Handle> idle;  // most recently used last
@@ -76,6 +77,7 @@
     proxy::SlotMap<Connection> connections_;
     std::list<proxy::Handle> idle_by_age_;  // idle connections, longest idle first
     std::uint32_t update_number_ = 0;
+    std::uint64_t last_process_ = 0;
     std::uint64_t tries_ = 0;
     std::uint64_t duplicate_replies_ = 0;
     bool retiring_ = false;
--- a/tests/close_range_test.cpp
+++ b/tests/close_range_test.cpp
@@ -162,6 +162,34 @@
     EXPECT_EQ(rig.gateway.counts().in_progress, 0u);
 }
 
+class ReplacedEndpoint : public testing::TestWithParam<bool> {};
+
+TEST_P(ReplacedEndpoint, IsNotAskedOnAConnectionToTheProcessBefore) {
+    const bool is_gone_between = GetParam();
+    Rig rig;
+    Listener old_process, new_process;
+    rig.gateway.listed(EndpointListKind::kComplete, {listed("w", old_process.address())});
+    SocketPeer client = rig.client();
+    client.write(call("read"));
+    auto old_peer = rig.accepted(old_process);
+    ASSERT_TRUE(rig.until([&] { return old_peer->has("c=read"); }));
+    if (is_gone_between) {
+        rig.gateway.listed(EndpointListKind::kChanges,
+                           {listed("w", old_process.address(), policy::EndpointState::kRemoved)});
+    }
+    rig.gateway.listed(EndpointListKind::kChanges, {listed("w", new_process.address())});
+    old_peer->write(served("old"));
+    ASSERT_TRUE(rig.until([&] { return client.has("old"); }));
+    EXPECT_TRUE(rig.until([&] { return old_peer->is_over(); }))
+        << "its connection rests for further requests";
+    usleep(10'000);
+    client.write(call("read"));
+    auto new_peer = rig.accepted(new_process);
+    ASSERT_TRUE(new_peer);
+    EXPECT_TRUE(rig.until([&] { return new_peer->has("c=read"); }));
+}
+INSTANTIATE_TEST_SUITE_P(GoneBetween, ReplacedEndpoint, testing::Bool());
+
 // The counter is silent, and its call waits: nothing may go to an endpoint when that is over.
 TEST_P(ClientsThatLeave, WhatWaitsForItsQuotaIsNotSent) {
     config::Site with = patient();
