An endpoint that is listed again gets nothing at the address of its successor

An endpoint that is gone and still listed gets nothing where a later one has its address, until the list names it once more, for instance with another weight: then requests for it went to the later one, past that one's slow start and its drain.

Cause: UpstreamPool::drop_predecessors looked only at the predecessors of the entries that an update names, and not whether an entry that is named has a successor; and a successor that drains did not count.

Change: behind each update, of the endpoints at the addresses that it names only the one that started last stays usable.

Measured: Predecessor, both forms fail before and pass now; tests of lists and drains pass.

--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -578,9 +578,6 @@
         endpoint.is_usable = listed.entry.state == policy::EndpointState::kInService &&
                              read_address(listed.address, endpoint.to);
     }
-    for (const proxy::DiscoveredEndpoint& listed : entries) {
-        if (endpoints_[listed.entry.id].is_usable) drop_predecessors(listed);
-    }
     // Removes endpoints that are gone, on a whole list as on a change, so that new ids cannot grow the table.
     for (const proxy::DiscoveredEndpoint& listed : entries) {
         const auto at = endpoints_.find(listed.entry.id);
@@ -588,7 +585,11 @@
         release_connections(at->second);
         if (listed.entry.state == policy::EndpointState::kRemoved) remove_endpoint(listed.entry.id);
     }
-    if (!whole) return;
+    if (whole) remove_unlisted();
+    for (const proxy::DiscoveredEndpoint& listed : entries) drop_predecessors(listed.address);
+}
+
+void UpstreamPool::remove_unlisted() {
     std::vector<EndpointId> gone;
     for (auto& [id, endpoint] : endpoints_) {
         if (endpoint.last_update != update_number_) gone.push_back(id);
@@ -615,14 +616,16 @@
     if (!to.empty()) ids_by_address_[to].push_back(id);
 }
 
-// Stops sending to an endpoint that is gone but still listed if a new one has its address: requests for the
-// old one would reach the new one without its slow start.
-void UpstreamPool::drop_predecessors(const proxy::DiscoveredEndpoint& successor) {
-    const auto at = ids_by_address_.find(successor.address);
+// Of the endpoints that are listed at an address, only the one that started last is there: requests for an
+// earlier one would reach it without its slow start and its drain.
+void UpstreamPool::drop_predecessors(const std::string& address) {
+    const auto at = ids_by_address_.find(address);
     if (at == ids_by_address_.end() || at->second.size() < 2) return;
+    proxy::Timestamp last_start{};
+    for (const EndpointId& id : at->second) last_start = std::max(last_start, endpoints_.at(id).started);
     for (const EndpointId& id : at->second) {
         Endpoint& endpoint = endpoints_.at(id);
-        if (id == successor.entry.id || endpoint.started >= successor.entry.started) continue;
+        if (!endpoint.is_usable || endpoint.started >= last_start) continue;
         endpoint.is_usable = false;
         release_connections(endpoint);
     }
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -62,8 +62,10 @@
     Connection* connection_to(const proxy::EndpointId& id);
     void release_connections(Endpoint& endpoint);
     void update_address_index(const proxy::EndpointId& id, const std::string& from, const std::string& to);
-    void drop_predecessors(const proxy::DiscoveredEndpoint& successor);
+    void drop_predecessors(const std::string& address);
     void remove_endpoint(const proxy::EndpointId& id);
+    // Those that the last update, a whole list, did not name.
+    void remove_unlisted();
     bool make_room();
     void close_idle_above(std::size_t max_connections);
     void adapt_reuse_limit(proxy::Duration idle_time, bool good);
--- a/tests/close_range_test.cpp
+++ b/tests/close_range_test.cpp
@@ -190,6 +190,27 @@
 }
 INSTANTIATE_TEST_SUITE_P(GoneBetween, ReplacedEndpoint, testing::Bool());
 
+class Predecessor : public testing::TestWithParam<policy::EndpointState> {};
+
+TEST_P(Predecessor, ThatIsListedAgainGetsNothingAtTheAddressOfItsSuccessor) {
+    Rig rig;
+    Listener address;
+    DiscoveredEndpoint old_one = listed("old", address.address());
+    DiscoveredEndpoint new_one = listed("new", address.address());
+    old_one.entry.started = 1000s;
+    new_one.entry.started = 2000s;
+    rig.gateway.listed(EndpointListKind::kComplete, {old_one});
+    rig.gateway.listed(EndpointListKind::kChanges, {new_one});
+    new_one.entry.state = GetParam();
+    rig.gateway.listed(EndpointListKind::kChanges, {new_one});
+    old_one.entry.weight = 2;
+    rig.gateway.listed(EndpointListKind::kChanges, {old_one});
+    EXPECT_FALSE(rig.pool.start({}, "old", {}, {rig.loop.now() + 1s, rig.loop.now() + 1s}));
+}
+INSTANTIATE_TEST_SUITE_P(Successor, Predecessor,
+                         testing::Values(policy::EndpointState::kInService,
+                                         policy::EndpointState::kDraining));
+
 // The counter is silent, and its call waits: nothing may go to an endpoint when that is over.
 TEST_P(ClientsThatLeave, WhatWaitsForItsQuotaIsNotSent) {
     config::Site with = patient();
