The id of a request that may have run is not taken again for 30 s

A client that left while an endpoint was at its request and sent it once more under the same id had it run twice, if the first run had ended by then. While it was still running the second was answered as failed.

Cause: an id was known only as long as its request had an attempt out.

Change: ids of requests that may have run and are not idempotent are remembered for 30 s after their end, at most 16,384 of them (some 1 MB); one that comes again is answered -ERR failed (events.request_with_recent_id). One that never ran, or is idempotent, is served as before.

--- a/src/proxy/event_log.cpp
+++ b/src/proxy/event_log.cpp
@@ -13,13 +13,13 @@
 constexpr std::size_t kMaxLineBytes = 512;  // a pipe that is ready takes as much in one write
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Event::kCount)> kNames = {
-    "attempt_error_reply",  "attempt_busy_reply",    "attempt_connect_failed", "attempt_connect_timeout",
-    "attempt_write_broken", "attempt_write_timeout", "attempt_reset",          "attempt_timeout",
-    "attempt_reply_broken", "attempt_reply_timeout", "attempt_cancelled",      "request_without_room",
-    "request_with_open_id", "request_of_new_tenant", "request_of_statement",   "request_rejected",
-    "request_failed",       "request_at_shutdown",   "request_overdue",        "request_truncated",
-    "request_withdrawn",    "client_stalled",        "client_incomplete",      "client_idle",
-    "client_evicted",       "client_protocol_error", "client_end_unread",
+    "attempt_error_reply",  "attempt_busy_reply",     "attempt_connect_failed", "attempt_connect_timeout",
+    "attempt_write_broken", "attempt_write_timeout",  "attempt_reset",          "attempt_timeout",
+    "attempt_reply_broken", "attempt_reply_timeout",  "attempt_cancelled",      "request_without_room",
+    "request_with_open_id", "request_with_recent_id", "request_of_new_tenant",  "request_of_statement",
+    "request_rejected",     "request_failed",         "request_at_shutdown",    "request_overdue",
+    "request_truncated",    "request_withdrawn",      "client_stalled",         "client_incomplete",
+    "client_idle",          "client_evicted",         "client_protocol_error",  "client_end_unread",
 };
 
 Event broken_at(Stage stage) {
--- a/src/proxy/event_log.h
+++ b/src/proxy/event_log.h
@@ -31,6 +31,7 @@
     // A request was rejected or failed, by whom, or was withdrawn since its client is gone.
     kRequestWithoutRoom,
     kRequestWithOpenId,
+    kRequestWithRecentId,  // of one that has ended and may have run
     kRequestOfNewTenant,
     kRequestOfStatement,
     kRequestRejected,  // by the decision module, as the next
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -90,6 +90,10 @@
         return turn_away(incoming, downstream, ticket, {Verdict::kRejected, {}, {}, false},
                          Event::kRequestWithoutRoom);
     }
+    if (!is_idempotent(incoming.request.traffic_class) && recent_.contains(incoming.name, timers_.now())) {
+        return turn_away(incoming, downstream, ticket, {Verdict::kFailed, {}, {}, false},
+                         Event::kRequestWithRecentId);
+    }
     // Endpoints could not distinguish two open requests with the same id.
     if (!client_ids_.insert(incoming.name).second) {
         return turn_away(incoming, downstream, ticket, {Verdict::kFailed, {}, {}, false},
@@ -286,6 +290,7 @@
     if (statements_ && open->has_statement) statements_->over(handle);
     bytes_ -= open->payload.bytes.size() + open->changed.bytes.size();
     client_ids_.erase(open->name);
+    if (open->may_have_run && !is_idempotent(open->traffic_class)) recent_.add(open->name, timers_.now());
     requests_.remove(handle);
 }
 
@@ -464,6 +469,10 @@
             traffic_class.key_scope == policy::KeyScope::kAll);
 }
 
+bool RequestManager::is_idempotent(int traffic_class) const {
+    return classes_[static_cast<std::size_t>(traffic_class)].idempotency == Idempotency::kIdempotent;
+}
+
 // A slow connect or a long body can delay the last byte, so that an attempt that started within the key
 // window would be written after it.
 Timestamp RequestManager::write_by(const OpenRequest& open) const {
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -11,6 +11,7 @@
 #include "proxy/event_log.h"
 #include "proxy/new_tenant_limiter.h"
 #include "proxy/ports.h"
+#include "proxy/recent_requests.h"
 
 namespace linnetlead::proxy {
 
@@ -59,7 +60,7 @@
 
     // ---- For the downstream server.
     // Takes a request. The answer may arrive before take() returns; the handle is then null. A request fails
-    // if another one with the same client id is open.
+    // if another one with the same client id is open, or lately was and may have run.
     Handle take(DownstreamRequest incoming, DownstreamPort& downstream, Ticket ticket);
     // The client no longer waits for the request.
     void withdraw(Handle request);
@@ -145,6 +146,7 @@
     template <typename Event>
     void run_guarded(const Event& event);
     bool is_harmless(const OpenRequest& open) const;
+    bool is_idempotent(int traffic_class) const;
     void abandon(Handle handle, Handle attempt);
     Timestamp write_by(const OpenRequest& open) const;
     void mark_answered(Handle handle, OpenRequest& open);
@@ -175,6 +177,7 @@
     double max_units_;
     SlotMap<OpenRequest> requests_;
     std::unordered_set<std::uint64_t> client_ids_;  // client ids of the open requests
+    RecentRequests recent_;                         // that may have run and are not idempotent
     std::size_t bytes_ = 0;
     Counts counts_;
     EventLog events_;
