What clients keep half-written is bounded by 8 KiB a command and 16 KiB a connection

Clients that stop within a command of many short fields made a gateway of 48 MB and 2,048 descriptors take 60.5 MB with 850 of them: in production it is killed.

Cause: a command of up to 64 fields and 72 KiB was kept per connection until it was whole, outside of every bound; behind 64 unanswered commands up to 64 KiB of further ones; and over the limit on answers each long value could still add a whole read buffer a client.

Change: a command is at most 8 KiB without its body, and a body of over 2 KiB (8 KiB before) is read into room that the request manager has given. A client's connection reads 16 KiB at once, 64 KiB of a body. Over half of the limit on answers, replies are read 8 KiB at a time.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <exception>
@@ -95,7 +96,11 @@
 void Stream::start_reading() {
     uv_read_start(
         reinterpret_cast<uv_stream_t*>(&tcp_),
-        [](uv_handle_t* h, std::size_t, uv_buf_t* into) { *into = of(h).loop_.scratch(); },
+        [](uv_handle_t* h, std::size_t, uv_buf_t* into) {
+            Stream& self = of(h);
+            *into = self.loop_.scratch();
+            self.read_limit_ = into->len = std::min(into->len, self.max_read_bytes());
+        },
         [](uv_stream_t* s, ssize_t size, const uv_buf_t* from) {
             of(s).guarded([&] { of(s).received(size, from->base); });
         });
@@ -104,8 +109,8 @@
 void Stream::received(ssize_t size, const char* data) {
     if (size == 0) return;  // nothing there after all
     if (size < 0) return broken(size == UV_EOF && is_reset() ? UV_ECONNRESET : static_cast<int>(size));
-    if (static_cast<std::size_t>(size) == loop_.scratch().len) {
-        // Guards the other connections against a peer at full speed: one buffer a turn.
+    if (static_cast<std::size_t>(size) == read_limit_) {
+        // Guards the other connections against a peer at full speed: one read a turn.
         uv_read_stop(reinterpret_cast<uv_stream_t*>(&tcp_));
         reads_next_turn_ = true;
         to_write();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -3,6 +3,7 @@
 
 #include <uv.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -49,10 +50,13 @@
     bool finishing() const { return finishing_; }
 
 protected:
+    static constexpr std::size_t kWholeBuffer = SIZE_MAX;  // of the loop
     Loop& loop() const { return loop_; }
 
 private:
     virtual void on_connected() {}
+    // The most that one read may hand out: what is not taken of it is kept.
+    virtual std::size_t max_read_bytes() const { return kWholeBuffer; }
     // Returns how many bytes it has taken; the rest comes again, with more behind it.
     virtual std::size_t on_bytes(std::string_view bytes) = 0;
     // The connection broke or ended (UV_EOF). It is being closed.
@@ -80,6 +84,7 @@
     std::string writing_;  // handed to libuv
     std::string rest_;     // read, not yet taken
     std::size_t lost_ = 0;
+    std::size_t read_limit_ = 0;  // of the current read
     bool open_ = false;
     bool in_flush_list_ = false;
     bool reading_ = false;
--- a/src/proxy/downstream_client.cpp
+++ b/src/proxy/downstream_client.cpp
@@ -14,7 +14,9 @@
 
 // A longer body gets its own buffer, reserved by its announced length; a shorter one stays in the read
 // buffer.
-constexpr std::size_t kMaxBufferedBody = 8 * 1024;
+constexpr std::size_t kMaxBufferedBody = 2 * 1024;
+constexpr std::size_t kMaxCommandBytes = 8 * 1024;  // without a longer body
+constexpr std::size_t kMaxReadBytes = 16 * 1024;    // of commands at once
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::size_t kMaxPipelined = 64;               // unanswered commands of one client
 constexpr std::size_t kPauseReadingUnsent = 64 * 1024;  // bytes for one client; above, its reading is paused
@@ -98,6 +100,7 @@
     server_.unsent_ += noted_unsent_;
     server_.held_back_ -= std::exchange(noted_held_back_, closing() ? 0 : held_back_);
     server_.held_back_ += noted_held_back_;
+    server_.gateway_.set_output_congested(server_.unsent_ > server_.max_unsent_ / 2);
 }
 
 void DownstreamServer::Client::close_gracefully() {
@@ -192,6 +195,11 @@
     return server_.held_back_ + answer.value.size() <= server_.max_unsent_;
 }
 
+// A long body is read into its own room, and commands into what the connection keeps until they are taken.
+std::size_t DownstreamServer::Client::max_read_bytes() const {
+    return body_.left > 0 ? kWholeBuffer : kMaxReadBytes;
+}
+
 std::size_t DownstreamServer::Client::on_bytes(std::string_view bytes) {
     if (last_) return bytes.size();
     std::size_t taken = 0;
@@ -212,7 +220,8 @@
             break;
         }
         resp::Message& message = server_.message_;
-        const resp::Parsed parsed = resp::parse(bytes.substr(taken), message, kMaxBufferedBody);
+        const resp::Parsed parsed =
+            resp::parse(bytes.substr(taken), message, kMaxBufferedBody, kMaxCommandBytes);
         if (parsed == resp::Parsed::kLongBulk && begin_body(message)) {
             incomplete_since_ = now;
             taken += message.size;
--- a/src/proxy/downstream_client.h
+++ b/src/proxy/downstream_client.h
@@ -88,6 +88,7 @@
     // request is answered and the connection serves on.
     bool has_room_for(const proxy::Answer& answer, bool is_first);
 
+    std::size_t max_read_bytes() const override;
     std::size_t on_bytes(std::string_view bytes) override;
     void on_command(const resp::Message& message);
 
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -74,6 +74,9 @@
     void turned_away(const DownstreamRequest& request, Event reason) {
         note_turned_away(request, Verdict::kRejected, reason);
     }
+    // Much of the answers waits to be read by clients: long values are read in small pieces.
+    void set_output_congested(bool congested) { output_congested_ = congested; }
+    bool output_congested() const { return output_congested_; }
     // The client can take more of a long value.
     void go_on(Handle request);
     std::size_t open_calls() const { return requests_.size(); }
@@ -186,6 +189,7 @@
     Handle wake_;
     Timestamp wake_at_ = Timestamp::max();
     bool dispatching_ = false;
+    bool output_congested_ = false;
     std::deque<std::function<void()>> deferred_events_;
     std::unique_ptr<policy::Policy> policy_;
 };
--- a/src/proxy/resp/parser.cpp
+++ b/src/proxy/resp/parser.cpp
@@ -8,7 +8,8 @@
 
 class Reader {
 public:
-    Reader(std::string_view buffer, std::size_t max_bulk) : buffer_(buffer), max_bulk_(max_bulk) {}
+    Reader(std::string_view buffer, std::size_t max_bulk, std::size_t max_message)
+        : buffer_(buffer), max_bulk_(max_bulk), max_message_(max_message) {}
 
     std::size_t taken() const { return at_; }
     std::size_t left() const { return left_; }
@@ -24,7 +25,8 @@
         if (end == std::string_view::npos) {
             return buffer_.size() - at_ > kMaxLine ? Parsed::kMalformed : Parsed::kPartial;
         }
-        if (end - at_ > kMaxLine || end < at_ + 2 || buffer_[end - 1] != '\r') return Parsed::kMalformed;
+        if (end + 1 > max_message_ || end - at_ > kMaxLine || end < at_ + 2 || buffer_[end - 1] != '\r')
+            return Parsed::kMalformed;
         type = buffer_[at_];
         rest = buffer_.substr(at_ + 1, end - at_ - 2);
         at_ = end + 1;
@@ -32,7 +34,7 @@
     }
 
     Parsed read_bulk(std::size_t size, std::string_view& text) {
-        if (at_ + size + 2 > kMaxMessage) return Parsed::kMalformed;
+        if (at_ + size + 2 > max_message_) return Parsed::kMalformed;
         if (buffer_.size() - at_ < size + 2) return Parsed::kPartial;
         if (buffer_.substr(at_ + size, 2) != "\r\n") return Parsed::kMalformed;
         text = buffer_.substr(at_, size);
@@ -79,18 +81,19 @@
 private:
     std::string_view buffer_;
     std::size_t max_bulk_;
+    std::size_t max_message_;
     std::size_t at_ = 0;
     std::size_t left_ = 0;
 };
 
 }  // namespace
 
-Parsed parse(std::string_view buffer, Message& message, std::size_t max_bulk) {
+Parsed parse(std::string_view buffer, Message& message, std::size_t max_bulk, std::size_t max_message) {
     message.items.clear();
     message.array = false;
     message.count = 0;
     message.size = message.left = 0;
-    Reader reader(buffer, max_bulk);
+    Reader reader(buffer, max_bulk, max_message);
     char type = 0;
     std::string_view rest;
     if (const Parsed got = reader.read_line(type, rest); got != Parsed::kWhole) return got;
--- a/src/proxy/resp/parser.h
+++ b/src/proxy/resp/parser.h
@@ -35,8 +35,10 @@
 
 // Parses the message at the start of the buffer. A partial message is parsed again from its start when more
 // bytes have arrived; this is cheap, because bulk strings are skipped by their length. Nested arrays count as
-// malformed. `max_bulk`: longest bulk string that does not count as long, at most kMaxBulk.
-Parsed parse(std::string_view buffer, Message& message, std::size_t max_bulk = kMaxBulk);
+// malformed. `max_bulk`: longest bulk string that does not count as long, at most kMaxBulk; `max_message`:
+// longest message, without a long bulk.
+Parsed parse(std::string_view buffer, Message& message, std::size_t max_bulk = kMaxBulk,
+             std::size_t max_message = kMaxMessage);
 
 void write_bulk(std::string& out, std::string_view text);
 void write_array(std::string& out, std::size_t items);
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -25,6 +25,7 @@
 // Longest pause within a reply of which the length is not known yet, or that is short, past its attempt's
 // timeout.
 constexpr Duration kReplyStallTimeout = std::chrono::milliseconds(250);
+constexpr std::size_t kMaxCongestedRead = 8 * 1024;  // bytes of a reply at once
 constexpr Duration kMinIdleTime =
     std::chrono::milliseconds(5);  // idle time before a connection takes its next request
 
@@ -166,6 +167,11 @@
         if (!std::exchange(counted_in_tries_, true)) ++pool_.tries_;
     }
 
+    // What is read of a long value has to be kept until its client takes it.
+    std::size_t max_read_bytes() const override {
+        return pool_.gateway_.output_congested() ? kMaxCongestedRead : kWholeBuffer;
+    }
+
     std::size_t on_bytes(std::string_view bytes) override {
         if (!busy_) {  // bytes without a request
             close();
