Hot restart: a request that may run at the old process is not run again by the new one

A client that left the old process of an upgrade while its request was running there, and sent it again to the new one under the same id, had it run twice.

Cause: open and recent ids were known to their own process alone.

Change: the new process says in its hello that it understands ids. The old one hands it those of requests that have gone out and are not idempotent, and tells each further one before its attempt is sent, as long as both live.

--- a/src/admin/hot_restart/hot_restart_message.cpp
+++ b/src/admin/hot_restart/hot_restart_message.cpp
@@ -1,6 +1,8 @@
 #include "admin/hot_restart/hot_restart_message.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 #include "config/setting_words.h"
@@ -11,17 +13,35 @@
 
 using nlohmann::json;
 
-constexpr std::array<config::Word<Kind>, 8> kKinds{{{"hello", Kind::kHello},
+constexpr std::array<config::Word<Kind>, 9> kKinds{{{"hello", Kind::kHello},
                                                     {"state", Kind::kState},
                                                     {"ban", Kind::kBan},
                                                     {"accounts", Kind::kAccounts},
                                                     {"end", Kind::kEnd},
                                                     {"ready", Kind::kReady},
                                                     {"drain", Kind::kDrain},
+                                                    {"requests", Kind::kRequests},
                                                     {"client", Kind::kClient}}};
 
 }  // namespace
 
+std::string write_ids(const std::vector<std::uint64_t>& ids) {
+    std::string text;
+    for (const std::uint64_t id : ids) text += std::to_string(id) + ' ';
+    return text;
+}
+
+std::vector<std::uint64_t> read_ids(std::string_view text) {
+    std::vector<std::uint64_t> ids;
+    while (!text.empty()) {
+        std::uint64_t id = 0;
+        const auto result = std::from_chars(text.data(), text.data() + text.size(), id);
+        if (result.ec == std::errc{}) ids.push_back(id);
+        text.remove_prefix(std::min(text.find(' '), text.size() - 1) + 1);
+    }
+    return ids;
+}
+
 std::string write(const Message& message) {
     json out{{"v", kVersion}};
     for (const auto& word : kKinds) {
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -255,6 +255,18 @@
     ++(verdict == Verdict::kServed ? of.served : verdict == Verdict::kRejected ? of.rejected : of.failed);
 }
 
+std::vector<std::uint64_t> RequestManager::unrepeatable_ids() {
+    std::vector<std::uint64_t> ids = recent_.newest(RecentRequests::kMaxIds, timers_.now());
+    requests_.for_each([this, &ids](Handle, const OpenRequest& open) {
+        if (open.attempts > 0 && !is_idempotent(open.traffic_class)) ids.push_back(open.name);
+    });
+    return ids;
+}
+
+void RequestManager::remember(const std::vector<std::uint64_t>& client_ids) {
+    for (const std::uint64_t id : client_ids) recent_.add(id, timers_.now());
+}
+
 std::size_t RequestManager::left_out() const { return policy_->ejected_count(timers_.now()); }
 
 // Marks the request as answered and removes it if no attempt is pending.
@@ -444,6 +456,7 @@
             return;
         }
     }
+    if (started_ && !is_idempotent(open->traffic_class)) started_(open->name);
     const Payload& payload = open->changed.bytes.empty() ? open->payload : open->changed;
     const Handle attempt = endpoints_->start(handle, endpoint, payload, {until, open->due, write_by(*open)});
     if (open->attempt_pending) open->attempt = attempt;
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -88,6 +88,12 @@
     const Counts& counts() const { return counts_; }
     EventLog& events() { return events_; }
     const EventLog& events() const { return events_; }
+    // Client ids of requests that may have run here and must not run at another process, newest last. From
+    // then on `started` is told of each further one before its attempt is sent; null: no longer.
+    std::vector<std::uint64_t> unrepeatable_ids();
+    void tell_started(std::function<void(std::uint64_t client_id)> started) { started_ = std::move(started); }
+    // Such requests of another process.
+    void remember(const std::vector<std::uint64_t>& client_ids);
     // Number of listed endpoints that the decision module currently ejects.
     std::size_t left_out() const;
 
@@ -180,6 +186,7 @@
     double max_units_;
     SlotMap<OpenRequest> requests_;
     std::unordered_set<std::uint64_t> client_ids_;  // client ids of the open requests
+    std::function<void(std::uint64_t)> started_;    // of tell_started()
     RecentRequests recent_;                         // that may have run and are not idempotent
     std::size_t bytes_ = 0;
     Counts counts_;
--- a/src/server/hot_restart.cpp
+++ b/src/server/hot_restart.cpp
@@ -17,6 +17,7 @@
 
 constexpr proxy::Duration kStateWithin = 1s;  // else the new process starts alone
 constexpr std::size_t kMaxAccounts = 20000;   // go over; further ones begin anew
+constexpr std::size_t kIdsInAMessage = 1000;  // some 20 KiB
 constexpr std::size_t kMaxPath = 90;          // of a Unix socket's, with room for what is put behind it
 
 }  // namespace
@@ -56,7 +57,7 @@
     if (place_.empty() || stat(place_.c_str(), &at) != 0) return false;
     begin(Other::kOlder);
     older_->connect(place_);
-    send(Other::kOlder, {Kind::kHello, listen_, false, false});
+    send(Other::kOlder, {Kind::kHello, listen_, true, false});
     parts_.loop.turn_until([this] { return taken_ || !older_->is_open(); }, kStateWithin);
     if (!taken_) older_->close();  // what comes late would find this one listening by itself
     share();
@@ -83,6 +84,9 @@
                 parts_.gateway.take_over(told);
             }
             return true;
+        case Kind::kRequests:
+            parts_.gateway.remember(hot_restart::read_ids(message.text));
+            return true;
         case Kind::kEnd:
             taken_ = true;
             return true;
@@ -122,6 +126,7 @@
             const std::string text = hot_restart::write_accounts(accounts, from, parts_.gateway.plan_names());
             send(Other::kNewer, {Kind::kAccounts, text, false, false});
         }
+        if (message.on) share_requests();
         send(Other::kNewer, {Kind::kEnd, {}, false, false});
         return true;
     }
@@ -135,6 +140,21 @@
     return true;
 }
 
+// A client that leaves here may send its request again to the newer process, which has to know by then that
+// it may run.
+void HotRestart::share_requests() {
+    std::vector<std::uint64_t> ids = parts_.gateway.unrepeatable_ids();
+    for (std::size_t from = 0; from < ids.size(); from += kIdsInAMessage) {
+        const std::size_t to = std::min(ids.size(), from + kIdsInAMessage);
+        const std::vector<std::uint64_t> some(ids.begin() + static_cast<std::ptrdiff_t>(from),
+                                              ids.begin() + static_cast<std::ptrdiff_t>(to));
+        send(Other::kNewer, {Kind::kRequests, hot_restart::write_ids(some), false, false});
+    }
+    parts_.gateway.tell_started([this](std::uint64_t id) {
+        send(Other::kNewer, {Kind::kRequests, hot_restart::write_ids({id}), false, false});
+    });
+}
+
 // ---- Both -----------------------------------------------------------------------------------------------
 
 void HotRestart::send(Other other, const Message& message) {
@@ -172,6 +192,7 @@
 // An old process whose successor has died goes on as before.
 void HotRestart::over(Other other) {
     share();
+    if (other == Other::kNewer) parts_.gateway.tell_started(nullptr);
     if (other == Other::kOlder || !std::exchange(passed_, false)) return;
     parts_.acceptor.pass_on(nullptr);
     parts_.pool.retire(false);
--- a/src/server/hot_restart.h
+++ b/src/server/hot_restart.h
@@ -53,6 +53,7 @@
     }
     void begin(Other other);
     void hand_over(uv_stream_t* listener);
+    void share_requests();
     bool heard(Other other, std::string_view line, uv_stream_t* from);
     bool heard_of_newer(const hot_restart::Message& message);
     bool heard_of_older(const hot_restart::Message& message, uv_stream_t* from);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -207,6 +207,8 @@
     std::string config(std::uint16_t mgmt) {
         std::string made = config_of(discovery, counter, endpoint.address());
         made.replace(made.find("127.0.0.1:0"), 11, at_port(listen));
+        const std::string usual = R"("name":"read","idempotency":"retryable")";
+        made.replace(made.find(usual), usual.size(), traffic_class);
         return made.insert(1, "\"mgmt\":\"" + at_port(mgmt) + "\",");
     }
     // Waits until it says that it is ready.
@@ -246,6 +248,7 @@
     }
 
     Folder folder;
+    std::string traffic_class = R"("name":"read","idempotency":"retryable")";
     Listener endpoint, discovery, counter;
     std::uint16_t listen;
     std::vector<std::string> arguments;  // of the programs
@@ -434,5 +437,41 @@
     EXPECT_EQ(served_of(25), 0);
 }
 
+class RequestAtTheOldProcess : public testing::TestWithParam<bool> {};
+
+TEST_P(RequestAtTheOldProcess, IsNotSentOnceMoreByTheNewOneWhenItsClientComesAgain) {
+    const bool comes_before_the_upgrade = GetParam();
+    Pair pair;
+    pair.traffic_class = R"("name":"hold","idempotency":"fragile")";
+    const auto next_attempt = [&pair] {
+        std::unique_ptr<SocketPeer> peer;
+        wait_for([&] { return (peer || (peer = pair.endpoint.accept())) && peer->has("c=hold"); });
+        return peer;
+    };
+    const auto old = pair.start(free_port());
+    SocketPeer client = connect_to(pair.listen);
+    client.write(call("hold", 7000));
+    const auto keeps_the_connection_there = next_attempt();
+    const std::string text = call("hold", 7000);
+    std::unique_ptr<SocketPeer> first_run;
+    if (comes_before_the_upgrade) {
+        client.write(text);
+        first_run = next_attempt();
+    }
+    const auto next = pair.start(free_port());
+    if (!comes_before_the_upgrade) {
+        client.write(text);
+        first_run = next_attempt();
+    }
+    ASSERT_TRUE(first_run);
+    client.close();
+    SocketPeer again = connect_to(pair.listen);
+    again.write(text);
+    EXPECT_TRUE(wait_for([&] { return again.has("\r\n"); }));
+    EXPECT_EQ(again.got, "-ERR failed\r\n");
+    EXPECT_FALSE(pair.endpoint.accept()) << "a second run";
+}
+INSTANTIATE_TEST_SUITE_P(BeforeTheUpgrade, RequestAtTheOldProcess, testing::Bool());
+
 }  // namespace
 }  // namespace linnetlead
