Peer counter: a reply to an earlier process answers no request of this one

A gateway that restarts at its address could take the reply to a request of the process before it for the reply to its own, and so the total of another tenant's count.

Cause: replies are told by number and sender, and each process numbered its requests from 1.

Change: a process begins at a number drawn from the time of its start.

Measured: PeerCounter.AReplyToAnEarlierProcessAtTheAddressAnswersNoRequestOfThisOne fails before and passes now.

--- a/src/proxy/peer_counter.cpp
+++ b/src/proxy/peer_counter.cpp
@@ -64,7 +64,10 @@
       self_(self),
       send_(std::move(send)),
       counted_(std::move(counted)),
-      owners_(static_cast<std::size_t>(std::max(gateways, 1))) {}
+      owners_(static_cast<std::size_t>(std::max(gateways, 1))),
+      // A reply that is on its way to an earlier process at this address must answer none of this one's
+      // requests.
+      last_number_(static_cast<std::uint32_t>(mix(static_cast<std::uint64_t>(timers.now().count())))) {}
 
 // Rendezvous hashing: the counters of a skipped gateway are spread over all others.
 int PeerCounter::select_owner(std::uint64_t name) const {
