--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -84,26 +84,28 @@
 // ---- From the downstream server
 // ------------------------------------------------------------------------------------
 
-Handle RequestManager::take(DownstreamRequest incoming, DownstreamPort& downstream, Ticket ticket) {
+std::optional<RequestManager::Refusal> RequestManager::refusal_of(const DownstreamRequest& incoming) {
+    const Timestamp now = timers_.now();
     const std::size_t size = incoming.payload.bytes.size();
-    if (requests_.size() >= limits_.calls || bytes_ + size > limits_.bytes) {
-        return turn_away(incoming, downstream, ticket, {Verdict::kRejected, {}, {}, false},
-                         Event::kRequestWithoutRoom);
-    }
-    if (!is_idempotent(incoming.request.traffic_class) && recent_.contains(incoming.name, timers_.now())) {
-        return turn_away(incoming, downstream, ticket, {Verdict::kFailed, {}, {}, false},
-                         Event::kRequestWithRecentId);
-    }
+    if (requests_.size() >= limits_.calls || bytes_ + size > limits_.bytes)
+        return Refusal{Verdict::kRejected, {}, Event::kRequestWithoutRoom};
+    if (!is_idempotent(incoming.request.traffic_class) && recent_.contains(incoming.name, now))
+        return Refusal{Verdict::kFailed, {}, Event::kRequestWithRecentId};
     // Endpoints could not distinguish two open requests with the same id.
-    if (!client_ids_.insert(incoming.name).second) {
-        return turn_away(incoming, downstream, ticket, {Verdict::kFailed, {}, {}, false},
-                         Event::kRequestWithOpenId);
-    }
-    if (!new_tenant_limiter_.passes(timers_.now(), incoming.request.tenant)) {
-        client_ids_.erase(incoming.name);
-        return turn_away(incoming, downstream, ticket, {Verdict::kRejected, {}, limiter_retry_after_, false},
-                         Event::kRequestOfNewTenant);
+    if (client_ids_.count(incoming.name) > 0) return Refusal{Verdict::kFailed, {}, Event::kRequestWithOpenId};
+    if (!new_tenant_limiter_.passes(now, incoming.request.tenant))
+        return Refusal{Verdict::kRejected, limiter_retry_after_, Event::kRequestOfNewTenant};
+    return std::nullopt;
+}
+
+Handle RequestManager::take(DownstreamRequest incoming, DownstreamPort& downstream, Ticket ticket) {
+    if (const auto refusal = refusal_of(incoming)) {
+        note_turned_away(incoming, refusal->verdict, refusal->reason);
+        downstream.answer(ticket, {refusal->verdict, {}, refusal->retry_after, false});
+        return {};
     }
+    client_ids_.insert(incoming.name);
+    const std::size_t size = incoming.payload.bytes.size();
     const Handle handle = requests_.add();
     OpenRequest& open = *requests_.find(handle);
     open.downstream = &downstream;
@@ -234,13 +236,6 @@
     if (events_.note(reason, timers_.now())) events_.write(reason, "id " + hex(request.name) + ", not taken");
 }
 
-Handle RequestManager::turn_away(const DownstreamRequest& incoming, DownstreamPort& downstream, Ticket ticket,
-                                 const Answer& answer, Event reason) {
-    note_turned_away(incoming, answer.verdict, reason);
-    downstream.answer(ticket, answer);
-    return {};
-}
-
 void RequestManager::conclude(Handle handle, OpenRequest& open, const Answer& answer) {
     if (open.answered) return;
     DownstreamPort* const downstream = open.downstream;
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 #include "config/settings.h"
@@ -150,6 +151,14 @@
     void watch_endpoints() override {}  // discovery runs all the time
     void log(const std::string& text) override;
 
+    // Why a request is not taken.
+    struct Refusal {
+        Verdict verdict = Verdict::kRejected;
+        Duration retry_after{};
+        Event reason{};
+    };
+    // Nothing: it can be taken.
+    std::optional<Refusal> refusal_of(const DownstreamRequest& incoming);
     template <typename Event>
     void dispatch(Event event);
     template <typename Event>
@@ -167,8 +176,6 @@
     void note(Event event, const OpenRequest& open);
     void note_turned_away(const DownstreamRequest& request, Verdict verdict, Event reason);
     void note_unserved(const OpenRequest& open, const AttemptEnd& end);
-    Handle turn_away(const DownstreamRequest& incoming, DownstreamPort& downstream, Ticket ticket,
-                     const Answer& answer, Event reason);
     void fail_overdue(Handle handle);
     void drop_if_done(Handle handle);
     void count_answer(int traffic_class, Verdict verdict);
