A duplicate reply is told by when it came, also to a process that was held up

Cause: how long after its request a reply came was taken from the time at which it was read. A gateway that is held up for longer than half of an endpoint's work reads a duplicate of the reply before it so late that it passes for a reply of its own.

Evidence: SecondCopies.ReadLateByAProcessThatWasHeldUpAreSkipped holds the loop up for 300 ms where replies take 400: the code before gives the client the other request's value.

Change: for a reply with the value of the one before it, the time since the kernel got it (tcpi_last_data_recv) is taken off. Other replies cost nothing; where TCP_INFO is not to be had it is as before.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,5 +1,7 @@
 #include "net/stream.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -213,6 +215,15 @@
            getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0;
 }
 
+std::chrono::milliseconds Stream::time_since_received() const {
+    uv_os_fd_t fd = -1;
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const bool is_known = uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+                          getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return std::chrono::milliseconds(is_known ? info.tcpi_last_data_recv : 0);
+}
+
 bool Stream::end_if_ended() {
     uv_os_fd_t fd = -1;
     if (closing_ || uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) != 0) return false;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -3,6 +3,7 @@
 
 #include <uv.h>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -35,6 +36,8 @@
     std::size_t offer();
     // Nothing has come that is not read yet, and the peer has not ended.
     bool is_quiet() const;
+    // How long ago the kernel got the last bytes from the peer, in its own ticks; 0: not known.
+    std::chrono::milliseconds time_since_received() const;
     void read_more(bool wanted);
     bool reads() const { return reading_; }
     // While nothing is read, the end is not seen: whether it has come, behind whatever lies unread. If so, it
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -262,8 +262,10 @@
     bool is_duplicate(const proxy::ReplyFingerprint& value, bool more_follows) const {
         if (!reused_ || value != last_value_) return false;
         const auto at = pool_.endpoints_.find(endpoint);
-        return at != pool_.endpoints_.end() &&
-               at->second.replies.is_duplicate(reply_began_after_, more_follows);
+        if (at == pool_.endpoints_.end()) return false;
+        // This process may have been held up since the reply came.
+        const Duration came_after = std::min(reply_began_after_, since_written() - time_since_received());
+        return at->second.replies.is_duplicate(came_after, more_follows);
     }
 
     void note_duplicate() {
--- a/tests/duplicate_reply_test.cpp
+++ b/tests/duplicate_reply_test.cpp
@@ -160,6 +160,21 @@
 }
 
 // Guards against: the gateway is held up, and reads a copy when the endpoint could have answered.
+TEST(SecondCopies, ReadLateByAProcessThatWasHeldUpAreSkipped) {
+    DuplicateReplyRig rig;
+    rig.serve_first("one");
+    rig.wait(10ms);
+    rig.ask();
+    ASSERT_TRUE(rig.arrived());
+    rig.endpoint->write(served("one"));
+    usleep(300'000);  // over half of what the endpoint's replies take
+    rig.wait(5ms);
+    EXPECT_EQ(rig.client.read(), "");
+    ASSERT_TRUE(rig.write(served("two")));
+    EXPECT_TRUE(rig.gets("two"));
+    EXPECT_EQ(rig.pool.duplicate_replies(), 1u);
+}
+
 TEST(SecondCopies, ReadLateWithTheReplyBehindItAreSkipped) {
     DuplicateReplyRig rig;
     rig.serve_first("one");
