Peer counter test: an ended process is kept, since its timers are on the clock

The fault is the test's: the gateway's timers end with its process.

Change: the ended process is kept, hears nothing and is heard by nobody. What the test asserts is as it was.

--- a/tests/peer_counter_test.cpp
+++ b/tests/peer_counter_test.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "rig.h"
@@ -65,8 +66,10 @@
         });
     }
     void run(proxy::Duration time) { clock.run_to(clock.now() + time); }
+    // The process before is heard by nobody and hears nothing; it is kept, since its timers are on the clock.
     void restart(int gateway) {
-        nodes[static_cast<std::size_t>(gateway)] = std::make_unique<Node>(*this, gateway, size);
+        auto& node = nodes[static_cast<std::size_t>(gateway)];
+        ended.push_back(std::exchange(node, std::make_unique<Node>(*this, gateway, size)));
     }
     // Finds the gateway that stores a counter: it sends no datagram for it.
     int find_owner(const std::string& name) {
@@ -91,7 +94,7 @@
     int sent = 0;
     std::string last_datagram;
     std::size_t max_bytes = 0;
-    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<std::unique_ptr<Node>> nodes, ended;
 };
 
 TEST(PeerCounter, GatewaysShareOneTotalPerNameUntilItExpires) {
