A reply of equal value that is read a clock tick late is not taken for a duplicate

Callers: where an endpoint gives one value to several requests, a request now and then had no answer until its attempt's timeout.

A reply 0.3 ms behind its request was said to be received 4 ms ago where a tick lay in between, so it "came before its request" and was skipped.

Change: the kernel's times of the last data sent and received are compared with each other, both of one clock, and one tick is added: the time between request and reply is never told as less than it was. A reply counts as received before its request only if the kernel had it in an earlier tick.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -31,6 +32,15 @@
     }
 }
 
+// The resolution of the times in tcp_info, rounded up.
+std::chrono::milliseconds kernel_tick() {
+    constexpr std::chrono::milliseconds kLongestTick{10};
+    timespec resolution{};
+    if (clock_getres(CLOCK_MONOTONIC_COARSE, &resolution) != 0) return kLongestTick;
+    return std::chrono::ceil<std::chrono::milliseconds>(std::chrono::seconds(resolution.tv_sec) +
+                                                        std::chrono::nanoseconds(resolution.tv_nsec));
+}
+
 }  // namespace
 
 Stream::Stream(Loop& loop) : loop_(loop) {
@@ -215,13 +225,17 @@
            getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0;
 }
 
-std::chrono::milliseconds Stream::time_since_received() const {
+std::optional<std::chrono::milliseconds> Stream::max_time_from_sent_to_received() const {
+    static const std::chrono::milliseconds tick = kernel_tick();
     uv_os_fd_t fd = -1;
     tcp_info info{};
     socklen_t size = sizeof(info);
     const bool is_known = uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
                           getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
-    return std::chrono::milliseconds(is_known ? info.tcpi_last_data_recv : 0);
+    if (!is_known) return std::nullopt;
+    const std::chrono::milliseconds since_sent{info.tcpi_last_data_sent};
+    const std::chrono::milliseconds since_received{info.tcpi_last_data_recv};
+    return since_sent - since_received + tick;
 }
 
 bool Stream::end_if_ended() {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -36,8 +37,10 @@
     std::size_t offer();
     // Nothing has come that is not read yet, and the peer has not ended.
     bool is_quiet() const;
-    // How long ago the kernel got the last bytes from the peer, in its own ticks; 0: not known.
-    std::chrono::milliseconds time_since_received() const;
+    // The longest time that can lie between the last bytes sent to the peer and the last received from it, by
+    // the kernel's own record. It counts in ticks, so that the truth is up to two of them less; zero or less:
+    // received before sent. None: the kernel does not say.
+    std::optional<std::chrono::milliseconds> max_time_from_sent_to_received() const;
     void read_more(bool wanted);
     bool reads() const { return reading_; }
     // While nothing is read, the end is not seen: whether it has come, behind whatever lies unread. If so, it
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -263,9 +263,14 @@
         if (!reused_ || value != last_value_) return false;
         const auto at = pool_.endpoints_.find(endpoint);
         if (at == pool_.endpoints_.end()) return false;
-        // This process may have been held up since the reply came.
-        const Duration came_after = std::min(reply_began_after_, since_written() - time_since_received());
-        return at->second.replies.is_duplicate(came_after, more_follows);
+        return at->second.replies.is_duplicate(reply_came_after(), more_follows);
+    }
+
+    // The longest time that can lie between the request and the reply. This process may have been held up
+    // before it read the reply: then the kernel knows better.
+    Duration reply_came_after() const {
+        const auto by_kernel = max_time_from_sent_to_received();
+        return by_kernel ? std::min<Duration>(reply_began_after_, *by_kernel) : reply_began_after_;
     }
 
     void note_duplicate() {
--- a/tests/duplicate_reply_test.cpp
+++ b/tests/duplicate_reply_test.cpp
@@ -201,6 +201,26 @@
     EXPECT_EQ(rig.pool.duplicate_replies(), 0u);
 }
 
+// Guards against: the kernel's clock ticks between a reply and its read, and the reply is taken for one that
+// came before its request.
+TEST(SecondCopies, EqualRepliesThatAreReadLateAreServed) {
+    DuplicateReplyRig rig;
+    rig.ask();
+    rig.endpoint = rig.accepted(rig.listener);
+    ASSERT_TRUE(rig.arrived());
+    ASSERT_TRUE(rig.write(served("same")));
+    ASSERT_TRUE(rig.gets("same"));
+    for (int i = 0; i < 40; ++i) {
+        rig.wait(10ms);
+        rig.ask();
+        ASSERT_TRUE(rig.arrived());
+        rig.endpoint->write(served("same"));
+        usleep(1'000 + 200 * i);
+        ASSERT_TRUE(rig.gets("same")) << "reply " << i;
+    }
+    EXPECT_EQ(rig.pool.duplicate_replies(), 0u);
+}
+
 // Guards against: an endpoint that gives one value to all requests, and answers some much sooner than others,
 // loses each of those.
 TEST(SecondCopies, WhereNoOtherReplyFollowsEqualOnesAreServedFromThenOn) {
