A reply that repeats the last value is held where an endpoint's values never repeat

Cause: a duplicate was told by its time alone: sooner than half of what the endpoint's fast replies take. A copy that is held up on its way or at its sender comes later than that.

Change: the detector counts replies with another value than the one before. Behind a hundred of these in a row an equal one is suspected, however late it comes: it is held until more bytes follow (then it is skipped) or for twice the endpoint's slow replies and a delayed acknowledgement (then it is served). Each genuine reply that was held doubles the number that is needed, so that an endpoint whose values repeat now and then delays few. Long values that are passed on in pieces are not held. A copy that crosses a probe is skipped whenever it comes.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -4,12 +4,12 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
-#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <cstdio>
+#include <ctime>
 #include <exception>
 #include <utility>
 
@@ -226,7 +226,7 @@
 }
 
 std::optional<std::chrono::milliseconds> Stream::max_time_from_sent_to_received() const {
-    static const std::chrono::milliseconds tick = kernel_tick();
+    static const std::chrono::milliseconds kTick = kernel_tick();
     uv_os_fd_t fd = -1;
     tcp_info info{};
     socklen_t size = sizeof(info);
@@ -235,7 +235,7 @@
     if (!is_known) return std::nullopt;
     const std::chrono::milliseconds since_sent{info.tcpi_last_data_sent};
     const std::chrono::milliseconds since_received{info.tcpi_last_data_recv};
-    return since_sent - since_received + tick;
+    return since_sent - since_received + kTick;
 }
 
 bool Stream::end_if_ended() {
--- a/src/proxy/duplicate_reply_detector.h
+++ b/src/proxy/duplicate_reply_detector.h
@@ -1,7 +1,9 @@
 // Recognizes a duplicate of the previous reply on a connection that is used again. A reply names no request,
 // so a duplicate that an endpoint wrote before it had read the next request would be taken for the next
 // reply. Such a copy has the value of the connection's previous reply, and it arrives sooner than the
-// endpoint can answer. One detector per endpoint; no I/O.
+// endpoint can answer. One that comes later is suspected where the endpoint's values practically never
+// repeat: it is a duplicate if another reply follows it, and genuine if none does. One detector per endpoint;
+// no I/O.
 #pragma once
 
 #include <cstddef>
@@ -28,21 +30,42 @@
     std::size_t hash = 0;
 };
 
+enum class ReplyVerdict {
+    kGenuine,
+    kSuspected,  // to be held: a duplicate if more bytes follow within max_hold()
+    kDuplicate,
+};
+
 class DuplicateReplyDetector {
 public:
-    // Whether a reply with the previous reply's value is a duplicate of it. `elapsed`: since the request's
-    // last byte was written; zero or less: before that. `more_follows`: bytes follow the reply.
-    bool is_duplicate(Duration elapsed, bool more_follows) const;
+    // What a reply with the previous reply's value is. `elapsed`: since the request's last byte was written;
+    // zero or less: before that. `more_follows`: bytes follow the reply.
+    ReplyVerdict judge(Duration elapsed, bool more_follows) const;
+    // How long after its request was written a suspected reply is held at most.
+    Duration max_hold() const;
+
     // A reply was accepted that cannot be a duplicate: the first on its connection, or with another value.
     void on_genuine_reply(Duration elapsed);
+    // A reply was accepted with another value than the connection's previous reply.
+    void on_other_value();
+    // A reply was accepted with the value of the connection's previous reply. `was_held`: as a suspected one.
+    void on_equal_value(bool was_held);
     // Another reply came for the request whose first reply was skipped as a duplicate.
     void on_duplicate_confirmed() { unconfirmed_duplicates_ = 0; }
     // No other reply came: the endpoint may give the same value to different requests.
     void on_duplicate_unconfirmed() { ++unconfirmed_duplicates_; }
 
 private:
+    // With fewer in a row, a value may well repeat.
+    static constexpr int kMinOtherValues = 100;
+
+    bool is_certain_duplicate(Duration elapsed, bool more_follows) const;
+
     Duration fast_reply_{};  // what the endpoint's fast replies take; 0: not known
+    Duration slow_reply_{};  // what its slow replies take
     int unconfirmed_duplicates_ = 0;
+    int other_values_in_a_row_ = 0;
+    int suspects_from_ = kMinOtherValues;  // so many other values in a row
 };
 
 }  // namespace linnetlead::proxy
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -13,6 +13,7 @@
 using proxy::Ending;
 using proxy::EndpointId;
 using proxy::Handle;
+using proxy::ReplyVerdict;
 using proxy::Stage;
 using proxy::Timestamp;
 
@@ -47,6 +48,7 @@
         busy_ = true;
         answering_ = counted_in_tries_ = skipped_duplicate_ = false;
         has_value_head_ = streams_at_once_ = false;
+        is_held_ = accepts_held_ = false;
         reused_ = connected_;
         written_at_ = {};
         body_left_ = {};
@@ -120,6 +122,10 @@
     void on_timeout() {
         if (!busy_) return close();  // idle for so long that the endpoint is about to close the connection
         if (part_ == Part::kTail) return end(tail_);
+        if (is_held_) {
+            accepts_held_ = true;
+            return take_rest();
+        }
         if (has_value_head_ && stage() == Stage::kAnswering) {
             streams_at_once_ = true;
             return take_rest();
@@ -221,9 +227,16 @@
             return bytes.size();
         }
         if (parsed == resp::Parsed::kPartial) return 0;
-        if (is_duplicate(message, bytes.size())) {
-            note_duplicate();
-            return message.size;
+        switch (judge(message, bytes.size())) {
+            case ReplyVerdict::kDuplicate:
+                note_duplicate();
+                return message.size;
+            case ReplyVerdict::kSuspected:
+                if (accepts_held_) break;
+                hold();
+                return 0;
+            case ReplyVerdict::kGenuine:
+                break;
         }
         AttemptEnd answer;
         if (payload_) {
@@ -253,17 +266,29 @@
                                                                        : loop().now() - written_at_;
     }
 
-    // Whether the complete message is a duplicate of the connection's previous reply.
-    bool is_duplicate(const resp::Message& message, std::size_t received) const {
-        if (!reused_ || !message.array || !resp::may_become_reply(message)) return false;
+    // What the complete message is, beside the connection's previous reply.
+    ReplyVerdict judge(const resp::Message& message, std::size_t received) const {
+        if (!reused_ || !message.array || !resp::may_become_reply(message)) return ReplyVerdict::kGenuine;
+        const bool more_follows = received > message.size;
+        if (is_held_ && more_follows) return ReplyVerdict::kDuplicate;
         const std::string_view value = message.items.front().text;
-        return is_duplicate(proxy::ReplyFingerprint(value, value.size()), received > message.size);
+        return judge(proxy::ReplyFingerprint(value, value.size()), more_follows);
     }
-    bool is_duplicate(const proxy::ReplyFingerprint& value, bool more_follows) const {
-        if (!reused_ || value != last_value_) return false;
+    ReplyVerdict judge(const proxy::ReplyFingerprint& value, bool more_follows) const {
+        if (!reused_ || value != last_value_) return ReplyVerdict::kGenuine;
+        if (!payload_) return ReplyVerdict::kDuplicate;  // a probe's own reply has no such value
+        const auto at = pool_.endpoints_.find(endpoint);
+        if (at == pool_.endpoints_.end()) return ReplyVerdict::kGenuine;
+        return at->second.replies.judge(reply_came_after(), more_follows);
+    }
+
+    // The reply that has come is left unread until more follows, at most as long as the request's own reply
+    // may take.
+    void hold() {
+        if (std::exchange(is_held_, true)) return;
         const auto at = pool_.endpoints_.find(endpoint);
-        if (at == pool_.endpoints_.end()) return false;
-        return at->second.replies.is_duplicate(reply_came_after(), more_follows);
+        const Duration wait = at == pool_.endpoints_.end() ? Duration{0} : at->second.replies.max_hold();
+        arm(std::min(until_, written_at_ + wait));
     }
 
     // The longest time that can lie between the request and the reply. This process may have been held up
@@ -275,15 +300,18 @@
 
     void note_duplicate() {
         answering_ = has_value_head_ = false;
+        if (std::exchange(is_held_, false)) arm(until_);
         skipped_duplicate_ = true;
         ++pool_.duplicate_replies_;
     }
 
     // A reply with this value is accepted.
     void note_value(const proxy::ReplyFingerprint& value) {
-        const bool is_genuine = !reused_ || value != last_value_;
-        note_reply([this, is_genuine](proxy::DuplicateReplyDetector& replies) {
-            if (is_genuine) replies.on_genuine_reply(reply_began_after_);
+        const bool is_equal = reused_ && value == last_value_;
+        note_reply([this, is_equal](proxy::DuplicateReplyDetector& replies) {
+            if (is_equal) replies.on_equal_value(accepts_held_);
+            if (!is_equal) replies.on_genuine_reply(reply_began_after_);
+            if (!is_equal && reused_) replies.on_other_value();
             if (skipped_duplicate_) replies.on_duplicate_confirmed();
         });
         last_value_ = value;
@@ -328,7 +356,7 @@
             return 0;
         }
         if (may_be_duplicate && start.size() >= wanted &&
-            is_duplicate(proxy::ReplyFingerprint(start, message.left), false)) {
+            judge(proxy::ReplyFingerprint(start, message.left), false) == ReplyVerdict::kDuplicate) {
             note_duplicate();
             part_ = Part::kDuplicateValue;
             value_left_ = message.left + kLineEnd.size();
@@ -447,6 +475,8 @@
     bool counted_in_tries_ = false;  // in tries_
     bool reused_ = false;
     bool has_value_head_ = false;         // of a long value that has not begun to be passed on
+    bool is_held_ = false;                // a suspected reply, until more follows
+    bool accepts_held_ = false;           // nothing has followed it in time
     bool streams_at_once_ = false;        // a long value, without waiting for its first bytes
     bool skipped_duplicate_ = false;      // a duplicate of the previous reply came in place of this one
     Timestamp written_at_{};              // when the kernel had accepted the request's last byte; 0: not yet
--- a/tests/duplicate_reply_test.cpp
+++ b/tests/duplicate_reply_test.cpp
@@ -11,42 +11,76 @@
 using namespace tests;
 using proxy::DuplicateReplyDetector;
 using proxy::ReplyFingerprint;
+using proxy::ReplyVerdict;
 
 // ---- The rule ------------------------------------------------------------------------------------------
 
 TEST(DuplicateReplyDetector, ACopyComesSoonerThanTheEndpointCanAnswer) {
     DuplicateReplyDetector detector;
-    EXPECT_FALSE(detector.is_duplicate(1ms, false)) << "nothing is known of the endpoint";
-    EXPECT_TRUE(detector.is_duplicate(0ms, false)) << "the request was not written yet";
+    EXPECT_EQ(detector.judge(1ms, false), ReplyVerdict::kGenuine) << "nothing is known of the endpoint";
+    EXPECT_EQ(detector.judge(0ms, false), ReplyVerdict::kDuplicate) << "the request was not written yet";
     detector.on_genuine_reply(40ms);
     detector.on_genuine_reply(300ms);
-    EXPECT_TRUE(detector.is_duplicate(19ms, false));
-    EXPECT_FALSE(detector.is_duplicate(21ms, false));
-    EXPECT_TRUE(detector.is_duplicate(90ms, true)) << "the request's own reply came behind it";
+    EXPECT_EQ(detector.judge(19ms, false), ReplyVerdict::kDuplicate);
+    EXPECT_EQ(detector.judge(21ms, false), ReplyVerdict::kGenuine);
+    EXPECT_EQ(detector.judge(90ms, true), ReplyVerdict::kDuplicate)
+        << "the request's own reply came behind it";
     detector.on_genuine_reply(10ms);
-    EXPECT_FALSE(detector.is_duplicate(6ms, false)) << "the endpoint can answer in less";
+    EXPECT_EQ(detector.judge(6ms, false), ReplyVerdict::kGenuine) << "the endpoint can answer in less";
     detector.on_genuine_reply(4ms);
-    EXPECT_FALSE(detector.is_duplicate(1ms, false)) << "the way may take as long as the work";
+    EXPECT_EQ(detector.judge(1ms, false), ReplyVerdict::kGenuine) << "the way may take as long as the work";
 }
 
 TEST(DuplicateReplyDetector, FollowsAnEndpointThatBecomesSlower) {
     DuplicateReplyDetector detector;
     detector.on_genuine_reply(200us);
     for (int i = 0; i < 1000; ++i) detector.on_genuine_reply(20ms);
-    EXPECT_TRUE(detector.is_duplicate(5ms, false));
-    EXPECT_FALSE(detector.is_duplicate(11ms, false));
+    EXPECT_EQ(detector.judge(5ms, false), ReplyVerdict::kDuplicate);
+    EXPECT_EQ(detector.judge(11ms, false), ReplyVerdict::kGenuine);
 }
 
 TEST(DuplicateReplyDetector, WhereValuesRepeatTheySayNothing) {
     DuplicateReplyDetector detector;
     detector.on_genuine_reply(40ms);
     detector.on_duplicate_unconfirmed();
-    EXPECT_TRUE(detector.is_duplicate(1ms, false)) << "the endpoint may have hung";
+    EXPECT_EQ(detector.judge(1ms, false), ReplyVerdict::kDuplicate) << "the endpoint may have hung";
     detector.on_duplicate_confirmed();
     detector.on_duplicate_unconfirmed();
-    EXPECT_TRUE(detector.is_duplicate(1ms, false));
+    EXPECT_EQ(detector.judge(1ms, false), ReplyVerdict::kDuplicate);
     detector.on_duplicate_unconfirmed();
-    EXPECT_FALSE(detector.is_duplicate(1ms, false));
+    EXPECT_EQ(detector.judge(1ms, false), ReplyVerdict::kGenuine);
+}
+
+TEST(DuplicateReplyDetector, WhereValuesNeverRepeatAnEqualOneIsSuspectedHoweverLateItComes) {
+    DuplicateReplyDetector detector;
+    for (int i = 0; i < 99; ++i) {
+        detector.on_genuine_reply(i % 2 == 0 ? 10ms : 40ms);
+        detector.on_other_value();
+    }
+    EXPECT_EQ(detector.judge(30ms, false), ReplyVerdict::kGenuine);
+    detector.on_genuine_reply(40ms);
+    detector.on_other_value();
+    EXPECT_EQ(detector.judge(30ms, false), ReplyVerdict::kSuspected);
+    EXPECT_EQ(detector.judge(30ms, true), ReplyVerdict::kDuplicate);
+    EXPECT_EQ(detector.judge(1ms, false), ReplyVerdict::kDuplicate);
+    EXPECT_GT(detector.max_hold(), 80ms);
+}
+
+TEST(DuplicateReplyDetector, EachGenuineReplyThatWasHeldMakesSuspicionRarer) {
+    DuplicateReplyDetector detector;
+    const auto values_until_suspicion = [&detector] {
+        int values = 0;
+        while (detector.judge(30ms, false) != ReplyVerdict::kSuspected) {
+            detector.on_other_value();
+            ++values;
+        }
+        return values;
+    };
+    EXPECT_EQ(values_until_suspicion(), 100);
+    detector.on_equal_value(true);
+    EXPECT_EQ(values_until_suspicion(), 200);
+    detector.on_equal_value(true);
+    EXPECT_EQ(values_until_suspicion(), 400);
 }
 
 TEST(ReplyFingerprint, TellsValuesApartByTheirLengthAndFirstBytes) {
@@ -186,6 +220,54 @@
     EXPECT_TRUE(rig.gets("two"));
 }
 
+struct EndpointWithoutRepeatsRig : DuplicateReplyRig {
+    void set_up() {
+        ask();
+        endpoint = accepted(listener);
+        for (int i = 0; i < kValues; ++i) {
+            ASSERT_TRUE(arrived());
+            wait(kWork);
+            last_value = "value " + std::to_string(i);
+            ASSERT_TRUE(write(served(last_value)));
+            ASSERT_TRUE(gets(last_value));
+            wait(6ms);
+            ask();
+        }
+        ASSERT_TRUE(arrived());
+    }
+    static constexpr int kValues = 102;
+    static constexpr proxy::Duration kWork = 20ms;
+    std::string last_value;
+};
+
+// Guards against: a copy is held up on its way for as long as the endpoint works, and another request's
+// client gets it.
+TEST(SecondCopies, AsLateAsAReplyWhereValuesNeverRepeatAreSkippedWhenTheReplyComes) {
+    EndpointWithoutRepeatsRig rig;
+    rig.set_up();
+    rig.wait(rig.kWork);
+    ASSERT_TRUE(rig.write(served(rig.last_value)));
+    rig.wait(5ms);
+    EXPECT_EQ(rig.client.read(), "");
+    ASSERT_TRUE(rig.write(served("two")));
+    EXPECT_TRUE(rig.gets("two"));
+    EXPECT_EQ(rig.pool.duplicate_replies(), 1u);
+    EXPECT_EQ(rig.pool.connections(), 1u);
+}
+
+// Guards against: a genuine reply that happens to repeat the value before it is lost.
+TEST(SecondCopies, AnEqualReplyThatNoneFollowsIsServedSoonAlsoWhereValuesNeverRepeat) {
+    EndpointWithoutRepeatsRig rig;
+    rig.set_up();
+    rig.wait(rig.kWork);
+    ASSERT_TRUE(rig.write(served(rig.last_value)));
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_TRUE(rig.gets(rig.last_value));
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 500ms);
+    EXPECT_EQ(rig.pool.duplicate_replies(), 0u);
+    EXPECT_EQ(rig.pool.connections(), 1u);
+}
+
 // Guards against: an endpoint that gives one value to all requests is taken for one that sends copies.
 TEST(SecondCopies, EqualRepliesInTheirTimeAreServed) {
     DuplicateReplyRig rig;
