Peer counter test: a refused request is followed by a pause, as long as a count may take

Cause: the test, traced by the time of each reply: it asks 30 times at once, and all 30 are answered within 2.6 ms: five served without a count, 25 refused 2 ms later. On a busy machine the other gateway isn't scheduled within these 2 ms, so that no count can come before the last request.

Change: 20 ms behind each refusal, all within the account's interval as before. Bounds and numbers of requests are as they were, so the test is as strict: without peers it fails (10 and 10 for at least 15 and at most 5).

--- a/tests/peer_counter_test.cpp
+++ b/tests/peer_counter_test.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -312,6 +313,7 @@
     Program one(config(0));
     auto other = std::make_unique<Program>(config(1));
     std::vector<std::unique_ptr<SocketPeer>> connections;
+    constexpr auto kPauseAfterRefusal = 20ms;  // time for the gateways to exchange a count
     // Sends `count` requests one after another through a gateway and returns how many are served.
     const auto served_of = [&](Program& through, int count) {
         SocketPeer client = connect_to(through.port);
@@ -330,7 +332,9 @@
                 }
                 return client.has("\r\n");
             }));
-            served_requests += client.got[0] == '$' ? 1 : 0;
+            const bool is_served = client.got[0] == '$';
+            served_requests += is_served ? 1 : 0;
+            if (!is_served) std::this_thread::sleep_for(kPauseAfterRefusal);
         }
         return served_requests;
     };
