Demand counts round halves up without the rounding instruction

Cause: valgrind rounds the halves of arm64's FRINTA, which std::round() compiles to, to even: 12.5 gives 12 there and 13 on the machine. DemandCount::encode() rounds demands to hundredths, and a demand of 12.5 parts occurs in the run. Traced by comparing the counter's calls: the first that differs adds 13.025 for 12.025, with the same requests admitted before it.

Change: halves are rounded up by floor() and a comparison, exactly as std::round() does for what is not negative.

--- a/src/policy/demand_count.h
+++ b/src/policy/demand_count.h
@@ -22,8 +22,8 @@
     // interval; negative if another gateway reports it.
     double encode(double demand, double spent, double bucket_deficit) const {
         const double spent_parts =
-            std::round(std::max(0.0, spent + std::max(0.0, bucket_deficit)) / max_units_ * kSpentParts);
-        return std::max(1.0, std::round(demand / max_units_ * kDemandParts)) +
+            round_half_up(std::max(0.0, spent + std::max(0.0, bucket_deficit)) / max_units_ * kSpentParts);
+        return std::max(1.0, round_half_up(demand / max_units_ * kDemandParts)) +
                (bucket_deficit < 0 ? 0 : kBucketDeficitFlag) +
                std::min(spent_parts / kFractionSteps, kBucketDeficitFlag - 1 / kFractionSteps);
     }
@@ -52,6 +52,12 @@
     static constexpr double kHalfStep = 0.5 / kFractionSteps;
     static constexpr double kBucketDeficitFlag = 0.5;
 
+    // For numbers that are not negative. Unlike std::round(), it rounds halves up under valgrind on arm64
+    // too.
+    static double round_half_up(double number) {
+        const double whole = std::floor(number);
+        return number - whole >= 0.5 ? whole + 1 : whole;
+    }
     static double fraction(double number) { return number - std::floor(number + kHalfStep); }
     double units_per_fraction() const { return max_units_ * kFractionSteps / kSpentParts; }
 
--- a/tests/policy_quota_test.cpp
+++ b/tests/policy_quota_test.cpp
@@ -68,6 +68,17 @@
     EXPECT_EQ(g.out.sent.size(), 3U);
 }
 
+// Guards against: machines that round halves differently disagree about one number.
+TEST(DemandCount, HalvesAreRoundedUp) {
+    volatile double max_units = 64;  // known at run time only
+    const DemandCount count(max_units);
+    EXPECT_EQ(std::floor(count.encode(8, 0, -1)), 13) << "12.5 parts";
+    EXPECT_EQ(std::floor(count.encode(7.99, 0, -1)), 12);
+    EXPECT_EQ(std::floor(count.encode(24, 0, -1)), 38) << "37.5 parts";
+    EXPECT_EQ(std::floor(count.encode(40, 0, -1)), 63) << "62.5 parts";
+    EXPECT_EQ(std::floor(count.encode(56, 0, -1)), 88) << "87.5 parts";
+}
+
 TEST(DemandCount, EncodesDemandUseAndBucketDeficitInOneNumber) {
     const DemandCount count(20);
     const double a = count.encode(4, 3, -1), b = count.encode(10, 6, -1);
