Client connections: refused, failed accepts and cut answers are counted and logged

Change: events client_answer_cut (every close by this side with a request or an answer unfinished goes through close_at_once()), client_refused, client_accept_failed; each client line says what the connection is at and how many there are of how many; figures client_connections, pending_answer_bytes, request_bytes, resident_kib. Existing names and the beginning of each line are unchanged.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -17,6 +17,10 @@
     line("in_progress", figures.counts.in_progress);
     line("known_quoters", figures.known);
     line("skipped_quoters", figures.skipped);
+    line("client_connections", figures.client_connections);
+    line("pending_answer_bytes", figures.pending_answer_bytes);
+    line("request_bytes", figures.request_bytes);
+    line("resident_kib", figures.resident_kib);
     if (figures.duplicate_replies > 0) line("duplicate_replies", figures.duplicate_replies);
     if (figures.shed_answers > 0) line("shed_answers", figures.shed_answers);
     if (figures.unusable_states > 0) line("unusable_state_files", figures.unusable_states);
--- a/src/proxy/downstream_client.cpp
+++ b/src/proxy/downstream_client.cpp
@@ -146,8 +146,7 @@
     if (left < std::exchange(last_unsent_, left) || left <= kPauseReadingUnsent) progress_at_ = now;
     if (now - progress_at_ <= server_.stall_timeout_) return;
     note(proxy::Event::kClientStalled);
-    withdraw_all();
-    close();
+    close_at_once();
 }
 
 std::tuple<int, bool, Timestamp> DownstreamServer::Client::eviction_rank(Timestamp now) const {
@@ -174,6 +173,12 @@
     for (const Entry& entry : std::exchange(entries_, {})) server_.gateway_.withdraw(entry.request);
 }
 
+void DownstreamServer::Client::close_at_once() {
+    if (has_pending_answers()) note(proxy::Event::kClientAnswerCut);
+    withdraw_all();
+    close();
+}
+
 bool DownstreamServer::Client::is_saturated() const {
     return entries_.size() >= kMaxPipelined || unsent() > kPauseReadingUnsent ||
            (!entries_.empty() && server_.held_back_ > server_.max_unsent_ / 2);
@@ -371,8 +376,18 @@
 void DownstreamServer::Client::note(proxy::Event event) {
     proxy::EventLog& events = server_.gateway_.events();
     if (!events.note(event, loop().now())) return;
-    events.write(event, std::to_string(entries_.size()) + " requests open, " + std::to_string(unsent()) +
-                            " bytes unsent" + (asked ? "" : ", has never sent a request"));
+    std::string text = std::to_string(entries_.size()) + " requests open, " + std::to_string(unsent()) +
+                       " bytes unsent" + (asked ? "" : ", has never sent a request");
+    text.append(", ").append(phase());
+    text.append(", ").append(std::to_string(server_.clients_.size()));
+    events.write(event, text + " of " + std::to_string(server_.max_clients_) + " connections");
+}
+
+std::string_view DownstreamServer::Client::phase() const {
+    if (finishing()) return "closing";
+    if (body_.left > 0) return "within a body";
+    if (incomplete_since_ != Timestamp{}) return "within a command";
+    return has_pending_answers() ? "waits for answers" : "idle";
 }
 
 void DownstreamServer::Client::finish_if_last() {
@@ -383,7 +398,7 @@
     loop().arm(loop().now() + kLingerStep, [&clients = server_.clients_, me = self, left = unsent()] {
         Client* const client = clients.find(me);
         if (!client || client->closing()) return;
-        client->unsent() < left ? client->linger() : client->close();
+        client->unsent() < left ? client->linger() : client->close_at_once();
     });
 }
 
--- a/src/proxy/downstream_client.h
+++ b/src/proxy/downstream_client.h
@@ -43,6 +43,8 @@
     bool can_be_evicted() const;
 
     void withdraw_all();
+    // Closes at once; counts and logs it if a request or an answer of the client's is unfinished.
+    void close_at_once();
     // Counts and logs why the connection ends.
     void note(proxy::Event event);
 
@@ -79,6 +81,8 @@
         write(entry.reply);
         held_back_ += entry.reply.size() - before;
     }
+    // For the log: what the connection is at.
+    std::string_view phase() const;
     // Whether the client's next command waits in the socket until earlier ones are answered and the answers
     // are written.
     bool is_saturated() const;
--- a/src/proxy/downstream_server.cpp
+++ b/src/proxy/downstream_server.cpp
@@ -72,8 +72,13 @@
 
 // While this connection is not accepted, libuv keeps it and reports no further connection.
 void DownstreamServer::on_connection(uv_stream_t* listener, int status) {
-    if (status < 0) return;  // out of descriptors: libuv has refused it
     const Timestamp now = loop_.now();
+    if (status < 0) {  // out of descriptors, as a rule: libuv has refused it
+        proxy::EventLog& events = gateway_.events();
+        if (events.note(proxy::Event::kClientAcceptFailed, now))
+            events.write(proxy::Event::kClientAcceptFailed, uv_strerror(status));
+        return;
+    }
     const bool room = make_room();
     if (room) defer_until_ = {};
     if (!room && defer_until_ == Timestamp{}) defer_until_ = now + kMaxAcceptDelay;
@@ -101,7 +106,10 @@
     client.self = handle;
     client.last_used = loop_.now();
     client.asked = asked;
-    if (connect(client) != 0 || !room) client.close();
+    const bool is_connected = connect(client) == 0;
+    if (is_connected && room) return;
+    client.note(is_connected ? proxy::Event::kClientRefused : proxy::Event::kClientAcceptFailed);
+    client.close();
 }
 
 // At the limit, closes the connection with the lowest eviction_rank() of those that wait for no answer.
@@ -117,7 +125,7 @@
         if ((full || !client.finishing()) && client.can_be_evicted()) least = &client;
     });
     if (least && full) least->note(proxy::Event::kClientEvicted);
-    if (least) full ? least->close() : least->close_gracefully();
+    if (least) full ? least->close_at_once() : least->close_gracefully();
     return least || !full;
 }
 
@@ -182,10 +190,7 @@
     listener_.close();
     loop_.disarm(timeout_check_);
     loop_.disarm(unread_check_);
-    clients_.for_each([](Handle, Client& client) {
-        client.withdraw_all();
-        client.close();
-    });
+    clients_.for_each([](Handle, Client& client) { client.close_at_once(); });
 }
 
 }  // namespace linnetlead::net
--- a/src/proxy/downstream_server.h
+++ b/src/proxy/downstream_server.h
@@ -66,6 +66,8 @@
     std::uint64_t shed_answers() const { return shed_answers_; }
     // Bytes of answers that are not written yet, held back or refused by the kernel, over all clients.
     std::size_t pending_bytes() const { return unsent_ + held_back_; }
+    // Number of client connections.
+    std::size_t connections() const { return clients_.size(); }
     // Whether answers are still being written or streamed to clients.
     bool is_writing() const { return unsent_ > 0 || gateway_.counts().in_progress > 0; }
 
--- a/src/proxy/event_log.cpp
+++ b/src/proxy/event_log.cpp
@@ -20,6 +20,7 @@
     "request_rejected",     "request_failed",         "request_at_shutdown",    "request_overdue",
     "request_truncated",    "request_withdrawn",      "client_stalled",         "client_incomplete",
     "client_idle",          "client_evicted",         "client_protocol_error",  "client_end_unread",
+    "client_answer_cut",    "client_refused",         "client_accept_failed",
 };
 
 Event broken_at(Stage stage) {
--- a/src/proxy/event_log.h
+++ b/src/proxy/event_log.h
@@ -47,6 +47,10 @@
     kClientEvicted,
     kClientProtocolError,
     kClientEndUnread,
+    kClientAnswerCut,  // closed by this side with a request or an answer of the client's unfinished
+    // A new connection was closed unread, since no other one could give way, or was not accepted.
+    kClientRefused,
+    kClientAcceptFailed,
     kCount,
 };
 
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -81,6 +81,8 @@
     // The client can take more of a long value.
     void go_on(Handle request);
     std::size_t open_calls() const { return requests_.size(); }
+    // Memory of open requests, and reserved for bodies that are still to arrive.
+    std::size_t request_bytes() const { return bytes_; }
     const proxy::NewTenantLimiter& crowd() const { return new_tenant_limiter_; }
     // Quota states for the gateway process that takes over; handed_over() then drops them here.
     std::vector<policy::QuotaState> accounts() const { return policy_->quota_states(); }
--- a/src/server/admin_endpoint.cpp
+++ b/src/server/admin_endpoint.cpp
@@ -1,5 +1,7 @@
 #include "server/admin_endpoint.h"
 
+#include <uv.h>
+
 #include "admin/metrics.h"
 
 namespace linnetlead::server {
@@ -7,6 +9,16 @@
 using admin::Reply;
 using admin::Verb;
 
+namespace {
+
+std::size_t resident_kib() {
+    constexpr std::size_t kKib = 1024;
+    std::size_t bytes = 0;
+    return uv_resident_set_memory(&bytes) == 0 ? bytes / kKib : 0;
+}
+
+}  // namespace
+
 Reply AdminEndpoint::carry(const admin::Command& command) {
     Reply reply = carried(command);
     const bool changes =
@@ -50,6 +62,10 @@
     figures.tries = parts_.pool.tries();
     figures.duplicate_replies = parts_.pool.duplicate_replies();
     figures.shed_answers = parts_.clients.shed_answers();
+    figures.client_connections = parts_.clients.connections();
+    figures.pending_answer_bytes = parts_.clients.pending_bytes();
+    figures.request_bytes = parts_.gateway.request_bytes();
+    figures.resident_kib = resident_kib();
     figures.known = parts_.suspensions.known();
     if (parts_.unusable_states) figures.unusable_states = parts_.unusable_states();
     figures.skipped = parts_.suspensions.skipped() + parts_.gateway.left_out();
