A client connection gives way only once its answer has reached the client's machine

Callers saw: a request that an endpoint had answered ended with its connection closed and no answer, beside a crowd of slow clients. Cause: make_room() took a connection for idle when its request had an answer. The answer is gathered until the end of the loop's turn and may rest with this process or the kernel long after; a close loses it. Slow writers give way behind idle clients, so that beside a crowd of them the clients that had just been answered were the first to go. The same in linger(): a graceful close cut a slow reader off after 1 s. Log of the reproduction: client_evicted with 7 and with 51,818 bytes unsent. Change: the order is a module of its own (client_eviction); a client with an open request, or with an answer that its machine has not acknowledged (SIOCOUTQ), never gives way, nor does one that is closing gracefully; the close waits for the delivery. So that slow readers meet a limit: nothing taken of over 64 KiB for 15 s as before, of less for 30 s (there was none). Why it works: the state that decides is the one that the close would destroy.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,8 +1,10 @@
 #include "net/stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -170,6 +172,7 @@
         return guarded([this] { written_all(); });
     }
     writing_.swap(out_);
+    may_be_in_kernel_ = true;
     uv_buf_t buffer = uv_buf_init(writing_.data(), static_cast<unsigned>(writing_.size()));
     auto* const stream = reinterpret_cast<uv_stream_t*>(&tcp_);
     const int error = uv_write(&write_, stream, &buffer, 1, [](uv_write_t* request, int status) {
@@ -196,6 +199,19 @@
     return out_.size() + lost_ + uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&tcp_));
 }
 
+std::size_t Stream::undelivered() {
+    if (!may_be_in_kernel_) return unsent();
+    uv_os_fd_t fd = -1;
+    int in_kernel = 0;
+    const bool is_known = uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+                          ioctl(fd, SIOCOUTQ, &in_kernel) == 0;
+    if (!is_known || in_kernel <= 0) {
+        in_kernel = 0;
+        may_be_in_kernel_ = unsent() > 0;
+    }
+    return unsent() + static_cast<std::size_t>(in_kernel);
+}
+
 std::size_t Stream::offer() {
     if (open_ && !closing_ && !shut_ && writing_.empty() && !out_.empty()) static_cast<void>(try_write());
     return unsent();
@@ -206,14 +222,15 @@
     uv_buf_t buffer = uv_buf_init(out_.data(), static_cast<unsigned>(out_.size()));
     const int taken = uv_try_write(reinterpret_cast<uv_stream_t*>(&tcp_), &buffer, 1);
     if (taken < 0) return taken == UV_EAGAIN ? 0 : taken;
+    may_be_in_kernel_ = true;
     out_.erase(0, static_cast<std::size_t>(taken));
     return 0;
 }
 
-bool Stream::is_quiet() const {
+bool Stream::is_socket_quiet() const {
     uv_os_fd_t fd = -1;
     char byte = 0;
-    return rest_.empty() && uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
            recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -32,11 +32,15 @@
     void flush();
     // Bytes that the kernel has not taken.
     std::size_t unsent() const;
+    // Bytes that the peer's machine has not received: closing before could destroy them.
+    std::size_t undelivered();
     // Offers the kernel at once what is gathered. Returns the bytes that it has not taken: the peer reads
     // more slowly than this side writes. Nothing else happens before the end of the loop's turn.
     std::size_t offer();
-    // Nothing has come that is not read yet, and the peer has not ended.
-    bool is_quiet() const;
+    // Nothing has come that is not taken yet, and the peer has not ended.
+    bool is_quiet() const { return rest_.empty() && is_socket_quiet(); }
+    // The same, whatever on_bytes() has left.
+    bool is_socket_quiet() const;
     // The longest time that can lie between the last bytes sent to the peer and the last received from it, by
     // the kernel's own record. It counts in ticks, so that the truth is up to two of them less; zero or less:
     // received before sent. None: the kernel does not say.
@@ -98,6 +102,7 @@
     bool finishing_ = false;
     bool shut_ = false;
     bool closing_ = false;
+    bool may_be_in_kernel_ = false;  // something written since the kernel had delivered all
 };
 
 }  // namespace linnetlead::net
--- a/src/proxy/downstream_client.cpp
+++ b/src/proxy/downstream_client.cpp
@@ -25,8 +25,9 @@
 // start more than 0.1 s after it has.
 constexpr proxy::Duration kEndCheckInterval = std::chrono::milliseconds(10);
 constexpr proxy::Duration kLingerStep = std::chrono::seconds(1);
-// A partial command without further bytes for this long counts as abandoned.
-constexpr proxy::Duration kStalledAfter = std::chrono::milliseconds(500);
+// Times the stall timeout, for a client with at most kPauseReadingUnsent to take: its machine may tell of
+// progress only once that much is read.
+constexpr int kPatienceWithLittle = 2;
 // Of a client that has never sent a request; of any idle client while more than half of the connections are
 // in use.
 constexpr proxy::Duration kIdleTimeout = std::chrono::milliseconds(2100);
@@ -122,9 +123,9 @@
 }
 
 void DownstreamServer::Client::check_timeouts(Timestamp now, bool is_half_full) {
-    if (closing() || finishing() || handing_over_) return;
+    if (closing() || handing_over_) return;
     close_if_stalled(now);
-    if (closing() || has_pending_answers()) return;
+    if (closing() || finishing() || has_pending_answers()) return;
     if (incomplete_since_ != Timestamp{}) {
         // Frees the memory reserved for a body that arrives too slowly.
         const bool body_late = body_.left > 0 && now - body_.begun > server_.body_timeout_;
@@ -142,28 +143,29 @@
 }
 
 void DownstreamServer::Client::close_if_stalled(Timestamp now) {
-    const std::size_t left = unsent();
-    if (left < std::exchange(last_unsent_, left) || left <= kPauseReadingUnsent) progress_at_ = now;
-    if (now - progress_at_ <= server_.stall_timeout_) return;
+    const std::size_t left = undelivered();
+    if (left < std::exchange(last_undelivered_, left) || left == 0) progress_at_ = now;
+    const bool is_much = left > kPauseReadingUnsent;
+    if (now - progress_at_ <= server_.stall_timeout_ * (is_much ? 1 : kPatienceWithLittle)) return;
     note(proxy::Event::kClientStalled);
     close_at_once();
 }
 
-std::tuple<int, bool, Timestamp> DownstreamServer::Client::eviction_rank(Timestamp now) const {
-    // A command of which only one read has arrived, and nothing for kStalledAfter, counts as abandoned. A
-    // slow client sends more and would lose its request, so it is closed last. An idle client loses
-    // nothing: it reconnects.
-    constexpr int kNoRequest = 0, kStalled = 1, kIdle = 2, kReceiving = 3;
-    if (finishing()) return {kNoRequest, unsent() > 0, last_used};
-    if (incomplete_since_ != Timestamp{}) {
-        const bool stops = reads_of_command_ <= 1 && now - last_bytes_at_ > kStalledAfter;
-        return {stops ? kStalled : kReceiving, unsent() > 0, last_bytes_at_};
-    }
-    return {asked ? kIdle : kNoRequest, unsent() > 0, last_used};
+std::optional<proxy::EvictionRank> DownstreamServer::Client::eviction_rank(Timestamp now) const {
+    if (closing() || handing_over_) return std::nullopt;
+    proxy::ClientActivity activity;
+    activity.is_waiting_for_answers = has_pending_answers();
+    activity.is_closing = finishing();
+    activity.is_receiving = incomplete_since_ != Timestamp{};
+    activity.has_asked = asked;
+    activity.reads_of_command = reads_of_command_;
+    activity.last_used = last_used;
+    activity.last_bytes = last_bytes_at_;
+    return proxy::eviction_rank(activity, now);
 }
 
-bool DownstreamServer::Client::can_be_evicted() const {
-    if (closing() || handing_over_ || !entries_.empty()) return false;
+bool DownstreamServer::Client::is_settled() {
+    if (undelivered() > 0) return false;
     return finishing() || incomplete_since_ != Timestamp{} || is_quiet();
 }
 
@@ -395,10 +397,10 @@
 }
 
 void DownstreamServer::Client::linger() {
-    loop().arm(loop().now() + kLingerStep, [&clients = server_.clients_, me = self, left = unsent()] {
+    loop().arm(loop().now() + kLingerStep, [&clients = server_.clients_, me = self] {
         Client* const client = clients.find(me);
         if (!client || client->closing()) return;
-        client->unsent() < left ? client->linger() : client->close_at_once();
+        client->undelivered() > 0 ? client->linger() : client->close_at_once();
     });
 }
 
--- a/src/proxy/downstream_client.h
+++ b/src/proxy/downstream_client.h
@@ -3,11 +3,12 @@
 #pragma once
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <tuple>
 
 #include "net/stream.h"
+#include "proxy/client_eviction.h"
 #include "proxy/downstream_server.h"
 #include "proxy/resp/parser.h"
 
@@ -37,10 +38,11 @@
     void check_timeouts(proxy::Timestamp now, bool is_half_full);
     // Limits how long answers are kept for a client that does not read them.
     void close_if_stalled(proxy::Timestamp now);
-    // Order of eviction when there is no room: the lowest rank is closed first.
-    std::tuple<int, bool, proxy::Timestamp> eviction_rank(proxy::Timestamp now) const;
-    // Not if the next request is waiting unread in the socket: it would be lost.
-    bool can_be_evicted() const;
+    // None while it may not give way. As far as this process knows: see is_settled().
+    std::optional<proxy::EvictionRank> eviction_rank(proxy::Timestamp now) const;
+    // Whether the kernel holds nothing of the client's: an answer that it would destroy with the connection,
+    // or unread bytes, which may complete a command.
+    bool is_settled();
 
     void withdraw_all();
     // Closes at once; counts and logs it if a request or an answer of the client's is unfinished.
@@ -118,7 +120,7 @@
     void refuse_rest();
     void finish_if_last();
 
-    // Delays the close while the client keeps reading its answers.
+    // Delays the close until the client's machine has its answers; close_if_stalled() bounds that.
     void linger();
 
     void on_written() override;
@@ -133,7 +135,7 @@
     std::size_t held_back_ = 0;     // bytes of answers that wait for earlier ones, in entries_
     std::size_t noted_unsent_ = 0;  // in the server's totals
     std::size_t noted_held_back_ = 0;
-    std::size_t last_unsent_ = 0;       // at the last check
+    std::size_t last_undelivered_ = 0;  // at the last check
     proxy::Timestamp progress_at_;      // when the client last took something, or had little to take
     proxy::Timestamp last_bytes_at_{};  // when the last bytes arrived
     proxy::Timestamp end_checked_at_{};
--- a/src/proxy/downstream_server.cpp
+++ b/src/proxy/downstream_server.cpp
@@ -112,17 +112,20 @@
     client.close();
 }
 
-// At the limit, closes the connection with the lowest eviction_rank() of those that wait for no answer.
-// Shortly below the limit, closes it gracefully, so that no request on its way is lost. False: there is no
-// room.
+// At the limit, closes the connection with the lowest eviction_rank(). Shortly below the limit, closes it
+// gracefully, so that no request on its way is lost. False: there is no room.
 bool DownstreamServer::make_room() {
     const bool full = clients_.size() >= max_clients_;
     if (clients_.size() < max_clients_ - max_clients_ / kFreePart) return true;
     const Timestamp now = loop_.now();
     Client* least = nullptr;
+    std::optional<proxy::EvictionRank> least_rank;
     clients_.for_each([&](Handle, Client& client) {
-        if (least && client.eviction_rank(now) >= least->eviction_rank(now)) return;
-        if ((full || !client.finishing()) && client.can_be_evicted()) least = &client;
+        if (!full && client.finishing()) return;
+        const auto rank = client.eviction_rank(now);
+        if (!rank || (least && !(*rank < *least_rank)) || !client.is_settled()) return;
+        least = &client;
+        least_rank = rank;
     });
     if (least && full) least->note(proxy::Event::kClientEvicted);
     if (least) full ? least->close_at_once() : least->close_gracefully();
--- a/tests/client_eviction_test.cpp
+++ b/tests/client_eviction_test.cpp
@@ -5,6 +5,7 @@
 
 #include <set>
 
+#include "proxy/client_eviction.h"
 #include "rig.h"
 
 namespace linnetlead {
@@ -66,6 +67,35 @@
     std::vector<SocketPeer> slow_writers;
 };
 
+// ---- The order -------------------------------------------------------------------------------------------
+
+TEST(EvictionRank, IsNoneForAClientThatWaitsForAnAnswerAlsoWhileItsConnectionCloses) {
+    proxy::ClientActivity client;
+    client.is_waiting_for_answers = true;
+    EXPECT_FALSE(proxy::eviction_rank(client, 100s));
+    client.is_closing = true;
+    EXPECT_FALSE(proxy::eviction_rank(client, 100s));
+}
+
+TEST(EvictionRank, GoesFromThoseThatLoseNothingToThoseThatWriteSlowly) {
+    proxy::ClientActivity silent, abandoned, idle, receiving;
+    silent.last_used = idle.last_used = 90s;
+    idle.has_asked = true;
+    abandoned.is_receiving = receiving.is_receiving = true;
+    abandoned.reads_of_command = 1;
+    abandoned.last_bytes = 10s;
+    receiving.reads_of_command = 2;
+    receiving.last_bytes = 10s;
+    const proxy::ClientActivity* const order[] = {&silent, &abandoned, &idle, &receiving};
+    for (std::size_t i = 1; i < std::size(order); ++i)
+        EXPECT_TRUE(*proxy::eviction_rank(*order[i - 1], 100s) < *proxy::eviction_rank(*order[i], 100s)) << i;
+    proxy::ClientActivity older = idle;
+    older.last_used = 80s;
+    EXPECT_TRUE(*proxy::eviction_rank(older, 100s) < *proxy::eviction_rank(idle, 100s));
+}
+
+// ---- A server at its limit -------------------------------------------------------------------------------
+
 TEST(ClientEviction, InTheLoopTurnOfAnAnswerDoesNotCutIt) {
     FullRig rig;
     SocketPeer asking = rig.client();
@@ -103,6 +133,40 @@
     EXPECT_EQ(rig.cut_answers(), 0u);
 }
 
+TEST(ClientEviction, OfASlowReaderWhoseConnectionIsClosingDoesNotCutItsAnswer) {
+    FullRig rig;
+    rig.shrink_kernel_buffers();
+    const std::string value(60'000, 'v');
+    SocketPeer reader = rig.client_with_small_buffer();
+    reader.write(call("hold"));
+    auto peer = rig.accepted(rig.endpoint);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=hold"); }));
+    peer->write(served(value));
+    ASSERT_TRUE(rig.until([&] { return rig.gateway.open_calls() == 0; }));
+    ASSERT_GT(rig.acceptor.pending_bytes(), 0u);
+    reader.write("nonsense\r\n");
+    const auto end = steady_clock::now() + 2500ms;
+    rig.until([&] { return steady_clock::now() > end; });
+    std::string expected;
+    resp::write_bulk(expected, value);
+    EXPECT_TRUE(rig.until([&] { return reader.read().size() >= expected.size() || reader.ended; }));
+    EXPECT_EQ(reader.got.substr(0, expected.size()), expected);
+    EXPECT_EQ(rig.cut_answers(), 0u);
+}
+
+TEST(ClientEviction, AReaderThatTakesNothingOfAShortAnswerMeetsALimit) {
+    FullRig rig(200ms);
+    rig.shrink_kernel_buffers();
+    SocketPeer reader = rig.client_with_small_buffer();
+    reader.write(call("hold"));
+    auto peer = rig.accepted(rig.endpoint);
+    ASSERT_TRUE(rig.until([&] { return peer->has("c=hold"); }));
+    peer->write(served(std::string(60'000, 'v')));
+    EXPECT_TRUE(rig.until([&] { return rig.acceptor.empty(); }));
+    EXPECT_EQ(rig.gateway.events().count(proxy::Event::kClientStalled), 1u);
+    EXPECT_EQ(rig.acceptor.pending_bytes(), 0u);
+}
+
 TEST(ClientEviction, OfASlowWriterDoesNotLoseACommandWhoseLastBytesAreUnread) {
     FullRig rig;
     const std::string command = call("hold");
