A client within a command does not give way while bytes of it are unread

Callers saw: a command that a client had written whole was lost with its connection, beside a crowd. Cause: a connection within a command could give way without a look at its socket; the bytes that complete the command may lie there unread. Change: is_settled() looks at the socket for those too. Why it works: what is unread is read in the same turn, and the command is then open.

--- a/src/proxy/downstream_client.cpp
+++ b/src/proxy/downstream_client.cpp
@@ -166,7 +166,8 @@
 
 bool DownstreamServer::Client::is_settled() {
     if (undelivered() > 0) return false;
-    return finishing() || incomplete_since_ != Timestamp{} || is_quiet();
+    if (finishing()) return true;
+    return incomplete_since_ != Timestamp{} ? is_socket_quiet() : is_quiet();
 }
 
 void DownstreamServer::Client::withdraw_all() {
