While the connections' buffers are high, values over 8 KiB pass as their clients take them

Cause: a value up to 64 KiB was kept whole for its client, one a client whatever the others had, so that the bound was a product of the descriptors and knew nothing of memory_mb: 450 clients x 64 KiB is 29 MB of 32. The same held for pieces of pipelined long values behind an unanswered request, for replies that come slowly, and for copies of bodies on their way. The shares also left nothing for the process itself. Change: each stream tells the loop's BufferGauge what its buffers hold. Over an eighth of the memory, commands are read by 4 KiB, replies and bodies pass by 8 KiB, and a value over 8 KiB is streamed like a long one. The shares are taken of memory_mb less 8 MB. Why it works: over the gauge's mark a client and an endpoint hold one piece each, whatever the size of the value. Costs: over the mark an endpoint's connection is in use until a slow reader has its value, and a value that breaks off is seen by the client.

--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "net/buffer_gauge.h"
 #include "net/timing_wheel.h"
 #include "proxy/ports.h"
 
@@ -37,6 +38,7 @@
 
     void flush_later(Stream& stream) { to_flush_.push_back(&stream); }
     void flush_no_more(const Stream& stream);
+    BufferGauge& buffers() { return buffers_; }
     // One read's bytes for all connections: what is left of them, each keeps for itself.
     uv_buf_t scratch() { return uv_buf_init(scratch_.data(), static_cast<unsigned>(scratch_.size())); }
 
@@ -53,6 +55,7 @@
     TimingWheel wheel_;
     TimingWheel::Tick timer_set_to_ = 0;  // 0: not set
     std::vector<Stream*> to_flush_;
+    BufferGauge buffers_;
     std::array<char, 64 * 1024> scratch_{};
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -34,6 +34,16 @@
     }
 }
 
+// Drops the first bytes, and the capacity that what is left does not need.
+void shorten(std::string& text, std::size_t bytes) {
+    constexpr std::size_t kMuch = 4096;
+    if (bytes > 0 && text.capacity() > kMuch) {
+        std::string(text, bytes).swap(text);
+    } else {
+        text.erase(0, bytes);
+    }
+}
+
 // The resolution of the times in tcp_info, rounded up.
 std::chrono::milliseconds kernel_tick() {
     constexpr std::chrono::milliseconds kLongestTick{10};
@@ -52,6 +62,13 @@
 
 Stream::~Stream() {
     if (in_flush_list_) loop_.flush_no_more(*this);
+    loop_.buffers().remove(noted_buffers_);
+}
+
+void Stream::note_buffers() {
+    const std::size_t bytes = out_.capacity() + writing_.capacity() + rest_.capacity();
+    loop_.buffers().remove(std::exchange(noted_buffers_, bytes));
+    loop_.buffers().add(bytes);
 }
 
 // Exceptions stop at the connection: none may pass through libuv, and the other connections go on.
@@ -134,6 +151,7 @@
     if (rest_.empty()) {
         const std::size_t taken = on_bytes(bytes);
         if (!closing_ && !finishing_) rest_.assign(bytes.substr(taken));
+        note_buffers();
     } else {
         rest_.append(bytes);
         take_rest();
@@ -143,7 +161,8 @@
 void Stream::take_rest() {
     if (rest_.empty() || closing_ || finishing_) return;
     const std::size_t taken = on_bytes(rest_);
-    taken < rest_.size() ? void(rest_.erase(0, taken)) : emptied(rest_);
+    taken < rest_.size() ? shorten(rest_, taken) : emptied(rest_);
+    note_buffers();
 }
 
 void Stream::broken(int error) {
@@ -169,9 +188,11 @@
     }
     if (out_.empty()) {
         emptied(out_);
+        note_buffers();
         return guarded([this] { written_all(); });
     }
     writing_.swap(out_);
+    note_buffers();
     may_be_in_kernel_ = true;
     uv_buf_t buffer = uv_buf_init(writing_.data(), static_cast<unsigned>(writing_.size()));
     auto* const stream = reinterpret_cast<uv_stream_t*>(&tcp_);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -62,6 +62,8 @@
 protected:
     static constexpr std::size_t kWholeBuffer = SIZE_MAX;  // of the loop
     Loop& loop() const { return loop_; }
+    // Brings the loop's gauge up to date with this stream's buffers.
+    void note_buffers();
 
 private:
     virtual void on_connected() {}
@@ -94,7 +96,8 @@
     std::string writing_;  // handed to libuv
     std::string rest_;     // read, not yet taken
     std::size_t lost_ = 0;
-    std::size_t read_limit_ = 0;  // of the current read
+    std::size_t noted_buffers_ = 0;  // in the loop's gauge
+    std::size_t read_limit_ = 0;     // of the current read
     bool open_ = false;
     bool in_flush_list_ = false;
     bool reading_ = false;
--- a/src/proxy/downstream_client.cpp
+++ b/src/proxy/downstream_client.cpp
@@ -15,8 +15,9 @@
 // A longer body gets its own buffer, reserved by its announced length; a shorter one stays in the read
 // buffer.
 constexpr std::size_t kMaxBufferedBody = 2 * 1024;
-constexpr std::size_t kMaxCommandBytes = 8 * 1024;  // without a longer body
-constexpr std::size_t kMaxReadBytes = 16 * 1024;    // of commands at once
+constexpr std::size_t kMaxCommandBytes = 8 * 1024;     // without a longer body
+constexpr std::size_t kMaxReadBytes = 16 * 1024;       // of commands at once
+constexpr std::size_t kMaxReadBytesInNeed = 4 * 1024;  // while the connections' buffers are high
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::size_t kMaxPipelined = 64;               // unanswered commands of one client
 constexpr std::size_t kPauseReadingUnsent = 64 * 1024;  // bytes for one client; above, its reading is paused
@@ -97,6 +98,7 @@
 }
 
 void DownstreamServer::Client::note_pending() {
+    note_buffers();
     server_.unsent_ -= std::exchange(noted_unsent_, closing() ? 0 : unsent());
     server_.unsent_ += noted_unsent_;
     server_.held_back_ -= std::exchange(noted_held_back_, closing() ? 0 : held_back_);
@@ -205,6 +207,7 @@
 
 // A long body is read into its own room, and commands into what the connection keeps until they are taken.
 std::size_t DownstreamServer::Client::max_read_bytes() const {
+    if (loop().buffers().is_high()) return kMaxReadBytesInNeed;
     return body_.left > 0 ? kWholeBuffer : kMaxReadBytes;
 }
 
--- a/src/proxy/resp/command.cpp
+++ b/src/proxy/resp/command.cpp
@@ -135,7 +135,8 @@
     return nullptr;
 }
 
-std::string_view write_request(std::string& out, const proxy::Payload& payload, proxy::Duration wait) {
+std::string_view write_request(std::string& out, const proxy::Payload& payload, proxy::Duration wait,
+                               std::size_t max_body) {
     const auto ms = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(wait).count());
     const std::string text = std::to_string(ms);
     const std::string_view bytes = payload.bytes;
@@ -143,8 +144,8 @@
     out.append(bytes.substr(0, pairs));
     out.append(1, '$').append(std::to_string(body - pairs + text.size())).append("\r\n");
     out.append(bytes.substr(pairs, rest - pairs)).append(text).append(bytes.substr(rest, body - rest));
-    out.append("\r\n").append(bytes.substr(body, kMaxBulk));
-    return bytes.size() - body > kMaxBulk ? bytes.substr(body + kMaxBulk) : std::string_view();
+    out.append("\r\n").append(bytes.substr(body, max_body));
+    return bytes.size() - body > max_body ? bytes.substr(body + max_body) : std::string_view();
 }
 
 std::string_view body_of(const proxy::Payload& payload) {
--- a/src/proxy/resp/command.h
+++ b/src/proxy/resp/command.h
@@ -43,8 +43,9 @@
                          proxy::DownstreamRequest& result);
 
 // Writes the command for an endpoint, with the time that the gateway will wait. Returns the part that is
-// still to be written: the rest of a long body, as a slice of the payload.
-std::string_view write_request(std::string& out, const proxy::Payload& payload, proxy::Duration wait);
+// still to be written: the rest of a body that is longer than `max_body`, as a slice of the payload.
+std::string_view write_request(std::string& out, const proxy::Payload& payload, proxy::Duration wait,
+                               std::size_t max_body = kMaxBulk);
 
 // The body of a command in a payload; empty: it has none.
 std::string_view body_of(const proxy::Payload& payload);
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -22,7 +22,8 @@
 // Longest pause within a reply of which the length is not known yet, or that is short, past its attempt's
 // timeout.
 constexpr Duration kReplyStallTimeout = std::chrono::milliseconds(250);
-constexpr std::size_t kMaxCongestedRead = 8 * 1024;  // bytes of a reply at once
+constexpr std::size_t kMaxCongestedRead = 8 * 1024;   // bytes of a reply at once
+constexpr std::size_t kMaxCongestedWrite = 8 * 1024;  // bytes of a body at once
 
 }  // namespace
 
@@ -83,12 +84,16 @@
     arm(std::min(until_, write_by_));
     std::string& out = to_write();
     if (payload_) {
-        body_left_ = resp::write_request(out, *payload_, until_ - loop().now());
+        body_left_ = resp::write_request(out, *payload_, until_ - loop().now(), max_written_piece());
     } else {
         out.append("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n");
     }
 }
 
+std::size_t UpstreamPool::Connection::max_written_piece() const {
+    return loop().buffers().is_high() ? kMaxCongestedWrite : resp::kMaxBulk;
+}
+
 void UpstreamPool::Connection::arm(Timestamp at) {
     loop().disarm(timer_);
     timer_ = loop().arm(at, [this] {
@@ -140,8 +145,9 @@
 void UpstreamPool::Connection::on_written() {
     if (busy_ && !body_left_.empty()) {
         // A long body is written in pieces, so that it is not copied as a whole.
-        to_write().append(body_left_.substr(0, resp::kMaxBulk));
-        body_left_.remove_prefix(std::min(body_left_.size(), resp::kMaxBulk));
+        const std::size_t piece = std::min(body_left_.size(), max_written_piece());
+        to_write().append(body_left_.substr(0, piece));
+        body_left_.remove_prefix(piece);
         return;
     }
     if (!busy_ || !connected_) return;
@@ -152,7 +158,11 @@
 }
 
 std::size_t UpstreamPool::Connection::max_read_bytes() const {
-    return pool_.gateway_.output_congested() ? kMaxCongestedRead : kWholeBuffer;
+    return is_congested() ? kMaxCongestedRead : kWholeBuffer;
+}
+
+bool UpstreamPool::Connection::is_congested() const {
+    return loop().buffers().is_high() || pool_.gateway_.output_congested();
 }
 
 std::size_t UpstreamPool::Connection::on_bytes(std::string_view bytes) {
@@ -186,10 +196,14 @@
     return bytes.size();
 }
 
+std::size_t UpstreamPool::Connection::max_whole_value() const {
+    return payload_ && loop().buffers().is_high() ? kMaxCongestedRead : resp::kMaxBulk;
+}
+
 std::size_t UpstreamPool::Connection::read_head(std::string_view bytes) {
     if (!std::exchange(answering_, true)) reply_began_after_ = since_written();
     resp::Message& message = pool_.message_;
-    const resp::Parsed parsed = resp::parse(bytes, message);
+    const resp::Parsed parsed = resp::parse(bytes, message, max_whole_value());
     const bool long_value = parsed == resp::Parsed::kLongBulk && payload_ && message.items.empty() &&
                             resp::may_become_reply(message);
     if (long_value) return begin_value(bytes, message);
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -47,6 +47,8 @@
     void on_connected() override;
     void on_written() override;
 
+    // Whether much of the memory for buffers is taken: then replies pass in small pieces.
+    bool is_congested() const;
     // What is read of a long value has to be kept until its client takes it.
     std::size_t max_read_bytes() const override;
     std::size_t on_bytes(std::string_view bytes) override;
@@ -54,6 +56,10 @@
     // Returns the number of bytes taken; 0: more has to arrive.
     std::size_t read_part(std::string_view bytes);
     std::size_t read_head(std::string_view bytes);
+    // A longer value is passed on in pieces.
+    std::size_t max_whole_value() const;
+    // Of a request's body.
+    std::size_t max_written_piece() const;
 
     // Whether the endpoint gets requests, at the process that this connection leads to.
     bool leads_to_listed_process() const;
--- a/src/server/gateway_program.cpp
+++ b/src/server/gateway_program.cpp
@@ -127,6 +127,7 @@
 
 private:
     void start(const Config& config, const std::string& operators) {
+        loop_.buffers().set_high(shares_.buffers);
         watch_signals();
         if (!operators.empty()) {
             operators_ =
@@ -205,6 +206,7 @@
         calls.bytes /= part;
         gateway_.limit(calls);
         acceptor_.limit_unsent(shares_.unsent / part);
+        loop_.buffers().set_high(shares_.buffers / part);
         pool_.limit(shares_.endpoints / part);
     }
     // The file read again, and checked whole before anything changes. Calls in hand go on.
--- a/src/server/resource_shares.cpp
+++ b/src/server/resource_shares.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kForTheRest = 24;   // descriptors
 constexpr int kMaxCalls = 4096;           // open at once
 constexpr std::size_t kMegabyte = 1024 * 1024;
+constexpr std::size_t kProcessMegabytes = 8;  // without clients, requests and tenants
 
 }  // namespace
 
@@ -34,10 +35,12 @@
                                  ? kForTheRest
                                  : std::max(sockets / 8, net::AdminServer::kMaxCallers + kForTheRest);
     clients = std::min(sockets / 3 + sockets / 8, (sockets - kept) * 6 / 10);
-    unsent = config.memory_mb * kMegabyte / 8;
+    const std::size_t memory =
+        std::max(config.memory_mb, 2 * kProcessMegabytes) * kMegabyte - kProcessMegabytes * kMegabyte;
+    unsent = buffers = memory / 8;
     endpoints = sockets - clients - kept;
-    calls.bytes = config.memory_mb * kMegabyte / 3;
-    calls.accounts = config.memory_mb * kMegabyte / 4 / proxy::NewTenantLimiter::kBytesEach;
+    calls.bytes = memory / 3;
+    calls.accounts = memory / 4 / proxy::NewTenantLimiter::kBytesEach;
     calls.calls = std::max(
         1, config.site.max_concurrent > 0 ? std::min(config.site.max_concurrent, kMaxCalls) : kMaxCalls);
 }
--- a/src/server/resource_shares.h
+++ b/src/server/resource_shares.h
@@ -18,6 +18,7 @@
     std::size_t clients = 0;    // connections
     std::size_t endpoints = 0;  // connections
     std::size_t unsent = 0;     // bytes, to all clients
+    std::size_t buffers = 0;    // bytes in the buffers of all connections, from where on they are high
     proxy::RequestManager::Limits calls;
 };
 
