--- a/testing/soak/client_fleet.cpp
+++ b/testing/soak/client_fleet.cpp
@@ -19,7 +19,9 @@
 constexpr std::size_t kMostWaiting = 20;    // of one connection, without an answer
 constexpr Duration kLongestPause = 1500ms;  // of a client that writes a command in two pieces
 constexpr Duration kHalfWriterEvery = 700ms;
-constexpr double kClientShare = 0.33;  // of a gateway's descriptors
+constexpr Duration kSlowWriterEvery = 100ms;  // a byte of a command
+constexpr int kCrowdKinds = 3;                // begin a command, write one slowly, say nothing
+constexpr double kClientShare = 0.33;         // of a gateway's descriptors
 
 }  // namespace
 
@@ -142,7 +144,7 @@
     std::deque<RequestId> open_;  // without an answer, in their order
 };
 
-// One that says nothing, or begins a command, and stays.
+// One that says nothing, begins a command, or writes one slowly, and stays.
 class ClientFleet::Stopper final : public net::Stream {
 public:
     Stopper(net::Loop& loop, ClientFleet& fleet, bool is_of_crowd) : Stream(loop), fleet_(fleet) {
@@ -150,6 +152,11 @@
     }
     Handle self;
     void begin_command() { to_write().append("*4\r\n$5\r\nQ.ASK\r\n$16\r\n0000"); }
+    // Begins a command with a long field, and goes on with it byte by byte.
+    void write_slowly() {
+        to_write().append("*4\r\n$5\r\nQ.ASK\r\n$2000\r\n0");
+        write_further();
+    }
     void judge_as(std::size_t half_writer) { half_writer_ = half_writer; }
     bool is_of_crowd() const { return is_of_crowd_; }
 
@@ -157,6 +164,14 @@
     void on_connected() override {
         if (!is_of_crowd_) fleet_.record_.half_writers[half_writer_].connected = loop().now();
     }
+    void write_further() {
+        timer_ = loop().arm(loop().now() + kSlowWriterEvery, [this] {
+            timer_ = {};
+            if (closing()) return;
+            to_write().append(1, '0');
+            write_further();
+        });
+    }
     void note_told() {
         if (is_of_crowd_) return;
         HalfWriter& one = fleet_.record_.half_writers[half_writer_];
@@ -167,10 +182,14 @@
         return bytes.size();
     }
     void on_end(int) override { note_told(); }
-    void on_released() override { fleet_.stoppers_.remove(self); }
+    void on_released() override {
+        loop().disarm(timer_);
+        fleet_.stoppers_.remove(self);
+    }
 
     ClientFleet& fleet_;
     bool is_of_crowd_ = false;
+    Handle timer_;
     std::size_t half_writer_ = 0;
 };
 
@@ -232,7 +251,8 @@
         const Handle handle = stoppers_.add(loop_, *this, true);
         Stopper& one = *stoppers_.find(handle);
         one.self = handle;
-        if (i % 2 == 0) one.begin_command();
+        if (i % kCrowdKinds == 0) one.begin_command();
+        if (i % kCrowdKinds == 1) one.write_slowly();
         if (one.connect(address_of(front.port)) != 0) one.close();
     }
 }
--- a/testing/soak/scenario.h
+++ b/testing/soak/scenario.h
@@ -56,7 +56,7 @@
     int endpoint = 0;
     Duration at{};
 };
-// Connections that fill a gateway's descriptors: idle ones and such that stop amid a command.
+// Connections that fill a gateway's descriptors: idle ones, such that stop amid a command, and slow writers.
 struct Crowd {
     int gateway = 0;
     int connections = 0;
--- a/tests/crowd_memory_test.cpp
+++ b/tests/crowd_memory_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <deque>
 #include <limits>
+#include <ostream>
 
 #include "config/setting_words.h"
 #include "rig.h"
@@ -147,7 +148,7 @@
     const char* name;
     std::vector<std::string> (*texts)();
 };
-void PrintTo(const Crowd& crowd, std::ostream* out) { *out << crowd.name; }
+std::ostream& operator<<(std::ostream& out, const Crowd& crowd) { return out << crowd.name; }
 
 class CrowdMemory : public testing::TestWithParam<Crowd> {};
 
