--- a/tests/client_eviction_test.cpp
+++ b/tests/client_eviction_test.cpp
@@ -1,11 +1,12 @@
 // Client connections that give way at the limit, with answers or commands of theirs on the way.
+#include "proxy/client_eviction.h"
+
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <uv.h>
 
 #include <set>
 
-#include "proxy/client_eviction.h"
 #include "rig.h"
 
 namespace linnetlead {
