--- a/review/stand_ins_2/harness.py
+++ b/review/stand_ins_2/harness.py
@@ -198,6 +198,7 @@
         self.changes = []  # (version, entry)
         self.news = None
         self.port = None
+        self.down = False  # then the agent is silent: it takes connections and calls, and answers nothing
 
     async def start(self):
         self.news = asyncio.Condition()
@@ -234,6 +235,8 @@
                                 pass
                     body = {"version": self.version, "full": False,
                             "servers": [entry for version, entry in self.changes if version > index]}
+                while self.down:
+                    await asyncio.sleep(0.05)
                 text = json.dumps(body).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s" %
                              (len(text), text))
@@ -367,14 +370,16 @@
         self.processes = []
         self.run = command("run")
 
-    def start(self, name, config, options="", tmp=None):
+    def start(self, name, config, options="", mgmt=None):
         path = os.path.join(self.folder, name + ".json")
         with open(path, "w") as file:
             json.dump(config, file)
-        tmp = tmp or os.path.join(self.folder, "tmp-" + name)
+        tmp = os.path.join(self.folder, "tmp-" + name)
         os.makedirs(tmp, exist_ok=True)
         env = {"PATH": os.environ["PATH"], "BALANCER_CONFIG": path, "BALANCER_NAME": config["name"],
                "BALANCER_LISTEN": config["listen"], "BALANCER_DISCOVERY": config["discovery"], "TMPDIR": tmp}
+        if mgmt:
+            env["BALANCER_MGMT"] = "127.0.0.1:%d" % mgmt
         log = open(os.path.join(self.folder, name + ".log"), "ab")
         process = subprocess.Popen(["/bin/sh", "-c", self.run + (" " + options if options else "")], cwd=ROOT, env=env,
                                    stdin=subprocess.DEVNULL, stdout=log, stderr=log)
@@ -398,6 +403,17 @@
             await asyncio.sleep(0.05)
         raise CouldNotRun("a gateway was not ready in time: " + self.logs())
 
+    async def admin(self, port, call="GET /v1/readyz"):
+        """The status of a call at the admin endpoint; 0 where nothing answers."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(("%s HTTP/1.1\r\nHost: 127.0.0.1:%d\r\n\r\n" % (call, port)).encode())
+            line = await asyncio.wait_for(reader.readline(), 1)
+            writer.close()
+            return int(line.split()[1])
+        except (OSError, IndexError, ValueError, asyncio.TimeoutError):
+            return 0
+
     def logs(self):
         text = ""
         for name in sorted(os.listdir(self.folder)):
