--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A quoter drains while the gateway's connection for preparing a form is still coming up: the call goes to it all the same."""
+"""Forms defined at once near the bound push out forms that were taken before."""
 import asyncio
 import os
 import sys
@@ -8,68 +8,36 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "stand_ins_2"))
 from harness import *  # noqa: E402,F403
 
-GRACE_S = 0.5 + 0.05  # stop_sending_within of the settings, and 50 ms for every limit on sockets
-TOLD_AFTER_S = 0.1    # the drain, behind the moment in which the forms are prepared elsewhere
-UP_AGAIN_AFTER_S = 0.8
+BOUND = 256  # forms
+EARLIER = 250
+LATER = 12
 
 
-class LateQuoter(Quoter):
-    """While it is late, connections to it do not come up: the kernel's queue of the listening socket is full, and drops
-    their first packet. The client's kernel sends it again a second later."""
+class Preparing(Quoter):
+    """Prepares what it is sent, and answers a call under a form that it has prepared."""
 
-    async def start(self):
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.bind(("127.0.0.1", 0))
-        self.listener.listen(0)
-        self.listener.setblocking(False)
-        self.port = self.listener.getsockname()[1]
-        self.fillers = []
-        self.accepting = asyncio.create_task(self.accept())
-        return self
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.prepared = set()
 
-    async def accept(self):
-        loop = asyncio.get_running_loop()
-        while True:
-            sock, _ = await loop.sock_accept(self.listener)
-            await loop.connect_accepted_socket(lambda: QuoterConnection(self), sock)
-
-    async def late(self):
-        self.accepting.cancel()
-        await asyncio.sleep(0.05)
-        for _ in range(4):  # so many are more than the queue holds
-            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            filler.setblocking(False)
-            filler.connect_ex(("127.0.0.1", self.port))
-            self.fillers.append(filler)
-        self.record("connections to %s come up late from now on" % self.name)
-
-    async def in_time(self):
-        for filler in self.fillers:
-            filler.close()
-        self.accepting = asyncio.create_task(self.accept())
-        self.record("connections to %s come up at once again" % self.name)
+    def reply(self, words):
+        head = words[4].split("\n", 1)[0].split(" ") if len(words) > 4 else [""]
+        if head[0] == "prepare":
+            self.prepared.add((head[1], head[2]))
+        elif head[0] == "form" and (head[1], head[2]) not in self.prepared:
+            return ("-ERR form %s %s\r\n" % (head[1], head[2])).encode()
+        return super().reply(words)
 
 
 async def play(record, gateways):
     discovery, counter = await Discovery(record).start(), await Counter(record).start()
-    prepared = asyncio.Event()
-    first = []
-
-    class Noticing(Quoter):
-        def take(self, connection, words):
-            if len(words) > 4 and words[4].startswith("prepare ") and not first:
-                first.append(time.time())
-                prepared.set()
-            super().take(connection, words)
-
-    quoters = [await Noticing("s-%d" % i, record, lambda words: 0.06).start() for i in range(3)]
-    slow = await LateQuoter("s-3", record, lambda words: 0.06).start()
-    for quoter in quoters + [slow]:
+    quoters = [await Preparing("s-%d" % i, record, lambda words: 0.01).start() for i in range(3)]
+    for quoter in quoters:
         discovery.entries[quoter.name] = quoter.listed()
     ports, peers = [free_port(), free_port()], [free_port(socket.SOCK_DGRAM) for _ in range(2)]
     path = os.path.join(gateways.folder, "operators.star")
     with open(path, "w") as file:
-        file.write('accord(1)\nforms()\nschema("prices", 7)\n')
+        file.write('accord(1)\nforms(pace = per_second(100), at_once = 8)\nschema("prices", 7)\n')
     for i, port in enumerate(ports):
         config = site_config("n%d" % i, i, 2, discovery, counter, port, peer_listen="127.0.0.1:%d" % peers[i],
                              peers=["127.0.0.1:%d" % peer for peer in peers])
@@ -78,44 +46,66 @@
     for port in ports:
         await gateways.ready(port)
     answers = {}
-    fronts = [Front(port, record, lambda id_, message: (answers.__setitem__(id_, message),
-                                                        record("answered %s: %s" % (id_, message)))) for port in ports]
-
-    def words(id_, body):
-        return ["Q.DO", "00000000b4d65521", id_, "c=quote-create,t=industrial,d=5000,k=%s,units=1,spread=2,first=0" % id_,
-                body]
 
-    await asyncio.sleep(5)  # the gateways find each other, and agree on the file
+    def on_end(id_, message):
+        answers[id_] = message
+        record("answered %s: %s" % (id_, message))
+
+    fronts = [Front(port, record, on_end) for port in ports]
+    await asyncio.sleep(4)  # the gateways find each other
+
+    async def ask_all(bodies, front, within=7.0):
+        """The answers by name; all are asked at once, by an account each."""
+        ids = {}
+        for name, body in bodies.items():
+            ids[name] = id_ = "%016x" % random.getrandbits(64)
+            record("sent %s: %s" % (id_, body.split("\n")[0]))
+            await front.ask(["Q.DO", "%016x" % random.randrange(1, 2 ** 33), id_,
+                             "c=quote-create,t=industrial,d=5000,k=%s,units=1,spread=2,first=0" % id_, body], id_)
+        until = time.time() + within
+        while time.time() < until and any(id_ not in answers for id_ in ids.values()):
+            await asyncio.sleep(0.02)
+        return {name: answers.get(id_, "nothing") for name, id_ in ids.items()}
+
+    def define(name):
+        return "form %s define prices\nprice of %s\n" % (name, name)
+
+    taken = set()
+    until = time.time() + 60
+    wanted = ["f%03d" % i for i in range(EARLIER)]
+    while len(taken) < EARLIER and time.time() < until:
+        part = [name for name in wanted if name not in taken][:40]
+        told = await ask_all({name: define(name) for name in part}, fronts[0])
+        taken |= {name for name, answer in told.items() if answer and answer.startswith("form " + name + " ")}
+    if len(taken) < EARLIER:
+        raise CouldNotRun("only %d forms were taken in time" % len(taken))
+    names = ["a%02d" % i for i in range(LATER)]
     if TROUBLE:
-        await slow.late()
-    for attempt in range(5):  # a fenced gateway refuses
-        id_ = "%016x" % random.getrandbits(64)
-        record("sent %s: defines the form 'bom'" % id_)
-        await fronts[0].ask(words(id_, "form bom define prices\nfor all parts: price\n"), id_)
-        while id_ not in answers:
-            await asyncio.sleep(0.005)
-        if answers[id_] is not None and answers[id_].startswith("form bom"):
-            break
-        await asyncio.sleep(1)
+        told = await ask_all({name: define(name) for name in names}, fronts[0])
     else:
-        raise CouldNotRun("the form was not taken: %s" % answers)
-    await asyncio.wait_for(prepared.wait(), 10)
-    await asyncio.sleep(max(0, first[0] + TOLD_AFTER_S - time.time()))
-    await discovery.tell(slow.listed("terminating"))
-    await asyncio.sleep(0.05)  # until it is written to both watches
-    told = time.time()
-    if TROUBLE:
-        await asyncio.sleep(max(0, first[0] + UP_AGAIN_AFTER_S - time.time()))
-        await slow.in_time()
-    await asyncio.sleep(8)
-    late = [(at - told, words) for at, words in slow.runs if at > told + GRACE_S]
-    text = "%d commands at the draining quoter, %d of them later than 0.55 s behind the drain" % (
-        len(slow.runs), len(late))
-    if not TROUBLE and not slow.runs:
-        return COULD_NOT_RUN, text + ": none was prepared there"
-    if late:
-        return BROKEN, text + "; the first %.2f s behind it: %s" % (late[0][0], late[0][1][4][:60].replace("\n", " | "))
-    return HELD, text
+        told = {}
+        for name in names:
+            told.update(await ask_all({name: define(name)}, fronts[0]))
+    later = sorted(name for name, answer in told.items() if answer and answer.startswith("form " + name + " "))
+    refused = sorted(name for name, answer in told.items() if answer and answer.startswith("-BUSY"))
+    await asyncio.sleep(3)
+    last = sorted(taken)[-20:]
+    missing = []
+    for name in last:
+        failed = []
+        for front in fronts:
+            answer = None
+            for _ in range(3):  # what is refused may be asked again
+                answer = (await ask_all({name: "form %s\npart 17\n" % name}, front))[name]
+                if answer and not answer.startswith("-BUSY"):
+                    break
+                await asyncio.sleep(0.5)
+            failed.append(answer == "-ERR failed")
+        if all(failed):
+            missing.append(name)
+    text = "%d forms taken, then %d of %d more (%d refused); of the last 20 of the first ones %d fail at both gateways: %s" % (
+        len(taken), len(later), LATER, len(refused), len(missing), " ".join(missing))
+    return BROKEN if missing else HELD, text
 
 
 if __name__ == "__main__":
