--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Forms defined at once near the bound push out forms that were taken before."""
+"""The counter comes back empty, and a reserve is granted a second time by a gateway that had not looked for seconds."""
 import asyncio
 import os
 import sys
@@ -8,104 +8,84 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "stand_ins_2"))
 from harness import *  # noqa: E402,F403
 
-BOUND = 256  # forms
-EARLIER = 250
-LATER = 12
-
-
-class Preparing(Quoter):
-    """Prepares what it is sent, and answers a call under a form that it has prepared."""
-
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.prepared = set()
-
-    def reply(self, words):
-        head = words[4].split("\n", 1)[0].split(" ") if len(words) > 4 else [""]
-        if head[0] == "prepare":
-            self.prepared.add((head[1], head[2]))
-        elif head[0] == "form" and (head[1], head[2]) not in self.prepared:
-            return ("-ERR form %s %s\r\n" % (head[1], head[2])).encode()
-        return super().reply(words)
+ACCOUNT, UNITS_EACH, RESERVE = "00000000b4d65521", 4, 600
+DEMAND = 30.0  # units a second
+EPOCH = 20     # seconds: claims are counted by epochs of Unix time (docs/design/plans.md)
+SILENT_S = 4.0  # of 3.6 to 14 s
+PLAN_RATE, PLAN_BURST = 0.1, 1
 
 
 async def play(record, gateways):
     discovery, counter = await Discovery(record).start(), await Counter(record).start()
-    quoters = [await Preparing("s-%d" % i, record, lambda words: 0.01).start() for i in range(3)]
+    counter.log = lambda name: "tender" in name
+    quoters = [await Quoter("s-%d" % i, record, lambda words: 0.06).start() for i in range(6)]
     for quoter in quoters:
         discovery.entries[quoter.name] = quoter.listed()
-    ports, peers = [free_port(), free_port()], [free_port(socket.SOCK_DGRAM) for _ in range(2)]
+    begin = int(time.time()) // EPOCH * EPOCH
+    if time.time() > begin + 8:
+        begin += EPOCH
+    since, second_epoch = begin + 16, begin + EPOCH
+    iso = lambda at: time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(at))  # noqa: E731
     path = os.path.join(gateways.folder, "operators.star")
     with open(path, "w") as file:
-        file.write('accord(1)\nforms(pace = per_second(100), at_once = 8)\nschema("prices", 7)\n')
+        file.write('small = plan("small", rate = per_second(%g), burst = %g)\n'
+                   'account("%s", plan = small)\n'
+                   'capacity(per_second(400), plans = percent(60))\n'
+                   'reserve("tender-88", account = "%s", units = %d, since = instant("%s"), until = instant("%s"))\n' %
+                   (PLAN_RATE, PLAN_BURST, ACCOUNT, ACCOUNT, RESERVE, iso(since), iso(since + 600)))
+    await asyncio.sleep(max(0, begin + 1 - time.time()))
+    ports = [free_port(), free_port()]
     for i, port in enumerate(ports):
-        config = site_config("n%d" % i, i, 2, discovery, counter, port, peer_listen="127.0.0.1:%d" % peers[i],
-                             peers=["127.0.0.1:%d" % peer for peer in peers])
-        config["settings"]["limits"]["peers"] = True
-        gateways.start("n%d" % i, config, "--operators " + path)
+        gateways.start("n%d" % i, site_config("n%d" % i, i, 2, discovery, counter, port), "--operators " + path)
     for port in ports:
         await gateways.ready(port)
-    answers = {}
+    if time.time() > since - 3:
+        raise CouldNotRun("the gateways were ready too late")
+    ends = {"served": [0, 0], "refused": [0, 0], "other": [0, 0]}
 
-    def on_end(id_, message):
-        answers[id_] = message
-        record("answered %s: %s" % (id_, message))
+    def front(i):
+        def on_end(id_, message):
+            kind = "other" if message is None else "refused" if message.startswith("-BUSY") else \
+                "served" if message.endswith(" for " + id_) else "other"
+            ends[kind][i] += 1
+            record("answered %s by n%d: %s" % (id_, i, message))
+        return Front(ports[i], record, on_end)
 
-    fronts = [Front(port, record, on_end) for port in ports]
-    await asyncio.sleep(4)  # the gateways find each other
+    fronts = [front(0), front(1)]
 
-    async def ask_all(bodies, front, within=7.0):
-        """The answers by name; all are asked at once, by an account each."""
-        ids = {}
-        for name, body in bodies.items():
-            ids[name] = id_ = "%016x" % random.getrandbits(64)
-            record("sent %s: %s" % (id_, body.split("\n")[0]))
-            await front.ask(["Q.DO", "%016x" % random.randrange(1, 2 ** 33), id_,
-                             "c=quote-create,t=industrial,d=5000,k=%s,units=1,spread=2,first=0" % id_, body], id_)
-        until = time.time() + within
-        while time.time() < until and any(id_ not in answers for id_ in ids.values()):
-            await asyncio.sleep(0.02)
-        return {name: answers.get(id_, "nothing") for name, id_ in ids.items()}
+    async def ask_until(i, until):
+        record("the account's requests come through n%d" % i)
+        at = time.time()
+        while at < until:
+            await asyncio.sleep(max(0, at - time.time()))
+            id_ = "%016x" % random.getrandbits(64)
+            record("sent %s by n%d" % (id_, i))
+            await fronts[i].ask(["Q.ASK", ACCOUNT, id_, "c=quote-read,t=basico,d=4000,units=%d,spread=2,first=0" %
+                                 UNITS_EACH], id_)
+            at += UNITS_EACH / DEMAND
 
-    def define(name):
-        return "form %s define prices\nprice of %s\n" % (name, name)
+    async def trouble():
+        await asyncio.sleep(max(0, second_epoch + 4.9 - time.time()))
+        counter.restart_silent()
+        await asyncio.sleep(SILENT_S)
+        counter.back(empty=True)
 
-    taken = set()
-    until = time.time() + 60
-    wanted = ["f%03d" % i for i in range(EARLIER)]
-    while len(taken) < EARLIER and time.time() < until:
-        part = [name for name in wanted if name not in taken][:40]
-        told = await ask_all({name: define(name) for name in part}, fronts[0])
-        taken |= {name for name, answer in told.items() if answer and answer.startswith("form " + name + " ")}
-    if len(taken) < EARLIER:
-        raise CouldNotRun("only %d forms were taken in time" % len(taken))
-    names = ["a%02d" % i for i in range(LATER)]
-    if TROUBLE:
-        told = await ask_all({name: define(name) for name in names}, fronts[0])
-    else:
-        told = {}
-        for name in names:
-            told.update(await ask_all({name: define(name)}, fronts[0]))
-    later = sorted(name for name, answer in told.items() if answer and answer.startswith("form " + name + " "))
-    refused = sorted(name for name, answer in told.items() if answer and answer.startswith("-BUSY"))
-    await asyncio.sleep(3)
-    last = sorted(taken)[-20:]
-    missing = []
-    for name in last:
-        failed = []
-        for front in fronts:
-            answer = None
-            for _ in range(3):  # what is refused may be asked again
-                answer = (await ask_all({name: "form %s\npart 17\n" % name}, front))[name]
-                if answer and not answer.startswith("-BUSY"):
-                    break
-                await asyncio.sleep(0.5)
-            failed.append(answer == "-ERR failed")
-        if all(failed):
-            missing.append(name)
-    text = "%d forms taken, then %d of %d more (%d refused); of the last 20 of the first ones %d fail at both gateways: %s" % (
-        len(taken), len(later), LATER, len(refused), len(missing), " ".join(missing))
-    return BROKEN if missing else HELD, text
+    await asyncio.sleep(max(0, since + 0.5 - time.time()))
+    task = asyncio.create_task(trouble()) if TROUBLE else None
+    await ask_until(0, second_epoch + 10)
+    await ask_until(1, second_epoch + 10 + (RESERVE + 200) / DEMAND)
+    await asyncio.sleep(2)
+    if task:
+        await task
+    units = sum(int(fields_of(words[3])["units"]) for quoter in quoters for _, words in quoter.runs)
+    elapsed = time.time() - since
+    plan = PLAN_BURST + PLAN_RATE * elapsed + 2 * UNITS_EACH  # and a request at each gateway that only began within it
+    allowed = RESERVE + plan + (2 * DEMAND if TROUBLE else 0)
+    text = "reserve of %d units: %d units ran, %.0f allowed (%.0f by the plan, %.0f for the empty counter); %s" % (
+        RESERVE, units, allowed, plan, allowed - RESERVE - plan, ends)
+    if ends["served"][0] < 30 or ends["served"][1] < 10:
+        return COULD_NOT_RUN, text
+    return BROKEN if units > allowed else HELD, text
 
 
 if __name__ == "__main__":
