--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # a mistake shows before the cases run.
 cd "$(dirname "$0")" && exec python3 -B -c '
 import ast, glob
-for path in sorted(glob.glob("stand_ins_2/*.py") + glob.glob("[6-9]/case.py") + glob.glob("10/case.py")):
+for path in sorted(glob.glob("stand_ins_2/*.py") + glob.glob("[6-9]/case.py") + glob.glob("10/case.py") + glob.glob("probes_2/*.py")):
     ast.parse(open(path).read(), path)
     print("read", path)'
--- a/review/stand_ins_2/copies.py
+++ b/review/stand_ins_2/copies.py
@@ -1,56 +1,58 @@
-"""A fleet in which the way from a quoter to the gateway delays second copies of answers. Shared by two cases."""
+"""A fleet whose quoters send second copies of some answers, some milliseconds late."""
 import asyncio
 import random
 import time
 
 from harness import *  # noqa: F403
 
-GATEWAYS, QUOTERS, SECONDS, RATE = 2, 9, 60, 100
-LATE_S = (0.006, 0.012)  # "some milliseconds late"
+GATEWAYS, QUOTERS, SECONDS = 3, 12, 40
+RATE = 140 * GATEWAYS    # "up to 140 requests a second" at a gateway
+SCALE = 3.5              # 140 over the site's 40 at a gateway: "Work, aims, deadlines and the plans' figures scale to match"
+WAY_S = 0.0003           # one way between a gateway and a quoter; the site file has 0.14 to 0.34 ms
+LATE_S = (0.004, 0.009)  # "some milliseconds late"
 CLASSES = [("quote-read", 0.39), ("quote-create", 0.35), ("slot-hold", 0.26)]
 DEADLINE_MS = {"quote-read": 4000, "quote-create": 5000, "slot-hold": 2000}
 
 
 def work(words):
-    """Seconds on an idle core of speed 1.5, as the site file draws them: lognormal, exponential for slot-hold."""
+    """Seconds on an idle core of speed 1.5, drawn as in the site file: lognormal, exponential for slot-hold; scaled."""
     if fields_of(words[3])["c"] == "slot-hold":
-        return random.expovariate(1 / 0.057) / 1.5
-    return random.lognormvariate(-0.125, 0.5) * 0.145 / 1.5
+        return random.expovariate(1 / 0.057) / 1.5 / SCALE
+    return random.lognormvariate(-0.125, 0.5) * 0.145 / 1.5 / SCALE
 
 
 class CopyingQuoter(Quoter):
-    """Answers soundly. Behind some answers, when nothing else waits on the connection, it writes a second copy, which the
-    way to the gateway delays. The connection stays a stream: what is written later arrives behind the copy."""
-    copies = 0
+    """Answers soundly, and behind some answers sends a second copy, some milliseconds late; it leaves the copy out if
+    another request has come on the connection by then. What is sent takes WAY_S either way."""
+    copies = kept_back = 0
 
     def take(self, connection, words):
-        connection.pending = getattr(connection, "pending", 0) + 1
-        self.work_on(connection, words)
+        asyncio.get_running_loop().call_later(WAY_S, self.arrived, connection, words)
 
-    def work_on(self, connection, words):
+    def arrived(self, connection, words):
+        connection.arrived = getattr(connection, "arrived", 0) + 1
         super().take(connection, words)
 
+    def send(self, connection, reply):
+        asyncio.get_running_loop().call_later(WAY_S, connection.write, reply)
+
     def answer(self, connection, words):
-        self.write(connection, words, self.reply(words), self.has_copy(words))
+        reply = self.reply(words)
+        self.send(connection, reply)
+        if TROUBLE and self.has_copy(words):
+            asyncio.get_running_loop().call_later(random.uniform(*LATE_S), self.copy, connection, words, reply,
+                                                  connection.arrived)
 
     def has_copy(self, words):
         raise NotImplementedError
 
-    def write(self, connection, words, reply, has_copy):
-        connection.pending -= 1
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        at = max(now, getattr(connection, "stream_free_at", 0.0))
-        loop.call_at(at, connection.write, reply) if at > now else connection.write(reply)
-        if TROUBLE and connection.pending == 0 and has_copy:
-            late = random.uniform(*LATE_S)
-            connection.stream_free_at = at + late
-            CopyingQuoter.copies += 1
-            loop.call_at(at + late, self.copy, connection, words, reply, late)
-
-    def copy(self, connection, words, reply, late):
-        self.record("copy of the answer to %s by %s, %.1f ms behind it" % (words[2], self.name, late * 1000))
-        connection.write(reply)
+    def copy(self, connection, words, reply, arrived):
+        if connection.arrived != arrived:
+            CopyingQuoter.kept_back += 1
+            return
+        CopyingQuoter.copies += 1
+        self.record("copy of the answer to %s by %s" % (words[2], self.name))
+        self.send(connection, reply)
 
 
 async def serve(record, gateways, quoter_class):
@@ -61,7 +63,10 @@
         discovery.entries[quoter.name] = quoter.listed()
     ports = [free_port() for _ in range(GATEWAYS)]
     for i, port in enumerate(ports):
-        gateways.start("n%d" % i, site_config("n%d" % i, i, GATEWAYS, discovery, counter, port))
+        config = site_config("n%d" % i, i, GATEWAYS, discovery, counter, port)
+        for plan in config["settings"]["tariffs"]:
+            plan.update(units_per_s=plan["units_per_s"] * SCALE, most_at_once=plan["most_at_once"] * SCALE)
+        gateways.start("n%d" % i, config)
     for port in ports:
         await gateways.ready(port)
     ends = {"served": 0, "busy": 0, "failed": 0, "foreign": 0, "closed": 0}
@@ -84,9 +89,11 @@
 
     fronts = [Front(port, record, on_end) for port in ports]
     accounts = ["%016x" % random.randrange(1, 2 ** 33) for _ in range(12)]
-    until = time.monotonic() + SECONDS
-    while time.monotonic() < until:
-        await asyncio.sleep(random.expovariate(RATE))
+    at = time.monotonic()
+    until = at + SECONDS
+    while at < until:
+        at += random.expovariate(RATE)
+        await asyncio.sleep(max(0, at - time.monotonic()))
         id_ = "%016x" % random.getrandbits(64)
         name = random.choices([c for c, _ in CLASSES], [s for _, s in CLASSES])[0]
         pairs = "c=%s,t=industrial,d=%d,%sunits=1,spread=%d,first=0" % (
--- a/review/stand_ins_2/harness.py
+++ b/review/stand_ins_2/harness.py
@@ -462,9 +462,9 @@
     return config
 
 
-def run_case(folder, play):
+def run_case(folder, play, name="record.txt"):
     """`play(record, gateways)` is a coroutine that returns (verdict, text)."""
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(os.path.join(folder, name))
     gateways, verdict = None, COULD_NOT_RUN
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
