--- a/review/stand_ins_2/harness.py
+++ b/review/stand_ins_2/harness.py
@@ -1,6 +1,7 @@
 """Small stand-ins for the systems around a gateway, on loopback, in one asyncio process: quoters, discovery, the counter
 and clients, by the protocol page. The gateways are separate processes, started with the command of the deploy file."""
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -22,6 +23,12 @@
     pass
 
 
+def end_with_this_process():
+    """In a child, before it runs its program: the kernel ends it when this process has ended, whatever ended it."""
+    PR_SET_PDEATHSIG = 1
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def command(key):
     """A command of the deploy file."""
     with open(os.path.join(ROOT, "deploy", "balancer.toml")) as file:
@@ -382,7 +389,7 @@
             env["BALANCER_MGMT"] = "127.0.0.1:%d" % mgmt
         log = open(os.path.join(self.folder, name + ".log"), "ab")
         process = subprocess.Popen(["/bin/sh", "-c", self.run + (" " + options if options else "")], cwd=ROOT, env=env,
-                                   stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+                                   stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=end_with_this_process)
         log.close()
         self.processes.append(process)
         self.record("gateway %s started" % name)
