--- a/review/9/case.py
+++ b/review/9/case.py
@@ -63,7 +63,7 @@
         discovery.down = True
         down_at = time.time()
         record("discovery is down")
-    second_mgmt = free_port()
+    second_mgmt, upgrade = free_port(), time.time()
     gateways.start("n0", dict(configs[0], seed="%016x" % random.getrandbits(64)), mgmt=second_mgmt)
     until = time.time() + 6
     while await gateways.admin(second_mgmt) != 200:
@@ -84,7 +84,7 @@
     await asyncio.sleep(1)
     task.cancel()
     await asyncio.sleep(4.5)
-    between = [words[2] for at, words in drained.runs if told + GRACE_S < at < yes]
+    between = [words[2] for at, words in drained.runs if told + GRACE_S < at < upgrade]
     late = [(at, words[2]) for at, words in drained.runs if at > yes + BINDS_AFTER_YES_S]
     text = ("%d requests: %s; at the draining quoter %d between the drain's grace and the upgrade, and %d from 2 s behind "
             "the yes on" % (len(by_gateway), ends, len(between), len(late)))
