Requests behind a long value that breaks off get their answers

Answers before the value that were still missing were lost as well.

Cause: a value over 64 KiB (8 KiB under memory pressure) was passed on as it came whatever else its client had out. From its first byte on only closing the connection tells the client that it broke off, and nothing else on that connection can be answered then.

Change: PendingAnswers holds the answers of a connection. A value passes as it comes only where no command is behind it, and from then on the next command stays in the socket, unread and unsent. With commands behind it a value is kept until it is whole: in room taken from the requests' memory, of which a quarter stays for requests; without room it waits, its endpoint unread. After 1.8 s, or at its request's deadline, its first byte goes out in any case. A value that breaks off before its first byte was written is answered with an error in its place, also where it waited for earlier answers.

--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -64,6 +64,8 @@
     Loop& loop() const { return loop_; }
     // Brings the loop's gauge up to date with this stream's buffers.
     void note_buffers();
+    // Whether on_bytes() has left something.
+    bool has_rest() const { return !rest_.empty(); }
 
 private:
     virtual void on_connected() {}
--- a/src/proxy/downstream_client.cpp
+++ b/src/proxy/downstream_client.cpp
@@ -7,6 +7,7 @@
 
 using proxy::Answer;
 using proxy::Handle;
+using Streaming = proxy::PendingAnswers::Streaming;
 using proxy::Timestamp;
 using proxy::Verdict;
 
@@ -35,6 +36,10 @@
 // For an incomplete command. Slow clients need up to 2 s to send one. A client that stops within a command
 // gets an error within 3 s of connecting.
 constexpr proxy::Duration kIncompleteTimeout = std::chrono::milliseconds(2600);
+// Longest time that a long value is kept because of commands behind it: a value that is held back for 2 s
+// counts as lost.
+constexpr proxy::Duration kMaxValueDelay = std::chrono::milliseconds(1800);
+constexpr proxy::Duration kRoomCheckInterval = std::chrono::milliseconds(20);
 
 std::string_view last_bytes(std::string_view bytes) {
     return bytes.substr(bytes.size() - std::min(bytes.size(), kLineEnd.size()));
@@ -60,48 +65,138 @@
 }  // namespace
 
 void DownstreamServer::Client::answer(std::uint64_t number, const Answer& answer) {
-    if (number < first_ || number - first_ >= entries_.size()) return;
-    Entry& entry = entries_[static_cast<std::size_t>(number - first_)];
-    entry.request = {};
-    entry.done = true;
-    // The attempt ended before the whole value was passed on. A part of it is already written, so only
-    // closing the connection shows the client the failure. Earlier answers are still written.
-    if (answer.passed && answer.verdict != Verdict::kServed) {
-        withdraw_all();
-        return close_gracefully();
-    }
-    if (has_room_for(answer, number == first_)) {
-        append(entry, number, [&answer](std::string& out) { write_answer(out, answer); });
+    Entry* const entry = answers_.find(number);
+    if (!entry) return;
+    entry->request = {};
+    if (answer.passed && answer.verdict != Verdict::kServed) return end_broken_value(*entry, number);
+    entry->done = true;
+    const bool is_shed = !has_room_for(answer, answers_.is_first(number));
+    if (is_shed) ++server_.shed_answers_;
+    const Answer given = is_shed ? Answer{Verdict::kFailed, {}, {}, false} : answer;
+    if (is_written_at_once(*entry, number)) {
+        write_answer(to_write(), given);
     } else {
-        ++server_.shed_answers_;
-        append(entry, number, [](std::string& out) { write_answer(out, {Verdict::kFailed, {}, {}, false}); });
+        std::string text;
+        write_answer(text, given);
+        answers_.keep(*entry, text);
     }
-    if (number == first_) drop_first();
+    write_complete_answers();
     note_pending();
 }
 
-void DownstreamServer::Client::begin_value(std::uint64_t number, std::size_t size) {
-    Entry* const entry = find(number);
+bool DownstreamServer::Client::is_written_at_once(const Entry& entry, std::uint64_t number) const {
+    const bool is_kept = entry.streaming == Streaming::kWaiting || entry.streaming == Streaming::kKept;
+    return answers_.is_first(number) && !is_kept;
+}
+
+// The room of a whole value is reserved until the kernel has taken the value.
+void DownstreamServer::Client::write_kept() {
+    if (answers_.first().kept.empty()) return;
+    reserved_ += answers_.first().reserved;
+    std::string& out = to_write();
+    if (out.empty()) {
+        out = answers_.take_kept();
+    } else {
+        out.append(answers_.take_kept());
+    }
+}
+
+void DownstreamServer::Client::give_back_room() { server_.gateway_.give_back(std::exchange(reserved_, 0)); }
+
+void DownstreamServer::Client::write_complete_answers() {
+    if (answers_.empty() || !answers_.first().done) return;
+    loop().disarm(std::exchange(value_timer_, {}));
+    while (!answers_.empty() && answers_.first().done) {
+        write_kept();
+        answers_.remove_first();
+    }
+    if (answers_.is_streaming()) start_value();
+    finish_if_last();
+}
+
+void DownstreamServer::Client::begin_value(std::uint64_t number, std::size_t size,
+                                           proxy::Duration max_delay) {
+    Entry* const entry = answers_.find(number);
     if (!entry) return;
-    entry->streaming = true;
-    append(*entry, number,
-           [size](std::string& out) { out.append(1, '$').append(std::to_string(size)).append(kLineEnd); });
+    answers_.begin_value(*entry, size, std::min(max_delay, kMaxValueDelay));
+    if (answers_.is_first(number)) start_value();
 }
 
 bool DownstreamServer::Client::pass_value(std::uint64_t number, std::string_view piece) {
-    Entry* const entry = find(number);
+    Entry* const entry = answers_.find(number);
     if (!entry) return false;
-    append(*entry, number, [piece](std::string& out) { out.append(piece); });
+    is_written_at_once(*entry, number) ? void(to_write().append(piece)) : answers_.keep(*entry, piece);
+    note_pending();
+    if (entry->streaming != Streaming::kPassing) return entry->streaming == Streaming::kKept;
+    const bool is_over_limit = server_.unsent_ > server_.max_unsent_;
+    return unsent() <= (is_over_limit ? 0 : kPauseReadingUnsent);
+}
+
+void DownstreamServer::Client::start_value() {
+    if (!has_command_behind()) return pass_as_it_arrives();
+    value_pass_by_ = loop().now() + answers_.first().max_delay;
+    keep_until_whole();
+    check_kept_value();
+}
+
+// From here on the next command waits in the socket, where a close does not lose it: its client sends it
+// again.
+void DownstreamServer::Client::pass_as_it_arrives() {
+    Entry& entry = answers_.first();
+    entry.streaming = Streaming::kPassing;
+    write_kept();
+    read_more(false);
+    server_.watch_unread(*this);
+    note_pending();
+    server_.gateway_.go_on(entry.request);
+}
+
+void DownstreamServer::Client::keep_until_whole() {
+    Entry& entry = answers_.first();
+    if (!server_.gateway_.reserve_spare(entry.value_size)) return;
+    answers_.keep_whole(entry);
     note_pending();
-    const bool over_limit = server_.unsent_ > server_.max_unsent_;
-    return number == first_ && unsent() <= (over_limit ? 0 : kPauseReadingUnsent);
+    server_.gateway_.go_on(entry.request);
+}
+
+void DownstreamServer::Client::check_kept_value() {
+    value_timer_ = {};
+    if (closing() || !answers_.is_streaming() || answers_.is_passing()) return;
+    const Timestamp now = loop().now();
+    if (now >= value_pass_by_) return pass_as_it_arrives();
+    const bool has_room = answers_.first().streaming == Streaming::kKept;
+    if (!has_room) keep_until_whole();
+    const Timestamp next = has_room ? value_pass_by_ : std::min(value_pass_by_, now + kRoomCheckInterval);
+    value_timer_ = loop().arm(next, [&clients = server_.clients_, me = self] {
+        if (Client* const client = clients.find(me)) client->check_kept_value();
+    });
+}
+
+void DownstreamServer::Client::end_broken_value(Entry& entry, std::uint64_t number) {
+    if (entry.streaming == Streaming::kPassing) {
+        if (answers_.size() > 1) note(proxy::Event::kClientAnswerCut);
+        withdraw_all();
+        return close_gracefully();
+    }
+    server_.gateway_.give_back(entry.reserved);
+    answers_.drop_value(entry);
+    answer(number, {Verdict::kFailed, {}, {}, false});
+}
+
+bool DownstreamServer::Client::has_command_behind() const {
+    const bool is_whole = incomplete_since_ == Timestamp{};
+    return answers_.size() > 1 || (has_rest() && is_whole);
+}
+
+bool DownstreamServer::Client::is_held_by_value() const {
+    return answers_.is_streaming() && answers_.first().streaming != Streaming::kKept;
 }
 
 void DownstreamServer::Client::note_pending() {
     note_buffers();
     server_.unsent_ -= std::exchange(noted_unsent_, closing() ? 0 : unsent());
     server_.unsent_ += noted_unsent_;
-    server_.held_back_ -= std::exchange(noted_held_back_, closing() ? 0 : held_back_);
+    server_.held_back_ -= std::exchange(noted_held_back_, closing() ? 0 : answers_.kept_bytes());
     server_.held_back_ += noted_held_back_;
     server_.gateway_.set_output_congested(server_.unsent_ > server_.max_unsent_ / 2);
 }
@@ -174,8 +269,11 @@
 
 void DownstreamServer::Client::withdraw_all() {
     drop_body();
-    held_back_ = 0;
-    for (const Entry& entry : std::exchange(entries_, {})) server_.gateway_.withdraw(entry.request);
+    loop().disarm(std::exchange(value_timer_, {}));
+    for (const Entry& entry : answers_.take_all()) {
+        server_.gateway_.give_back(entry.reserved);
+        server_.gateway_.withdraw(entry.request);
+    }
 }
 
 void DownstreamServer::Client::close_at_once() {
@@ -185,8 +283,8 @@
 }
 
 bool DownstreamServer::Client::is_saturated() const {
-    return entries_.size() >= kMaxPipelined || unsent() > kPauseReadingUnsent ||
-           (!entries_.empty() && server_.held_back_ > server_.max_unsent_ / 2);
+    return answers_.size() >= kMaxPipelined || unsent() > kPauseReadingUnsent || is_held_by_value() ||
+           (!answers_.empty() && server_.held_back_ > server_.max_unsent_ / 2);
 }
 
 // A client that sends much at once and closes is gone, although its commands are still unread.
@@ -218,7 +316,7 @@
     last_bytes_at_ = now;
     ++reads_of_command_;
     while (taken < bytes.size() && !closing() && !finishing()) {
-        const bool is_pipelined = taken > 0 || !entries_.empty();
+        const bool is_pipelined = taken > 0 || !answers_.empty();
         if (is_pipelined && has_left_unseen()) return bytes.size();
         if (body_.left > 0) {
             incomplete_since_ = now;  // while bytes arrive, only body_timeout_ limits a slow body
@@ -227,7 +325,7 @@
         }
         if (is_saturated()) {
             read_more(false);  // resumed in on_written()
-            server_.watch_unread(self);
+            server_.watch_unread(*this);
             break;
         }
         resp::Message& message = server_.message_;
@@ -331,38 +429,25 @@
 void DownstreamServer::Client::submit(proxy::DownstreamRequest request) {
     asked = true;
     last_used = loop().now();
-    rejecting_ = server_.rejects_all_ || (server_.retiring_ && (rejecting_ || !entries_.empty()));
+    rejecting_ = server_.rejects_all_ || (server_.retiring_ && (rejecting_ || !answers_.empty()));
     if (rejecting_) {
         server_.gateway_.turned_away(request, proxy::Event::kRequestAtShutdown);
         return reply("-BUSY\r\n");
     }
-    const std::uint64_t number = first_ + entries_.size();
-    entries_.emplace_back();
+    const std::uint64_t number = answers_.add();
     const Handle handle = server_.gateway_.take(std::move(request), server_, {self.packed(), number});
-    if (handle && number >= first_) entries_[static_cast<std::size_t>(number - first_)].request = handle;
+    Entry* const entry = answers_.find(number);
+    if (entry && !entry->done) entry->request = handle;
 }
 
 void DownstreamServer::Client::reply(std::string text) {
-    if (entries_.empty()) {
+    if (answers_.empty()) {
         to_write().append(text);
     } else {
-        held_back_ += text.size();
-        entries_.push_back({{}, std::move(text), true, false});
+        answers_.add_answered(std::move(text));
     }
 }
 
-void DownstreamServer::Client::drop_first() {
-    do {
-        entries_.pop_front();
-        ++first_;
-        if (entries_.empty()) break;
-        held_back_ -= entries_.front().reply.size();
-        to_write().append(std::exchange(entries_.front().reply, {}));
-    } while (entries_.front().done);
-    // A paused long value resumes when its buffered part is written.
-    finish_if_last();
-}
-
 void DownstreamServer::Client::pass() {
     handing_over_ = true;
     read_more(false);
@@ -382,7 +467,7 @@
 void DownstreamServer::Client::note(proxy::Event event) {
     proxy::EventLog& events = server_.gateway_.events();
     if (!events.note(event, loop().now())) return;
-    std::string text = std::to_string(entries_.size()) + " requests open, " + std::to_string(unsent()) +
+    std::string text = std::to_string(answers_.size()) + " requests open, " + std::to_string(unsent()) +
                        " bytes unsent" + (asked ? "" : ", has never sent a request");
     text.append(", ").append(phase());
     text.append(", ").append(std::to_string(server_.clients_.size()));
@@ -397,7 +482,7 @@
 }
 
 void DownstreamServer::Client::finish_if_last() {
-    if (last_ && entries_.empty()) close_gracefully();
+    if (last_ && answers_.empty()) close_gracefully();
 }
 
 void DownstreamServer::Client::linger() {
@@ -410,17 +495,23 @@
 
 void DownstreamServer::Client::on_written() {
     progress_at_ = loop().now();
+    give_back_room();
     note_pending();
-    if (!entries_.empty() && entries_.front().streaming) server_.gateway_.go_on(entries_.front().request);
-    if (entries_.size() < kMaxPipelined) {
-        read_more(true);
-        take_rest();
-    }
+    if (answers_.is_passing()) server_.gateway_.go_on(answers_.first().request);
+    if (answers_.size() < kMaxPipelined && !is_held_by_value()) resume_reading();
     release_if_idle();
 }
 
+void DownstreamServer::Client::resume_reading() {
+    // The rest of a command may have been waiting in the socket.
+    if (!reads() && incomplete_since_ != Timestamp{}) incomplete_since_ = loop().now();
+    read_more(true);
+    take_rest();
+}
+
 void DownstreamServer::Client::on_released() {
     drop_body();
+    give_back_room();
     note_pending();
     server_.clients_.remove(self);
 }
--- a/src/proxy/downstream_client.h
+++ b/src/proxy/downstream_client.h
@@ -2,7 +2,6 @@
 // earlier commands are written, and decides when the connection pauses, closes or is handed over.
 #pragma once
 
-#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,6 +9,7 @@
 #include "net/stream.h"
 #include "proxy/client_eviction.h"
 #include "proxy/downstream_server.h"
+#include "proxy/pending_answers.h"
 #include "proxy/resp/parser.h"
 
 namespace linnetlead::net {
@@ -19,16 +19,16 @@
     Client(Loop& loop, DownstreamServer& server) : Stream(loop), server_(server), progress_at_(loop.now()) {}
 
     void answer(std::uint64_t number, const proxy::Answer& answer);
-    void begin_value(std::uint64_t number, std::size_t size);
-    // A value that has to wait for the answers to earlier commands is paused after its first piece, which is
-    // buffered here.
+    // A long value that has to wait for the answers to earlier commands, or for room, is paused after its
+    // first piece. `max_delay`: of its first byte, once the earlier answers are written.
+    void begin_value(std::uint64_t number, std::size_t size, proxy::Duration max_delay);
     bool pass_value(std::uint64_t number, std::string_view piece);
     // Brings the server's totals up to date with this client's part.
     void note_pending();
     // Closes after the client has had time to read. An immediate close with unread input would reset the
     // connection and could destroy answers that the client has not read yet.
     void close_gracefully();
-    bool has_pending_answers() const { return !entries_.empty() || unsent() > 0; }
+    bool has_pending_answers() const { return !answers_.empty() || unsent() > 0; }
     // Closes or hands over an idle connection. Waits for a command that has started to arrive, because a
     // close would lose it.
     void release_if_idle();
@@ -45,6 +45,8 @@
     bool is_settled();
 
     void withdraw_all();
+    // Whether a long value is passed on as it arrives.
+    bool passes_value() const { return answers_.is_passing(); }
     // Closes at once; counts and logs it if a request or an answer of the client's is unfinished.
     void close_at_once();
     // Counts and logs why the connection ends.
@@ -53,14 +55,10 @@
     proxy::Handle self;
     proxy::Timestamp last_used{};  // when it connected, or when its last request arrived
     bool asked = false;            // has sent a request
+    bool end_is_watched = false;   // by the server, while nothing is read
 
 private:
-    struct Entry {
-        proxy::Handle request;
-        std::string reply;  // held back until the earlier commands are answered
-        bool done = false;
-        bool streaming = false;  // a long value
-    };
+    using Entry = proxy::PendingAnswers::Entry;
     // A command whose long body is being received.
     struct Body {
         proxy::DownstreamRequest request;
@@ -71,18 +69,29 @@
         proxy::Timestamp begun{};
     };
 
-    Entry* find(std::uint64_t number) {
-        const bool here = number >= first_ && number - first_ < entries_.size();
-        return here ? &entries_[static_cast<std::size_t>(number - first_)] : nullptr;
-    }
-    // Writes a part of an answer, or holds it back while an earlier command has no answer.
-    template <typename Write>
-    void append(Entry& entry, std::uint64_t number, Write write) {
-        if (number == first_) return write(to_write());
-        const std::size_t before = entry.reply.size();
-        write(entry.reply);
-        held_back_ += entry.reply.size() - before;
-    }
+    // Whether the entry's answer is not kept for later.
+    bool is_written_at_once(const Entry& entry, std::uint64_t number) const;
+    // Writes the answers up to the first one that is not complete.
+    void write_complete_answers();
+    // Writes what is kept of the first answer.
+    void write_kept();
+    void give_back_room();
+
+    // ---- A long value that is the first answer.
+    // Passes it on as it arrives, or keeps it where commands wait behind it.
+    void start_value();
+    void pass_as_it_arrives();
+    void keep_until_whole();
+    void check_kept_value();
+    // A value broke off. Where its first byte is written, only closing the connection tells the client.
+    void end_broken_value(Entry& entry, std::uint64_t number);
+    // Whether the client has sent a further whole command.
+    bool has_command_behind() const;
+    // Whether its next command stays in the socket: none may be behind a value that passes, and none comes
+    // behind one that has no room.
+    bool is_held_by_value() const;
+    // Reads on, after the client's next command had to wait.
+    void resume_reading();
     // For the log: what the connection is at.
     std::string_view phase() const;
     // Whether the client's next command waits in the socket until earlier ones are answered and the answers
@@ -111,8 +120,6 @@
     // Writes an answer of the server itself, after those of the earlier commands.
     void reply(std::string text);
 
-    void drop_first();
-
     // Hands the connection to another process. Unread bytes stay in the socket, so no request is lost.
     void pass();
 
@@ -130,10 +137,11 @@
 
     DownstreamServer& server_;
     Body body_;
-    std::deque<Entry> entries_;     // unanswered commands, in order
-    std::uint64_t first_ = 0;       // number of entries_.front()
-    std::size_t held_back_ = 0;     // bytes of answers that wait for earlier ones, in entries_
-    std::size_t noted_unsent_ = 0;  // in the server's totals
+    proxy::PendingAnswers answers_;
+    proxy::Handle value_timer_;         // of a long value that is kept
+    proxy::Timestamp value_pass_by_{};  // when its first byte has to be written
+    std::size_t reserved_ = 0;          // room of whole values that the kernel has not taken
+    std::size_t noted_unsent_ = 0;      // in the server's totals
     std::size_t noted_held_back_ = 0;
     std::size_t last_undelivered_ = 0;  // at the last check
     proxy::Timestamp progress_at_;      // when the client last took something, or had little to take
--- a/src/proxy/downstream_server.cpp
+++ b/src/proxy/downstream_server.cpp
@@ -1,6 +1,5 @@
 #include "proxy/downstream_server.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "proxy/downstream_client.h"
@@ -132,9 +131,9 @@
     return least || !full;
 }
 
-void DownstreamServer::watch_unread(Handle client) {
-    if (std::find(unread_.begin(), unread_.end(), client) != unread_.end()) return;
-    unread_.push_back(client);
+void DownstreamServer::watch_unread(Client& client) {
+    if (std::exchange(client.end_is_watched, true)) return;
+    unread_.push_back(client.self);
     if (unread_.size() > 1) return;
     unread_check_ = loop_.arm(loop_.now() + kUnreadCheckInterval, [this] { check_unread(); });
 }
@@ -142,12 +141,15 @@
 void DownstreamServer::check_unread() {
     for (const Handle handle : std::exchange(unread_, {})) {
         Client* const client = clients_.find(handle);
-        if (!client || client->closing() || client->reads()) continue;
-        if (client->end_if_ended()) {
+        if (!client) continue;
+        client->end_is_watched = false;
+        if (client->closing() || client->reads()) continue;
+        const bool has_unread = !client->passes_value();
+        if (!client->end_if_ended()) {
+            watch_unread(*client);
+        } else if (has_unread) {
             client->note(proxy::Event::kClientEndUnread);
-            continue;
         }
-        watch_unread(handle);
     }
 }
 
@@ -163,9 +165,9 @@
     if (client && !client->closing()) client->answer(ticket.number, answer);
 }
 
-void DownstreamServer::begin_value(const Ticket& ticket, std::size_t size) {
+void DownstreamServer::begin_value(const Ticket& ticket, std::size_t size, proxy::Duration max_delay) {
     Client* client = clients_.find(Handle::unpacked(ticket.place));
-    if (client && !client->closing()) client->begin_value(ticket.number, size);
+    if (client && !client->closing()) client->begin_value(ticket.number, size, max_delay);
 }
 
 bool DownstreamServer::pass_value(const Ticket& ticket, std::string_view piece) {
--- a/src/proxy/downstream_server.h
+++ b/src/proxy/downstream_server.h
@@ -72,7 +72,7 @@
     bool is_writing() const { return unsent_ > 0 || gateway_.counts().in_progress > 0; }
 
     void answer(const proxy::Ticket& ticket, const proxy::Answer& answer) override;
-    void begin_value(const proxy::Ticket& ticket, std::size_t size) override;
+    void begin_value(const proxy::Ticket& ticket, std::size_t size, proxy::Duration max_delay) override;
     bool pass_value(const proxy::Ticket& ticket, std::string_view piece) override;
 
 private:
@@ -84,7 +84,7 @@
     void add_client(bool asked, bool room, Connect connect);
     bool make_room();
     void check_timeouts();
-    void watch_unread(proxy::Handle client);
+    void watch_unread(Client& client);
     void check_unread();
 
     Loop& loop_;
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -53,8 +53,9 @@
     virtual ~DownstreamPort() = default;
     virtual void answer(const Ticket& ticket, const Answer& answer) = 0;
     // Streams a long value: begin_value(), then its pieces, then answer(). pass_value() returns false to
-    // pause the stream until RequestManager::go_on().
-    virtual void begin_value(const Ticket& ticket, std::size_t size) = 0;
+    // pause the stream until RequestManager::go_on(). `max_delay`: of the value's first byte, from the time
+    // on when the answers before it are given.
+    virtual void begin_value(const Ticket& ticket, std::size_t size, Duration max_delay) = 0;
     virtual bool pass_value(const Ticket& ticket, std::string_view piece) = 0;
 };
 
--- a/src/proxy/request_manager.cpp
+++ b/src/proxy/request_manager.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kOverdueDelay = 6ms;
 // 1/20 of the window in which endpoints recognize a repeated key is left for the transfer to the endpoint.
 constexpr int kDeliveryPart = 20;
+constexpr std::size_t kKeptForRequests = 4;  // 1/4 of their memory is never given to anything else
 
 std::string hex(std::uint64_t id) {
     constexpr int kDigits = 16;
@@ -310,6 +311,12 @@
     return true;
 }
 
+bool RequestManager::reserve_spare(std::size_t bytes) {
+    if (bytes_ + bytes > limits_.bytes - limits_.bytes / kKeptForRequests) return false;
+    bytes_ += bytes;
+    return true;
+}
+
 void RequestManager::take_over(const policy::QuotaState& state) {
     dispatch([this, state] { policy_->restore_quota(timers_.now(), state); });
 }
@@ -326,7 +333,7 @@
     open->streaming = true;
     open->first_bytes = timers_.now();
     timers_.disarm(std::exchange(open->deadline, {}));
-    open->downstream->begin_value(open->ticket, size);
+    open->downstream->begin_value(open->ticket, size, std::max(Duration{0}, open->due - open->first_bytes));
     dispatch([this, handle, attempt = open->attempts - 1] {
         policy_->on_stream_started(timers_.now(), handle.packed(), attempt);
     });
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -70,6 +70,8 @@
     void limit(Limits limits) { limits_ = limits; }
     // Reserves memory for a body that is still to arrive. It has to be given back before take().
     bool reserve(std::size_t bytes);
+    // Reserves memory that requests do not need now, for something else. It has to be given back.
+    bool reserve_spare(std::size_t bytes);
     void give_back(std::size_t bytes) { bytes_ -= bytes; }
     // Counts a request that the downstream server itself rejected, for lack of memory or because it drains.
     void turned_away(const DownstreamRequest& request, Event reason) {
--- a/testing/simulated_gateways.cpp
+++ b/testing/simulated_gateways.cpp
@@ -187,7 +187,7 @@
     }
 
     // The clients.
-    void begin_value(const proxy::Ticket&, std::size_t) override {}
+    void begin_value(const proxy::Ticket&, std::size_t, Duration) override {}
     bool pass_value(const proxy::Ticket&, std::string_view) override { return true; }
     void answer(const proxy::Ticket& ticket, const proxy::Answer& answer) override {
         const auto at = open_.find(ticket.number);
--- a/tests/crowd_memory_test.cpp
+++ b/tests/crowd_memory_test.cpp
@@ -165,12 +165,16 @@
                     Crowd{"TwoWholeValues", [] { return std::vector{calls(2, resp::kMaxBulk)}; }},
                     Crowd{"PipelinedValues", [] { return std::vector{calls(20, 60'000)}; }},
                     Crowd{"LongValues", [] { return std::vector{calls(1, 300'000)}; }},
+                    Crowd{"LongValuesWithCommandsBehind",
+                          [] { return std::vector{calls(1, 300'000) + calls(3, 100)}; }},
+                    Crowd{"PipelinedLongValues", [] { return std::vector{calls(4, 300'000)}; }},
                     Crowd{"HalfBodies", [] { return std::vector{half_body()}; }},
                     Crowd{"ManyFields", [] { return std::vector{many_fields()}; }},
                     Crowd{"AllKinds",
                           [] {
-                              return std::vector{calls(1, resp::kMaxBulk), half_body(), many_fields(),
-                                                 calls(20, 60'000), calls(1, 300'000)};
+                              return std::vector{
+                                  calls(1, resp::kMaxBulk), half_body(),       many_fields(),
+                                  calls(20, 60'000),        calls(1, 300'000), calls(4, 300'000)};
                           }}),
     [](const auto& crowd) { return crowd.param.name; });
 
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 #include <memory>
 #include <string>
 #include <utility>
@@ -91,6 +92,7 @@
           pool(loop, gateway, {64, with.connect_timeout, with.conn_idle}),
           counter(loop, gateway, counting.at, with.settings.counter_timeout),
           acceptor(loop, gateway, with.settings, {max_clients, 1 << 22, 20s, stall}) {
+        std::signal(SIGPIPE, SIG_IGN);  // as the program does
         gateway.attach(pool, counter);
         sockaddr_storage any{};
         net::read_address("127.0.0.1:0", any);
