A hot restart hands over the endpoint list, and its news while both processes live

Endpoints that had joined were unknown to it.

Cause: of what the old process knows, bans, drain state, quotas and ids were handed over, the list was not. The new one went by `known` of its configuration, which may be old, and said yes with that.

Change: ListHandover stands between a process's registry and the overrides. The old process sends the list as it holds it, in parts of some 16 KiB, one a turn of its loop, before the end of the state (`list` between the two; only to a process whose `hello` or `state` says that it takes lists). Later news of either process's registry goes to the other as changes. News of the other process counts only where it is newer than what the own registry has reported, within one registry; before the own registry has reported, unless the configuration's list is later. A process hands on what it was handed, so that a second upgrade in the same outage is covered. The operators' registries (Consul, etcd) go the same way: nothing that the old process knows to be gone is retained. The new process waits as long as messages come, 4 s at most (1 s in all before).

--- a/src/admin/hot_restart/hot_restart_message.cpp
+++ b/src/admin/hot_restart/hot_restart_message.cpp
@@ -13,15 +13,16 @@
 
 using nlohmann::json;
 
-constexpr std::array<config::Word<Kind>, 9> kKinds{{{"hello", Kind::kHello},
-                                                    {"state", Kind::kState},
-                                                    {"ban", Kind::kBan},
-                                                    {"accounts", Kind::kAccounts},
-                                                    {"end", Kind::kEnd},
-                                                    {"ready", Kind::kReady},
-                                                    {"drain", Kind::kDrain},
-                                                    {"requests", Kind::kRequests},
-                                                    {"client", Kind::kClient}}};
+constexpr std::array<config::Word<Kind>, 10> kKinds{{{"hello", Kind::kHello},
+                                                     {"state", Kind::kState},
+                                                     {"ban", Kind::kBan},
+                                                     {"accounts", Kind::kAccounts},
+                                                     {"end", Kind::kEnd},
+                                                     {"ready", Kind::kReady},
+                                                     {"drain", Kind::kDrain},
+                                                     {"requests", Kind::kRequests},
+                                                     {"client", Kind::kClient},
+                                                     {"list", Kind::kList}}};
 
 }  // namespace
 
@@ -50,6 +51,8 @@
     if (!message.text.empty()) out["text"] = message.text;
     if (message.on) out["on"] = true;
     if (message.with) out["with"] = true;
+    if (!message.registry.empty()) out["registry"] = message.registry;
+    if (message.takes_lists) out["lists"] = true;
     // An endpoint's id is what the registry makes it: what is no UTF-8 of it is replaced, never thrown at.
     return out.dump(-1, ' ', false, json::error_handler_t::replace) + '\n';
 }
@@ -61,8 +64,12 @@
         if (in.at("v").get<int>() != kVersion) return std::nullopt;
         const auto kind = config::look_up(kKinds, in.at("t").get<std::string>());
         if (!kind) return std::nullopt;
-        return Message{*kind, in.value("text", std::string()), in.value("on", false),
-                       in.value("with", false)};
+        return Message{*kind,
+                       in.value("text", std::string()),
+                       in.value("on", false),
+                       in.value("with", false),
+                       in.value("registry", std::string()),
+                       in.value("lists", false)};
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/src/admin/hot_restart/hot_restart_message.h
+++ b/src/admin/hot_restart/hot_restart_message.h
@@ -24,6 +24,8 @@
     kDrain,     // `on`: drain, else activate
     kRequests,  // `text`: ids of requests that may have run here and must not run there
     kClient,    // a connection comes along; `on`: its client has asked before
+    kList,  // `text`: endpoints as the registry lists them, a part of the list or changes; `registry`: where
+            // it is from; `on`: the last part. Only to a process that understands it
 };
 
 struct Message {
@@ -31,6 +33,8 @@
     std::string text;
     bool on = false;
     bool with = false;  // a socket comes along
+    std::string registry{};
+    bool takes_lists = false;  // of kHello and kState: the sender understands kList
 };
 
 // Client ids in the text of kRequests.
--- a/src/admin/maintenance_overrides.cpp
+++ b/src/admin/maintenance_overrides.cpp
@@ -102,6 +102,18 @@
     if (told_.count(id) == 0) forget(id);
 }
 
+std::vector<EndpointId> MaintenanceOverrides::listed_ids() const {
+    std::vector<EndpointId> ids;
+    ids.reserve(told_.size());
+    for (const auto& [id, listed] : told_) ids.push_back(id);
+    return ids;
+}
+
+const DiscoveredEndpoint* MaintenanceOverrides::find(const EndpointId& id) const {
+    const auto at = told_.find(id);
+    return at == told_.end() ? nullptr : &at->second;
+}
+
 std::size_t MaintenanceOverrides::skipped() const {
     return static_cast<std::size_t>(std::count_if(
         banned_.begin(), banned_.end(), [this](const EndpointId& id) { return told_.count(id) > 0; }));
--- a/src/admin/maintenance_overrides.h
+++ b/src/admin/maintenance_overrides.h
@@ -41,6 +41,9 @@
     void on_list(Listing listing) { listing_ = std::move(listing); }
 
     bool has_list() const { return has_list_; }
+    // What the list itself says; find() returns null for an endpoint that is not listed.
+    std::vector<proxy::EndpointId> listed_ids() const;
+    const proxy::DiscoveredEndpoint* find(const proxy::EndpointId& id) const;
     std::size_t known() const { return told_.size(); }  // endpoints in the list
     std::size_t skipped() const;                        // of them, suspended ones
 
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -143,6 +143,7 @@
 
 bool DiscoveryWatch::move(std::string address) {
     address_ = std::move(address);
+    reported_version_.reset();
     schedule_.record_new_registry();
     close_connections();
     return start();
@@ -199,6 +200,7 @@
 bool DiscoveryWatch::apply(http::List list) {
     if (!schedule_.record_list(list.version, list.full)) return false;
     oversize_reported_ = false;
+    reported_version_ = list.version;
     if (list.full) {
         slicer_.pass_complete_list(list.entries);
     } else if (!list.entries.empty()) {
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -29,6 +29,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "discovery/list_poll_schedule.h"
@@ -65,6 +66,9 @@
     // Switches to another address and requests the complete list there, since its versions may differ.
     bool move(std::string address);
     void close();
+    const std::string& address() const { return address_; }
+    // Of the last list or changes from this address; none: nothing has come from it yet.
+    std::optional<std::int64_t> reported_version() const { return reported_version_; }
     bool is_reading() const { return parsing_.busy(); }  // a long, complete answer is being parsed
 
 private:
@@ -88,6 +92,7 @@
     ListPollSchedule schedule_;
     proxy::SlotMap<Connection> connections_;
     proxy::Handle retry_;
+    std::optional<std::int64_t> reported_version_;
     bool closed_ = false;
     bool oversize_reported_ = false;  // since the last accepted list
 };
--- a/src/discovery/endpoint_set.cpp
+++ b/src/discovery/endpoint_set.cpp
@@ -19,6 +19,28 @@
 }
 
 void EndpointSet::whole(Timestamp now, const std::vector<DiscoveredEndpoint>& entries) {
+    remove_or_retain(now, take_whole(entries));
+}
+
+void EndpointSet::adopt_whole(const std::vector<DiscoveredEndpoint>& entries) {
+    for (const std::string& id : take_whole(entries)) {
+        retained_.erase(id);
+        remove(id);
+    }
+}
+
+void EndpointSet::adopt_changes(const std::vector<DiscoveredEndpoint>& entries) {
+    for (const DiscoveredEndpoint& listed : entries) {
+        if (listed.entry.state != EndpointState::kRemoved) {
+            upsert(listed);
+            continue;
+        }
+        retained_.erase(listed.entry.id);
+        remove(listed.entry.id);
+    }
+}
+
+std::vector<std::string> EndpointSet::take_whole(const std::vector<DiscoveredEndpoint>& entries) {
     ++list_number_;
     for (const DiscoveredEndpoint& listed : entries) {
         if (listed.entry.state == EndpointState::kRemoved) continue;
@@ -32,7 +54,7 @@
         if (endpoint.list_number != list_number_) gone.push_back(id);
     }
     std::sort(gone.begin(), gone.end());  // independent of the hash table's order
-    remove_or_retain(now, gone);
+    return gone;
 }
 
 void EndpointSet::changes(Timestamp now, const std::vector<DiscoveredEndpoint>& entries) {
--- a/src/discovery/endpoint_set.h
+++ b/src/discovery/endpoint_set.h
@@ -33,6 +33,9 @@
     void whole(Timestamp now, const std::vector<DiscoveredEndpoint>& entries);
     // Applies changes; an entry in state kRemoved removes the endpoint.
     void changes(Timestamp now, const std::vector<DiscoveredEndpoint>& entries);
+    // Takes the list of a process that has applied this set's rules already: nothing is retained.
+    void adopt_whole(const std::vector<DiscoveredEndpoint>& entries);
+    void adopt_changes(const std::vector<DiscoveredEndpoint>& entries);
     // Removes the endpoints that have been retained long enough; returns true if there were any.
     bool tick(Timestamp now);
 
@@ -52,6 +55,8 @@
         std::uint64_t list_number = 0;  // number of the last complete list that contains it
         bool queued = false;
     };
+    // Returns the ids that the complete list does not contain, sorted.
+    std::vector<std::string> take_whole(const std::vector<DiscoveredEndpoint>& entries);
     void upsert(const DiscoveredEndpoint& listed);
     void remove_or_retain(Timestamp now, const std::vector<std::string>& gone);
     void remove(const std::string& id);
--- a/src/discovery/registry_client.cpp
+++ b/src/discovery/registry_client.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t kMaxAnswerBytes = 128 * 1024 * 1024;
 // From the first to the last byte of an answer or of a stream's message.
 constexpr Duration kMaxAnswerTime = 60s;
+constexpr std::size_t kMaxAdopted = 64;      // lists and changes of another process that wait
 constexpr Duration kMinReadInterval = 50ms;  // between reads if the server answers without waiting
 
 }  // namespace
@@ -205,12 +206,27 @@
     const auto snapshot = discovery::decode_snapshot(*bytes, loop_.now(), settings_.snapshot_age);
     if (!snapshot) return report_("snapshot", settings_.snapshot + ": rejected: " + snapshot.error().message);
     shared_->endpoint_set.whole(loop_.now(), snapshot->entries);
-    // Passes everything on before the first request is served.
+    pass_all();
+    report_("snapshot", settings_.snapshot + ": " + std::to_string(snapshot->entries.size()) + " endpoints");
+}
+
+void RegistryClient::pass_all() {
     while (shared_->endpoint_set.pending()) {
         lists_.listed(policy::EndpointListKind::kChanges,
                       shared_->endpoint_set.next(ListUpdateSlicer::kMinSliceSize));
     }
-    report_("snapshot", settings_.snapshot + ": " + std::to_string(snapshot->entries.size()) + " endpoints");
+}
+
+void RegistryClient::adopt(policy::EndpointListKind kind,
+                           const std::vector<proxy::DiscoveredEndpoint>& entries) {
+    if (parsing_.busy()) {
+        if (adopted_.size() < kMaxAdopted) adopted_.push_back({kind, entries});
+        return;
+    }
+    if (shared_->source->counts().wholes > 0) return;
+    const bool is_whole = kind != policy::EndpointListKind::kChanges;
+    is_whole ? shared_->endpoint_set.adopt_whole(entries) : shared_->endpoint_set.adopt_changes(entries);
+    pass_all();
 }
 
 // Stores a snapshot only once the complete list is known, and not while removed endpoints are retained, since
@@ -350,6 +366,7 @@
 void RegistryClient::tick() {
     Duration again = kRetentionCheckInterval;
     if (!parsing_.busy()) {
+        for (const Adopted& one : std::exchange(adopted_, {})) adopt(one.kind, one.entries);
         shared_->endpoint_set.tick(loop_.now());
         const auto& counts = shared_->source->counts();
         state_.watching = shared_->source->state() == discovery::Source::State::kWatching;
--- a/src/discovery/registry_client.h
+++ b/src/discovery/registry_client.h
@@ -48,6 +48,12 @@
     // list shows the difference.
     void change(Settings settings);
     void close();
+    // The list of another process of this gateway, or changes to it; ignored once the registry itself has
+    // reported a complete list.
+    void adopt(policy::EndpointListKind kind, const std::vector<proxy::DiscoveredEndpoint>& entries);
+    bool has_reported() const { return state_.wholes > 0; }
+    // Names the registry's keys.
+    std::string name() const { return settings_.kind + ':' + settings_.source.prefix; }
 
     struct State {
         std::string endpoint;
@@ -69,6 +75,8 @@
         explicit SharedState(discovery::EndpointSet::Settings settings) : endpoint_set(settings) {}
     };
     void load_snapshot();
+    // Passes on all that has changed at once: before the first request is served.
+    void pass_all();
     void save_snapshot();
     void make_source();
     void connect();
@@ -86,6 +94,11 @@
     Report report_;
     std::mt19937_64 random_;
     std::shared_ptr<SharedState> shared_;
+    struct Adopted {
+        policy::EndpointListKind kind;
+        std::vector<proxy::DiscoveredEndpoint> entries;
+    };
+    std::vector<Adopted> adopted_;             // while a message is parsed
     std::unique_ptr<Settings> next_settings_;  // applied when the current job ends
     Background parsing_;
     Background saving_;  // writes a snapshot
--- a/src/net/http/http_message.cpp
+++ b/src/net/http/http_message.cpp
@@ -71,6 +71,28 @@
     return error == HPE_OK ? State::kPartial : State::kMalformed;
 }
 
+std::string write_list(const List& list) {
+    using nlohmann::json;
+    using policy::EndpointState;
+    json servers = json::array();
+    for (const proxy::DiscoveredEndpoint& one : list.entries) {
+        const policy::EndpointInfo& entry = one.entry;
+        const char* const state = entry.state == EndpointState::kInService ? "in_service"
+                                  : entry.state == EndpointState::kRemoved ? "terminated"
+                                                                           : "terminating";
+        servers.push_back({{"id", entry.id},
+                           {"addr", one.address},
+                           {"zone", entry.zone},
+                           {"kind", entry.kind},
+                           {"cell", entry.cell},
+                           {"weight", entry.weight},
+                           {"started_ms", entry.started / std::chrono::milliseconds(1)},
+                           {"state", state}});
+    }
+    const json root{{"version", list.version}, {"full", list.full}, {"servers", std::move(servers)}};
+    return root.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::optional<List> read_list(std::string_view text) {
     using nlohmann::json;
     const json root = json::parse(text, nullptr, false);
--- a/src/net/http/http_message.h
+++ b/src/net/http/http_message.h
@@ -64,5 +64,6 @@
 
 // Nothing where the text is no list.
 std::optional<List> read_list(std::string_view json);
+std::string write_list(const List& list);
 
 }  // namespace linnetlead::http
--- a/src/server/gateway_program.cpp
+++ b/src/server/gateway_program.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <exception>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -24,6 +25,7 @@
 #include "server/config.h"
 #include "server/drain.h"
 #include "server/hot_restart.h"
+#include "server/list_handover.h"
 #include "server/operator_service.h"
 #include "server/resource_shares.h"
 #include "server/sync_points.h"
@@ -88,7 +90,8 @@
           pool_(loop_, gateway_, {shares_.endpoints, config.site.connect_timeout, config.site.conn_idle}),
           counter_(loop_, gateway_, counter_of(config), config.site.settings.counter_timeout),
           suspensions_(gateway_),
-          registry_(loop_, suspensions_, config.discovery, config.known.version, config.seed,
+          list_handover_(suspensions_, [this] { return reported_list(); }),
+          registry_(loop_, list_handover_, config.discovery, config.known.version, config.seed,
                     config.site.settings.list_is_polled ? net::DiscoveryWatch::kAsked
                                                         : net::DiscoveryWatch::kPushed,
                     config.site.settings.gateways),
@@ -98,7 +101,8 @@
                  [this](const admin::Command& done) { upgrade_.tell(done); },
                  [this] { return operators_ ? operators_->agreement_state() : std::string(); },
                  [this] { return operators_ ? operators_->unusable_states() : 0; }}),
-          upgrade_({loop_, gateway_, acceptor_, pool_, suspensions_, drain_, [this](bool on) { share(on); }},
+          upgrade_({loop_, gateway_, acceptor_, pool_, suspensions_, drain_, list_handover_,
+                    [this](bool on) { share(on); }},
                    meeting_place(variable("TMPDIR"), config.listen), config.listen),
           mgmt_(loop_, [this](const admin::Command& command) { return desk_.carry(command); }) {
         if (config.among_peers) {
@@ -130,11 +134,16 @@
         loop_.buffers().set_high(shares_.buffers);
         watch_signals();
         if (!operators.empty()) {
-            operators_ =
-                std::make_unique<OperatorService>(operators, config, loop_, gateway_, suspensions_, counter_);
+            operators_ = std::make_unique<OperatorService>(operators, config, loop_, gateway_, suspensions_,
+                                                           list_handover_, counter_);
         }
         const bool own_registry = operators_ && operators_->has_registry();
-        if (!own_registry) {
+        if (own_registry) {
+            list_handover_.begin(
+                {operators_->registry()->name(), -1},
+                [this](auto kind, const auto& entries) { operators_->registry()->adopt(kind, entries); });
+        } else {
+            list_handover_.begin({config.discovery, config.known.version}, {});
             if (config.known.version >= 0) {
                 suspensions_.listed(policy::EndpointListKind::kCached, config.known.entries);
             }
@@ -170,6 +179,17 @@
         desk_.set_up();
     }
 
+    // What the registry in use has reported to this process.
+    std::optional<ListPosition> reported_list() const {
+        if (net::RegistryClient* const own = operators_ ? operators_->registry() : nullptr) {
+            if (!own->has_reported()) return std::nullopt;
+            return ListPosition{own->name(), -1};
+        }
+        const auto version = registry_.reported_version();
+        if (!version) return std::nullopt;
+        return ListPosition{registry_.address(), *version};
+    }
+
     void watch_signals() {
         for (std::size_t i = 0; i < signals_.size(); ++i) {
             uv_signal_init(loop_.uv(), &signals_[i]);
@@ -266,6 +286,7 @@
         loop_, [this](int from, std::string_view datagram) { peer_counter_->heard(from, datagram); }};
     std::unique_ptr<net::PeerCounter> peer_counter_;  // null: the site has a counter service, or none may be
     admin::MaintenanceOverrides suspensions_;
+    ListHandover list_handover_;
     net::DiscoveryWatch registry_;
     net::DownstreamServer acceptor_;
     Drain drain_;
--- a/src/server/hot_restart.cpp
+++ b/src/server/hot_restart.cpp
@@ -15,7 +15,10 @@
 
 namespace {
 
-constexpr proxy::Duration kStateWithin = 1s;  // else the new process starts alone
+// Longest time between two messages, and for all of the state; else the new process starts alone. It has to
+// be ready within 6 s.
+constexpr proxy::Duration kMessageWithin = 1s;
+constexpr proxy::Duration kStateWithin = 4s;
 constexpr std::size_t kMaxAccounts = 20000;   // go over; further ones begin anew
 constexpr std::size_t kIdsInAMessage = 1000;  // some 20 KiB
 constexpr std::size_t kMaxPath = 90;          // of a Unix socket's, with room for what is put behind it
@@ -57,9 +60,17 @@
     if (place_.empty() || stat(place_.c_str(), &at) != 0) return false;
     begin(Other::kOlder);
     older_->connect(place_);
-    send(Other::kOlder, {Kind::kHello, listen_, true, false});
-    parts_.loop.turn_until([this] { return taken_ || !older_->is_open(); }, kStateWithin);
+    Message hello{Kind::kHello, listen_, true, false};
+    hello.takes_lists = true;
+    send(Other::kOlder, hello);
+    const proxy::Timestamp until = parts_.loop.now() + kStateWithin;
+    std::size_t heard_before = 0;
+    do {
+        heard_before = messages_heard_;
+        parts_.loop.turn_until([this] { return taken_ || !older_->is_open(); }, kMessageWithin);
+    } while (!taken_ && older_->is_open() && messages_heard_ > heard_before && parts_.loop.now() < until);
     if (!taken_) older_->close();  // what comes late would find this one listening by itself
+    if (!taken_) parts_.lists.drop_incomplete();
     share();
     return adopted_;
 }
@@ -78,6 +89,7 @@
         case Kind::kState:
             if (message.with) adopted_ = parts_.acceptor.adopt(from) == 0;
             if (message.on) parts_.drain.drain();
+            older_takes_lists_ = message.takes_lists;
             return true;
         case Kind::kAccounts:
             for (const auto& told : hot_restart::read_accounts(message.text, parts_.gateway.plan_names())) {
@@ -107,6 +119,8 @@
         over(Other::kNewer);
     }
     begin(Other::kNewer);
+    newer_takes_lists_ = false;
+    list_.reset();
     newer_->accept(listener);
 }
 
@@ -116,7 +130,9 @@
         share();
         uv_stream_t* const listening = parts_.acceptor.listening();
         const bool draining = parts_.drain.state() == Drain::State::kDraining;
-        newer_->send(hot_restart::write({Kind::kState, {}, draining, listening != nullptr}), listening);
+        Message state{Kind::kState, {}, draining, listening != nullptr};
+        state.takes_lists = true;
+        newer_->send(hot_restart::write(state), listening);
         for (const proxy::EndpointId& id : parts_.suspensions.all()) {
             send(Other::kNewer, {Kind::kBan, id, true, false});
         }
@@ -127,7 +143,9 @@
             send(Other::kNewer, {Kind::kAccounts, text, false, false});
         }
         if (message.on) share_requests();
-        send(Other::kNewer, {Kind::kEnd, {}, false, false});
+        newer_takes_lists_ = message.takes_lists;
+        if (newer_takes_lists_) list_ = parts_.lists.parts();
+        send_list();
         return true;
     }
     if (message.kind != Kind::kReady) return false;
@@ -155,6 +173,18 @@
     });
 }
 
+// A long list goes one part a turn of the loop, so that it delays no request, and as fast as it is read.
+void HotRestart::send_list() {
+    const auto part = list_ ? list_->next() : std::nullopt;
+    if (!part) {
+        list_.reset();
+        return send(Other::kNewer, {Kind::kEnd, {}, false, false});
+    }
+    newer_->send(hot_restart::write(*part), nullptr, [this](bool sent) {
+        if (sent) send_list();
+    });
+}
+
 // ---- Both -----------------------------------------------------------------------------------------------
 
 void HotRestart::send(Other other, const Message& message) {
@@ -165,6 +195,7 @@
 bool HotRestart::heard(Other other, std::string_view line, uv_stream_t* from) {
     const auto message = hot_restart::read(line);
     if (!message || (message->with && !from)) return false;
+    ++messages_heard_;
     const Other beyond = other == Other::kOlder ? Other::kNewer : Other::kOlder;
     if (message->kind == Kind::kBan) {
         message->on ? parts_.suspensions.adopt(message->text) : parts_.suspensions.release(message->text);
@@ -176,9 +207,24 @@
         send(beyond, *message);
         return true;
     }
+    if (message->kind == Kind::kList) return heard_list(other, *message);
     return other == Other::kNewer ? heard_of_newer(*message) : heard_of_older(*message, from);
 }
 
+bool HotRestart::heard_list(Other from, const Message& message) {
+    const ListHandover::Taken taken = parts_.lists.take(message);
+    if (taken == ListHandover::Taken::kMalformed) return false;
+    const Other beyond = from == Other::kOlder ? Other::kNewer : Other::kOlder;
+    if (taken == ListHandover::Taken::kApplied && takes_lists(beyond)) send(beyond, message);
+    return true;
+}
+
+void HotRestart::send_news(const Message& news) {
+    for (const Other other : {Other::kOlder, Other::kNewer}) {
+        if (takes_lists(other)) send(other, news);
+    }
+}
+
 void HotRestart::tell(const admin::Command& done) {
     using admin::Verb;
     for (const Other other : {Other::kOlder, Other::kNewer}) {
@@ -198,7 +244,13 @@
     parts_.pool.retire(false);
 }
 
-void HotRestart::share() { parts_.share((older_ && older_->is_open()) || (newer_ && newer_->is_open())); }
+void HotRestart::share() {
+    const bool is_shared = (older_ && older_->is_open()) || (newer_ && newer_->is_open());
+    parts_.share(is_shared);
+    ListHandover::Send send;
+    if (is_shared) send = [this](const Message& news) { send_news(news); };
+    parts_.lists.send_with(std::move(send));
+}
 
 void HotRestart::close() {
     door_.close();
--- a/src/server/operator_service.cpp
+++ b/src/server/operator_service.cpp
@@ -161,7 +161,7 @@
 
 OperatorService::OperatorService(std::string path, const Config& config, net::Loop& loop,
                                  proxy::RequestManager& gateway, admin::MaintenanceOverrides& lists,
-                                 proxy::CounterPort& counter)
+                                 proxy::EndpointListPort& registry_lists, proxy::CounterPort& counter)
     : path_(std::move(path)),
       name_(config.name),
       site_(config.site),
@@ -208,7 +208,7 @@
     }
     if (!settings.registry.kind.empty()) {
         registry_ =
-            std::make_unique<net::RegistryClient>(loop, lists, registry_of(settings), config.seed,
+            std::make_unique<net::RegistryClient>(loop, registry_lists, registry_of(settings), config.seed,
                                                   [this](const std::string& event, const std::string& what) {
                                                       log_.write(timers_.now(), event, {{"what", what}});
                                                   });
--- a/src/server/operator_service.h
+++ b/src/server/operator_service.h
@@ -41,9 +41,11 @@
 
 class OperatorService {
 public:
-    // Reads the file; throws as read_operators() does. Attach the router before the first list is told.
+    // Reads the file; throws as read_operators() does. `registry_lists`: what the operators' registry reports
+    // to. Attach the router before the first list is told.
     OperatorService(std::string path, const Config& config, net::Loop& loop, proxy::RequestManager& gateway,
-                    admin::MaintenanceOverrides& lists, proxy::CounterPort& counter);
+                    admin::MaintenanceOverrides& lists, proxy::EndpointListPort& registry_lists,
+                    proxy::CounterPort& counter);
     ~OperatorService();
     OperatorService(const OperatorService&) = delete;
     OperatorService& operator=(const OperatorService&) = delete;
@@ -61,6 +63,7 @@
     std::size_t unusable_states() const;
     // Endpoints come from a registry of the operators' own, and the platform's discovery is not asked.
     bool has_registry() const { return registry_ != nullptr; }
+    net::RegistryClient* registry() { return registry_.get(); }
     void close();
 
 private:
