A process that is told to end does not take its successor's place again

Cause: the first process took the regular end of its successor for a crash, and waited at the meeting place for another one, over the socket of the newest process.

Change: a process that is told to end waits for nobody.

--- a/src/server/hot_restart.cpp
+++ b/src/server/hot_restart.cpp
@@ -48,10 +48,10 @@
                                                        return heard(other, line, from);
                                                    },
                                                    [this, other] {
-                                                       const bool left_the_place = passed_;
+                                                       const bool had_passed = passed_;
                                                        over(other);
-                                                       if (other == Other::kNewer && left_the_place)
-                                                           open_door();
+                                                       if (other == Other::kNewer && had_passed)
+                                                           wait_for_newer();
                                                    }});
 }
 
@@ -77,10 +77,12 @@
 
 void HotRestart::ready() {
     send(Other::kOlder, {Kind::kReady, {}, false, false});
-    open_door();
+    wait_for_newer();
 }
 
-void HotRestart::open_door() {
+// Not once this process ends: the place is that of its successor, or of the one after it.
+void HotRestart::wait_for_newer() {
+    if (parts_.drain.state() == Drain::State::kLeaving) return;
     if (!place_.empty()) door_.open(place_, [this](uv_stream_t* listener) { hand_over(listener); });
 }
 
--- a/src/server/hot_restart.h
+++ b/src/server/hot_restart.h
@@ -67,7 +67,7 @@
     bool heard_of_newer(const hot_restart::Message& message);
     bool heard_of_older(const hot_restart::Message& message, uv_stream_t* from);
     void over(Other other);
-    void open_door();
+    void wait_for_newer();
     void share();
     void send(Other other, const hot_restart::Message& message);
 
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -305,6 +305,31 @@
     EXPECT_TRUE(pair.skips(third, 0) && pair.skips(second, 0));
 }
 
+// Guards against: a process that is told to end, and outlives its successor, takes the place of that one's
+// successor, and the next upgrade takes over nothing.
+TEST(HotRestart, TheNextOneTakesOverFromTheNewestProcessThoughAnOlderOneStillEnds) {
+    Pair pair;
+    auto first = pair.start(free_port());
+    SocketPeer busy = connect_to(pair.listen);
+    busy.write(call("read", 8000));
+    const auto held = pair.accepted();
+    ASSERT_TRUE(wait_for([&] { return held->has("c=read"); }));
+    auto second = pair.start(free_port());
+    first->signal(SIGTERM);
+    const std::uint16_t third_admin = free_port(), last_admin = free_port();
+    auto third = pair.start(third_admin);
+    second->signal(SIGTERM);
+    EXPECT_EQ(second->exit_code(), 0);
+    EXPECT_FALSE(first->has_ended());
+    usleep(50'000);  // the first one sees that end
+    EXPECT_TRUE(pair.says_yes(third_admin, "PUT", "/v1/quoters/w/suspend"));
+    auto last = pair.start(last_admin);
+    EXPECT_TRUE(pair.skips(last_admin, 1));
+    held->write(served("v"));
+    EXPECT_TRUE(wait_for([&] { return busy.has("\r\nv\r\n"); }));
+    EXPECT_EQ(first->exit_code(), 0);
+}
+
 TEST(HotRestart, WhatADeadProcessLeftHindersNothing) {
     Pair pair;
     const std::uint16_t mgmt = free_port();
