A hard cap is granted by one of the two processes of a hot restart

Cause: the old process forgets its accounts when the new one is ready, and a client that stays with it was given a cap that had refilled since that process's start. Requests between the hand-over of the accounts and the new process's yes counted twice as well; the list that goes between them now would have made that longer.

Change: after the hand-over the old process admits nothing under a hard cap; should the new process die, caps count as spent at that moment. Accounts are handed over last.

--- a/include/linnetlead/policy.h
+++ b/include/linnetlead/policy.h
@@ -285,10 +285,12 @@
     void on_plans_added(Timestamp now, const std::vector<RatePlanSettings>& more);
 
     // Hot restart. The new process restores the states of all tenants. on_handed_over() then makes the old
-    // process forget its tenants, so that no units are granted twice.
+    // process forget its tenants, so that no units are granted twice; hard caps admit nothing there any more.
+    // on_hand_over_failed(): the new process is gone, and this one serves again.
     std::vector<QuotaState> quota_states() const;
     void restore_quota(Timestamp now, const QuotaState& state);
     void on_handed_over();
+    void on_hand_over_failed(Timestamp now);
 
     // Number of endpoints in service that are currently ejected by outlier detection.
     std::size_t ejected_count(Timestamp now) const;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -167,7 +167,8 @@
 void Policy::restore_quota(Timestamp now, const QuotaState& state) {
     impl_->handle(now, [&] { impl_->tenants().restore(state, now); });
 }
-void Policy::on_handed_over() { impl_->tenants().clear(); }
+void Policy::on_handed_over() { impl_->tenants().hand_over(); }
+void Policy::on_hand_over_failed(Timestamp now) { impl_->tenants().begin_anew(now); }
 std::size_t Policy::ejected_count(Timestamp now) const { return impl_->ejected_count(now); }
 
 }  // namespace linnetlead::policy
--- a/src/policy/quota_manager.cpp
+++ b/src/policy/quota_manager.cpp
@@ -41,10 +41,15 @@
     tenant.bucket_level += plan.rate * to_seconds(now - previous_start);
     // Otherwise a restart would double the hard cap: its bucket counts as empty at the start of this process,
     // and has refilled since then.
-    tenant.hard_cap_updated_at = context_.started;
+    tenant.hard_cap_updated_at = context_.hard_caps_empty_at;
     return tenant;
 }
 
+void QuotaManager::begin_anew(Timestamp now) {
+    tenants_.clear();
+    context_.hard_caps_empty_at = now;
+}
+
 // Starts the interval that contains `now`, with this level of the token bucket.
 void QuotaManager::start_interval(const std::string& name, Tenant& tenant, double level, Timestamp now) {
     tenant.interval = context_.schedule.index_at(tenant, now);
--- a/src/policy/quota_manager.h
+++ b/src/policy/quota_manager.h
@@ -30,7 +30,7 @@
         const SharedCounter& counter;
         DemandReports& reports;
         TaskQueue& tasks;
-        Timestamp started;  // of this process
+        Timestamp hard_caps_empty_at;  // the start of this process
     };
     explicit QuotaManager(const Context& context) : context_(context) {}
 
@@ -49,7 +49,10 @@
     // Hot restart: export of the tenants' states, import in the next process, and the end of the hand-over.
     std::vector<QuotaState> states() const;
     void restore(const QuotaState& state, Timestamp now);
-    void clear() { tenants_.clear(); }
+    // The hard caps are the next process's.
+    void hand_over() { begin_anew(Timestamp::max()); }
+    // Forgets all tenants; their hard caps count as spent at this time.
+    void begin_anew(Timestamp now);
 
 private:
     void start_interval(const std::string& name, Tenant& tenant, double level, Timestamp now);
--- a/src/proxy/request_manager.h
+++ b/src/proxy/request_manager.h
@@ -90,6 +90,8 @@
     std::vector<policy::QuotaState> accounts() const { return policy_->quota_states(); }
     void take_over(const policy::QuotaState& state);
     void handed_over() { policy_->on_handed_over(); }
+    // The process that took over is gone.
+    void hand_over_failed() { policy_->on_hand_over_failed(timers_.now()); }
     const Counts& counts() const { return counts_; }
     EventLog& events() { return events_; }
     const EventLog& events() const { return events_; }
--- a/src/server/hot_restart.cpp
+++ b/src/server/hot_restart.cpp
@@ -138,12 +138,6 @@
         for (const proxy::EndpointId& id : parts_.suspensions.all()) {
             send(Other::kNewer, {Kind::kBan, id, true, false});
         }
-        const auto accounts = parts_.gateway.accounts();
-        const std::size_t count = std::min(accounts.size(), kMaxAccounts);
-        for (std::size_t from = 0; from < count; from += hot_restart::kAccountsInAMessage) {
-            const std::string text = hot_restart::write_accounts(accounts, from, parts_.gateway.plan_names());
-            send(Other::kNewer, {Kind::kAccounts, text, false, false});
-        }
         if (message.on) share_requests();
         newer_takes_lists_ = message.takes_lists;
         if (newer_takes_lists_) list_ = parts_.lists.parts();
@@ -180,6 +174,7 @@
     const auto part = list_ ? list_->next() : std::nullopt;
     if (!part) {
         list_.reset();
+        send_accounts();  // last: units that are spent from here on are granted twice
         return send(Other::kNewer, {Kind::kEnd, {}, false, false});
     }
     newer_->send(hot_restart::write(*part), nullptr, [this](bool sent) {
@@ -187,6 +182,15 @@
     });
 }
 
+void HotRestart::send_accounts() {
+    const auto accounts = parts_.gateway.accounts();
+    const std::size_t count = std::min(accounts.size(), kMaxAccounts);
+    for (std::size_t from = 0; from < count; from += hot_restart::kAccountsInAMessage) {
+        const std::string text = hot_restart::write_accounts(accounts, from, parts_.gateway.plan_names());
+        send(Other::kNewer, {Kind::kAccounts, text, false, false});
+    }
+}
+
 // ---- Both -----------------------------------------------------------------------------------------------
 
 void HotRestart::send(Other other, const Message& message) {
@@ -244,6 +248,8 @@
     if (other == Other::kOlder || !std::exchange(passed_, false)) return;
     parts_.acceptor.pass_on(nullptr);
     parts_.pool.retire(false);
+    // A process that ends is not the next one to serve.
+    if (parts_.drain.state() != Drain::State::kLeaving) parts_.gateway.hand_over_failed();
 }
 
 void HotRestart::share() {
--- a/src/server/hot_restart.h
+++ b/src/server/hot_restart.h
@@ -58,6 +58,7 @@
     void hand_over(uv_stream_t* listener);
     void share_requests();
     void send_list();
+    void send_accounts();
     void send_news(const hot_restart::Message& news);
     bool takes_lists(Other other) const {
         return other == Other::kOlder ? older_takes_lists_ : newer_takes_lists_;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -108,6 +108,35 @@
     EXPECT_EQ(served_of(next, 5), 0);
 }
 
+// Guards against: clients that stay with the old process are given a hard cap beside the new one's.
+TEST(UpgradeAccounts, AHardCapIsGrantedByOneProcessAlone) {
+    config::Site capped = site();
+    capped.settings.plans[0].hard_cap_rate = 1000;
+    capped.settings.plans[0].hard_cap_burst = 2000;
+    Rig old(capped);
+    Listener endpoint;
+    old.gateway.listed(EndpointListKind::kComplete, {listed("w", endpoint.address())});
+    std::vector<std::unique_ptr<SocketPeer>> peers;
+    const auto answer_of_old = [&] {
+        usleep(50'000);  // the cap refills
+        SocketPeer client = old.client();
+        client.write(call("hold"));
+        EXPECT_TRUE(old.until([&] {
+            if (auto peer = endpoint.accept()) peers.push_back(std::move(peer));
+            for (auto& peer : peers) {
+                if (peer->has("c=hold")) peer->got.clear(), peer->write(served("v"));
+            }
+            return client.has("\r\n");
+        }));
+        return client.got.substr(0, 1);
+    };
+    EXPECT_EQ(answer_of_old(), "$");
+    old.gateway.handed_over();
+    EXPECT_EQ(answer_of_old(), "-");
+    old.gateway.hand_over_failed();
+    EXPECT_EQ(answer_of_old(), "$");
+}
+
 TEST(UpgradePlace, IsOneForEachAddressAndNoneWhereItCannotBe) {
     EXPECT_EQ(server::meeting_place("/t", "10.0.0.4:6379"), "/t/linnetlead-10.0.0.4_6379");
     EXPECT_NE(server::meeting_place("/t", "10.0.0.4:6379"), server::meeting_place("/t", "10.0.0.5:6379"));
