--- a/src/proxy/downstream_client.h
+++ b/src/proxy/downstream_client.h
@@ -59,6 +59,8 @@
 
 private:
     using Entry = proxy::PendingAnswers::Entry;
+    // Bytes for one client; above, its reading is paused.
+    static constexpr std::size_t kPauseReadingUnsent = 64 * 1024;
     // A command whose long body is being received.
     struct Body {
         proxy::DownstreamRequest request;
--- a/tests/broken_value_test.cpp
+++ b/tests/broken_value_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <ostream>
 
 #include "rig.h"
 
@@ -76,8 +77,8 @@
     std::size_t value_bytes;
     std::size_t given_bytes;
 };
-void PrintTo(const Break& one, std::ostream* out) {
-    *out << one.given_bytes << " of " << one.value_bytes << " bytes";
+std::ostream& operator<<(std::ostream& out, const Break& one) {
+    return out << one.given_bytes << " of " << one.value_bytes << " bytes";
 }
 class BrokenValue : public testing::TestWithParam<Break> {};
 
--- a/tests/list_handover_test.cpp
+++ b/tests/list_handover_test.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <map>
 #include <optional>
+#include <ostream>
 
 #include "discovery/endpoint_set.h"
 #include "rig.h"
@@ -125,7 +126,7 @@
     ListPosition handed;
     bool is_applied;
 };
-void PrintTo(const Claim& claim, std::ostream* out) { *out << claim.what; }
+std::ostream& operator<<(std::ostream& out, const Claim& claim) { return out << claim.what; }
 class NewsOfTheOther : public testing::TestWithParam<Claim> {};
 
 // Guards against: old news replaces what this process's own registry has told it since.
