--- a/testing/soak/scenario.cpp
+++ b/testing/soak/scenario.cpp
@@ -254,7 +254,7 @@
          scenario.new_connection_share);
     if (scenario.long_value_every > 0)
         line("one value in %d of %zu bytes", scenario.long_value_every, scenario.long_value_bytes);
-    if (scenario.upgrades_with_old_list) line("upgrades start with the first list");
+    if (scenario.upgrades_with_old_list) text += "  upgrades start with the first list\n";
     for (const auto& one : scenario.processes)
         line("%5lld ms gateway %d: %s", ms(one.at), one.gateway, name_of(one.event));
     for (const auto& one : scenario.endpoint_spells)
